--- /dev/null
+++ b/src/config/mod.ts
@@ -0,0 +1,46 @@
+/**
+ * The configuration in force on this daemon.
+ *
+ * @module
+ */
+
+import type { Option } from "fp-ts/Option";
+import type { Result } from "ts-results";
+import { Plugin, PluginKey, type Refusal } from "../kernel/mod.ts";
+import type { Configuration, Key, Route } from "../tables/mod.ts";
+
+/** A caller that showed a good key, or none on an open route. */
+export interface Caller {
+  readonly tenant: string;
+  /** Public name of the key; empty on an open route. */
+  readonly keyId: string;
+}
+
+/** The configuration in force, its freshness, and callers' keys. */
+export abstract class Config extends Plugin {
+  /** The newest revision known; `None` before the first. */
+  abstract current(): Option<Configuration>;
+
+  /** Age in milliseconds of the view of the configuration; may be infinite. */
+  abstract ageMs(): number;
+
+  /** Whether keyed work may be admitted on this view. */
+  abstract fresh(): boolean;
+
+  /** Whether the caller with this key (not its hash) may use the route. */
+  abstract authorize(
+    route: Route,
+    key: Option<string>,
+  ): Result<Caller, Refusal>;
+
+  /** The key with this public name on the route, if still granted. */
+  abstract granted(route: string, keyId: string): Option<Key>;
+
+  /** Calls `listener` after each new revision; returns its removal. */
+  abstract onChange(
+    listener: (configuration: Configuration) => void,
+  ): () => void;
+}
+
+/** The key of the configuration plug-in. */
+export const configKey = new PluginKey<Config>("config");
--- /dev/null
+++ b/src/gateway/generate.ts
@@ -0,0 +1,27 @@
+/**
+ * Runs one generation to its end over as many upstreams as it takes.
+ *
+ * @module
+ */
+
+import type { Result } from "ts-results";
+import { Plugin, PluginKey, type Refusal } from "../kernel/mod.ts";
+import type { Chunk, Generation } from "../platform/mod.ts";
+import type { Demand } from "../dispatch/mod.ts";
+
+/** Runs generations; used for callers' requests and for samples. */
+export abstract class Generator extends Plugin {
+  /**
+   * Streams a generation. A broken attempt resumes on another upstream from
+   * the text so far. Ends with a chunk that has a finish reason, or with one
+   * refusal; never ends clean without either.
+   */
+  abstract run(
+    demand: Demand,
+    generation: Generation,
+    signal: AbortSignal,
+  ): AsyncGenerator<Result<Chunk, Refusal>, void, void>;
+}
+
+/** The key of the generator plug-in. */
+export const generatorKey = new PluginKey<Generator>("generator");
--- /dev/null
+++ b/src/kernel/clock.ts
@@ -0,0 +1,103 @@
+/**
+ * Time as the product sees it. Deadlines, leases and bounds on silence are
+ * counted on the monotonic clock only; wall time names usage windows and
+ * nothing else.
+ *
+ * @module
+ */
+
+/** A source of time and of timers. */
+export abstract class Clock {
+  /** Monotonic time in milliseconds; its origin is arbitrary. */
+  abstract now(): number;
+
+  /** Wall time in milliseconds since the Unix epoch. */
+  abstract wall(): number;
+
+  /** Runs `task` once after `delayMs`; the returned function cancels it. */
+  abstract after(delayMs: number, task: () => void): () => void;
+
+  /** Resolves after `delayMs`, or at once when `signal` aborts. */
+  sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      const done = () => {
+        cancel();
+        signal?.removeEventListener("abort", done);
+        resolve();
+      };
+      const cancel = this.after(delayMs, done);
+      signal?.addEventListener("abort", done, { once: true });
+    });
+  }
+}
+
+/** The process's own clock. */
+export class SystemClock extends Clock {
+  now(): number {
+    return performance.now();
+  }
+
+  wall(): number {
+    return Date.now();
+  }
+
+  after(delayMs: number, task: () => void): () => void {
+    const timer = setTimeout(task, delayMs);
+    return () => clearTimeout(timer);
+  }
+}
+
+interface Timer {
+  readonly at: number;
+  readonly seq: number;
+  readonly task: () => void;
+}
+
+/** A clock that moves only when told to, for deterministic runs. */
+export class ManualClock extends Clock {
+  #now = 0;
+  #seq = 0;
+  #timers: readonly Timer[] = [];
+  readonly #epochMs: number;
+
+  constructor(options: { epochMs?: number } = {}) {
+    super();
+    this.#epochMs = options.epochMs ?? 0;
+  }
+
+  now(): number {
+    return this.#now;
+  }
+
+  wall(): number {
+    return this.#epochMs + this.#now;
+  }
+
+  after(delayMs: number, task: () => void): () => void {
+    const timer = {
+      at: this.#now + Math.max(0, delayMs),
+      seq: this.#seq++,
+      task,
+    };
+    this.#timers = [...this.#timers, timer];
+    return () => {
+      this.#timers = this.#timers.filter((other) => other !== timer);
+    };
+  }
+
+  /** Moves time forward, running due timers in order of their time. */
+  advance(byMs: number): void {
+    const end = this.#now + byMs;
+    for (;;) {
+      const due = this.#timers
+        .filter((timer) => timer.at <= end)
+        .sort((a, b) => a.at - b.at || a.seq - b.seq)[0];
+      if (due === undefined) break;
+      this.#timers = this.#timers.filter((timer) => timer !== due);
+      this.#now = Math.max(this.#now, due.at);
+      due.task();
+    }
+    this.#now = end;
+  }
+}
--- /dev/null
+++ b/src/kernel/clock_test.ts
@@ -0,0 +1,30 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { ManualClock } from "./mod.ts";
+
+test("a manual clock runs due timers in order of their time", () => {
+  const clock = new ManualClock();
+  const ran: string[] = [];
+  clock.after(20, () => ran.push("late"));
+  clock.after(10, () => ran.push("early"));
+  clock.advance(20);
+  expect(ran).toEqual(["early", "late"]);
+});
+
+test("a cancelled timer does not run", () => {
+  const clock = new ManualClock();
+  let ran = false;
+  const cancel = clock.after(10, () => ran = true);
+  cancel();
+  clock.advance(10);
+  expect(ran).toEqual(false);
+});
+
+test("sleep ends at once when its signal aborts", async () => {
+  const clock = new ManualClock();
+  const abort = new AbortController();
+  const sleep = clock.sleep(1000, abort.signal);
+  abort.abort();
+  await sleep;
+  expect(clock.now()).toEqual(0);
+});
--- /dev/null
+++ b/src/kernel/kernel.ts
@@ -0,0 +1,123 @@
+/**
+ * The kernel starts, drains and stops the plug-ins, and hands each what it was
+ * built on: clock, settings, platform, metrics. It knows no plug-in by name.
+ *
+ * @module
+ */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { Platform } from "../platform/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import { type Clock, SystemClock } from "./clock.ts";
+import {
+  type Plugin,
+  type PluginKey,
+  registered,
+  type Registration,
+} from "./plugin.ts";
+
+/** The daemon's core: a set of plug-ins and what they share. */
+export class Kernel {
+  readonly settings: Settings;
+  readonly platform: Platform;
+  readonly clock: Clock;
+  readonly metrics = new Registry();
+  /** Differs between any two runs of a daemon, also on the same VM. */
+  readonly incarnation: string;
+  readonly #plugins = new Map<PluginKey, Plugin>();
+  #draining = false;
+
+  constructor(options: {
+    settings: Settings;
+    platform: Platform;
+    incarnation: string;
+    clock?: Clock;
+    registrations?: readonly Registration[];
+  }) {
+    this.settings = options.settings;
+    this.platform = options.platform;
+    this.incarnation = options.incarnation;
+    this.clock = options.clock ?? new SystemClock();
+    for (const registration of options.registrations ?? registered()) {
+      this.#plugins.set(registration.key, registration.create(this));
+    }
+  }
+
+  /** The plug-in with this key; throws when it isn't there. */
+  get<T extends Plugin>(key: PluginKey<T>): T {
+    const plugin = this.#plugins.get(key);
+    if (plugin === undefined) {
+      throw new RangeError(`Plug-in "${key.name}" is not there yet`);
+    }
+    return plugin as T;
+  }
+
+  /** Every plug-in with its name, in order of start. */
+  get plugins(): readonly (readonly [string, Plugin])[] {
+    return [...this.#plugins].map(([key, plugin]) =>
+      [key.name, plugin] as const
+    );
+  }
+
+  /** Whether a graceful shutdown has begun. */
+  get draining(): boolean {
+    return this.#draining;
+  }
+
+  /** Starts all plug-ins in order. */
+  async start(): Promise<void> {
+    for (const plugin of this.#plugins.values()) await plugin.start();
+  }
+
+  /** Shuts down gracefully: drains all plug-ins, then stops them. */
+  async shutdown(): Promise<void> {
+    this.#draining = true;
+    const reversed = [...this.#plugins.values()].reverse();
+    for (const plugin of reversed) await plugin.drain();
+    for (const plugin of reversed) await plugin.stop();
+  }
+
+  /** A counter in this daemon's registry. */
+  counter<L extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly L[] = [],
+  ): Counter<L> {
+    return new Counter({
+      name,
+      help,
+      labelNames: [...labelNames],
+      registers: [this.metrics],
+    });
+  }
+
+  /** A gauge in this daemon's registry. */
+  gauge<L extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly L[] = [],
+  ): Gauge<L> {
+    return new Gauge({
+      name,
+      help,
+      labelNames: [...labelNames],
+      registers: [this.metrics],
+    });
+  }
+
+  /** A histogram in this daemon's registry. */
+  histogram<L extends string>(
+    name: string,
+    help: string,
+    buckets: readonly number[],
+    labelNames: readonly L[] = [],
+  ): Histogram<L> {
+    return new Histogram({
+      name,
+      help,
+      buckets: [...buckets],
+      labelNames: [...labelNames],
+      registers: [this.metrics],
+    });
+  }
+}
--- /dev/null
+++ b/src/kernel/mod.ts
@@ -0,0 +1,20 @@
+/**
+ * The kernel: plug-ins, clock, verdicts, logs.
+ *
+ * @module
+ */
+
+export { Clock, ManualClock, SystemClock } from "./clock.ts";
+export { Kernel } from "./kernel.ts";
+export { type Log, logger } from "./log.ts";
+export {
+  type GossipSection,
+  type PeerHandler,
+  Plugin,
+  PluginKey,
+  type Props,
+  register,
+  registered,
+  type Registration,
+} from "./plugin.ts";
+export { Reason, Refusal, Verdict, worse } from "./verdict.ts";
--- /dev/null
+++ b/src/kernel/verdict.ts
@@ -0,0 +1,81 @@
+/**
+ * What is known of a request that did not succeed. The verdict has no default:
+ * whoever refuses or fails a request has to say whether it may have run, and
+ * "may have run" wins wherever two verdicts meet.
+ *
+ * @module
+ */
+
+/** Whether a request that got no whole answer may have run at an upstream. */
+export enum Verdict {
+  NotRun = "not run",
+  MayHaveRun = "may have run",
+}
+
+/** Why a request was refused, retried or failed. Used as a metric label. */
+export enum Reason {
+  BadRequest = "bad_request",
+  TooLarge = "too_large",
+  NoKey = "no_key",
+  UnknownKey = "unknown_key",
+  KeyWithdrawn = "key_withdrawn",
+  KeyNotForRoute = "key_not_for_route",
+  StaleConfiguration = "stale_configuration",
+  NoRoute = "no_route",
+  NoUpstream = "no_upstream",
+  TenantOverShare = "tenant_over_share",
+  QueueFull = "queue_full",
+  DeadlineTooShort = "deadline_too_short",
+  DeadlineExceeded = "deadline_exceeded",
+  RetryBudgetSpent = "retry_budget_spent",
+  Quarantined = "quarantined",
+  Draining = "draining",
+  PlatformDown = "platform_down",
+  PeerUnreachable = "peer_unreachable",
+  PeerFailed = "peer_failed",
+  ConnectFailed = "connect_failed",
+  UpstreamRefused = "upstream_refused",
+  UpstreamCrashed = "upstream_crashed",
+  UpstreamSilent = "upstream_silent",
+  UpstreamLeaving = "upstream_leaving",
+  Truncated = "truncated",
+  IdempotencyConflict = "idempotency_conflict",
+  StepUnknown = "step_unknown",
+  StepCancelled = "step_cancelled",
+  StaleSample = "stale_sample",
+  Cancelled = "cancelled",
+  Internal = "internal",
+}
+
+/** A request's unsuccessful end. */
+export class Refusal {
+  /** Whether the request may have run at any upstream. */
+  readonly verdict: Verdict;
+  readonly reason: Reason;
+  /** One sentence for the caller, without keys or addresses. */
+  readonly message: string;
+  /** When to come back, in milliseconds from now; 0 means at will. */
+  readonly retryAfterMs: number;
+
+  constructor(options: {
+    verdict: Verdict;
+    reason: Reason;
+    message: string;
+    retryAfterMs?: number;
+  }) {
+    this.verdict = options.verdict;
+    this.reason = options.reason;
+    this.message = options.message;
+    this.retryAfterMs = options.retryAfterMs ?? 0;
+  }
+
+  /** The same refusal, after an earlier attempt that ended in `earlier`. */
+  following(earlier: Verdict): Refusal {
+    return new Refusal({ ...this, verdict: worse(this.verdict, earlier) });
+  }
+}
+
+/** The verdict over two attempts of one request. */
+export function worse(a: Verdict, b: Verdict): Verdict {
+  return a === Verdict.MayHaveRun ? a : b;
+}
--- /dev/null
+++ b/src/platform/mod.ts
@@ -0,0 +1,308 @@
+/**
+ * What the daemon asks of the platform and of upstreams, as abstract classes.
+ * Decisions depend on these only; each has one HTTP implementation beside it.
+ *
+ * @module
+ */
+
+import type { Option } from "fp-ts/Option";
+import type { Result } from "ts-results";
+
+/** How a call to an outside service failed. */
+export enum Fault {
+  /** The call surely had no effect. */
+  NotSent = "not_sent",
+  /** The call was answered with a refusal; it had no effect. */
+  Refused = "refused",
+  /** No answer came; the call may have taken effect. */
+  Unknown = "unknown",
+}
+
+/** A failed call to an outside service. */
+export interface Failure {
+  readonly fault: Fault;
+  readonly message: string;
+}
+
+/** A value of the key-value service. */
+export interface Entry {
+  readonly key: string;
+  readonly value: string;
+  /** Grows with every write to the service; 0 stands for an absent key. */
+  readonly revision: number;
+}
+
+/** A lease of the key-value service; keys written under it vanish with it. */
+export interface Grant {
+  readonly id: string;
+  readonly ttlMs: number;
+}
+
+/** A compare-and-swap that was answered: applied, or lost to `current`. */
+export type Swap =
+  | { readonly applied: true; readonly revision: number }
+  | { readonly applied: false; readonly current: Option<Entry> };
+
+/** The platform's key-value service. Values hold at most a megabyte. */
+export abstract class KeyValue {
+  /** Reads one key. */
+  abstract get(key: string): Promise<Result<Option<Entry>, Failure>>;
+
+  /** Reads keys under `prefix` in order, after the key `after`. */
+  abstract range(
+    prefix: string,
+    options?: { after?: string; limit?: number },
+  ): Promise<Result<readonly Entry[], Failure>>;
+
+  /**
+   * Writes `value` if the key's revision is `expected` (0 for absent).
+   * On `Fault.Unknown` the write may have taken effect: read before deciding.
+   */
+  abstract swap(key: string, options: {
+    value: string;
+    expected: number;
+    lease?: string;
+  }): Promise<Result<Swap, Failure>>;
+
+  /** Deletes the key if its revision is `expected`. */
+  abstract remove(
+    key: string,
+    expected: number,
+  ): Promise<Result<Swap, Failure>>;
+
+  /** Makes a lease that lapses `ttlMs` after its last renewal. */
+  abstract grant(ttlMs: number): Promise<Result<Grant, Failure>>;
+
+  /** Renews a lease; a lapsed one is refused. */
+  abstract renew(id: string): Promise<Result<Grant, Failure>>;
+
+  /** Ends a lease at once. */
+  abstract revoke(id: string): Promise<Result<true, Failure>>;
+
+  /**
+   * Waits until `key` has a revision other than `known`, at most `waitMs`.
+   * Answers with the entry as it is then, changed or not.
+   */
+  abstract watch(
+    key: string,
+    options: { known: number; waitMs: number; signal?: AbortSignal },
+  ): Promise<Result<Option<Entry>, Failure>>;
+}
+
+/** What a VM on the platform's list is for. */
+export enum Role {
+  Entry = "entry",
+  Upstream = "upstream",
+}
+
+/** What the platform's list says of a VM. */
+export enum Standing {
+  Live = "live",
+  Leaving = "leaving",
+}
+
+/** One line of the platform's list of VMs. */
+export interface Vm {
+  readonly id: string;
+  readonly role: Role;
+  readonly standing: Standing;
+  readonly availabilityZone: string;
+  /** Host and port: an entry's peer port, an upstream's HTTP port. */
+  readonly address: string;
+  /** Host and port of an entry's HTTP port; empty for an upstream. */
+  readonly http: string;
+  /** The pool that an upstream belongs to; empty for an entry. */
+  readonly pool: string;
+  /** Whether the VM can be reclaimed at a few seconds' notice. */
+  readonly reclaimable: boolean;
+}
+
+/** The platform's lagging list of live and leaving VMs. */
+export abstract class Directory {
+  abstract list(): Promise<Result<readonly Vm[], Failure>>;
+}
+
+/** How many upstreams of a pool shall run in one availability zone. */
+export interface Order {
+  /** Makes resending harmless: the platform runs an id once. */
+  readonly id: string;
+  readonly pool: string;
+  readonly availabilityZone: string;
+  readonly reclaimable: boolean;
+  /** Wanted number of running upstreams. */
+  readonly count: number;
+  /** Term of the holder; rises with each holder. */
+  readonly term: number;
+  /** The ordering daemon, for the record. */
+  readonly holder: string;
+}
+
+/** What the platform offers in one availability zone for one pool. */
+export interface Offer {
+  readonly pool: string;
+  readonly availabilityZone: string;
+  readonly reclaimable: boolean;
+  /** Price of one running upstream for an hour. */
+  readonly pricePerHour: number;
+  readonly running: number;
+  /** Upstreams ordered but not yet live. */
+  readonly starting: number;
+  /** How many the platform could run now, the running ones included. */
+  readonly available: number;
+  /** Milliseconds until a reclaim that was announced; absent without one. */
+  readonly reclaimInMs?: number;
+}
+
+/** The interface on which upstreams are ordered by availability zone. */
+export abstract class OrderDesk {
+  abstract offers(): Promise<Result<readonly Offer[], Failure>>;
+  /** Places an order; `signal` bounds how long it stays in flight. */
+  abstract place(
+    order: Order,
+    signal: AbortSignal,
+  ): Promise<Result<true, Failure>>;
+}
+
+/** One usage report: a tenant's window. Resends are byte-identical. */
+export interface Report {
+  readonly tenant: string;
+  /** Start of the window, as an ISO 8601 instant. */
+  readonly window: string;
+  readonly holder: string;
+  readonly term: number;
+  readonly lines: readonly ReportLine[];
+}
+
+/** What one route used of one model. */
+export interface ReportLine {
+  readonly route: string;
+  /** The window of the use where it was closed before; else empty. */
+  readonly lateFrom: string;
+  readonly requests: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+}
+
+/** The interface that takes usage reports. */
+export abstract class ReportDesk {
+  /** Sends `body`, the sealed text of a report, under `id`. */
+  abstract send(
+    id: string,
+    body: string,
+    signal: AbortSignal,
+  ): Promise<Result<true, Failure>>;
+}
+
+/** The rate-limited weight store. */
+export abstract class WeightStore {
+  /** The newest weight version published for a model; 0 before the first. */
+  abstract latest(model: string): Promise<Result<number, Failure>>;
+}
+
+/** An upstream's load, as it tells it; lags behind the truth. */
+export interface Load {
+  readonly running: number;
+  readonly queued: number;
+  /** Requests that the engine batches at once. */
+  readonly slots: number;
+  readonly weightVersion: number;
+  readonly adapters: readonly string[];
+}
+
+/** A prefix that an engine put into its cache or evicted. */
+export interface CacheEvent {
+  readonly seq: number;
+  readonly prefix: string;
+  readonly cached: boolean;
+}
+
+/** A generation to run on an upstream. */
+export interface Generation {
+  /** The request's own marker; comes back in each chunk. */
+  readonly id: string;
+  readonly model: string;
+  readonly prompt: string;
+  /** Text generated earlier, which the engine continues. */
+  readonly resume: string;
+  readonly maxTokens: number;
+  readonly temperature: number;
+  readonly seed: number;
+  /** Higher runs first. */
+  readonly priority: number;
+}
+
+/** A piece of a generation. */
+export interface Chunk {
+  readonly id: string;
+  readonly text: string;
+  readonly tokens: number;
+  readonly weightVersion: number;
+  /** Empty until the last chunk; `stop` or `length` there. */
+  readonly finishReason: string;
+  /** Tokens of the prompt; in the last chunk, else 0. */
+  readonly promptTokens: number;
+}
+
+/** How a call to an engine ended early, and whether it may have run. */
+export interface EngineFailure {
+  readonly kind: EngineFault;
+  readonly message: string;
+}
+
+/** Ways in which a call to an upstream ends early. */
+export enum EngineFault {
+  /** No connection was made: the upstream saw nothing. */
+  Connect = "connect",
+  /** The upstream answered that it does not run the request. */
+  Refused = "refused",
+  /** The connection broke after the request was sent. */
+  Broken = "broken",
+  /** Nothing came for longer than the bound on silence. */
+  Silent = "silent",
+  /** The stream ended without its last chunk. */
+  Truncated = "truncated",
+  /** The caller or a bound cancelled it. */
+  Cancelled = "cancelled",
+}
+
+/** The address of an upstream, with its identity. */
+export interface Target {
+  readonly id: string;
+  readonly address: string;
+}
+
+/** What the daemon asks of a model engine. */
+export abstract class Engine {
+  /** Runs a generation; the last item says how it ended, if not whole. */
+  abstract generate(
+    target: Target,
+    generation: Generation,
+    signal: AbortSignal,
+  ): AsyncGenerator<Result<Chunk, EngineFailure>, void, void>;
+
+  abstract load(target: Target): Promise<Result<Load, Failure>>;
+
+  /** Cache events after `seq`; gaps in `seq` are events that were lost. */
+  abstract events(
+    target: Target,
+    seq: number,
+  ): Promise<Result<readonly CacheEvent[], Failure>>;
+
+  /** Orders a weight version to be loaded, under the holder's term. */
+  abstract loadWeights(target: Target, options: {
+    model: string;
+    version: number;
+    term: number;
+    signal: AbortSignal;
+  }): Promise<Result<true, Failure>>;
+}
+
+/** Everything outside that the daemon reaches. */
+export interface Platform {
+  readonly keyValue: KeyValue;
+  readonly directory: Directory;
+  readonly orders: OrderDesk;
+  readonly reports: ReportDesk;
+  readonly weights: WeightStore;
+  readonly engine: Engine;
+}
--- /dev/null
+++ b/src/usage/mod.ts
@@ -0,0 +1,29 @@
+/**
+ * What each tenant used, counted once and kept through the death of a daemon.
+ *
+ * @module
+ */
+
+import { Plugin, PluginKey } from "../kernel/mod.ts";
+
+/** What one answered request or delivered sample used. */
+export interface Use {
+  /** Unique to what was delivered; recorded once over all daemons. */
+  readonly id: string;
+  readonly tenant: string;
+  readonly route: string;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+}
+
+/** Records use and reports it. */
+export abstract class Usage extends Plugin {
+  /**
+   * Records a use; resolves when a peer has it too, or when none can take
+   * it. Call before the last byte of the answer is released.
+   */
+  abstract record(use: Use): Promise<void>;
+}
+
+/** The key of the usage plug-in. */
+export const usageKey = new PluginKey<Usage>("usage");
