Peers: proven links, membership by neighbours, requests and gossip

Cause: the daemons need to know each other, and to ask each other, without a coordination service and within 24 KB a second at 410 of them. Change: links with a mutual proof of the secret and a signature with sequence on each frame; requests matched by id; silence is remedied by a new link; each daemon watches at most six neighbours on three hash rings (everybody with up to eight), spreads changes of members, and compares digests. Added to the contract of Peers: poke and settled, both with a default; ranked is never empty. Ruled out: a link kept to every daemon (409 heartbeats a turn). Run: 43 tests of src/peers pass, among them SIGSTOP and SIGKILL of a process (out of the members within 3 s at a bound on silence of 1.5 s), a link that a middle lost track of, a cut between two of three, forged, replayed and reordered frames, and fuzzed frames.

--- /dev/null
+++ b/src/peers/frame_test.ts
@@ -0,0 +1,38 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import { frame, FrameError, FrameReader } from "./frame.ts";
+
+function read(reader: FrameReader, bytes: Buffer, cuts: readonly number[]) {
+  const found: string[] = [];
+  let at = 0;
+  for (const cut of [...cuts, bytes.length]) {
+    reader.push(bytes.subarray(at, Math.min(at + cut, bytes.length)));
+    at = Math.min(at + cut, bytes.length);
+    for (let it = reader.next(); it !== undefined; it = reader.next()) {
+      found.push(it.toString("hex"));
+    }
+  }
+  return found;
+}
+
+test("frames come out as they went in, however the bytes are cut", () => {
+  const contents = fc.array(fc.uint8Array({ maxLength: 300 }));
+  const cuts = fc.array(fc.integer({ min: 0, max: 400 }));
+  fc.assert(
+    fc.property(contents, cuts, (contents, cuts) => {
+      const bytes = Buffer.concat(contents.map((it) => frame(it)));
+      const found = read(new FrameReader({ maxBytes: 300 }), bytes, cuts);
+      expect(found).toEqual(
+        contents.map((it) => Buffer.from(it).toString("hex")),
+      );
+    }),
+    { seed: 1 },
+  );
+});
+
+test("a frame over the bound is refused by its length alone", () => {
+  const reader = new FrameReader({ maxBytes: 10 });
+  reader.push(Buffer.from([0x7f, 0xff, 0xff, 0xff]));
+  expect(() => reader.next()).toThrow(FrameError);
+});
--- /dev/null
+++ b/src/peers/handshake.ts
@@ -0,0 +1,155 @@
+/**
+ * How two daemons prove to each other that they share the secret, and agree on
+ * the protocol's version and on the keys that sign their frames.
+ *
+ * The dialler says hello, the acceptor says hello, the dialler proves, the
+ * acceptor proves. A proof covers both hellos as they were sent, hence both
+ * nonces, ids and ranges of versions, and the side that gives it: none can be
+ * replayed, reflected or altered on the way.
+ *
+ * @module
+ */
+
+import {
+  createHash,
+  createHmac,
+  randomBytes,
+  timingSafeEqual,
+} from "node:crypto";
+import { z } from "zod";
+import { codec, frame, FrameError } from "./frame.ts";
+
+/** Oldest and newest version of the protocol that this daemon speaks. */
+export const VERSIONS = { min: 1, max: 1 } as const;
+
+const NONCE_BYTES = 16;
+
+/** Bytes of a frame's signature. */
+export const MAC_BYTES = 16;
+
+// Fields that a later version adds are passed over.
+const helloSchema = z.object({
+  min: z.number().int(),
+  max: z.number().int(),
+  vm: z.string().min(1).max(256),
+  incarnation: z.string().min(1).max(256),
+  nonce: z.instanceof(Uint8Array).refine((it) => it.length === NONCE_BYTES),
+});
+
+/** The first frame from each side of a link. */
+export type Hello = z.infer<typeof helloSchema>;
+
+/** Which end of a link this daemon is. */
+export enum Side {
+  Dialler = "dialler",
+  Acceptor = "acceptor",
+}
+
+/** What a finished handshake yields. */
+export interface Session {
+  readonly peer: Hello;
+  readonly version: number;
+  readonly sendKey: Buffer;
+  readonly receiveKey: Buffer;
+}
+
+/** The two directions of a connection, as the handshake uses them. */
+export interface Wire {
+  send(bytes: Buffer): void;
+  /** The next frame's content; rejects when the connection ends. */
+  receive(): Promise<Buffer>;
+}
+
+/** Runs one side of the handshake; throws `FrameError` on any fault. */
+export async function shakeHands(wire: Wire, options: {
+  side: Side;
+  secret: string;
+  vm: string;
+  incarnation: string;
+  /** Whom the dialler means to reach. */
+  expected?: string;
+  versions?: { readonly min: number; readonly max: number };
+}): Promise<Session> {
+  const { side, secret, vm, incarnation } = options;
+  const versions = options.versions ?? VERSIONS;
+  const nonce = randomBytes(NONCE_BYTES);
+  const mine = codec.encode({ ...versions, vm, incarnation, nonce });
+  if (side === Side.Dialler) wire.send(frame(mine));
+  const theirs = await wire.receive();
+  const peer = decodeHello(theirs);
+  if (peer.vm === vm) throw new FrameError(`Peer "${vm}" is this daemon`);
+  if (options.expected !== undefined && options.expected !== peer.vm) {
+    throw new FrameError(`Peer is "${peer.vm}", not the one that was dialled`);
+  }
+  const version = agree(versions, peer);
+  if (side === Side.Acceptor) wire.send(frame(mine));
+
+  const dialled = side === Side.Dialler;
+  const both = dialled ? [mine, theirs] : [theirs, mine];
+  const transcript = digest(both);
+  const key = (use: string) =>
+    createHmac("sha256", secret).update(use).update(transcript).digest();
+  const other = dialled ? Side.Acceptor : Side.Dialler;
+  const proof = key(`toucanwind proof ${side}`);
+  const wanted = key(`toucanwind proof ${other}`);
+  // The dialler proves first: an acceptor signs nothing for strangers.
+  if (dialled) wire.send(frame(proof));
+  checkProof(await wire.receive(), wanted);
+  if (!dialled) wire.send(frame(proof));
+  return {
+    peer,
+    version,
+    sendKey: key(`toucanwind frames ${side}`),
+    receiveKey: key(`toucanwind frames ${other}`),
+  };
+}
+
+/** The signature of the frame with this place in its direction's sequence. */
+export function sign(key: Buffer, seq: number, content: Uint8Array): Buffer {
+  const place = Buffer.allocUnsafe(8);
+  place.writeBigUInt64BE(BigInt(seq));
+  return createHmac("sha256", key).update(place).update(content).digest()
+    .subarray(0, MAC_BYTES);
+}
+
+function decodeHello(bytes: Buffer): Hello {
+  const parsed = helloSchema.safeParse(decode(bytes));
+  if (!parsed.success) throw new FrameError("Hello is malformed");
+  return parsed.data;
+}
+
+/** Decodes a frame's content; throws `FrameError` when it isn't CBOR. */
+export function decode(bytes: Uint8Array): unknown {
+  try {
+    return codec.decode(bytes);
+  } catch {
+    throw new FrameError("Frame is not CBOR");
+  }
+}
+
+function agree(
+  mine: { readonly min: number; readonly max: number },
+  theirs: Hello,
+): number {
+  const version = Math.min(mine.max, theirs.max);
+  if (version < Math.max(mine.min, theirs.min)) {
+    throw new FrameError(`No common version with "${theirs.vm}"`);
+  }
+  return version;
+}
+
+function digest(parts: readonly Uint8Array[]): Buffer {
+  const hash = createHash("sha256");
+  for (const part of parts) {
+    const length = Buffer.allocUnsafe(4);
+    length.writeUInt32BE(part.length);
+    hash.update(length).update(part);
+  }
+  return hash.digest();
+}
+
+function checkProof(given: Buffer, wanted: Buffer): void {
+  if (given.length !== wanted.length || !timingSafeEqual(given, wanted)) {
+    throw new FrameError("Peer does not know the secret");
+  }
+}
--- /dev/null
+++ b/src/peers/handshake_test.ts
@@ -0,0 +1,148 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import { codec, frame, FrameError, HEADER_BYTES } from "./frame.ts";
+import { decode, shakeHands, Side, sign, type Wire } from "./handshake.ts";
+
+type Alter = (bytes: Buffer, index: number) => Buffer;
+
+// One end of an in-memory wire; `alter` sees what this end sends.
+function wires(alter: Alter = (bytes) => bytes): [Wire, Wire] {
+  const queues: Buffer[][] = [[], []];
+  const waiting: (((bytes: Buffer) => void) | undefined)[] = [];
+  let sent = 0;
+  const wire = (to: number, from: number): Wire => ({
+    send: (bytes) => {
+      const content = alter(bytes.subarray(HEADER_BYTES), sent++);
+      const resolve = waiting[to];
+      waiting[to] = undefined;
+      if (resolve !== undefined) resolve(content);
+      else queues[to].push(content);
+    },
+    receive: () => {
+      const next = queues[from].shift();
+      if (next !== undefined) return Promise.resolve(next);
+      return new Promise((resolve) => waiting[from] = resolve);
+    },
+  });
+  return [wire(1, 0), wire(0, 1)];
+}
+
+function shake(options: {
+  secrets?: [string, string];
+  max?: [number, number];
+  min?: [number, number];
+  alter?: Alter;
+  expected?: string;
+}) {
+  const [secretA, secretB] = options.secrets ?? ["s", "s"];
+  const [maxA, maxB] = options.max ?? [1, 1];
+  const [minA, minB] = options.min ?? [1, 1];
+  const [a, b] = wires(options.alter);
+  const dialler = shakeHands(a, {
+    side: Side.Dialler,
+    secret: secretA,
+    vm: "vm-a",
+    incarnation: "1",
+    expected: options.expected,
+    versions: { min: minA, max: maxA },
+  });
+  const acceptor = shakeHands(b, {
+    side: Side.Acceptor,
+    secret: secretB,
+    vm: "vm-b",
+    incarnation: "1",
+    versions: { min: minB, max: maxB },
+  });
+  acceptor.catch(() => {});
+  dialler.catch(() => {});
+  return { dialler, acceptor };
+}
+
+test("both ends derive the same keys, one for each direction", async () => {
+  const { dialler, acceptor } = shake({});
+  const [a, b] = await Promise.all([dialler, acceptor]);
+  expect(a.sendKey.equals(b.receiveKey)).toEqual(true);
+  expect(b.sendKey.equals(a.receiveKey)).toEqual(true);
+  expect(a.sendKey.equals(a.receiveKey)).toEqual(false);
+});
+
+test("daemons of different age agree on the newest common version", async () => {
+  const { dialler, acceptor } = shake({ max: [3, 2] });
+  expect((await dialler).version).toEqual(2);
+  expect((await acceptor).version).toEqual(2);
+});
+
+test("daemons without a common version do not link", async () => {
+  const { acceptor } = shake({ min: [3, 1], max: [4, 2] });
+  await expect(acceptor).toBeRejectedWith(FrameError);
+});
+
+test("a peer without the secret is refused", async () => {
+  const { acceptor } = shake({ secrets: ["wrong", "s"] });
+  await expect(acceptor).toBeRejectedWith(FrameError);
+});
+
+test("a peer other than the one dialled is refused", async () => {
+  const { dialler } = shake({ expected: "vm-c" });
+  await expect(dialler).toBeRejectedWith(FrameError);
+});
+
+test("a hello altered on the way is refused", async () => {
+  const alter: Alter = (bytes, index) => {
+    if (index !== 0) return bytes;
+    const hello = codec.decode(bytes) as Record<string, unknown>;
+    return codec.encode({ ...hello, max: 7 });
+  };
+  const { acceptor } = shake({ alter, max: [1, 9] });
+  await expect(acceptor).toBeRejectedWith(FrameError);
+});
+
+test("fields that a newer hello adds are passed over", async () => {
+  const { dialler, acceptor } = shake({});
+  await Promise.all([dialler, acceptor]);
+  const [a, b] = wires();
+  const run = shakeHands(b, {
+    side: Side.Acceptor,
+    secret: "s",
+    vm: "vm-b",
+    incarnation: "1",
+  });
+  run.catch(() => {});
+  const hello = {
+    min: 1,
+    max: 9,
+    vm: "vm-a",
+    incarnation: "1",
+    nonce: Buffer.alloc(16),
+    colour: "blue",
+  };
+  a.send(frame(codec.encode(hello)));
+  const answer = decode(await a.receive()) as { vm: string };
+  expect(answer.vm).toEqual("vm-b");
+});
+
+test("a signature holds for one key, place and content only", () => {
+  const key = Buffer.alloc(32, 1);
+  const content = Buffer.from("content");
+  const mac = sign(key, 5, content);
+  expect(mac.equals(sign(key, 5, content))).toEqual(true);
+  expect(mac.equals(sign(key, 6, content))).toEqual(false);
+  expect(mac.equals(sign(key, 5, Buffer.from("other")))).toEqual(false);
+});
+
+test("any bytes decode or are refused, in bounded memory", () => {
+  const before = process.memoryUsage().rss;
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 64 }), (bytes) => {
+      try {
+        decode(bytes);
+      } catch (error) {
+        expect(error).toBeA(FrameError);
+      }
+    }),
+    { seed: 2, numRuns: 20_000 },
+  );
+  const grownBytes = process.memoryUsage().rss - before;
+  expect(grownBytes).toBeLessThan(256 * 1024 * 1024);
+});
--- /dev/null
+++ b/src/peers/link.ts
@@ -0,0 +1,383 @@
+/**
+ * One connection to another daemon. A link ends; it never heals: whatever is
+ * wrong with it, the remedy is a new one.
+ *
+ * @module
+ */
+
+import { timingSafeEqual } from "node:crypto";
+import type { Socket } from "node:net";
+import { Err, Ok, type Result } from "ts-results";
+import { type Clock, Reason, Refusal, Verdict } from "../kernel/mod.ts";
+import {
+  codec,
+  frame,
+  FrameError,
+  FrameReader,
+  HEADER_BYTES,
+  MAX_FRAME_BYTES,
+} from "./frame.ts";
+import {
+  decode,
+  type Hello,
+  MAC_BYTES,
+  type Session,
+  shakeHands,
+  Side,
+  sign,
+} from "./handshake.ts";
+import type { MemberState } from "./roster.ts";
+import { Closing, FrameKind, type Traffic } from "./traffic.ts";
+
+/** Unsent bytes at which a link is given up on. */
+export const MAX_BACKLOG_BYTES = 16 * 1024 * 1024;
+
+/** A refusal as it travels. */
+export interface SentRefusal {
+  readonly verdict: Verdict;
+  readonly reason: Reason;
+  readonly message: string;
+  readonly retryAfterMs: number;
+}
+
+/** What a frame says. */
+export type Message =
+  | { readonly kind: FrameKind.Ping; readonly digest: number }
+  | { readonly kind: FrameKind.Pong; readonly digest: number }
+  | {
+    readonly kind: FrameKind.Ask;
+    readonly id: number;
+    readonly name: string;
+    readonly body: unknown;
+  }
+  | {
+    readonly kind: FrameKind.Answer;
+    readonly id: number;
+    readonly body: unknown;
+  }
+  | {
+    readonly kind: FrameKind.Refuse;
+    readonly id: number;
+    readonly refusal: SentRefusal;
+  }
+  | {
+    readonly kind: FrameKind.Members;
+    readonly states: readonly MemberState[];
+  }
+  | { readonly kind: FrameKind.Sync; readonly digests: readonly number[] }
+  | {
+    readonly kind: FrameKind.Gossip;
+    readonly sections: Readonly<Record<string, unknown>>;
+  };
+
+type Settle = (result: Result<unknown, Refusal>) => void;
+
+/** A proven connection to one peer. */
+export class Link {
+  readonly peer: Hello;
+  readonly side: Side;
+  /** When anything last came, on the monotonic clock. */
+  heardAt: number;
+  /** When it last served anybody but itself. */
+  usedAt: number;
+  /** When this end last asked for a proof of life. */
+  pingedAt = -Infinity;
+  /** When the other end last asked for one. */
+  pingHeardAt = -Infinity;
+  /** Since when silence counts; idle links may be silent. */
+  watchedAt: number;
+  /** Whether it is watched for as long as it lasts, requests or none. */
+  watched = false;
+  /** Resolves when the link has ended. */
+  readonly closed: Promise<Closing>;
+  readonly #socket: Socket;
+  readonly #inlet: Inlet;
+  readonly #session: Session;
+  readonly #clock: Clock;
+  readonly #traffic: Traffic;
+  readonly #pending = new Map<number, Settle>();
+  #heard: (() => void)[] = [];
+  #asked = 0;
+  #sent = 0;
+  #received = 0;
+  #closing: Closing | undefined;
+  #resolveClosed!: (reason: Closing) => void;
+
+  constructor(options: {
+    socket: Socket;
+    inlet: Inlet;
+    session: Session;
+    side: Side;
+    clock: Clock;
+    traffic: Traffic;
+  }) {
+    this.peer = options.session.peer;
+    this.side = options.side;
+    this.#socket = options.socket;
+    this.#inlet = options.inlet;
+    this.#session = options.session;
+    this.#clock = options.clock;
+    this.#traffic = options.traffic;
+    this.heardAt = this.#clock.now();
+    this.usedAt = this.heardAt;
+    this.watchedAt = this.heardAt;
+    this.closed = new Promise((resolve) => this.#resolveClosed = resolve);
+    this.#inlet.reader.maxBytes = MAX_FRAME_BYTES + MAC_BYTES;
+  }
+
+  /** Whether it has not ended yet. */
+  get open(): boolean {
+    return this.#closing === undefined && !this.#socket.destroyed;
+  }
+
+  /** Requests without an answer so far. */
+  get pending(): number {
+    return this.#pending.size;
+  }
+
+  /** Reads the link to its end and hands on what comes. */
+  async run(receive: (message: Message) => void): Promise<void> {
+    try {
+      for (;;) {
+        const signed = await this.#inlet.next();
+        if (signed === undefined) break;
+        const message = this.#verify(signed);
+        this.heardAt = this.#clock.now();
+        for (const resolve of this.#heard.splice(0)) resolve();
+        if (!this.#settle(message)) receive(message);
+      }
+      this.close(Closing.Remote);
+    } catch (error) {
+      this.close(
+        error instanceof FrameError ? Closing.Protocol : Closing.Remote,
+      );
+    }
+  }
+
+  /** Sends a message; false when the link took none of it. */
+  send(message: Message): boolean {
+    if (!this.open) return false;
+    if (this.#socket.writableLength > MAX_BACKLOG_BYTES) {
+      this.close(Closing.Backlog);
+      return false;
+    }
+    const content = codec.encode(message);
+    if (content.length > MAX_FRAME_BYTES) {
+      throw new FrameError(`Message of "${content.length}" bytes is too long`);
+    }
+    const mac = sign(this.#session.sendKey, this.#sent++, content);
+    this.#socket.write(frame(mac, content));
+    this.#traffic.sent(message.kind, HEADER_BYTES + MAC_BYTES + content.length);
+    return true;
+  }
+
+  /** Asks the peer; whatever was handed to the socket may have run. */
+  ask(name: string, body: unknown, options: {
+    timeoutMs: number;
+    signal?: AbortSignal;
+  }): Promise<Result<unknown, Refusal>> {
+    const { timeoutMs, signal } = options;
+    const id = ++this.#asked;
+    this.usedAt = this.#clock.now();
+    if (this.#pending.size === 0) this.watchedAt = this.usedAt;
+    if (signal?.aborted) {
+      return Promise.resolve(Err(cancelled(Verdict.NotRun)));
+    }
+    return new Promise((resolve) => {
+      const settle: Settle = (result) => {
+        if (!this.#pending.delete(id)) return;
+        cancelTimer();
+        signal?.removeEventListener("abort", abort);
+        this.usedAt = this.#clock.now();
+        resolve(result);
+      };
+      const abort = () => settle(Err(cancelled(Verdict.MayHaveRun)));
+      const cancelTimer = this.#clock.after(timeoutMs, () =>
+        settle(Err(
+          unreachable(Verdict.MayHaveRun, "The peer did not answer in time"),
+        )));
+      this.#pending.set(id, settle);
+      signal?.addEventListener("abort", abort, { once: true });
+      const failure = this.#handOver({ kind: FrameKind.Ask, id, name, body });
+      if (failure !== undefined) settle(Err(failure));
+    });
+  }
+
+  /** Asks for a proof of life. */
+  ping(digest: number): void {
+    this.pingedAt = this.#clock.now();
+    this.send({ kind: FrameKind.Ping, digest });
+  }
+
+  /** Whether anything comes within `boundMs`. */
+  async prove(boundMs: number, digest: number): Promise<boolean> {
+    const abort = new AbortController();
+    const heard = new Promise<boolean>((resolve) =>
+      this.#heard.push(() => resolve(true))
+    );
+    this.ping(digest);
+    const late = this.#clock.sleep(boundMs, abort.signal).then(() => false);
+    const alive = await Promise.race([
+      heard,
+      late,
+      this.closed.then(() => false),
+    ]);
+    abort.abort();
+    return alive;
+  }
+
+  /** How long it has been silent while it should not have been. */
+  silenceMs(now: number): number {
+    if (!this.watched && this.#pending.size === 0) return 0;
+    return now - Math.max(this.heardAt, this.watchedAt);
+  }
+
+  /** Ends the link; what it was asked and did not answer may have run. */
+  close(reason: Closing): void {
+    if (this.#closing !== undefined) return;
+    this.#closing = reason;
+    if (reason === Closing.Stopping || reason === Closing.Idle) {
+      this.#socket.end();
+      this.#socket.destroySoon();
+    } else {
+      this.#socket.destroy();
+    }
+    const failure = unreachable(
+      Verdict.MayHaveRun,
+      `The link to the peer ended, reason "${reason}"`,
+    );
+    for (const settle of [...this.#pending.values()]) settle(Err(failure));
+    this.#traffic.closed(reason);
+    this.#resolveClosed(reason);
+  }
+
+  #handOver(message: Message): Refusal | undefined {
+    try {
+      if (this.send(message)) return undefined;
+      return unreachable(Verdict.NotRun, "The link to the peer has ended");
+    } catch (error) {
+      // Encoding failed, so nothing reached the socket.
+      return new Refusal({
+        verdict: Verdict.NotRun,
+        reason: Reason.Internal,
+        message: `The request can't be sent: ${String(error)}`,
+      });
+    }
+  }
+
+  #verify(signed: Buffer): Message {
+    const mac = signed.subarray(0, MAC_BYTES);
+    const content = signed.subarray(MAC_BYTES);
+    const wanted = sign(this.#session.receiveKey, this.#received++, content);
+    if (mac.length !== MAC_BYTES || !timingSafeEqual(mac, wanted)) {
+      this.close(Closing.Forged);
+      throw new FrameError("Frame is forged or out of order");
+    }
+    const message = decode(content) as Message;
+    if (typeof message?.kind !== "number") {
+      throw new FrameError("Frame has no kind");
+    }
+    this.#traffic.received(message.kind, HEADER_BYTES + signed.length);
+    return message;
+  }
+
+  // Whether the message was an answer; a late one is dropped.
+  #settle(message: Message): boolean {
+    if (message.kind === FrameKind.Answer) {
+      this.#match(message.id, Ok(message.body));
+      return true;
+    }
+    if (message.kind === FrameKind.Refuse) {
+      this.#match(message.id, Err(received(message.refusal)));
+      return true;
+    }
+    return false;
+  }
+
+  #match(id: number, result: Result<unknown, Refusal>): void {
+    const settle = this.#pending.get(id);
+    if (settle === undefined) return this.#traffic.late();
+    settle(result);
+  }
+}
+
+/** The frames that come over a socket. */
+export class Inlet {
+  readonly reader = new FrameReader();
+  readonly #chunks: AsyncIterator<Buffer>;
+
+  constructor(socket: Socket) {
+    this.#chunks = socket[Symbol.asyncIterator]();
+  }
+
+  /** The next frame's content, or `undefined` at the end. */
+  async next(): Promise<Buffer | undefined> {
+    for (;;) {
+      const content = this.reader.next();
+      if (content !== undefined) return content;
+      const { done, value } = await this.#chunks.next();
+      if (done) return undefined;
+      this.reader.push(value);
+    }
+  }
+}
+
+/** Makes a link of a connected socket; throws when the handshake fails. */
+export async function openLink(socket: Socket, options: {
+  side: Side;
+  secret: string;
+  vm: string;
+  incarnation: string;
+  expected?: string;
+  versions?: { readonly min: number; readonly max: number };
+  timeoutMs: number;
+  clock: Clock;
+  traffic: Traffic;
+}): Promise<Link> {
+  const { clock, traffic, side } = options;
+  const inlet = new Inlet(socket);
+  const cancel = clock.after(options.timeoutMs, () => socket.destroy());
+  try {
+    const wire = {
+      send: (bytes: Buffer) => void socket.write(bytes),
+      receive: async () => {
+        const content = await inlet.next();
+        if (content === undefined) throw new FrameError("Peer hung up");
+        return content;
+      },
+    };
+    const session = await shakeHands(wire, options);
+    return new Link({ socket, inlet, session, side, clock, traffic });
+  } catch (error) {
+    socket.destroy();
+    throw error;
+  } finally {
+    cancel();
+  }
+}
+
+// A verdict that isn't understood is taken as the worse one.
+function received(sent: SentRefusal): Refusal {
+  return new Refusal({
+    verdict: sent.verdict === Verdict.NotRun
+      ? Verdict.NotRun
+      : Verdict.MayHaveRun,
+    reason: sent.reason,
+    message: sent.message,
+    retryAfterMs: sent.retryAfterMs,
+  });
+}
+
+/** A refusal of a request whose peer can't be reached. */
+export function unreachable(verdict: Verdict, message: string): Refusal {
+  return new Refusal({ verdict, reason: Reason.PeerUnreachable, message });
+}
+
+/** A refusal of a request that its own caller gave up. */
+export function cancelled(verdict: Verdict): Refusal {
+  return new Refusal({
+    verdict,
+    reason: Reason.Cancelled,
+    message: "The request was cancelled",
+  });
+}
--- /dev/null
+++ b/src/peers/mesh_test.ts
@@ -0,0 +1,376 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { connect, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type PeerHandler, Reason, Refusal, Verdict } from "../kernel/mod.ts";
+import {
+  entry,
+  forkMesh,
+  type List,
+  Relay,
+  startMesh,
+} from "../../stand_ins/mesh.ts";
+import { codec, frame, MAX_FRAME_BYTES } from "./frame.ts";
+import { shakeHands, Side, sign } from "./handshake.ts";
+import { Inlet } from "./link.ts";
+import { FrameKind } from "./traffic.ts";
+
+async function daemon(
+  t: TestContext,
+  vm: string,
+  options: Omit<Parameters<typeof startMesh>[0], "vm"> = {},
+) {
+  const it = await startMesh({ ...options, vm });
+  t.after(() => it.mesh.stop());
+  return it;
+}
+
+type Daemon = Awaited<ReturnType<typeof daemon>>;
+
+async function until(check: () => boolean, boundMs = 5000): Promise<number> {
+  const from = performance.now();
+  while (!check()) {
+    if (performance.now() - from > boundMs) {
+      throw new Error(`Not so after "${boundMs}" ms`);
+    }
+    await sleep(10);
+  }
+  return performance.now() - from;
+}
+
+const sees = (it: Daemon, count: number) => () =>
+  it.mesh.members().length === count;
+
+async function daemons(t: TestContext, count: number, list: List = []) {
+  const all: Daemon[] = [];
+  for (let i = 0; i < count; i++) {
+    all.push(await daemon(t, `vm-${String(i).padStart(2, "0")}`, { list }));
+  }
+  for (const it of all) await until(sees(it, count));
+  return all;
+}
+
+async function relay(t: TestContext) {
+  const it = new Relay();
+  const port = await it.open();
+  t.after(() => it.close());
+  const front = (target: number) => {
+    it.to(target);
+    return port;
+  };
+  return { relay: it, front };
+}
+
+async function socketTo(t: TestContext, port: number): Promise<Socket> {
+  const socket = connect(port, "127.0.0.1");
+  socket.on("error", () => {});
+  t.after(() => socket.destroy());
+  await new Promise((done) => socket.once("connect", done));
+  return socket;
+}
+
+/** A peer made by hand that knows the secret. */
+async function insider(t: TestContext, port: number, vm = "vm-x") {
+  const socket = await socketTo(t, port);
+  const inlet = new Inlet(socket);
+  inlet.reader.maxBytes = MAX_FRAME_BYTES;
+  const session = await shakeHands({
+    send: (bytes) => void socket.write(bytes),
+    receive: async () => (await inlet.next())!,
+  }, { side: Side.Dialler, secret: "secret", vm, incarnation: "x" });
+  const signed = (seq: number, message: unknown) => {
+    const content = codec.encode(message);
+    return frame(sign(session.sendKey, seq, content), content);
+  };
+  return { socket, signed, next: () => inlet.next() };
+}
+
+const ask = (name: string) => ({ kind: FrameKind.Ask, id: 1, name, body: 0 });
+
+test("daemons find each other through the list", async (t) => {
+  const [a, b] = await daemons(t, 3);
+  expect(a.mesh.members().map(({ vm }) => vm)).toEqual([
+    "vm-00",
+    "vm-01",
+    "vm-02",
+  ]);
+  expect(a.mesh.ranked("x")).toEqual(b.mesh.ranked("x"));
+});
+
+test("a request is answered, by this daemon itself too", async (t) => {
+  const list: List = [];
+  const echo: PeerHandler = (body, from) => Promise.resolve([body, from]);
+  const a = await daemon(t, "vm-a", { list, handlers: { echo } });
+  await daemon(t, "vm-b", { list, handlers: { echo } });
+  await until(sees(a, 2));
+  for (const vm of ["vm-a", "vm-b"]) {
+    const answer = await a.mesh.ask(vm, "echo", { x: 1 }, { timeoutMs: 1000 });
+    expect(answer.val).toEqual([{ x: 1 }, "vm-a"]);
+  }
+});
+
+test("crossed answers reach their own requests", async (t) => {
+  const list: List = [];
+  const wait: PeerHandler = async (body) => {
+    await sleep(body as number);
+    return body;
+  };
+  const a = await daemon(t, "vm-a", { list });
+  await daemon(t, "vm-b", { list, handlers: { wait } });
+  await until(sees(a, 2));
+  const delays = [90, 60, 30, 0, 75, 15];
+  const answers = await Promise.all(
+    delays.map((it) => a.mesh.ask("vm-b", "wait", it, { timeoutMs: 1000 })),
+  );
+  expect(answers.map((it) => it.val)).toEqual(delays);
+});
+
+test("a late answer is dropped, and what ran is said so", async (t) => {
+  const list: List = [];
+  const slow: PeerHandler = () => sleep(200);
+  const a = await daemon(t, "vm-a", { list });
+  await daemon(t, "vm-b", { list, handlers: { slow } });
+  await until(sees(a, 2));
+  const answer = await a.mesh.ask("vm-b", "slow", 0, { timeoutMs: 50 });
+  expect((answer.val as Refusal).verdict).toEqual(Verdict.MayHaveRun);
+  await sleep(300);
+  const late = a.kernel.metrics.getSingleMetric(
+    "toucanwind_peer_late_answers_total",
+  )!;
+  expect((await late.get()).values[0].value).toEqual(1);
+});
+
+test("a refusal passes as it is, an unknown kind as not run", async (t) => {
+  const list: List = [];
+  const refusal = new Refusal({
+    verdict: Verdict.NotRun,
+    reason: Reason.QueueFull,
+    message: "Full",
+    retryAfterMs: 70,
+  });
+  const a = await daemon(t, "vm-a", { list });
+  await daemon(t, "vm-b", {
+    list,
+    handlers: { full: () => Promise.reject(refusal) },
+  });
+  await until(sees(a, 2));
+  const full = await a.mesh.ask("vm-b", "full", 0, { timeoutMs: 1000 });
+  expect(full.val).toEqual(refusal);
+  const newer = await a.mesh.ask("vm-b", "newer", 0, { timeoutMs: 1000 });
+  expect((newer.val as Refusal).verdict).toEqual(Verdict.NotRun);
+});
+
+test("a request to nobody is not run", async (t) => {
+  const a = await daemon(t, "vm-a");
+  const answer = await a.mesh.ask("vm-z", "echo", 0, { timeoutMs: 1000 });
+  expect((answer.val as Refusal).verdict).toEqual(Verdict.NotRun);
+});
+
+for (const signal of ["SIGSTOP", "SIGKILL"] as const) {
+  test(`a process that got ${signal} is out within its bound`, async (t) => {
+    const list: List = [];
+    const others = await daemons(t, 2, list);
+    const child = forkMesh({ vm: "vm-z", list });
+    t.after(() => child.kill("SIGKILL"));
+    for (const it of others) await until(sees(it, 3));
+    child.kill(signal);
+    for (const it of others) {
+      expect(await until(sees(it, 2)) < 3000).toEqual(true);
+    }
+    if (signal === "SIGKILL") return;
+    const said = new Promise((done) => child.once("message", done));
+    child.kill("SIGCONT");
+    for (const it of others) await until(sees(it, 3));
+    expect(await said).toEqual({ wakes: 1, settled: true, members: 3 });
+  });
+}
+
+test("a silent link is replaced and its peer stays a member", async (t) => {
+  const list: List = [];
+  const { relay: middle, front } = await relay(t);
+  const b = await daemon(t, "vm-b", { list, front });
+  const a = await daemon(t, "vm-a", { list });
+  await until(sees(a, 2));
+  let lost = 0;
+  a.mesh.onChange(() => {
+    if (a.mesh.members().length < 2) lost++;
+  });
+  const before = middle.accepted;
+  middle.forget();
+  await until(() => middle.accepted > before);
+  const answer = await a.mesh.ask("vm-b", "none", 0, { timeoutMs: 1000 });
+  expect((answer.val as Refusal).reason).toEqual(Reason.PeerFailed);
+  expect(lost).toEqual(0);
+  expect(sees(b, 2)()).toEqual(true);
+  const closed = "toucanwind_peer_links_closed_total";
+  expect(await a.counted(closed, "silent") >= 1).toEqual(true);
+});
+
+test("a cut between two does not make either dead", async (t) => {
+  const list: List = [];
+  const { relay: middle, front } = await relay(t);
+  const z = await daemon(t, "vm-z", { list, front });
+  const a = await daemon(t, "vm-a", { list });
+  await until(sees(a, 2));
+  // Whoever comes now reaches vm-z without the relay, and it reaches them.
+  list[0] = entry("vm-z", z.port);
+  const b = await daemon(t, "vm-b", { list: [...list] });
+  list.push(entry("vm-b", b.port));
+  await until(sees(a, 3));
+  await until(sees(z, 3));
+  list[0] = entry("vm-z", 1);
+  list.splice(1, 1, entry("vm-a", 1));
+  let lost = 0;
+  for (const it of [a, b, z]) {
+    it.mesh.onChange(() => {
+      if (it.mesh.members().length < 3) lost++;
+    });
+  }
+  middle.cut();
+  await sleep(2500);
+  expect(lost).toEqual(0);
+  const changes = "toucanwind_peer_member_changes_total";
+  expect(await b.counted(changes, "suspect") >= 1).toEqual(true);
+});
+
+test("a leaving daemon is a member that owns nothing", async (t) => {
+  const [a, b] = await daemons(t, 2);
+  await b.mesh.drain();
+  await until(() => a.mesh.ranked("x").length === 1);
+  expect(a.mesh.members().length).toEqual(2);
+  expect(a.mesh.ranked("x")[0].vm).toEqual("vm-00");
+});
+
+test("a stopped daemon is gone at once", async (t) => {
+  const [a, b] = await daemons(t, 2);
+  await b.mesh.stop();
+  expect(await until(sees(a, 1)) < 300).toEqual(true);
+});
+
+test("a restarted daemon is a member with its new incarnation", async (t) => {
+  const list: List = [];
+  const a = await daemon(t, "vm-a", { list });
+  const first = await daemon(t, "vm-b", { list });
+  await until(sees(a, 2));
+  await first.mesh.stop();
+  list.pop();
+  await daemon(t, "vm-b", { list, incarnation: "later" });
+  await until(() =>
+    a.mesh.members().some(({ incarnation }) => incarnation === "later")
+  );
+});
+
+test("many daemons agree though each has few links", async (t) => {
+  const all = await daemons(t, 24);
+  const last = all.at(-1)!;
+  await last.mesh.stop();
+  for (const it of all.slice(0, -1)) {
+    expect(await until(sees(it, 23)) < 1000).toEqual(true);
+  }
+  const status = all[0].mesh.props.status();
+  expect(status.neighbours.length <= 6).toEqual(true);
+});
+
+test("poked gossip reaches the neighbours at once", async (t) => {
+  const list: List = [];
+  const heard: unknown[] = [];
+  const news: unknown[] = [];
+  const section = {
+    offer: () => news[0],
+    accept: (body: unknown) => void heard.push(body),
+  };
+  const a = await daemon(t, "vm-a", { list, gossip: { section } });
+  await daemon(t, "vm-b", { list, gossip: { section } });
+  await until(sees(a, 2));
+  news.push("news");
+  a.mesh.poke("section");
+  expect(await until(() => heard.includes("news")) < 200).toEqual(true);
+});
+
+test("a peer with another secret is no member", async (t) => {
+  const list: List = [];
+  const a = await daemon(t, "vm-a", { list });
+  await daemon(t, "vm-b", { list, secret: "other" });
+  await sleep(500);
+  expect(a.mesh.members().length).toEqual(1);
+  const faults = "toucanwind_peer_dial_failures_total";
+  expect(await a.counted(faults, "handshake") >= 1).toEqual(true);
+});
+
+test("forged, replayed and reordered frames close the link", async (t) => {
+  let ran = 0;
+  const count: PeerHandler = () => Promise.resolve(ran++);
+  const a = await daemon(t, "vm-a", { handlers: { count } });
+  const cases = [
+    (signed: (seq: number, it: unknown) => Buffer) => {
+      const forged = signed(0, ask("count"));
+      forged[forged.length - 1] ^= 1;
+      return [forged];
+    },
+    (signed: (seq: number, it: unknown) => Buffer) => [
+      signed(1, ask("count")),
+    ],
+    (signed: (seq: number, it: unknown) => Buffer) => {
+      const once = signed(0, { kind: FrameKind.Pong, digest: 0 });
+      return [once, once, signed(1, ask("count"))];
+    },
+  ];
+  for (const make of cases) {
+    const { socket, signed } = await insider(t, a.port);
+    const closed = new Promise((done) => socket.once("close", done));
+    for (const bytes of make(signed)) socket.write(bytes);
+    await closed;
+  }
+  expect(ran).toEqual(0);
+  const closed = "toucanwind_peer_links_closed_total";
+  expect(await a.counted(closed, "forged")).toEqual(3);
+});
+
+test("a frame of unknown kind is passed over", async (t) => {
+  let ran = 0;
+  const count: PeerHandler = () => Promise.resolve(ran++);
+  const a = await daemon(t, "vm-a", { handlers: { count } });
+  const { socket, signed } = await insider(t, a.port);
+  socket.write(signed(0, { kind: 99, more: [1, 2] }));
+  socket.write(signed(1, { ...ask("count"), added: true }));
+  await until(() => ran === 1);
+});
+
+test("strangers' bytes neither run nor fill the memory", async (t) => {
+  let ran = 0;
+  const count: PeerHandler = () => Promise.resolve(ran++);
+  const a = await daemon(t, "vm-a", { handlers: { count } });
+  const before = process.memoryUsage().rss;
+  const inputs = fc.sample(fc.uint8Array({ maxLength: 2000 }), {
+    seed: 4,
+    numRuns: 100,
+  });
+  const huge = Buffer.alloc(64 * 1024, 0xff);
+  for (const bytes of [...inputs, huge]) {
+    const socket = await socketTo(t, a.port);
+    socket.write(bytes);
+    socket.end(frame(bytes));
+  }
+  await sleep(700);
+  expect(ran).toEqual(0);
+  expect(a.mesh.members().length).toEqual(1);
+  const grownBytes = process.memoryUsage().rss - before;
+  expect(grownBytes).toBeLessThan(128 * 1024 * 1024);
+});
+
+test("frames of an insider gone wild end their link only", async (t) => {
+  const a = await daemon(t, "vm-a");
+  const messages = fc.sample(
+    fc.record({ kind: fc.integer({ min: 0, max: 12 }), states: fc.anything() }),
+    { seed: 5, numRuns: 60 },
+  );
+  for (const message of messages) {
+    const { socket, signed } = await insider(t, a.port);
+    socket.end(signed(0, message));
+  }
+  await sleep(100);
+  const { signed, socket, next } = await insider(t, a.port);
+  socket.write(signed(0, ask("none")));
+  expect(await next()).not.toEqual(undefined);
+});
--- a/src/peers/mod.ts
+++ b/src/peers/mod.ts
@@ -30,7 +30,8 @@
 
   /**
    * The live, not leaving daemons ranked for `name` by rendezvous hashing;
-   * the first owns it. Every daemon with the same members ranks alike.
+   * the first owns it. Every daemon with the same members ranks alike. Never
+   * empty: when all are leaving, all are ranked.
    */
   abstract ranked(name: string): readonly Member[];
 
@@ -47,6 +48,17 @@
 
   /** Calls `listener` after each change of members; returns its removal. */
   abstract onChange(listener: () => void): () => void;
+
+  /** Offers a gossip section to all neighbours at once, not at the next turn. */
+  poke(_section: string): void {}
+
+  /**
+   * Whether this daemon's view of the members is current: false from a pause
+   * longer than the bound on silence until a peer has been heard again.
+   */
+  settled(): boolean {
+    return true;
+  }
 }
 
 /** The key of the peers plug-in. */
--- /dev/null
+++ b/src/peers/rendezvous.ts
@@ -0,0 +1,96 @@
+/**
+ * Rendezvous hashing, which says who owns a name, and hash rings, which say
+ * who watches whom. Both depend on the VM ids only, so that daemons with the
+ * same members agree without a word.
+ *
+ * @module
+ */
+
+// Two 32-bit lanes of multiply-xor, as in cyrb53.
+const LANE_A = 2654435761;
+const LANE_B = 1597334677;
+const MIX_A = 2246822507;
+const MIX_B = 3266489909;
+const HIGH_BITS = 0x1fffff;
+
+/** A 53-bit hash of `text`, well mixed but not cryptographic. */
+export function hash(text: string, seed = 0): number {
+  let a = 0xdeadbeef ^ seed;
+  let b = 0x41c6ce57 ^ seed;
+  for (let i = 0; i < text.length; i++) {
+    const code = text.charCodeAt(i);
+    a = Math.imul(a ^ code, LANE_A);
+    b = Math.imul(b ^ code, LANE_B);
+  }
+  return finish(a, b);
+}
+
+function finish(a: number, b: number): number {
+  a = Math.imul(a ^ (a >>> 16), MIX_A) ^ Math.imul(b ^ (b >>> 13), MIX_B);
+  b = Math.imul(b ^ (b >>> 16), MIX_A) ^ Math.imul(a ^ (a >>> 13), MIX_B);
+  return 4294967296 * (HIGH_BITS & b) + (a >>> 0);
+}
+
+// The weight of a pair of hashes, much cheaper than hashing their texts.
+function score(vm: number, name: number): number {
+  const a = (vm | 0) ^ Math.imul(name | 0, LANE_A);
+  const b = Math.floor(vm / 4294967296) ^
+    Math.imul(Math.floor(name / 4294967296) ^ name, LANE_B);
+  return finish(a, b);
+}
+
+/** The members in order of their rendezvous weight for `name`. */
+export function rank<T extends { readonly vm: string }>(
+  members: readonly T[],
+  name: string,
+): readonly T[] {
+  const named = hash(name);
+  return members
+    .map((member) => ({ member, weight: score(hash(member.vm), named) }))
+    .sort((a, b) => b.weight - a.weight || (a.member.vm < b.member.vm ? -1 : 1))
+    .map(({ member }) => member);
+}
+
+/** With so many members or fewer, everybody watches everybody. */
+export const FULL_MESH_MEMBERS = 8;
+
+/** Rings of different order; each gives two neighbours. */
+export const RINGS = 3;
+
+/**
+ * The VMs that `vm` watches and that watch it: its neighbours on each ring.
+ * Being neighbours is mutual, and several rings in unlike order keep the
+ * number of hops between any two members logarithmic.
+ */
+export function neighbours(
+  vm: string,
+  vms: readonly string[],
+): ReadonlySet<string> {
+  const others = vms.filter((other) => other !== vm);
+  if (vms.length <= FULL_MESH_MEMBERS) return new Set(others);
+  const found = new Set<string>();
+  for (let ring = 1; ring <= RINGS; ring++) {
+    for (const next of adjacent(vm, others, ring)) found.add(next);
+  }
+  return found;
+}
+
+// The nearest before and after `vm` on a ring, without sorting the ring.
+function adjacent(
+  vm: string,
+  others: readonly string[],
+  ring: number,
+): readonly string[] {
+  const here = hash(vm, ring);
+  const span = 2 ** 53;
+  let after = others[0];
+  let before = others[0];
+  let up = span;
+  let down = span;
+  for (const other of others) {
+    const gap = (hash(other, ring) - here + span) % span;
+    if (gap < up) [up, after] = [gap, other];
+    if (span - gap < down) [down, before] = [span - gap, other];
+  }
+  return [after, before];
+}
--- /dev/null
+++ b/src/peers/rendezvous_test.ts
@@ -0,0 +1,62 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { hash, neighbours, rank } from "./rendezvous.ts";
+
+const vms = (count: number) =>
+  Array.from({ length: count }, (_, index) => `vm-${index}`);
+
+const members = (count: number) => vms(count).map((vm) => ({ vm }));
+
+function hops(count: number): number {
+  const all = vms(count);
+  const near = new Map(all.map((vm) => [vm, neighbours(vm, all)]));
+  let reached = new Set(["vm-0"]);
+  for (let hops = 0;; hops++) {
+    if (reached.size === count) return hops;
+    reached = new Set(
+      [...reached].flatMap((vm) => [vm, ...near.get(vm)!]),
+    );
+  }
+}
+
+test("names spread evenly over the members", () => {
+  const owned = new Map<string, number>();
+  for (let name = 0; name < 20_000; name++) {
+    const { vm } = rank(members(20), `shard/${name}`)[0];
+    owned.set(vm, (owned.get(vm) ?? 0) + 1);
+  }
+  for (const count of owned.values()) {
+    expect(Math.abs(count - 1000) < 150).toEqual(true);
+  }
+});
+
+test("a member's death moves only what it owned", () => {
+  const before = members(10);
+  const after = before.filter(({ vm }) => vm !== "vm-3");
+  for (let name = 0; name < 1000; name++) {
+    const [first, second] = rank(before, `${name}`);
+    const heir = first.vm === "vm-3" ? second.vm : first.vm;
+    expect(rank(after, `${name}`)[0].vm).toEqual(heir);
+  }
+});
+
+test("few members are all neighbours", () => {
+  expect([...neighbours("vm-0", vms(8))].length).toEqual(7);
+});
+
+test("many members have few neighbours, mutual, and few hops apart", () => {
+  const all = vms(410);
+  for (const vm of all) {
+    const near = neighbours(vm, all);
+    expect(near.size <= 6).toEqual(true);
+    for (const other of near) {
+      expect(neighbours(other, all).has(vm)).toEqual(true);
+    }
+  }
+  expect(hops(410) <= 6).toEqual(true);
+});
+
+test("hashes of alike texts differ", () => {
+  const hashes = new Set(vms(100_000).map((vm) => hash(vm)));
+  expect(hashes.size).toEqual(100_000);
+});
--- /dev/null
+++ b/src/peers/roster_test.ts
@@ -0,0 +1,101 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import type { Member } from "./mod.ts";
+import { type MemberState, Roster, Status } from "./roster.ts";
+
+const member = (vm: string, incarnation = "1"): Member => ({
+  vm,
+  incarnation,
+  address: `${vm}:1`,
+  http: `${vm}:2`,
+  availabilityZone: "az-1",
+  leaving: false,
+});
+
+const state = (
+  vm: string,
+  counter: number,
+  status = Status.Alive,
+  incarnation = "1",
+): MemberState => ({ member: member(vm, incarnation), counter, status });
+
+const roster = () => new Roster({ self: member("vm-a"), now: 0 });
+
+const live = (it: Roster) => it.live().map(({ vm }) => vm);
+
+test("a suspect stays a member until its time is over", () => {
+  const it = roster();
+  it.merge([state("vm-b", 1)], 0);
+  it.suspect("vm-b", 10);
+  expect(it.expire(100, 109)).toEqual([]);
+  expect(live(it)).toEqual(["vm-a", "vm-b"]);
+  it.expire(100, 110);
+  expect(live(it)).toEqual(["vm-a"]);
+});
+
+test("a suspect that raised its counter is alive again", () => {
+  const it = roster();
+  it.merge([state("vm-b", 1)], 0);
+  it.suspect("vm-b", 10);
+  it.merge([state("vm-b", 2)], 20);
+  expect(it.expire(100, 1000)).toEqual([]);
+});
+
+test("the accused refutes by a higher counter", () => {
+  const it = roster();
+  const changes = it.merge([state("vm-a", 5, Status.Dead)], 0);
+  expect(changes).toEqual([state("vm-a", 6)]);
+});
+
+test("a new run takes over from the state of the old one", () => {
+  const it = roster();
+  it.merge([state("vm-a", 9, Status.Alive, "0")], 0);
+  expect(it.self.counter).toEqual(10);
+  expect(it.self.member.incarnation).toEqual("1");
+});
+
+test("another's word of death is suspicion first", () => {
+  const it = roster();
+  it.merge([state("vm-b", 1)], 0);
+  it.merge([state("vm-b", 1, Status.Dead)], 10);
+  expect(live(it)).toEqual(["vm-a", "vm-b"]);
+});
+
+test("who says that it leaves is gone at once", () => {
+  const it = roster();
+  it.merge([state("vm-b", 1)], 0);
+  it.merge([state("vm-b", 1, Status.Left)], 10);
+  expect(live(it)).toEqual(["vm-a"]);
+});
+
+test("rosters that heard the same, in any order, agree", () => {
+  const states = fc.array(
+    fc.record({
+      vm: fc.constantFrom("vm-b", "vm-c", "vm-d"),
+      counter: fc.integer({ min: 1, max: 4 }),
+      status: fc.constantFrom(Status.Alive, Status.Suspect, Status.Left),
+    }),
+  );
+  const shuffled = states.chain((list) =>
+    fc.tuple(
+      fc.constant(list),
+      fc.shuffledSubarray(list, { minLength: list.length }),
+    )
+  );
+  const known = ["vm-b", "vm-c", "vm-d"].map((vm) => state(vm, 0));
+  const hear = (list: { vm: string; counter: number; status: Status }[]) => {
+    const it = roster();
+    it.merge(known, 0);
+    it.merge(list.map((one) => state(one.vm, one.counter, one.status)), 1);
+    return it;
+  };
+  fc.assert(
+    fc.property(shuffled, ([one, other]) => {
+      const [a, b] = [hear(one), hear(other)];
+      expect(a.digests()).toEqual(b.digests());
+      expect(live(a)).toEqual(live(b));
+    }),
+    { seed: 3 },
+  );
+});
--- /dev/null
+++ b/src/peers/traffic.ts
@@ -0,0 +1,160 @@
+/**
+ * Counters of what goes over the links.
+ *
+ * @module
+ */
+
+import type { Counter } from "prom-client";
+import type { Kernel } from "../kernel/mod.ts";
+
+/** What a frame carries; a kind that isn't known is passed over. */
+export enum FrameKind {
+  Ping = 1,
+  Pong = 2,
+  Ask = 3,
+  Answer = 4,
+  Refuse = 5,
+  Members = 6,
+  Sync = 7,
+  Gossip = 8,
+}
+
+/** Why a link ended. */
+export enum Closing {
+  /** Nothing came for longer than the bound on silence. */
+  Silent = "silent",
+  /** Nobody used it for a while. */
+  Idle = "idle",
+  /** The other end closed it or broke. */
+  Remote = "remote",
+  /** A frame was forged, replayed or out of order. */
+  Forged = "forged",
+  /** A frame was too long or malformed. */
+  Protocol = "protocol",
+  /** The other end reads too slowly. */
+  Backlog = "backlog",
+  /** This daemon was paused for longer than the bound on silence. */
+  Away = "away",
+  /** This daemon stops. */
+  Stopping = "stopping",
+}
+
+/** Why a link was opened. */
+export enum Opening {
+  /** The peer dialled it. */
+  Inbound = "inbound",
+  /** The peer is a neighbour. */
+  Neighbour = "neighbour",
+  /** A request to the peer needs it. */
+  Request = "request",
+  /** The peer is on the platform's list, but not heard of as alive. */
+  Candidate = "candidate",
+}
+
+/** How an attempt to open a link failed. */
+export enum DialFault {
+  Unreachable = "unreachable",
+  Handshake = "handshake",
+  TimedOut = "timed_out",
+}
+
+/** Counts frames, bytes, links and members' changes. */
+export class Traffic {
+  readonly #frames: Counter<"direction" | "kind">;
+  readonly #bytes: Counter<"direction">;
+  readonly #opened: Counter<"reason">;
+  readonly #closed: Counter<"reason">;
+  readonly #dialFaults: Counter<"reason">;
+  readonly #late: Counter;
+  readonly #wakes: Counter;
+  readonly #changes: Counter<"status">;
+  // Label look-ups cost more than the frames they count.
+  readonly #framesOf = new Map<string, { inc(): void }>();
+
+  constructor(kernel: Kernel) {
+    this.#frames = kernel.counter(
+      "toucanwind_peer_frames_total",
+      "Frames exchanged with peers",
+      ["direction", "kind"],
+    );
+    this.#bytes = kernel.counter(
+      "toucanwind_peer_bytes_total",
+      "Bytes exchanged with peers",
+      ["direction"],
+    );
+    this.#opened = kernel.counter(
+      "toucanwind_peer_links_opened_total",
+      "Links to peers opened",
+      ["reason"],
+    );
+    this.#closed = kernel.counter(
+      "toucanwind_peer_links_closed_total",
+      "Links to peers closed",
+      ["reason"],
+    );
+    this.#dialFaults = kernel.counter(
+      "toucanwind_peer_dial_failures_total",
+      "Links to peers that could not be opened",
+      ["reason"],
+    );
+    this.#late = kernel.counter(
+      "toucanwind_peer_late_answers_total",
+      "Answers that came after their request was given up on",
+    );
+    this.#wakes = kernel.counter(
+      "toucanwind_peer_wakes_total",
+      "Pauses of this daemon longer than the bound on silence",
+    );
+    this.#changes = kernel.counter(
+      "toucanwind_peer_member_changes_total",
+      "Changes in what is known of members",
+      ["status"],
+    );
+  }
+
+  /** Counts a frame sent. */
+  sent(kind: FrameKind, bytes: number): void {
+    this.#count("out", kind, bytes);
+  }
+
+  /** Counts a frame received; one of unknown kind counts as `other`. */
+  received(kind: FrameKind, bytes: number): void {
+    this.#count("in", kind, bytes);
+  }
+
+  opened(reason: Opening): void {
+    this.#opened.inc({ reason });
+  }
+
+  closed(reason: Closing): void {
+    this.#closed.inc({ reason });
+  }
+
+  dialFailed(reason: DialFault): void {
+    this.#dialFaults.inc({ reason });
+  }
+
+  late(): void {
+    this.#late.inc();
+  }
+
+  woke(): void {
+    this.#wakes.inc();
+  }
+
+  changed(status: string): void {
+    this.#changes.inc({ status });
+  }
+
+  #count(direction: string, kind: FrameKind, bytes: number): void {
+    const name = (FrameKind[kind] ?? "other").toLowerCase();
+    const label = `${direction} ${name}`;
+    let frames = this.#framesOf.get(label);
+    if (frames === undefined) {
+      frames = this.#frames.labels(direction, name);
+      this.#framesOf.set(label, frames);
+    }
+    frames.inc();
+    this.#bytes.inc({ direction }, bytes);
+  }
+}
