Tables as TOML files, checked whole; strict configuration codec

Cause: operators edit the two tables in version control, and daemons take what the platform's service gives; neither can be trusted to be well formed.

Ruled out: one zod schema per file with its own columns (the same rules would stand twice); arrays of rows in the files (a name could stand twice, and hunks of a diff don't show which row they are in).

--- /dev/null
+++ b/src/tables/configuration.ts
@@ -0,0 +1,60 @@
+/**
+ * The stored form of a configuration: JSON, at most a megabyte. The decoder
+ * trusts nothing, since what it lets through comes into force.
+ *
+ * @module
+ */
+
+import { Err, Ok, type Result } from "ts-results";
+import { checkTables } from "./check.ts";
+import { File, type Problem } from "./problem.ts";
+import { configurationRow } from "./schema.ts";
+import type { Configuration } from "./tables.ts";
+import { canonical } from "./toml.ts";
+
+/** Most bytes of a stored configuration; the service holds no more. */
+export const MAX_CONFIGURATION_BYTES = 1_000_000;
+
+/** The text to store; refused when it is at fault or too large. */
+export function encodeConfiguration(
+  configuration: Configuration,
+): Result<string, readonly Problem[]> {
+  const tables = canonical(configuration.tables);
+  const text = JSON.stringify({ ...configuration, tables });
+  return decodeConfiguration(text).map(() => text);
+}
+
+/** Reads a stored configuration; anything unexpected is refused. */
+export function decodeConfiguration(
+  text: string,
+): Result<Configuration, readonly Problem[]> {
+  const bytes = Buffer.byteLength(text, "utf8");
+  if (bytes > MAX_CONFIGURATION_BYTES) {
+    const most = `at most "${MAX_CONFIGURATION_BYTES}" are held`;
+    return Err([problem("", `"${bytes}" bytes, but ${most}`)]);
+  }
+  const json = parseJson(text);
+  if (json.err) return Err([json.val]);
+  const parsed = configurationRow.safeParse(json.val);
+  if (!parsed.success) {
+    return Err(
+      parsed.error.issues.map((issue) =>
+        problem(issue.path.join("."), issue.message)
+      ),
+    );
+  }
+  const problems = checkTables(parsed.data.tables);
+  return problems.length > 0 ? Err(problems) : Ok(parsed.data);
+}
+
+function parseJson(text: string): Result<unknown, Problem> {
+  try {
+    return Ok(JSON.parse(text) as unknown);
+  } catch {
+    return Err(problem("", "is not JSON"));
+  }
+}
+
+function problem(key: string, message: string): Problem {
+  return { file: File.Configuration, table: "", key, message };
+}
--- /dev/null
+++ b/src/tables/schema.ts
@@ -0,0 +1,101 @@
+/**
+ * The shape of each row, column by column. Both the files and the stored
+ * configuration are held against it; neither may hold a column more.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { Kind, type Pool, Priority, type Route } from "./tables.ts";
+
+const DAY_MS = 86_400_000;
+const MAX_BODY_BYTES = 67_108_864;
+const MAX_UPSTREAMS = 10_000;
+const MAX_SLOTS = 4_096;
+const MAX_STALENESS = 1_000;
+const MIN_WEIGHT = 0.001;
+const MAX_WEIGHT = 1_000_000;
+
+const name = z.string().regex(
+  /^[a-z0-9][a-z0-9_-]{0,62}$/,
+  "must be 1 to 63 lower-case letters, digits, - and _, not led by - or _",
+);
+
+const model = z.string().regex(
+  /^([A-Za-z0-9][A-Za-z0-9._:\/@-]{0,126})?$/,
+  "must be a model's name of at most 127 letters, digits and . _ : / @ -",
+);
+
+const path = z.string().max(256, "must be at most 256 characters").regex(
+  /^((\/(?!\.{1,2}(\/|$))[A-Za-z0-9._~-]+)+)?$/,
+  "must be a path like /lots/search, without an end slash",
+);
+
+function integer(min: number, max: number) {
+  const message = `must be a whole number from ${min} to ${max}`;
+  return z.number(message).int(message).min(min, message).max(max, message);
+}
+
+function fraction(min: number, max: number) {
+  const message = `must be a number from ${min} to ${max}`;
+  return z.number(message).min(min, message).max(max, message);
+}
+
+const share = z.strictObject({
+  tenant: name,
+  weight: fraction(MIN_WEIGHT, MAX_WEIGHT),
+});
+
+const key = z.strictObject({
+  id: name,
+  sha256: z.string().regex(
+    /^[0-9a-f]{64}$/,
+    "must be a SHA-256 as 64 lower-case hexadecimal digits",
+  ),
+  tenant: name,
+});
+
+/** A row of the routes table. */
+export const routeRow = z.strictObject({
+  name,
+  path,
+  model,
+  kind: z.enum(Kind, `must be one of ${Object.values(Kind).join(", ")}`),
+  pool: name,
+  priority: z.enum(
+    Priority,
+    `must be one of ${Object.values(Priority).join(", ")}`,
+  ),
+  open: z.boolean("must be true or false"),
+  repeatable: z.boolean("must be true or false"),
+  tenants: z.array(share),
+  keys: z.array(key),
+  deadlineMs: integer(1, DAY_MS),
+  maxBodyBytes: integer(1, MAX_BODY_BYTES),
+  stalenessBound: integer(0, MAX_STALENESS),
+}) satisfies z.ZodType<Route>;
+
+/** A row of the pools table. */
+export const poolRow = z.strictObject({
+  name,
+  model,
+  minUpstreams: integer(0, MAX_UPSTREAMS),
+  maxUpstreams: integer(0, MAX_UPSTREAMS),
+  reclaimableShare: fraction(0, 1),
+  availabilityZones: z.array(name).min(1, "must name a zone").max(64),
+  slots: integer(1, MAX_SLOTS),
+  fenced: z.boolean("must be true or false"),
+}) satisfies z.ZodType<Pool>;
+
+/** A stored configuration. */
+export const configurationRow = z.strictObject({
+  revision: integer(1, Number.MAX_SAFE_INTEGER),
+  attempt: z.string().min(1).max(100),
+  author: z.string().max(200),
+  note: z.string().max(500),
+  at: z.iso.datetime({ offset: true }),
+  tables: z.strictObject({
+    routes: z.array(routeRow),
+    pools: z.array(poolRow),
+  }),
+});
