--- /dev/null
+++ b/src/cli/daemons.ts
@@ -0,0 +1,158 @@
+/**
+ * The daemons' admin pages, as the command reads them.
+ *
+ * @module
+ */
+
+import { Err, Ok, type Result } from "ts-results";
+import { request } from "undici";
+import { z } from "zod";
+import type { Clock } from "../kernel/mod.ts";
+
+const TIMEOUT_MS = 3_000;
+const MAX_PAGE_BYTES = 16_777_216;
+const POLL_MS = 200;
+
+const force = z.object({
+  revision: z.number(),
+  members: z.array(z.object({
+    vm: z.string(),
+    revision: z.number().nullable(),
+    ageMs: z.number().nullable(),
+  })),
+  /** Absent where the platform's list could not be read. */
+  missing: z.array(z.string()).nullable(),
+});
+
+/** Which revision each daemon has in force. */
+export type Force = z.infer<typeof force>;
+
+/** A daemon that doesn't have a revision in force, as far as is known. */
+export interface Laggard {
+  readonly vm: string;
+  /** `null` if the daemon did not answer. */
+  readonly revision: number | null;
+}
+
+/** Whether a revision came into force in time. */
+export interface Arrival {
+  readonly inForce: boolean;
+  readonly waitedMs: number;
+  readonly laggards: readonly Laggard[];
+  /** Daemons that have it in force. */
+  readonly daemons: number;
+  /** Why the daemons could not be asked; empty when they could. */
+  readonly fault: string;
+}
+
+/** Asks daemons for their admin pages. */
+export class Daemons {
+  readonly #entries: readonly string[];
+  readonly #token: string;
+  readonly #clock: Clock;
+
+  constructor(options: {
+    entries: readonly string[];
+    clock: Clock;
+    token?: string;
+  }) {
+    this.#entries = options.entries;
+    this.#clock = options.clock;
+    this.#token = options.token ?? "";
+  }
+
+  /** The status of one daemon, or of all of them. */
+  async status(
+    options: { all: boolean },
+  ): Promise<Result<unknown, string>> {
+    return await this.#get(`/admin/status${options.all ? "?all=1" : ""}`);
+  }
+
+  /** Which revision each daemon has in force. */
+  async force(): Promise<Result<Force, string>> {
+    const page = await this.#get("/admin/in-force");
+    if (page.err) return page;
+    const parsed = force.safeParse(page.val);
+    return parsed.success
+      ? Ok(parsed.data)
+      : Err("The daemon's answer can't be read");
+  }
+
+  /** Waits until every daemon has `revision` or a newer one in force. */
+  async arrival(revision: number, waitMs: number): Promise<Arrival> {
+    const start = this.#clock.now();
+    for (;;) {
+      const answer = await this.force();
+      const waitedMs = Math.round(this.#clock.now() - start);
+      const arrival = arrived(answer, revision, waitedMs);
+      if (arrival.inForce || waitedMs + POLL_MS > waitMs) return arrival;
+      await this.#clock.sleep(POLL_MS);
+    }
+  }
+
+  /** Asks the entries in turn; any answer but a daemon's fault ends it. */
+  async #get(path: string): Promise<Result<unknown, string>> {
+    let fault = "No daemon's URL is set";
+    for (const entry of this.#entries) {
+      const answer = await this.#ask(new URL(path, entry));
+      if (answer.ok) return answer;
+      fault = answer.val;
+    }
+    return Err(fault);
+  }
+
+  async #ask(url: URL): Promise<Result<unknown, string>> {
+    const headers = this.#token === ""
+      ? {}
+      : { authorization: `Bearer ${this.#token}` };
+    try {
+      const { statusCode, body } = await request(url, {
+        headers,
+        headersTimeout: TIMEOUT_MS,
+        bodyTimeout: TIMEOUT_MS,
+        signal: AbortSignal.timeout(2 * TIMEOUT_MS),
+      });
+      const text = await bounded(body);
+      if (statusCode === 200) return Ok(JSON.parse(text) as unknown);
+      return Err(`${url.origin} answered "${statusCode}"`);
+    } catch (error) {
+      const message = error instanceof Error ? error.message : "";
+      return Err(`${url.origin} gave no answer (${message})`);
+    }
+  }
+}
+
+async function bounded(body: AsyncIterable<Buffer>): Promise<string> {
+  const pieces: Buffer[] = [];
+  let bytes = 0;
+  for await (const piece of body) {
+    bytes += piece.length;
+    if (bytes > MAX_PAGE_BYTES) throw new RangeError("page too large");
+    pieces.push(piece);
+  }
+  return Buffer.concat(pieces).toString("utf8");
+}
+
+function arrived(
+  answer: Result<Force, string>,
+  revision: number,
+  waitedMs: number,
+): Arrival {
+  if (answer.err) {
+    const fault = answer.val;
+    return { inForce: false, waitedMs, laggards: [], daemons: 0, fault };
+  }
+  const behind = answer.val.members
+    .filter((member) => member.revision === null || member.revision < revision)
+    .map(({ vm, revision }) => ({ vm, revision }));
+  const missing = (answer.val.missing ?? [])
+    .map((vm) => ({ vm, revision: null }));
+  const laggards = [...behind, ...missing];
+  return {
+    inForce: laggards.length === 0,
+    waitedMs,
+    laggards,
+    daemons: answer.val.members.length - behind.length,
+    fault: "",
+  };
+}
--- /dev/null
+++ b/src/cli/key_commands.ts
@@ -0,0 +1,217 @@
+/**
+ * The commands on callers' keys. Granting and withdrawing are edits of the
+ * routes table; since they go with any other edit, a lost race is run again on
+ * the winner's tables.
+ *
+ * @module
+ */
+
+import { Command, Option, UsageError } from "clipanion";
+import { randomUUID } from "node:crypto";
+import { Err, Ok, type Result } from "ts-results";
+import { hashKey, type Key, newSecret, type Tables } from "../tables/mod.ts";
+import { Exit } from "./exit.ts";
+import {
+  type Answer,
+  EditOperation,
+  impossible,
+  Operation,
+  readable,
+  unread,
+} from "./operation.ts";
+import { Ending } from "./revisions.ts";
+
+const MAX_RACES = 20;
+const RACE_PAUSE_MS = 100;
+
+/** Makes a key without granting it. */
+export class NewKey extends Operation {
+  static override paths = [["key", "new"]];
+  static override usage = Command.Usage({
+    category: "Keys",
+    description: "Make a key and its hash, granting nothing",
+    examples: [["A key for a table in version control", "$0 key new"]],
+  });
+
+  run(): Promise<Answer> {
+    const secret = newSecret();
+    const sha256 = hashKey(secret);
+    return Promise.resolve({
+      exit: Exit.Done,
+      lines: [`key     ${secret}`, `sha256  ${sha256}`],
+      json: { outcome: "made", key: secret, sha256 },
+    });
+  }
+}
+
+/** An edit of a route's keys. */
+abstract class KeyEdit extends EditOperation {
+  /** The tables with the edit made, or why it can't be. */
+  protected abstract edited(tables: Tables): Result<Tables, string>;
+
+  /** The note for the history. */
+  protected abstract defaultNote(): string;
+
+  /** Commits the edit on whatever revision is the newest. */
+  protected async commitEdit(): Promise<Answer> {
+    for (let race = 1;; race++) {
+      const head = await this.revisions().head();
+      if (head.err) return unread(head.val);
+      const now = readable(head.val);
+      if (now.err) return now.val;
+      const tables = this.edited(now.val);
+      if (tables.err) return impossible(tables.val);
+      const submission = await this.submit(head.val, {
+        tables: tables.val,
+        attempt: randomUUID(),
+        note: this.defaultNote(),
+      });
+      const lost = submission.commit.ending === Ending.Lost;
+      if (!lost || race === MAX_RACES) return await this.conclude(submission);
+      await this.context.clock.sleep(Math.random() * RACE_PAUSE_MS * race);
+    }
+  }
+}
+
+/** Grants a key on a route. */
+export class GrantKey extends KeyEdit {
+  static override paths = [["key", "grant"]];
+  static override usage = Command.Usage({
+    category: "Keys",
+    description: "Grant a tenant a key on routes, and print it once",
+    details: `
+      The key itself is printed once and stored nowhere; the routes table holds
+      its hash. With \`--sha256\` the key was made elsewhere and isn't known here.
+    `,
+    examples: [
+      [
+        "A fresh key",
+        "$0 key grant insurer-2 --route appraise --tenant insurer",
+      ],
+      [
+        "A key made elsewhere, on two routes",
+        "$0 key grant insurer-2 --route appraise --route release " +
+        "--tenant insurer --sha256 9f86...",
+      ],
+    ],
+  });
+
+  id = Option.String({ name: "id" });
+  route = Option.Array("--route", {
+    description: "Route to grant it on; may stand several times",
+  });
+  tenant = Option.String("--tenant", {
+    description: "Whose key it is; needs a share of the routes",
+    required: true,
+  });
+  sha256 = Option.String("--sha256", {
+    description: "Hash of a key that was made elsewhere",
+  });
+  regrant = Option.Boolean("--regrant", false, {
+    description: "Grant it also if it was withdrawn before",
+  });
+
+  #hash = "";
+
+  async run(): Promise<Answer> {
+    const secret = this.sha256 === undefined ? newSecret() : "";
+    this.#hash = this.sha256 ?? hashKey(secret);
+    if (!/^[0-9a-f]{64}$/.test(this.#hash)) {
+      throw new UsageError("--sha256 must be 64 lower-case hexadecimal digits");
+    }
+    if (this.sha256 !== undefined && !this.regrant) {
+      const again = await this.revisions().withdrawn([this.#hash]);
+      if (again.err) return unread(again.val);
+      if (again.val.length > 0) {
+        return impossible("This key was withdrawn before; say --regrant");
+      }
+    }
+    return withSecret(await this.commitEdit(), secret);
+  }
+
+  protected override edited(tables: Tables): Result<Tables, string> {
+    const key: Key = {
+      id: this.id,
+      sha256: this.#hash,
+      tenant: this.tenant,
+    };
+    const wanted = this.route ?? [];
+    if (wanted.length === 0) return Err("Name a --route at least");
+    const known = tables.routes.map((route) => route.name);
+    const absent = wanted.find((name) => !known.includes(name));
+    if (absent !== undefined) return Err(`There is no route "${absent}"`);
+    if (tables.routes.some((route) => route.keys.some(sameId(key.id)))) {
+      return Err(`There is a key "${key.id}" already`);
+    }
+    const routes = tables.routes.map((route) =>
+      wanted.includes(route.name)
+        ? { ...route, keys: [...route.keys, key] }
+        : route
+    );
+    return Ok({ ...tables, routes });
+  }
+
+  protected override defaultNote(): string {
+    return `grant key ${this.id}`;
+  }
+}
+
+/** Withdraws a key. */
+export class WithdrawKey extends KeyEdit {
+  static override paths = [["key", "withdraw"]];
+  static override usage = Command.Usage({
+    category: "Keys",
+    description: "Withdraw a key from all routes, or from some",
+    details: `
+      Done means that every daemon refuses the key by now. On exit code 4 the
+      daemons named may still admit it until their view of the configuration is
+      too old, when they refuse all keys.
+    `,
+    examples: [
+      ["From all routes", "$0 key withdraw insurer-1"],
+      ["From one route", "$0 key withdraw insurer-1 --route appraise"],
+    ],
+  });
+
+  id = Option.String({ name: "id" });
+  route = Option.Array("--route", {
+    description: "Withdraw it on this route only; may stand several times",
+  });
+
+  async run(): Promise<Answer> {
+    return await this.commitEdit();
+  }
+
+  protected override edited(tables: Tables): Result<Tables, string> {
+    const matches = sameId(this.id);
+    const chosen = tables.routes.filter((route) =>
+      (this.route?.includes(route.name) ?? true) && route.keys.some(matches)
+    );
+    if (chosen.length === 0) return Err(`No key "${this.id}" is granted there`);
+    const routes = tables.routes.map((route) =>
+      chosen.includes(route)
+        ? { ...route, keys: route.keys.filter((key) => !matches(key)) }
+        : route
+    );
+    return Ok({ ...tables, routes });
+  }
+
+  protected override defaultNote(): string {
+    return `withdraw key ${this.id}`;
+  }
+}
+
+function sameId(id: string): (key: Key) => boolean {
+  return (key) => key.id === id;
+}
+
+/** Adds the key's secret, unless it surely was not granted. */
+function withSecret(answer: Answer, secret: string): Answer {
+  const granted = [Ending.Accepted, Ending.Unknown] as readonly unknown[];
+  if (secret === "" || !granted.includes(answer.json.outcome)) return answer;
+  return {
+    ...answer,
+    lines: [...answer.lines, `key     ${secret}`],
+    json: { ...answer.json, key: secret },
+  };
+}
--- /dev/null
+++ b/src/cli/status_commands.ts
@@ -0,0 +1,178 @@
+/**
+ * The commands that ask the daemons how they are.
+ *
+ * @module
+ */
+
+import { Command, Option } from "clipanion";
+import { isNone, some } from "fp-ts/Option";
+import { Exit } from "./exit.ts";
+import {
+  type Answer,
+  exitOf,
+  printArrival,
+  RemoteOperation,
+  revisionOf,
+  unread,
+  wholeNumber,
+} from "./operation.ts";
+
+const INDENT = "  ";
+
+/** Shows what the daemons say of themselves. */
+export class Status extends RemoteOperation {
+  static override paths = [["status"]];
+  static override usage = Command.Usage({
+    category: "Daemons",
+    description: "Show VMs, upstreams, tenants, steps, orders and usage",
+    examples: [
+      ["One daemon", "$0 status"],
+      ["All daemons, their upstreams only", "$0 status dispatch --all"],
+    ],
+  });
+
+  part = Option.String({ name: "part", required: false });
+  all = Option.Boolean("--all", false, {
+    description: "Ask all daemons, through one of them",
+  });
+
+  async run(): Promise<Answer> {
+    const answer = await this.daemons().status({ all: this.all });
+    if (answer.err) return noDaemon(answer.val);
+    const status = this.part === undefined
+      ? answer.val
+      : chosen(answer.val, this.part);
+    return {
+      exit: Exit.Done,
+      lines: printValue(status),
+      json: { outcome: "shown", status },
+    };
+  }
+}
+
+/** Shows which daemons have which revision in force. */
+export class InForce extends RemoteOperation {
+  static override paths = [["in-force"]];
+  static override usage = Command.Usage({
+    category: "Daemons",
+    description: "Show which daemons have which revision in force",
+    examples: [
+      ["Of the newest revision", "$0 in-force"],
+      ["Wait for revision 12", "$0 in-force --revision 12 --wait-ms 10000"],
+    ],
+  });
+
+  revision = Option.String("--revision", {
+    description: "The newest in the platform's service by default",
+  });
+  waitMs = Option.String("--wait-ms", "0", {
+    description: "How long to wait for it",
+  });
+
+  async run(): Promise<Answer> {
+    const revision = await this.#wanted();
+    if (typeof revision !== "number") return revision;
+    const waitMs = wholeNumber("--wait-ms", this.waitMs);
+    const daemons = this.daemons();
+    const arrival = await daemons.arrival(revision, waitMs);
+    if (arrival.fault !== "") return noDaemon(arrival.fault);
+    const force = await daemons.force();
+    if (force.err) return noDaemon(force.val);
+    return {
+      exit: exitOf(some(arrival)),
+      lines: [
+        ...force.val.members.map(({ vm, revision, ageMs }) =>
+          revision === null
+            ? `${vm}  no answer`
+            : `${vm}  ${revision}  seen ${ageMs ?? "?"} ms ago`
+        ),
+        ...printArrival(revision, some(arrival)),
+      ],
+      json: { outcome: "shown", wanted: revision, arrival, ...force.val },
+    };
+  }
+
+  async #wanted(): Promise<number | Answer> {
+    if (this.revision !== undefined) {
+      return wholeNumber("--revision", this.revision);
+    }
+    const head = await this.revisions().head();
+    if (head.err) return unread(head.val);
+    return isNone(head.val) ? 0 : revisionOf(head.val);
+  }
+}
+
+function noDaemon(fault: string): Answer {
+  return {
+    exit: Exit.Unknown,
+    lines: [fault],
+    json: { outcome: "unreached", message: fault },
+  };
+}
+
+type Row = Readonly<Record<string, unknown>>;
+
+function isRow(value: unknown): value is Row {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
+/** One plug-in's part of each daemon's status. */
+function chosen(status: unknown, part: string): unknown {
+  if (Array.isArray(status)) return status.map((one) => chosen(one, part));
+  if (!isRow(status)) return status;
+  if (Array.isArray(status.members)) {
+    return { members: chosen(status.members, part) };
+  }
+  const parts = isRow(status.parts) ? status.parts : {};
+  return { vm: status.vm, [part]: parts[part] ?? null };
+}
+
+/** A value as indented text; lists of flat rows become aligned tables. */
+export function printValue(value: unknown, indent = ""): readonly string[] {
+  if (Array.isArray(value)) {
+    const rows = flatRows(value);
+    if (rows.length > 0) return printRows(rows, indent);
+    return value.flatMap((one) => [
+      `${indent}-`,
+      ...printValue(one, indent + INDENT),
+    ]);
+  }
+  if (!isRow(value)) return [indent + printCell(value)];
+  return Object.entries(value).flatMap(([key, inner]) => {
+    const nested = isRow(inner) || (Array.isArray(inner) && inner.length > 0);
+    return nested
+      ? [`${indent}${key}:`, ...printValue(inner, indent + INDENT)]
+      : [`${indent}${key}: ${printCell(inner)}`];
+  });
+}
+
+/** The rows, if all are flat. */
+function flatRows(list: readonly unknown[]): readonly Row[] {
+  const rows = list.filter(isRow);
+  const flat = rows.filter((row) => !Object.values(row).some(isNested));
+  return flat.length === list.length ? flat : [];
+}
+
+function isNested(value: unknown): boolean {
+  return typeof value === "object" && value !== null;
+}
+
+function printRows(rows: readonly Row[], indent: string): readonly string[] {
+  const columns = [...new Set(rows.flatMap((row) => Object.keys(row)))];
+  const cells = [
+    columns,
+    ...rows.map((row) => columns.map((column) => printCell(row[column]))),
+  ];
+  const widths = columns.map((_, at) =>
+    Math.max(...cells.map((row) => (row[at] ?? "").length))
+  );
+  return cells.map((row) =>
+    indent +
+    row.map((cell, at) => cell.padEnd(widths[at] ?? 0)).join("  ").trimEnd()
+  );
+}
+
+function printCell(value: unknown): string {
+  if (typeof value === "string") return value;
+  return value === undefined ? "" : JSON.stringify(value);
+}
--- /dev/null
+++ b/src/cli/tables_commands.ts
@@ -0,0 +1,372 @@
+/**
+ * The commands on whole tables: check, compare, apply, show, go back.
+ *
+ * @module
+ */
+
+import { Command, Option } from "clipanion";
+import { isNone, isSome, none, type Option as Maybe, some } from "fp-ts/Option";
+import { createHash, randomUUID } from "node:crypto";
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { Err, Ok, type Result } from "ts-results";
+import {
+  diffTables,
+  File,
+  type Key,
+  parseTables,
+  printChange,
+  printTables,
+  sameTables,
+  type Tables,
+} from "../tables/mod.ts";
+import { Exit } from "./exit.ts";
+import {
+  type Answer,
+  EditOperation,
+  impossible,
+  invalid,
+  Operation,
+  printStamp,
+  readable,
+  RemoteOperation,
+  revisionOf,
+  tablesOf,
+  unread,
+  wholeNumber,
+} from "./operation.ts";
+import type { Revisions, Stored } from "./revisions.ts";
+import { readText } from "./settings.ts";
+
+const FOLDER = { name: "folder", required: false };
+const MAX_LISTED = 1_000;
+const DIGEST_DIGITS = 12;
+
+/** Checks the files alone. */
+export class Validate extends Operation {
+  static override paths = [["validate"]];
+  static override usage = Command.Usage({
+    category: "Tables",
+    description: "Check routes.toml and pools.toml",
+    details: "Reports every problem of both files at once. Needs no platform.",
+    examples: [
+      ["Check the files of this folder", "$0 validate"],
+      ["Check in CI, as JSON", "$0 validate tables --json"],
+    ],
+  });
+
+  folder = Option.String(FOLDER);
+
+  run(): Promise<Answer> {
+    const tables = readTables(this.folder);
+    if (tables.err) return Promise.resolve(tables.val);
+    const { routes, pools } = tables.val;
+    return Promise.resolve({
+      exit: Exit.Done,
+      lines: [`${routes.length} routes and ${pools.length} pools are in order`],
+      json: {
+        outcome: "valid",
+        routes: routes.length,
+        pools: pools.length,
+      },
+    });
+  }
+}
+
+/** Compares the files with a stored revision. */
+export class Diff extends RemoteOperation {
+  static override paths = [["diff"]];
+  static override usage = Command.Usage({
+    category: "Tables",
+    description: "Show what applying the files would change",
+    examples: [
+      ["Against the newest revision", "$0 diff"],
+      ["Against revision 12", "$0 diff tables --against 12"],
+    ],
+  });
+
+  folder = Option.String(FOLDER);
+  against = Option.String("--against", {
+    description: "Revision to compare with; the newest by default",
+  });
+
+  async run(): Promise<Answer> {
+    const files = readTables(this.folder);
+    if (files.err) return files.val;
+    const stored = await storedAt(this.revisions(), this.against);
+    if (stored.err) return stored.val;
+    const tables = readable(stored.val);
+    if (tables.err) return tables.val;
+    const changes = diffTables(tables.val, files.val);
+    const revision = revisionOf(stored.val);
+    return {
+      exit: Exit.Done,
+      lines: changes.length === 0
+        ? [`Nothing differs from revision ${revision}`]
+        : changes.map(printChange),
+      json: { outcome: "compared", revision, changes },
+    };
+  }
+}
+
+/** Makes the files the next revision. */
+export class Apply extends EditOperation {
+  static override paths = [["apply"]];
+  static override usage = Command.Usage({
+    category: "Tables",
+    description: "Make the files the next revision and wait for it",
+    details: `
+      The edit is accepted only if the revision that it was made from is still
+      the newest; else the command says whose edit came first. A key that was
+      withdrawn is not granted again unless \`--regrant\` says so.
+
+      Exit codes: 0 accepted and in force; 1 the files are at fault; 2 another
+      edit came first; 3 no answer from the platform; 4 accepted, but not in
+      force everywhere in time.
+    `,
+    examples: [
+      ["Apply what was edited from revision 12", "$0 apply --on 12"],
+      [
+        "Find out about an edit without an answer, and send it again if needed",
+        "$0 apply --on 12 --attempt 6f2c...",
+      ],
+    ],
+  });
+
+  folder = Option.String(FOLDER);
+  on = Option.String("--on", {
+    description: "Revision edited from; the newest by default",
+  });
+  attempt = Option.String("--attempt", {
+    description: "Id of an earlier try of the same edit; needs --on",
+  });
+  regrant = Option.Boolean("--regrant", false, {
+    description: "Grant withdrawn keys again",
+  });
+
+  async run(): Promise<Answer> {
+    const files = readTables(this.folder);
+    if (files.err) return files.val;
+    const attempt = this.#attempt(files.val);
+    if (attempt.err) return impossible(attempt.val);
+    const on = this.on === undefined ? undefined : wholeNumber("--on", this.on);
+    const head = await this.revisions().head();
+    if (head.err) return unread(head.val);
+    const now = tablesOf(head.val);
+    if (now.ok && !isNone(head.val) && sameTables(now.val, files.val)) {
+      return await this.unchanged(head.val.value.stamp);
+    }
+    const again = await this.#refusal(head.val, files.val);
+    if (isSome(again)) return again.value;
+    const edit = { tables: files.val, attempt: attempt.val, note: "", on };
+    return await this.conclude(await this.submit(head.val, edit));
+  }
+
+  /** The id of this try; a resend is held to the edit that it repeats. */
+  #attempt(tables: Tables): Result<string, string> {
+    if (this.attempt === undefined) return Ok(attemptFor(tables));
+    if (this.on === undefined) return Err("--attempt needs --on");
+    return this.attempt.endsWith(`-${digest(tables)}`)
+      ? Ok(this.attempt)
+      : Err(`Attempt "${this.attempt}" was made with other tables`);
+  }
+
+  /** The answer where the files would grant a withdrawn key again. */
+  async #refusal(
+    head: Maybe<Stored>,
+    tables: Tables,
+  ): Promise<Maybe<Answer>> {
+    if (this.regrant) return none;
+    const again = await this.regranted(head, tables);
+    if (again.err) return some(again.val);
+    if (again.val.size === 0) return none;
+    const ids = keysOf(tables)
+      .filter((key) => again.val.has(key.sha256))
+      .map((key) => `"${key.id}"`);
+    return some(impossible(
+      `Withdrawn keys would be granted again: ${
+        [...new Set(ids)].join(", ")
+      }; take them out of the files, or say --regrant`,
+    ));
+  }
+}
+
+/** Prints or writes a stored revision as the two files. */
+export class Show extends RemoteOperation {
+  static override paths = [["show"]];
+  static override usage = Command.Usage({
+    category: "Tables",
+    description: "Print a stored revision, or write its files",
+    examples: [
+      ["Print the newest revision", "$0 show"],
+      ["Write revision 12 into a folder", "$0 show --revision 12 --out tables"],
+    ],
+  });
+
+  revision = Option.String("--revision", {
+    description: "The newest by default",
+  });
+  out = Option.String("--out", {
+    description: "Folder to write routes.toml and pools.toml to",
+  });
+
+  async run(): Promise<Answer> {
+    const stored = await storedAt(this.revisions(), this.revision);
+    if (stored.err) return stored.val;
+    if (isNone(stored.val)) {
+      return {
+        exit: Exit.Done,
+        lines: ["There is no revision yet"],
+        json: { outcome: "shown", revision: 0 },
+      };
+    }
+    const tables = readable(stored.val);
+    if (tables.err) return tables.val;
+    const { stamp } = stored.val.value;
+    const files = printTables(tables.val);
+    const written = this.out === undefined
+      ? Ok(undefined)
+      : writeTables(this.out, files);
+    if (written.err) return impossible(written.val);
+    const texts = this.out === undefined
+      ? [`# ${File.Routes}`, files.routes, `# ${File.Pools}`, files.pools]
+      : [];
+    return {
+      exit: Exit.Done,
+      lines: [`# ${printStamp(stamp)}`, ...texts],
+      json: { outcome: "shown", ...stamp, tables: tables.val },
+    };
+  }
+}
+
+/** Lists the newest revisions. */
+export class History extends RemoteOperation {
+  static override paths = [["history"]];
+  static override usage = Command.Usage({
+    category: "Tables",
+    description: "List the newest revisions, with author and note",
+    examples: [["The last five", "$0 history --limit 5"]],
+  });
+
+  limit = Option.String("--limit", "20", {
+    description: "How many at most",
+  });
+
+  async run(): Promise<Answer> {
+    const limit = Math.min(wholeNumber("--limit", this.limit), MAX_LISTED);
+    const stamps = await this.revisions().list(limit);
+    if (stamps.err) return unread(stamps.val);
+    return {
+      exit: Exit.Done,
+      lines: stamps.val.map(printStamp),
+      json: { outcome: "listed", revisions: stamps.val },
+    };
+  }
+}
+
+/** Makes the tables of an earlier revision the next one. */
+export class Rollback extends EditOperation {
+  static override paths = [["rollback"]];
+  static override usage = Command.Usage({
+    category: "Tables",
+    description: "Make the tables of an earlier revision the next revision",
+    details: `
+      Revisions only grow: going back makes a new one. Keys that were withdrawn
+      since stay withdrawn, unless \`--regrant\` says otherwise.
+    `,
+    examples: [["Go back to revision 12", "$0 rollback 12 --note 'too slow'"]],
+  });
+
+  revision = Option.String({ name: "revision" });
+  on = Option.String("--on", {
+    description: "Revision to replace; the newest by default",
+  });
+  regrant = Option.Boolean("--regrant", false, {
+    description: "Grant keys again that were withdrawn since",
+  });
+
+  async run(): Promise<Answer> {
+    const revisions = this.revisions();
+    const head = await revisions.head();
+    if (head.err) return unread(head.val);
+    const earlier = await storedAt(revisions, this.revision);
+    if (earlier.err) return earlier.val;
+    const tables = readable(earlier.val);
+    if (tables.err) return tables.val;
+    const again = this.regrant
+      ? Ok(new Set<string>())
+      : await this.regranted(head.val, tables.val);
+    if (again.err) return again.val;
+    const restored = withoutKeys(tables.val, again.val);
+    const now = tablesOf(head.val);
+    if (now.ok && isSome(head.val) && sameTables(now.val, restored)) {
+      return await this.unchanged(head.val.value.stamp);
+    }
+    const edit = {
+      tables: restored,
+      attempt: attemptFor(restored),
+      note: `roll back to ${this.revision}`,
+      on: this.on === undefined ? undefined : wholeNumber("--on", this.on),
+    };
+    return await this.conclude(await this.submit(head.val, edit));
+  }
+}
+
+function readTables(folder = "."): Result<Tables, Answer> {
+  const routes = readText(join(folder, File.Routes));
+  if (routes.err) return Err(impossible(routes.val));
+  const pools = readText(join(folder, File.Pools));
+  if (pools.err) return Err(impossible(pools.val));
+  return parseTables(routes.val, pools.val).mapErr(invalid);
+}
+
+function writeTables(
+  folder: string,
+  files: { readonly routes: string; readonly pools: string },
+): Result<undefined, string> {
+  try {
+    mkdirSync(folder, { recursive: true });
+    writeFileSync(join(folder, File.Routes), files.routes);
+    writeFileSync(join(folder, File.Pools), files.pools);
+    return Ok(undefined);
+  } catch {
+    return Err(`The folder "${folder}" can't be written to`);
+  }
+}
+
+/** The revision that an option names, or the newest. */
+async function storedAt(
+  revisions: Revisions,
+  named: string | undefined,
+): Promise<Result<Maybe<Stored>, Answer>> {
+  if (named === undefined) return (await revisions.head()).mapErr(unread);
+  const revision = wholeNumber("The revision", named);
+  const stored = await revisions.at(revision);
+  if (stored.err) return Err(unread(stored.val));
+  return isNone(stored.val)
+    ? Err(impossible(`Revision "${named}" is not kept`))
+    : stored;
+}
+
+/** A fresh attempt id. It tells its tables, so that a resend can be held to them. */
+function attemptFor(tables: Tables): string {
+  return `${randomUUID()}-${digest(tables)}`;
+}
+
+function digest(tables: Tables): string {
+  const { routes, pools } = printTables(tables);
+  return createHash("sha256").update(`${routes}\n${pools}`).digest("hex")
+    .slice(0, DIGEST_DIGITS);
+}
+
+function keysOf(tables: Tables): readonly Key[] {
+  return tables.routes.flatMap((route) => route.keys);
+}
+
+function withoutKeys(tables: Tables, hashes: ReadonlySet<string>): Tables {
+  const routes = tables.routes.map((route) => ({
+    ...route,
+    keys: route.keys.filter((key) => !hashes.has(key.sha256)),
+  }));
+  return { ...tables, routes };
+}
--- a/src/tables/check.ts
+++ b/src/tables/check.ts
@@ -10,7 +10,6 @@
   type Key,
   Kind,
   type Pool,
-  Priority,
   type Route,
   type Tables,
 } from "./tables.ts";
@@ -61,7 +60,6 @@
     problems.push(inRoutes(route.name, key, message));
   };
   const service = route.kind === Kind.Service;
-  const training = route.kind === Kind.Training;
   if (service && route.path === "") found("path", "a service route needs one");
   if (service && route.model !== "") {
     found("model", `a service route has none, but it is "${route.model}"`);
@@ -75,18 +73,6 @@
   if (!service && !route.repeatable) {
     found("repeatable", "only a service route can be unrepeatable");
   }
-  if (training !== (route.priority === Priority.Training)) {
-    found(
-      "priority",
-      `"${route.priority}" does not go with a ${route.kind} route`,
-    );
-  }
-  if (!training && route.stalenessBound !== 0) {
-    found(
-      "staleness_bound",
-      `only a training route has one, but it is "${route.stalenessBound}"`,
-    );
-  }
   if (RESERVED.includes(route.path.split("/")[1] ?? "")) {
     found("path", `"${route.path}" is served by the daemon itself`);
   }
--- a/src/tables/configuration.ts
+++ b/src/tables/configuration.ts
@@ -8,7 +8,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import { checkTables } from "./check.ts";
 import { File, type Problem } from "./problem.ts";
-import { configurationRow } from "./schema.ts";
+import { configurationRow, stampRow } from "./schema.ts";
 import type { Configuration } from "./tables.ts";
 import { canonical } from "./toml.ts";
 
@@ -47,6 +47,25 @@
   return problems.length > 0 ? Err(problems) : Ok(parsed.data);
 }
 
+/** A configuration without its tables. */
+export type Stamp = Omit<Configuration, "tables">;
+
+/**
+ * Reads what a stored configuration says of itself. Works also where its
+ * tables don't pass today's checks, so that they can be replaced.
+ */
+export function decodeStamp(text: string): Result<Stamp, readonly Problem[]> {
+  const json = parseJson(text);
+  if (json.err) return Err([json.val]);
+  const parsed = stampRow.safeParse(json.val);
+  if (parsed.success) return Ok(parsed.data);
+  return Err(
+    parsed.error.issues.map((issue) =>
+      problem(issue.path.join("."), issue.message)
+    ),
+  );
+}
+
 function parseJson(text: string): Result<unknown, Problem> {
   try {
     return Ok(JSON.parse(text) as unknown);
--- a/src/tables/mod.ts
+++ b/src/tables/mod.ts
@@ -7,8 +7,10 @@
 
 export {
   decodeConfiguration,
+  decodeStamp,
   encodeConfiguration,
   MAX_CONFIGURATION_BYTES,
+  type Stamp,
 } from "./configuration.ts";
 export { checkTables } from "./check.ts";
 export { type Change, Changed, diffTables, printChange } from "./diff.ts";
--- a/src/tables/schema.ts
+++ b/src/tables/schema.ts
@@ -15,6 +15,8 @@
 const MAX_STALENESS = 1_000;
 const MIN_WEIGHT = 0.001;
 const MAX_WEIGHT = 1_000_000;
+const MAX_AUTHOR = 200;
+const MAX_NOTE = 500;
 
 const name = z.string().regex(
   /^[a-z0-9][a-z0-9_-]{0,62}$/,
@@ -87,13 +89,20 @@
   fenced: z.boolean("must be true or false"),
 }) satisfies z.ZodType<Pool>;
 
-/** A stored configuration. */
-export const configurationRow = z.strictObject({
+const stamp = {
   revision: integer(1, Number.MAX_SAFE_INTEGER),
   attempt: z.string().min(1).max(100),
-  author: z.string().max(200),
-  note: z.string().max(500),
+  author: z.string().max(MAX_AUTHOR),
+  note: z.string().max(MAX_NOTE),
   at: z.iso.datetime({ offset: true }),
+};
+
+/** What a stored configuration says of itself, whatever its tables hold. */
+export const stampRow = z.object(stamp);
+
+/** A stored configuration. */
+export const configurationRow = z.strictObject({
+  ...stamp,
   tables: z.strictObject({
     routes: z.array(routeRow),
     pools: z.array(poolRow),
