--- /dev/null
+++ b/src/gateway/admission.ts
@@ -0,0 +1,212 @@
+/**
+ * Who a request is from and what it may do: route, key, deadline. Also ends
+ * what runs when its key is withdrawn.
+ *
+ * @module
+ */
+
+import type { FastifyRequest } from "fastify";
+import * as O from "fp-ts/Option";
+import { Err, Ok, type Result } from "ts-results";
+import type { Caller, Config } from "../config/mod.ts";
+import type { Demand } from "../dispatch/mod.ts";
+import { type Kernel, Reason, Refusal, Verdict } from "../kernel/mod.ts";
+import type { Configuration, Route } from "../tables/mod.ts";
+
+/** A request that may go on to be dispatched. */
+export interface Admitted {
+  /** The request's marker, unique over all daemons. */
+  readonly id: string;
+  readonly route: Route;
+  readonly caller: Caller;
+  /** The key as presented; never leaves this daemon. */
+  readonly key: O.Option<string>;
+  readonly weight: number;
+  /** On the monotonic clock. */
+  readonly deadlineAt: number;
+}
+
+const DEADLINE_HEADER = "x-deadline-ms";
+
+/** Admits requests under the configuration in force. */
+export class Admission {
+  readonly #kernel: Kernel;
+  readonly #config: Config;
+  #seq = 0;
+
+  constructor(options: { kernel: Kernel; config: Config }) {
+    this.#kernel = options.kernel;
+    this.#config = options.config;
+  }
+
+  /** Admits a request to the route that `find` picks. */
+  admit(
+    request: FastifyRequest,
+    find: (routes: readonly Route[]) => O.Option<Route>,
+  ): Result<Admitted, Refusal> {
+    const configuration = this.#config.current();
+    if (O.isNone(configuration)) return Err(NO_CONFIGURATION);
+    const found = find(configuration.value.tables.routes);
+    if (O.isNone(found)) return Err(NO_ROUTE);
+    const route = found.value;
+    const key = presentedKey(request);
+    const caller = this.#config.authorize(route, key);
+    if (caller.err) return caller;
+    if (repeatsKey(request, key)) return Err(KEY_REPEATED);
+    const length = Number(request.headers["content-length"] ?? 0);
+    if (length > route.maxBodyBytes) return Err(TOO_LARGE);
+    const share = route.tenants
+      .find(({ tenant }) => tenant === caller.val.tenant);
+    return Ok({
+      id: `${this.#kernel.incarnation}-${++this.#seq}`,
+      route,
+      caller: caller.val,
+      key,
+      weight: share?.weight ?? 1,
+      deadlineAt: this.#kernel.clock.now() + allowedMs(request, route),
+    });
+  }
+
+  /** The demand of an admitted request on its pool. */
+  demand(
+    admitted: Admitted,
+    options: {
+      tokens: number;
+      prefixes?: readonly string[];
+      fingerprint: string;
+    },
+  ): Demand {
+    const { id, route, caller, weight, deadlineAt } = admitted;
+    return {
+      id,
+      pool: route.pool,
+      route: route.name,
+      tenant: caller.tenant,
+      priority: route.priority,
+      weight,
+      tokens: options.tokens,
+      prefixes: options.prefixes ?? [],
+      remainingMs: deadlineAt - this.#kernel.clock.now(),
+      minVersion: 0,
+      exclude: [],
+      fingerprint: options.fingerprint,
+      attempt: 0,
+    };
+  }
+}
+
+/** What runs by key, so that a withdrawal can end it. */
+export class Running {
+  readonly #config: Config;
+  readonly #entries = new Set<{ admitted: Admitted; end: () => void }>();
+
+  constructor(options: { config: Config }) {
+    this.#config = options.config;
+    this.#config.onChange((configuration) => this.#check(configuration));
+  }
+
+  /** Calls `end` when the request's key is withdrawn; returns the removal. */
+  add(admitted: Admitted, end: () => void): () => void {
+    const entry = { admitted, end };
+    this.#entries.add(entry);
+    return () => this.#entries.delete(entry);
+  }
+
+  #check({ tables }: Configuration) {
+    for (const entry of this.#entries) {
+      if (this.#granted(entry.admitted, tables.routes)) continue;
+      this.#entries.delete(entry);
+      entry.end();
+    }
+  }
+
+  #granted({ route, caller }: Admitted, routes: readonly Route[]): boolean {
+    if (caller.keyId === "") {
+      return routes.some(({ name, open }) => name === route.name && open);
+    }
+    return O.isSome(this.#config.granted(route.name, caller.keyId));
+  }
+}
+
+/** The key that a request shows, in either place where it may be. */
+export function presentedKey(request: FastifyRequest): O.Option<string> {
+  const { authorization } = request.headers;
+  if (authorization !== undefined && /^bearer /i.test(authorization)) {
+    return O.some(authorization.slice("bearer ".length).trim());
+  }
+  const header = request.headers["x-api-key"];
+  return typeof header === "string" ? O.some(header) : O.none;
+}
+
+/** Whether the key stands in a place that is passed on to upstreams. */
+function repeatsKey(
+  request: FastifyRequest,
+  key: O.Option<string>,
+): boolean {
+  if (O.isNone(key) || key.value === "") return false;
+  const { rawHeaders } = request.raw;
+  for (let i = 0; i < rawHeaders.length; i += 2) {
+    if (KEY_HEADERS.has(rawHeaders[i].toLowerCase())) continue;
+    if (rawHeaders[i + 1].includes(key.value)) return true;
+  }
+  return decoded(request.url).includes(key.value);
+}
+
+/** Headers that may hold a key; none of them is passed on. */
+export const KEY_HEADERS: ReadonlySet<string> = new Set([
+  "authorization",
+  "proxy-authorization",
+  "x-api-key",
+  "cookie",
+]);
+
+function decoded(url: string): string {
+  if (!url.includes("%")) return url;
+  try {
+    return url + decodeURIComponent(url);
+  } catch {
+    return url;
+  }
+}
+
+/** The caller's deadline, bounded by the route's. */
+function allowedMs(request: FastifyRequest, route: Route): number {
+  const header = request.headers[DEADLINE_HEADER];
+  if (header === undefined) return route.deadlineMs;
+  const asked = Number(header);
+  if (!(asked >= 0)) return route.deadlineMs;
+  return Math.min(asked, route.deadlineMs);
+}
+
+const NO_CONFIGURATION = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.StaleConfiguration,
+  message: "No configuration is known yet",
+  retryAfterMs: 1000,
+});
+
+const NO_ROUTE = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.NoRoute,
+  message: "No route serves this request",
+});
+
+const KEY_REPEATED = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.BadRequest,
+  message: "The key may stand in its own header only",
+});
+
+/** The refusal of a body above its route's bound. */
+export const TOO_LARGE = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.TooLarge,
+  message: "The request's body is too large for its route",
+});
+
+/** How a running request of a withdrawn key ends. */
+export const WITHDRAWN = new Refusal({
+  verdict: Verdict.MayHaveRun,
+  reason: Reason.KeyWithdrawn,
+  message: "The key was withdrawn while the request ran",
+});
--- /dev/null
+++ b/src/gateway/fixture.ts
@@ -0,0 +1,367 @@
+/**
+ * A gateway over fakes of what it depends on, for tests.
+ *
+ * @module
+ */
+
+import * as O from "fp-ts/Option";
+import { Err, Ok, type Result } from "ts-results";
+import { type Caller, Config, configKey } from "../config/mod.ts";
+import {
+  type Demand,
+  Dispatch,
+  dispatchKey,
+  type Outcome,
+  type Permit,
+  type Pressure,
+  type UpstreamStatus,
+} from "../dispatch/mod.ts";
+import {
+  Kernel,
+  type Plugin,
+  type PluginKey,
+  Reason,
+  Refusal,
+  type Registration,
+  Verdict,
+} from "../kernel/mod.ts";
+import {
+  type CacheEvent,
+  type Chunk,
+  Engine,
+  type EngineFailure,
+  type Failure,
+  Fault,
+  type Generation,
+  type Load,
+  type Platform,
+  type Target,
+} from "../platform/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import {
+  type Configuration,
+  type Key,
+  Kind,
+  Priority,
+  type Route,
+} from "../tables/mod.ts";
+import { Usage, usageKey, type Use } from "../usage/mod.ts";
+import { Completions, completionsKey } from "./completions.ts";
+import { Forward, forwardKey } from "./forward.ts";
+import { HttpGateway } from "./http_gateway.ts";
+import { gatewayKey, generatorKey } from "./mod.ts";
+import { Generate } from "./resume.ts";
+
+/** A model route, with what a test changes. */
+export function modelRoute(changes: Partial<Route> = {}): Route {
+  return {
+    name: "appraise",
+    path: "",
+    model: "appraise-lm",
+    kind: Kind.Model,
+    pool: "appraise",
+    priority: Priority.Interactive,
+    open: false,
+    repeatable: true,
+    tenants: [{ tenant: "authority", weight: 3 }],
+    keys: [{ id: "k1", sha256: "", tenant: "authority" }],
+    deadlineMs: 5000,
+    maxBodyBytes: 4096,
+    stalenessBound: 0,
+    ...changes,
+  };
+}
+
+/** A service route, with what a test changes. */
+export function serviceRoute(changes: Partial<Route> = {}): Route {
+  return modelRoute({
+    name: "lots",
+    path: "/lots",
+    model: "",
+    kind: Kind.Service,
+    pool: "lots",
+    maxBodyBytes: 1 << 20,
+    ...changes,
+  });
+}
+
+/** The key that the fake configuration grants, under the name `k1`. */
+export const KEY = "sk-secret-1";
+
+/** A configuration that grants `KEY` until it is withdrawn. */
+export class FakeConfig extends Config {
+  withdrawn = false;
+  readonly #listeners = new Set<(configuration: Configuration) => void>();
+  readonly #routes: readonly Route[];
+
+  constructor(routes: readonly Route[]) {
+    super();
+    this.#routes = routes;
+  }
+
+  current(): O.Option<Configuration> {
+    return O.some(this.#configuration());
+  }
+
+  ageMs(): number {
+    return 0;
+  }
+
+  fresh(): boolean {
+    return true;
+  }
+
+  authorize(
+    route: Route,
+    key: O.Option<string>,
+  ): Result<Caller, Refusal> {
+    if (O.isSome(key) && key.value === KEY && !this.withdrawn) {
+      return Ok({ tenant: "authority", keyId: "k1" });
+    }
+    if (route.open) return Ok({ tenant: "", keyId: "" });
+    return Err(
+      new Refusal({
+        verdict: Verdict.NotRun,
+        reason: O.isSome(key) ? Reason.UnknownKey : Reason.NoKey,
+        message: "No key",
+      }),
+    );
+  }
+
+  granted(_route: string, keyId: string): O.Option<Key> {
+    if (this.withdrawn) return O.none;
+    return O.some({ id: keyId, sha256: "", tenant: "authority" });
+  }
+
+  onChange(listener: (configuration: Configuration) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  withdraw() {
+    this.withdrawn = true;
+    for (const listener of this.#listeners) listener(this.#configuration());
+  }
+
+  #configuration(): Configuration {
+    return {
+      revision: 1,
+      attempt: "",
+      author: "",
+      note: "",
+      at: "",
+      tables: { routes: this.#routes, pools: [] },
+    };
+  }
+}
+
+/** Grants each permit at once, on the first upstream not excluded. */
+export class FakeDispatch extends Dispatch {
+  targets: readonly Target[] = [];
+  refusal: Refusal | undefined;
+  readonly demands: Demand[] = [];
+  readonly released: { target: string; outcome: Outcome }[] = [];
+  leaving = new AbortController();
+
+  acquire(demand: Demand): Promise<Result<Permit, Refusal>> {
+    this.demands.push(demand);
+    if (this.refusal) return Promise.resolve(Err(this.refusal));
+    const target = this.targets
+      .find(({ id }) => !demand.exclude.includes(id));
+    if (target === undefined) return Promise.resolve(Err(NO_UPSTREAM));
+    const { signal } = this.leaving;
+    const release = (outcome: Outcome) => {
+      this.released.push({ target: target.id, outcome });
+    };
+    return Promise.resolve(Ok({ target, leaving: signal, release }));
+  }
+
+  upstreams(): readonly UpstreamStatus[] {
+    return [];
+  }
+
+  pressure(): Promise<Pressure> {
+    return Promise.resolve({ running: 0, queued: 0, urgent: 0, slots: 0 });
+  }
+}
+
+const NO_UPSTREAM = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.NoUpstream,
+  message: "No upstream is left",
+});
+
+/** Keeps what was recorded. */
+export class FakeUsage extends Usage {
+  readonly uses: Use[] = [];
+
+  record(use: Use): Promise<void> {
+    this.uses.push(use);
+    return Promise.resolve();
+  }
+}
+
+/** What one attempt at an engine does. */
+export type Script = (
+  generation: Generation,
+  signal: AbortSignal,
+) => AsyncGenerator<Result<Chunk, EngineFailure>, void, void>;
+
+/** An engine whose attempts follow scripts, the last one for all later. */
+export class FakeEngine extends Engine {
+  scripts: Script[] = [words("a", "b")];
+  readonly generations: Generation[] = [];
+
+  generate(
+    _target: Target,
+    generation: Generation,
+    signal: AbortSignal,
+  ): AsyncGenerator<Result<Chunk, EngineFailure>, void, void> {
+    this.generations.push(generation);
+    const [script] = this.scripts;
+    if (this.scripts.length > 1) this.scripts.shift();
+    return script(generation, signal);
+  }
+
+  load(): Promise<Result<Load, Failure>> {
+    return Promise.resolve(Err(NO_ANSWER));
+  }
+
+  events(): Promise<Result<readonly CacheEvent[], Failure>> {
+    return Promise.resolve(Ok([]));
+  }
+
+  loadWeights(): Promise<Result<true, Failure>> {
+    return Promise.resolve(Err(NO_ANSWER));
+  }
+}
+
+const NO_ANSWER: Failure = { fault: Fault.Unknown, message: "" };
+
+/** A chunk with one token. */
+export function chunk(
+  generation: Generation,
+  text: string,
+  changes: Partial<Chunk> = {},
+): Chunk {
+  return {
+    id: generation.id,
+    text,
+    tokens: 1,
+    weightVersion: 1,
+    finishReason: "",
+    promptTokens: 0,
+    ...changes,
+  };
+}
+
+/** An attempt that generates these words and finishes. */
+export function words(...texts: string[]): Script {
+  return async function* (generation) {
+    for (const text of texts.slice(0, -1)) yield Ok(chunk(generation, text));
+    const last = { finishReason: "stop", promptTokens: 7 };
+    yield Ok(chunk(generation, texts[texts.length - 1], last));
+  };
+}
+
+/** An attempt that generates these words, then fails. */
+export function failing(
+  kind: EngineFailure["kind"],
+  ...texts: string[]
+): Script {
+  return async function* (generation) {
+    for (const text of texts) yield Ok(chunk(generation, text));
+    yield Err({ kind, message: "" });
+  };
+}
+
+/** What a test needs of a gateway that runs. */
+export interface Fixture {
+  readonly kernel: Kernel;
+  readonly url: string;
+  readonly config: FakeConfig;
+  readonly dispatch: FakeDispatch;
+  readonly usage: FakeUsage;
+  readonly engine: FakeEngine;
+}
+
+/** Runs `body` against a gateway that listens on loopback. */
+export async function withGateway(
+  options: {
+    routes?: readonly Route[];
+    targets?: readonly Target[];
+    drainMs?: number;
+    silenceMs?: number;
+  },
+  body: (fixture: Fixture) => Promise<void>,
+): Promise<void> {
+  const engine = new FakeEngine();
+  const config = new FakeConfig(options.routes ?? [modelRoute()]);
+  const dispatch = new FakeDispatch();
+  dispatch.targets = options.targets ??
+    ["u1", "u2", "u3"].map((id) => ({ id, address: "127.0.0.1:1" }));
+  const usage = new FakeUsage();
+  const kernel = new Kernel({
+    settings: settings(options),
+    platform: { engine } as unknown as Platform,
+    incarnation: "test",
+    registrations: [
+      plugin(configKey, () => config),
+      plugin(dispatchKey, () => dispatch),
+      plugin(usageKey, () => usage),
+      plugin(gatewayKey, (kernel) => new HttpGateway({ kernel })),
+      plugin(generatorKey, (kernel) => new Generate({ kernel })),
+      plugin(completionsKey, (kernel) => new Completions({ kernel })),
+      plugin(forwardKey, (kernel) => new Forward({ kernel })),
+    ],
+  });
+  await kernel.start();
+  const { port } = kernel.get(gatewayKey) as HttpGateway;
+  const url = `http://127.0.0.1:${port}`;
+  try {
+    await body({ kernel, url, config, dispatch, usage, engine });
+  } finally {
+    await kernel.shutdown();
+  }
+}
+
+function plugin<T extends Plugin>(
+  key: PluginKey<T>,
+  create: (kernel: Kernel) => T,
+): Registration {
+  return { key, requires: [], create };
+}
+
+function settings(
+  options: { drainMs?: number; silenceMs?: number },
+): Settings {
+  return {
+    vm: "vm1",
+    availabilityZone: "az1",
+    region: "r1",
+    http: { host: "127.0.0.1", port: 0 },
+    peer: { host: "127.0.0.1", port: 0 },
+    peerSecret: "",
+    platform: {
+      keyValue: "",
+      directory: "",
+      orders: "",
+      reports: "",
+      weights: "",
+    },
+    dataFolder: "",
+    timing: {
+      peerSilenceMs: 1000,
+      heartbeatMs: 100,
+      leaseMs: 1000,
+      freshnessMs: 1000,
+      usageWindowMs: 1000,
+      usageGraceMs: 100,
+      directoryMs: 100,
+      loadMs: 100,
+      upstreamSilenceMs: options.silenceMs ?? 2000,
+      drainMs: options.drainMs ?? 200,
+      claimRetentionMs: 1000,
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/forward.ts
@@ -0,0 +1,341 @@
+/**
+ * Plain services: any method under a route's path prefix, with bodies streamed
+ * both ways, to an upstream of the route's pool.
+ *
+ * @module
+ */
+
+import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
+import * as O from "fp-ts/Option";
+import { createHash } from "node:crypto";
+import { Agent } from "undici";
+import { configKey } from "../config/mod.ts";
+import { type Dispatch, dispatchKey, Outcome } from "../dispatch/mod.ts";
+import {
+  type Kernel,
+  Plugin,
+  PluginKey,
+  Reason,
+  Refusal,
+  register,
+  Verdict,
+} from "../kernel/mod.ts";
+import type { Target } from "../platform/mod.ts";
+import { Kind, type Route } from "../tables/mod.ts";
+import { type Usage, usageKey } from "../usage/mod.ts";
+import { Admission, type Admitted, Running, WITHDRAWN } from "./admission.ts";
+import { type Gateway, gatewayKey } from "./mod.ts";
+import { forwardedHeaders, readBody, type RequestBody } from "./passage.ts";
+import { Relay, type RelayEnd } from "./relay.ts";
+import { Budget } from "./retry.ts";
+
+const CONNECT_TIMEOUT_MS = 2_000;
+const MAX_CONNECTIONS = 256;
+const MAX_ATTEMPTS = 3;
+
+/** Forwards callers' requests to plain services. */
+export class Forward extends Plugin {
+  readonly #kernel: Kernel;
+  readonly #gateway: Gateway;
+  readonly #dispatch: Dispatch;
+  readonly #usage: Usage;
+  readonly #admission: Admission;
+  readonly #running: Running;
+  readonly #budget: Budget;
+  readonly #retries;
+  readonly #pooled = new Agent({
+    connections: MAX_CONNECTIONS,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+  });
+  /** A new connection each: a pooled one may have gone silent unnoticed. */
+  readonly #single = new Agent({
+    pipelining: 0,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+  });
+
+  constructor(options: { kernel: Kernel; budget?: Budget }) {
+    super();
+    const { kernel } = options;
+    const config = kernel.get(configKey);
+    this.#kernel = kernel;
+    this.#gateway = kernel.get(gatewayKey);
+    this.#dispatch = kernel.get(dispatchKey);
+    this.#usage = kernel.get(usageKey);
+    this.#admission = new Admission({ kernel, config });
+    this.#running = new Running({ config });
+    this.#budget = options.budget ?? new Budget();
+    this.#retries = kernel.counter(
+      "toucanwind_forward_retries_total",
+      "Attempts of forwarded requests that went on elsewhere, by reason",
+      ["reason"],
+    );
+  }
+
+  override start(): Promise<void> {
+    this.#gateway.server.register((scope, _options, done) => {
+      this.#addRoutes(scope);
+      done();
+    });
+    return Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    await Promise.all([this.#pooled.destroy(), this.#single.destroy()]);
+  }
+
+  #addRoutes(scope: FastifyInstance) {
+    scope.removeAllContentTypeParsers();
+    // Bodies are left unread: they are streamed on.
+    scope.addContentTypeParser("*", (_request, _body, done) => done(null));
+    scope.route({
+      method: scope.supportedMethods,
+      url: "/*",
+      handler: (request, reply) => this.#serve(request, reply),
+    });
+  }
+
+  async #serve(request: FastifyRequest, reply: FastifyReply) {
+    const admitted = this.#admission.admit(request, routeOf(request.url));
+    if (admitted.err) return this.#gateway.refuse(reply, admitted.val);
+    const route = admitted.val.route.name;
+    const body = await readBody(request, admitted.val);
+    if (body.err) return this.#gateway.refuse(reply, body.val, { route });
+    const exchange = new Exchange({
+      request,
+      reply,
+      admitted: admitted.val,
+      body: body.val,
+    });
+    const { deadlineAt } = admitted.val;
+    const left = deadlineAt - this.#kernel.clock.now();
+    const cancel = this.#kernel.clock.after(left, () => exchange.end(EXPIRED));
+    const remove = this.#running
+      .add(admitted.val, () => exchange.end(WITHDRAWN_BEFORE));
+    try {
+      const refusal = await this.#run(exchange);
+      if (refusal !== undefined) this.#fail(exchange, refusal);
+    } finally {
+      cancel();
+      remove();
+    }
+    return reply;
+  }
+
+  #fail({ reply, admitted }: Exchange, refusal: Refusal) {
+    const route = admitted.route.name;
+    if (!reply.sent) {
+      this.#gateway.refuse(reply, refusal, { route });
+      return;
+    }
+    // The head has been passed on: only a cut tells that this isn't whole.
+    this.#gateway.count(refusal, route);
+    reply.raw.destroy();
+  }
+
+  /** Answers why the request failed, or `undefined` once it is answered. */
+  async #run(exchange: Exchange): Promise<Refusal | undefined> {
+    const { admitted } = exchange;
+    const { route } = admitted;
+    const tried: string[] = [];
+    this.#budget.fresh(route.name);
+    for (let attempt = 0;; attempt++) {
+      const demand = this.#admission.demand(admitted, {
+        tokens: 1,
+        fingerprint: exchange.fingerprint,
+      });
+      const permit = await this.#dispatch.acquire(
+        { ...demand, exclude: tried, attempt },
+        exchange.signal,
+      );
+      if (permit.err) return exchange.refusal(permit.val);
+      const { target } = permit.val;
+      tried.push(target.id);
+      // What throws is a fault of this daemon; the upstream may have run it.
+      let outcome = Outcome.Broken;
+      try {
+        const end = await this.#attempt(exchange, target);
+        outcome = end?.outcome ?? Outcome.Served;
+        if (end === undefined) return undefined;
+        exchange.verdict = end.verdict === Verdict.MayHaveRun
+          ? end.verdict
+          : exchange.verdict;
+        const refusal = this.#refusal(exchange, { end, attempt });
+        if (refusal !== undefined) return refusal;
+        this.#retries.inc({ reason: end.reason });
+      } finally {
+        permit.val.release(outcome, 1);
+      }
+    }
+  }
+
+  #refusal(
+    exchange: Exchange,
+    options: { end: RelayEnd; attempt: number },
+  ): Refusal | undefined {
+    const { end, attempt } = options;
+    const { route } = exchange.admitted;
+    const refusal = exchange.refusal(
+      new Refusal({
+        verdict: exchange.verdict,
+        reason: end.reason,
+        message: end.message,
+        retryAfterMs: 1000,
+      }),
+    );
+    const again = !exchange.signal.aborted && exchange.replayable &&
+      route.repeatable && attempt + 1 < MAX_ATTEMPTS;
+    if (!again) return refusal;
+    return this.#budget.spend(route.name) ? undefined : refusal;
+  }
+
+  #attempt(
+    exchange: Exchange,
+    target: Target,
+  ): Promise<RelayEnd | undefined> {
+    const { request, reply, admitted, body, signal } = exchange;
+    const { route } = admitted;
+    const { upstreamSilenceMs } = this.#kernel.settings.timing;
+    const left = admitted.deadlineAt - this.#kernel.clock.now();
+    const headersTimeout = route.repeatable
+      ? Math.min(left, upstreamSilenceMs)
+      : left;
+    const relay = new Relay({
+      reply,
+      signal,
+      record: (status) => this.#record(admitted, status),
+    });
+    const agent = route.repeatable ? this.#pooled : this.#single;
+    try {
+      agent.dispatch({
+        origin: `http://${target.address}`,
+        path: request.url,
+        method: request.method as "GET",
+        headers: forwardedHeaders(request, admitted),
+        body: body.open(),
+        headersTimeout: Math.max(1, headersTimeout),
+        bodyTimeout: upstreamSilenceMs,
+      }, relay);
+    } catch (error) {
+      relay.failed(error as Error);
+    }
+    return relay.ended;
+  }
+
+  async #record(admitted: Admitted, status: number): Promise<void> {
+    if (status >= 500) return;
+    await this.#usage.record({
+      id: admitted.id,
+      tenant: admitted.caller.tenant,
+      route: admitted.route.name,
+      promptTokens: 0,
+      outputTokens: 0,
+    });
+  }
+}
+
+/** One forwarded request over all its attempts. */
+class Exchange {
+  readonly request: FastifyRequest;
+  readonly reply: FastifyReply;
+  readonly admitted: Admitted;
+  readonly body: RequestBody;
+  verdict = Verdict.NotRun;
+  readonly #abort = new AbortController();
+  #refusal: Refusal | undefined;
+
+  constructor(options: {
+    request: FastifyRequest;
+    reply: FastifyReply;
+    admitted: Admitted;
+    body: RequestBody;
+  }) {
+    this.request = options.request;
+    this.reply = options.reply;
+    this.admitted = options.admitted;
+    this.body = options.body;
+    this.reply.raw.once("close", () => {
+      if (!this.reply.raw.writableFinished) this.end(CANCELLED);
+    });
+  }
+
+  get signal(): AbortSignal {
+    return this.#abort.signal;
+  }
+
+  /** Whether another attempt could still send all of the request. */
+  get replayable(): boolean {
+    return !this.reply.sent && this.body.whole;
+  }
+
+  /** Equal for a caller's resends. */
+  get fingerprint(): string {
+    const { request, admitted, body } = this;
+    return createHash("sha256")
+      .update(JSON.stringify([
+        admitted.caller.tenant,
+        request.method,
+        request.url,
+      ]))
+      .update(body.bytes)
+      .digest("base64url");
+  }
+
+  /** Ends the exchange from outside, for `refusal`. */
+  end(refusal: Refusal) {
+    this.#refusal ??= refusal;
+    this.#abort.abort();
+  }
+
+  /** What ended it from outside, else `other`; with the verdict so far. */
+  refusal(other: Refusal): Refusal {
+    return (this.#refusal ?? other).following(this.verdict);
+  }
+}
+
+/** The service route with the longest prefix of the path. */
+function routeOf(url: string) {
+  const path = url.split("?", 1)[0];
+  return (routes: readonly Route[]): O.Option<Route> => {
+    let best: Route | undefined;
+    for (const route of routes) {
+      if (route.kind !== Kind.Service || !within(path, route.path)) continue;
+      if (route.path.length > (best?.path.length ?? -1)) best = route;
+    }
+    return O.fromNullable(best);
+  };
+}
+
+/** Whether `path` is `prefix` or lies below it. */
+function within(path: string, prefix: string): boolean {
+  if (!path.startsWith(prefix)) return false;
+  return prefix.endsWith("/") || path.length === prefix.length ||
+    path[prefix.length] === "/";
+}
+
+// These get the verdict of the attempts by `following`.
+const CANCELLED = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.Cancelled,
+  message: "The caller went away",
+});
+
+const EXPIRED = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.DeadlineExceeded,
+  message: "The request's deadline passed",
+});
+
+const WITHDRAWN_BEFORE = new Refusal({
+  ...WITHDRAWN,
+  verdict: Verdict.NotRun,
+});
+
+/** The key of the forwarding plug-in. */
+export const forwardKey = new PluginKey<Forward>("forward");
+
+register({
+  key: forwardKey,
+  requires: [gatewayKey, dispatchKey, configKey, usageKey],
+  create: (kernel) => new Forward({ kernel }),
+});
--- /dev/null
+++ b/src/gateway/forward_test.ts
@@ -0,0 +1,301 @@
+import { expect } from "earl";
+import {
+  createServer,
+  type IncomingMessage,
+  request as httpRequest,
+  type ServerResponse,
+} from "node:http";
+import {
+  type AddressInfo,
+  createServer as createNetServer,
+  type Socket,
+} from "node:net";
+import { test } from "node:test";
+import { Outcome } from "../dispatch/mod.ts";
+import { Reason, Verdict } from "../kernel/mod.ts";
+import { type Fixture, KEY, serviceRoute, withGateway } from "./fixture.ts";
+import type { RefusalBody } from "./mod.ts";
+
+interface Upstream {
+  readonly address: string;
+  readonly requests: { raw: IncomingMessage; body: string }[];
+}
+
+/** Runs `body` against a service that answers with `answer`. */
+async function withService(
+  answer: (request: IncomingMessage, response: ServerResponse) => void,
+  body: (upstream: Upstream) => Promise<void>,
+): Promise<void> {
+  const requests: Upstream["requests"] = [];
+  const server = createServer(async (request, response) => {
+    let text = "";
+    try {
+      for await (const chunk of request) text += chunk;
+    } catch {
+      return;
+    }
+    requests.push({ raw: request, body: text });
+    answer(request, response);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  try {
+    await body({ address: `127.0.0.1:${port}`, requests });
+  } finally {
+    server.closeAllConnections();
+    await new Promise((resolve) => server.close(resolve));
+  }
+}
+
+/** Runs `body` against a port whose connections are handled by `handle`. */
+async function withPort(
+  handle: (socket: Socket) => void,
+  body: (address: string) => Promise<void>,
+): Promise<void> {
+  const sockets = new Set<Socket>();
+  const server = createNetServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    handle(socket);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  try {
+    await body(`127.0.0.1:${port}`);
+  } finally {
+    for (const socket of sockets) socket.destroy();
+    await new Promise((resolve) => server.close(resolve));
+  }
+}
+
+function targets(...addresses: string[]) {
+  return addresses.map((address, n) => ({ id: `s${n + 1}`, address }));
+}
+
+function call(
+  { url }: Fixture,
+  options: RequestInit & { path?: string } = {},
+): Promise<Response> {
+  const headers = { "x-api-key": KEY, ...options.headers };
+  return fetch(url + (options.path ?? "/lots/7"), { ...options, headers });
+}
+
+const NOWHERE = "127.0.0.1:1";
+
+function echo(_request: IncomingMessage, response: ServerResponse) {
+  response.setHeader("x-service", "yes");
+  response.end("answer");
+}
+
+test("a request is forwarded without key, cookie or forged tenant", async () => {
+  await withService(echo, async (upstream) => {
+    const routes = [serviceRoute()];
+    const options = { routes, targets: targets(upstream.address) };
+    await withGateway(options, async (fixture) => {
+      const response = await call(fixture, {
+        method: "PUT",
+        body: "bid",
+        path: "/lots/7?open=1",
+        headers: {
+          cookie: "session=1",
+          "x-toucanwind-tenant": "forged",
+          "x-tenant-id": "forged",
+          "x-kept": "yes",
+        },
+      });
+      expect(await response.text()).toEqual("answer");
+      expect(response.headers.get("x-service")).toEqual("yes");
+      const [{ raw, body }] = upstream.requests;
+      expect([raw.method, raw.url, body])
+        .toEqual(["PUT", "/lots/7?open=1", "bid"]);
+      const sent = raw.rawHeaders.join("\n");
+      expect(sent.includes(KEY)).toEqual(false);
+      expect(sent.includes("forged")).toEqual(false);
+      expect(raw.headers.cookie).toEqual(undefined);
+      expect(raw.headers["x-kept"]).toEqual("yes");
+      expect(raw.headers["x-toucanwind-tenant"]).toEqual("authority");
+      expect(fixture.usage.uses.length).toEqual(1);
+      expect(fixture.dispatch.released)
+        .toEqual([{ target: "s1", outcome: Outcome.Served }]);
+    });
+  });
+});
+
+test("large bodies are streamed both ways", async () => {
+  const large = "x".repeat(300_000);
+  const back = (_request: IncomingMessage, response: ServerResponse) => {
+    response.write(large);
+    response.end(large);
+  };
+  await withService(back, async (upstream) => {
+    const routes = [serviceRoute()];
+    const options = { routes, targets: targets(upstream.address) };
+    await withGateway(options, async (fixture) => {
+      const response = await call(fixture, { method: "POST", body: large });
+      expect((await response.text()).length).toEqual(600_000);
+      expect(upstream.requests[0].body.length).toEqual(300_000);
+    });
+  });
+});
+
+test("a streamed body that holds the key does not reach an upstream", async () => {
+  await withService(echo, async (upstream) => {
+    const routes = [serviceRoute()];
+    const options = { routes, targets: targets(upstream.address) };
+    await withGateway(options, async (fixture) => {
+      const body = "x".repeat(100_000) + KEY;
+      const response = await call(fixture, { method: "POST", body });
+      expect(response.status).toEqual(400);
+      expect(upstream.requests.length).toEqual(0);
+    });
+  });
+});
+
+test("an unreachable upstream is passed over", async () => {
+  await withService(echo, async (upstream) => {
+    const routes = [serviceRoute()];
+    const options = { routes, targets: targets(NOWHERE, upstream.address) };
+    await withGateway(options, async (fixture) => {
+      const response = await call(fixture, { method: "POST", body: "b" });
+      expect(await response.text()).toEqual("answer");
+      expect(fixture.dispatch.released.map(({ outcome }) => outcome))
+        .toEqual([Outcome.Unreachable, Outcome.Served]);
+    });
+  });
+});
+
+test("only a request that no upstream got is told as not run", async () => {
+  const routes = [serviceRoute({ repeatable: false })];
+  const cut = (socket: Socket) => socket.once("data", () => socket.destroy());
+  await withPort(cut, async (address) => {
+    for (
+      const [target, verdict] of [
+        [NOWHERE, Verdict.NotRun],
+        [address, Verdict.MayHaveRun],
+      ]
+    ) {
+      const options = { routes, targets: targets(target, target) };
+      await withGateway(options, async (fixture) => {
+        const response = await call(fixture, { method: "POST", body: "b" });
+        const { error } = await response.json() as RefusalBody;
+        expect(error.verdict).toEqual(verdict as Verdict);
+        expect(fixture.dispatch.demands.length).toEqual(1);
+      });
+    }
+  });
+});
+
+test("a silent upstream is given up on", async () => {
+  const routes = [serviceRoute({ deadlineMs: 300, repeatable: false })];
+  await withPort(() => {}, async (address) => {
+    const options = { routes, targets: targets(address) };
+    await withGateway(options, async (fixture) => {
+      const response = await call(fixture);
+      const { error } = await response.json() as RefusalBody;
+      expect(error.reason).toEqual(Reason.DeadlineExceeded);
+      expect(error.verdict).toEqual(Verdict.MayHaveRun);
+    });
+  });
+});
+
+test("an answer that was cut is cut for the caller too", async () => {
+  const routes = [serviceRoute()];
+  const cut = (socket: Socket) =>
+    socket.once("data", () => {
+      socket.write("HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf");
+      setTimeout(() => socket.destroy(), 20);
+    });
+  await withPort(cut, async (address) => {
+    const options = { routes, targets: targets(address) };
+    await withGateway(options, async (fixture) => {
+      const response = await call(fixture);
+      await expect(response.text()).toBeRejected();
+      expect(fixture.usage.uses.length).toEqual(0);
+      expect(fixture.dispatch.released[0].outcome).toEqual(Outcome.Broken);
+    });
+  });
+});
+
+test("a path belongs to the longest prefix that ends at a slash", async () => {
+  await withService(echo, async (upstream) => {
+    const routes = [
+      serviceRoute({ path: "/lots", open: true }),
+      serviceRoute({ name: "sold", path: "/lots/sold", open: true }),
+    ];
+    const options = { routes, targets: targets(upstream.address) };
+    await withGateway(options, async (fixture) => {
+      for (const path of ["/lots/sold?x=1", "/lots/soldier", "/lotsmore"]) {
+        await (await call(fixture, { path })).text();
+      }
+      expect(fixture.dispatch.demands.map(({ route }) => route))
+        .toEqual(["sold", "lots"]);
+    });
+  });
+});
+
+test("a graceful shutdown cuts no request", async () => {
+  const slow = (_request: IncomingMessage, response: ServerResponse) => {
+    setTimeout(() => response.end("answer"), 300);
+  };
+  await withService(slow, async (upstream) => {
+    const routes = [serviceRoute()];
+    const options = {
+      routes,
+      targets: targets(upstream.address),
+      drainMs: 3000,
+    };
+    await withGateway(options, async (fixture) => {
+      const running = call(fixture);
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      const shutdown = fixture.kernel.shutdown();
+      const ready = await fetch(`${fixture.url}/readyz`);
+      expect(ready.status).toEqual(503);
+      expect(ready.headers.get("connection")).toEqual("close");
+      expect(await (await running).text()).toEqual("answer");
+      await shutdown;
+    });
+  });
+});
+
+test("an idle connection's request of the last moment is served", async () => {
+  await withService(echo, async (upstream) => {
+    const routes = [serviceRoute()];
+    const options = {
+      routes,
+      targets: targets(upstream.address),
+      drainMs: 1000,
+    };
+    await withGateway(options, async (fixture) => {
+      const sockets: Socket[] = [];
+      await get(fixture.url, sockets);
+      const shutdown = fixture.kernel.shutdown();
+      // The listener has closed by then; the connection has not.
+      await new Promise((resolve) => setTimeout(resolve, 250));
+      await expect(fetch(fixture.url)).toBeRejected();
+      expect(await get(fixture.url, sockets)).toEqual("close");
+      await shutdown;
+    });
+  });
+});
+
+/** Gets `/lots` on the first socket, if there is one; tells `connection`. */
+function get(url: string, sockets: Socket[]): Promise<string | undefined> {
+  const [open] = sockets;
+  return new Promise((resolve, reject) => {
+    const request = httpRequest(`${url}/lots`, {
+      headers: { "x-api-key": KEY, connection: "keep-alive" },
+      agent: undefined,
+      createConnection: open ? () => open : undefined,
+    }, (response) => {
+      response.resume();
+      response.on("end", () => resolve(response.headers.connection));
+    });
+    request.on("socket", (socket) => sockets.push(socket));
+    request.on("error", reject);
+    request.end();
+  });
+}
--- a/src/gateway/generate.ts
+++ b/src/gateway/generate.ts
@@ -13,13 +13,15 @@
 export abstract class Generator extends Plugin {
   /**
    * Streams a generation. A broken attempt resumes on another upstream from
-   * the text so far. Ends with a chunk that has a finish reason, or with one
-   * refusal; never ends clean without either.
+   * the text so far, unless `once` is set and it may have run. Ends with a
+   * chunk that has a finish reason, or with one refusal; never ends clean
+   * without either.
    */
   abstract run(
     demand: Demand,
     generation: Generation,
     signal: AbortSignal,
+    options?: { once?: boolean },
   ): AsyncGenerator<Result<Chunk, Refusal>, void, void>;
 }
 
--- /dev/null
+++ b/src/gateway/http_gateway.ts
@@ -0,0 +1,223 @@
+/**
+ * The HTTP server: bounds on what callers send, health, metrics, refusals,
+ * and the graceful end of everything that runs.
+ *
+ * @module
+ */
+
+import {
+  fastify,
+  type FastifyError,
+  type FastifyInstance,
+  type FastifyReply,
+} from "fastify";
+import { type AddressInfo, Server } from "node:net";
+import {
+  type Kernel,
+  logger,
+  Reason,
+  Refusal,
+  register,
+  Verdict,
+} from "../kernel/mod.ts";
+import { Gateway, gatewayKey } from "./mod.ts";
+import { refusalBody, statusOf } from "./refusal.ts";
+
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+const MAX_HEADER_BYTES = 16 * 1024;
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 60_000;
+const KEEP_ALIVE_MS = 75_000;
+const TIMEOUT_CHECK_MS = 1_000;
+/** How long a draining daemon still accepts, so that balancers notice. */
+const MAX_NOTICE_MS = 1_000;
+/** How long connections must have been quiet before they are closed. */
+const QUIET_MS = 500;
+const POLL_MS = 10;
+
+const log = logger("gateway");
+
+/** The gateway on fastify. */
+export class HttpGateway extends Gateway {
+  readonly server: FastifyInstance;
+  readonly #kernel: Kernel;
+  readonly #refusals;
+  #active = 0;
+  #connections = 0;
+  #lastRequestAt = 0;
+  #refusing = false;
+
+  constructor(options: { kernel: Kernel }) {
+    super();
+    this.#kernel = options.kernel;
+    this.#refusals = this.#kernel.counter(
+      "toucanwind_refusals_total",
+      "Requests refused, by reason and route",
+      ["reason", "route"],
+    );
+    this.server = fastify({
+      logger: false,
+      bodyLimit: MAX_BODY_BYTES,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      routerOptions: { maxParamLength: 512 },
+      exposeHeadRoutes: false,
+      return503OnClosing: false,
+      http: {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+      },
+    });
+    this.#watchConnections();
+    this.#addHooks();
+    this.#addOwnRoutes();
+  }
+
+  /** The port that callers reach; 0 before it listens. */
+  get port(): number {
+    const address = this.server.server.address() as AddressInfo | null;
+    return address?.port ?? 0;
+  }
+
+  refuse(
+    reply: FastifyReply,
+    refusal: Refusal,
+    options: { route?: string; status?: number } = {},
+  ): FastifyReply {
+    this.count(refusal, options.route ?? "");
+    const seconds = Math.ceil(refusal.retryAfterMs / 1000);
+    if (seconds > 0) reply.header("retry-after", String(seconds));
+    return reply.code(options.status ?? statusOf(refusal))
+      .send(refusalBody(refusal));
+  }
+
+  count(refusal: Refusal, route: string): void {
+    this.#refusals.inc({ reason: refusal.reason, route });
+  }
+
+  override async open(): Promise<void> {
+    const { host, port } = this.#kernel.settings.http;
+    await this.server.listen({ host, port });
+    log("listening", { port: this.port });
+  }
+
+  /**
+   * Accepts a little longer so that balancers see `/readyz` fail, then stops
+   * accepting. Open connections are served until each has been told to close,
+   * or has been quiet: closing an idle one at once could cross a request.
+   */
+  override async close(): Promise<void> {
+    if (!this.server.server.listening) return;
+    const { clock, settings } = this.#kernel;
+    const { drainMs } = settings.timing;
+    const end = clock.now() + drainMs;
+    log("draining", { active: this.#active });
+    await clock.sleep(Math.min(MAX_NOTICE_MS, drainMs / 10));
+    // The HTTP server's own close would also cut idle connections.
+    Server.prototype.close.call(this.server.server);
+    while (clock.now() < end && !this.#quiet()) await clock.sleep(POLL_MS);
+    this.#refusing = true;
+    this.server.server.closeIdleConnections();
+    log("drained", { cut: this.#active });
+  }
+
+  override async stop(): Promise<void> {
+    this.#refusing = true;
+    this.server.server.closeAllConnections();
+    await this.server.close();
+  }
+
+  #quiet(): boolean {
+    if (this.#active > 0) return false;
+    if (this.#connections === 0) return true;
+    return this.#kernel.clock.now() - this.#lastRequestAt >= QUIET_MS;
+  }
+
+  #watchConnections() {
+    this.server.server.on("connection", (socket) => {
+      this.#connections++;
+      socket.once("close", () => this.#connections--);
+    });
+    this.server.server.on("request", (_request, response) => {
+      this.#active++;
+      this.#lastRequestAt = this.#kernel.clock.now();
+      response.once("close", () => this.#active--);
+    });
+  }
+
+  #addHooks() {
+    this.server.addHook("onRequest", (_request, reply, done) => {
+      if (this.#kernel.draining) reply.raw.setHeader("connection", "close");
+      if (!this.#refusing) return done();
+      this.refuse(
+        reply,
+        new Refusal({
+          verdict: Verdict.NotRun,
+          reason: Reason.Draining,
+          message: "This daemon is shutting down",
+        }),
+      );
+    });
+    this.server.setErrorHandler<FastifyError>((error, _request, reply) => {
+      this.refuse(reply, refusalOf(error));
+    });
+    this.server.setNotFoundHandler((_request, reply) => {
+      this.refuse(
+        reply,
+        new Refusal({
+          verdict: Verdict.NotRun,
+          reason: Reason.NoRoute,
+          message: "No route has this path",
+        }),
+      );
+    });
+  }
+
+  #addOwnRoutes() {
+    this.server.get("/healthz", () => ({ alive: true }));
+    this.server.get("/readyz", (_request, reply) => {
+      const waiting = this.#kernel.plugins
+        .filter(([, plugin]) => plugin.props.ready?.() === false)
+        .map(([name]) => name);
+      const ready = waiting.length === 0 && !this.#kernel.draining;
+      const { draining } = this.#kernel;
+      return reply.code(ready ? 200 : 503).send({ ready, draining, waiting });
+    });
+    this.server.get("/metrics", async (_request, reply) => {
+      const { metrics } = this.#kernel;
+      return reply.type(metrics.contentType).send(await metrics.metrics());
+    });
+  }
+}
+
+/** Errors before a handler ran are the caller's; others may have run. */
+function refusalOf(error: FastifyError): Refusal {
+  const status = error.statusCode ?? 500;
+  if (status === 413) {
+    return new Refusal({
+      verdict: Verdict.NotRun,
+      reason: Reason.TooLarge,
+      message: "The request's body is too large",
+    });
+  }
+  if (error.code?.startsWith("FST_ERR_CTP") || status === 400) {
+    return new Refusal({
+      verdict: Verdict.NotRun,
+      reason: Reason.BadRequest,
+      message: "The request's body can't be read",
+    });
+  }
+  log("failed", { error: error.message });
+  return new Refusal({
+    verdict: Verdict.MayHaveRun,
+    reason: Reason.Internal,
+    message: "The request failed",
+  });
+}
+
+register({
+  key: gatewayKey,
+  requires: [],
+  create: (kernel) => new HttpGateway({ kernel }),
+});
--- /dev/null
+++ b/src/gateway/relay.ts
@@ -0,0 +1,162 @@
+/**
+ * Relays one upstream's answer to the caller: whole, or cut and known to be.
+ *
+ * @module
+ */
+
+import type { FastifyReply } from "fastify";
+import type { Dispatcher } from "undici";
+import { Outcome } from "../dispatch/mod.ts";
+import { Reason, Verdict } from "../kernel/mod.ts";
+import { answeredHeaders, BodyRefused } from "./passage.ts";
+
+/** How an attempt ended without a whole answer. */
+export interface RelayEnd {
+  readonly reason: Reason;
+  readonly outcome: Outcome;
+  readonly verdict: Verdict;
+  readonly message: string;
+}
+
+/** The handler of one attempt's answer. */
+export class Relay implements Dispatcher.DispatchHandler {
+  /** Resolves to `undefined` once the whole answer is with the caller. */
+  readonly ended: Promise<RelayEnd | undefined>;
+  readonly #reply: FastifyReply;
+  readonly #signal: AbortSignal;
+  readonly #record: (status: number) => Promise<void>;
+  readonly #cancel = () => this.#cancelled();
+  #resolve!: (end: RelayEnd | undefined) => void;
+  #controller: Dispatcher.DispatchController | undefined;
+  #status = 0;
+  /** Bytes still to come; `undefined` when the answer's length isn't told. */
+  #left: number | undefined;
+  #held: Buffer | undefined;
+
+  constructor(options: {
+    reply: FastifyReply;
+    signal: AbortSignal;
+    record: (status: number) => Promise<void>;
+  }) {
+    this.#reply = options.reply;
+    this.#signal = options.signal;
+    this.#record = options.record;
+    this.ended = new Promise((resolve) => this.#resolve = resolve);
+    this.#signal.addEventListener("abort", this.#cancel, { once: true });
+    if (this.#signal.aborted) this.#cancelled();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController) {
+    // A second start would send the request again: retries are not made here.
+    const again = this.#controller !== undefined;
+    this.#controller = controller;
+    if (again || this.#signal.aborted) controller.abort(new Error("Cancelled"));
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ) {
+    if (status < 200 || this.#signal.aborted) return;
+    this.#status = status;
+    const length = headers["content-length"];
+    this.#left = length === undefined ? undefined : Number(length);
+    this.#reply.hijack();
+    this.#reply.raw.writeHead(status, answeredHeaders(headers));
+    if (this.#left === undefined) this.#reply.raw.flushHeaders();
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer) {
+    if (this.#left !== undefined) {
+      this.#left -= chunk.length;
+      // The last bytes wait until the use has been recorded.
+      if (this.#left <= 0) {
+        this.#held = chunk;
+        return;
+      }
+    }
+    const { raw } = this.#reply;
+    if (raw.write(chunk)) return;
+    controller.pause();
+    raw.once("drain", () => controller.resume());
+  }
+
+  async onResponseEnd() {
+    if (this.#signal.aborted) return;
+    await this.#record(this.#status);
+    if (this.#signal.aborted) return;
+    this.#reply.raw.end(this.#held);
+    this.#end(undefined);
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ) {
+    this.failed(error);
+  }
+
+  /** Ends the attempt for an error of the link. */
+  failed(error: Error) {
+    this.#end(this.#endOf(error));
+  }
+
+  /** A request not yet begun is stopped in `onRequestStart`, unsent. */
+  #cancelled() {
+    const begun = this.#controller !== undefined;
+    this.#end({
+      reason: Reason.Cancelled,
+      outcome: Outcome.Cancelled,
+      verdict: begun ? Verdict.MayHaveRun : Verdict.NotRun,
+      message: "The request was cancelled",
+    });
+    this.#controller?.abort(new Error("Cancelled"));
+  }
+
+  #end(end: RelayEnd | undefined) {
+    this.#signal.removeEventListener("abort", this.#cancel);
+    this.#resolve(end);
+  }
+
+  #endOf(error: Error): RelayEnd {
+    if (error instanceof BodyRefused) {
+      return {
+        reason: error.refusal.reason,
+        outcome: Outcome.Cancelled,
+        verdict: Verdict.MayHaveRun,
+        message: error.message,
+      };
+    }
+    // The library calls `onRequestStart` before it writes a first byte.
+    if (this.#controller === undefined) return UNREACHABLE;
+    const { code } = error as NodeJS.ErrnoException;
+    return SILENCE.has(code ?? "") ? SILENT : BROKEN;
+  }
+}
+
+const SILENCE: ReadonlySet<string> = new Set([
+  "UND_ERR_HEADERS_TIMEOUT",
+  "UND_ERR_BODY_TIMEOUT",
+]);
+
+const UNREACHABLE: RelayEnd = {
+  reason: Reason.ConnectFailed,
+  outcome: Outcome.Unreachable,
+  verdict: Verdict.NotRun,
+  message: "No connection to the upstream could be made",
+};
+
+const BROKEN: RelayEnd = {
+  reason: Reason.UpstreamCrashed,
+  outcome: Outcome.Broken,
+  verdict: Verdict.MayHaveRun,
+  message: "The connection to the upstream broke",
+};
+
+const SILENT: RelayEnd = {
+  reason: Reason.UpstreamSilent,
+  outcome: Outcome.Silent,
+  verdict: Verdict.MayHaveRun,
+  message: "The upstream went silent",
+};
--- /dev/null
+++ b/src/gateway/resume.ts
@@ -0,0 +1,371 @@
+/**
+ * Generations over permits: an attempt that breaks goes on at another
+ * upstream from the text so far, within the deadline and the retry budget.
+ *
+ * @module
+ */
+
+import { Err, Ok, type Result } from "ts-results";
+import {
+  type Demand,
+  type Dispatch,
+  dispatchKey,
+  Outcome,
+  type Permit,
+} from "../dispatch/mod.ts";
+import {
+  type Kernel,
+  Reason,
+  Refusal,
+  register,
+  Verdict,
+  worse,
+} from "../kernel/mod.ts";
+import {
+  type Chunk,
+  type EngineFailure,
+  EngineFault,
+  type Generation,
+} from "../platform/mod.ts";
+import { Generator, generatorKey } from "./generate.ts";
+import { Budget } from "./retry.ts";
+
+const MAX_ATTEMPTS = 6;
+
+/** The generator over the dispatch plug-in. */
+export class Generate extends Generator {
+  readonly #kernel: Kernel;
+  readonly #dispatch: Dispatch;
+  readonly #budget: Budget;
+  readonly #retries;
+
+  constructor(options: { kernel: Kernel; budget?: Budget }) {
+    super();
+    this.#kernel = options.kernel;
+    this.#dispatch = options.kernel.get(dispatchKey);
+    this.#budget = options.budget ?? new Budget();
+    this.#retries = this.#kernel.counter(
+      "toucanwind_generation_retries_total",
+      "Attempts of generations that went on elsewhere, by reason",
+      ["reason"],
+    );
+  }
+
+  async *run(
+    demand: Demand,
+    generation: Generation,
+    signal: AbortSignal,
+    options: { once?: boolean } = {},
+  ): AsyncGenerator<Result<Chunk, Refusal>, void, void> {
+    const { clock } = this.#kernel;
+    const deadlineAt = clock.now() + demand.remainingMs;
+    const bound = new Bound(signal);
+    const cancel = clock.after(demand.remainingMs, () => bound.expire());
+    const progress = new Progress(generation);
+    this.#budget.fresh(demand.route);
+    try {
+      for (let attempt = 0;; attempt++) {
+        const permit = await this.#dispatch.acquire({
+          ...demand,
+          exclude: [...demand.exclude, ...progress.tried],
+          attempt: demand.attempt + attempt,
+          remainingMs: Math.max(0, deadlineAt - clock.now()),
+        }, bound.signal);
+        if (permit.err) {
+          const refusal = bound.refusal ?? permit.val;
+          yield Err(refusal.following(progress.verdict));
+          return;
+        }
+        const end = yield* this.#attempt(permit.val, progress, bound, options);
+        if (end === undefined) return;
+        const refusal = this.#refusal(end, {
+          route: demand.route,
+          progress,
+          attempt,
+          bound,
+        });
+        if (refusal !== undefined) {
+          yield Err(refusal);
+          return;
+        }
+        if (progress.whole) {
+          yield Ok(progress.finish());
+          return;
+        }
+        this.#retries.inc({ reason: end.reason });
+      }
+    } finally {
+      cancel();
+      bound.release();
+    }
+  }
+
+  /** Runs one attempt; answers how it ended unless it came to its finish. */
+  async *#attempt(
+    permit: Permit,
+    progress: Progress,
+    bound: Bound,
+    { once = false }: { once?: boolean },
+  ): AsyncGenerator<Result<Chunk, Refusal>, End | undefined, void> {
+    const before = progress.tokens;
+    const abort = new AbortController();
+    const stop = () => abort.abort();
+    const move = () => {
+      if (!once) abort.abort();
+    };
+    bound.signal.addEventListener("abort", stop);
+    permit.leaving.addEventListener("abort", move);
+    if (bound.signal.aborted) stop();
+    if (permit.leaving.aborted) move();
+    // What a consumer that stops reading leaves behind is a cancellation.
+    let outcome = Outcome.Cancelled;
+    progress.tried.push(permit.target.id);
+    try {
+      const stream = this.#kernel.platform.engine
+        .generate(permit.target, progress.next(), abort.signal);
+      let end: End = TRUNCATED;
+      for await (const item of stream) {
+        if (item.err) {
+          end = endOf(item.val, { leaving: permit.leaving.aborted });
+          break;
+        }
+        // A chunk of another request means that the link has crossed answers.
+        if (item.val.id !== progress.id) {
+          end = CROSSED;
+          break;
+        }
+        const chunk = progress.take(item.val);
+        if (chunk.finishReason !== "") {
+          outcome = Outcome.Served;
+          yield Ok(chunk);
+          return undefined;
+        }
+        yield Ok(chunk);
+      }
+      outcome = end.outcome;
+      progress.ran(end.verdict);
+      const final = once && end.verdict === Verdict.MayHaveRun;
+      return final ? { ...end, retried: false } : end;
+    } finally {
+      abort.abort();
+      bound.signal.removeEventListener("abort", stop);
+      permit.leaving.removeEventListener("abort", move);
+      permit.release(outcome, progress.tokens - before);
+    }
+  }
+
+  /** Why the generation ends here, or `undefined` if it goes on. */
+  #refusal(
+    end: End,
+    options: {
+      route: string;
+      progress: Progress;
+      attempt: number;
+      bound: Bound;
+    },
+  ): Refusal | undefined {
+    const { route, progress, attempt, bound } = options;
+    const { verdict } = progress;
+    if (bound.refusal !== undefined) return bound.refusal.following(verdict);
+    if (!end.retried || attempt + 1 >= MAX_ATTEMPTS) {
+      return new Refusal({
+        verdict,
+        reason: end.reason,
+        message: end.message,
+        retryAfterMs: 1000,
+      });
+    }
+    if (end.free || this.#budget.spend(route)) return undefined;
+    return new Refusal({
+      verdict,
+      reason: Reason.RetryBudgetSpent,
+      message: `${end.message}, and the retry budget is spent`,
+      retryAfterMs: 1000,
+    });
+  }
+}
+
+/** How an attempt ended without its finish. */
+interface End {
+  readonly reason: Reason;
+  readonly outcome: Outcome;
+  readonly verdict: Verdict;
+  readonly message: string;
+  readonly retried: boolean;
+  /** Whether going on costs nothing of the retry budget. */
+  readonly free: boolean;
+}
+
+const TRUNCATED: End = {
+  reason: Reason.Truncated,
+  outcome: Outcome.Broken,
+  verdict: Verdict.MayHaveRun,
+  message: "The upstream's answer ended early",
+  retried: true,
+  free: false,
+};
+
+const CROSSED: End = {
+  ...TRUNCATED,
+  reason: Reason.UpstreamCrashed,
+  message: "The upstream answered another request",
+};
+
+const ENDS: Readonly<Record<EngineFault, End>> = {
+  [EngineFault.Connect]: {
+    reason: Reason.ConnectFailed,
+    outcome: Outcome.Unreachable,
+    verdict: Verdict.NotRun,
+    message: "No connection to the upstream could be made",
+    retried: true,
+    free: false,
+  },
+  [EngineFault.Refused]: {
+    reason: Reason.UpstreamRefused,
+    outcome: Outcome.Refused,
+    verdict: Verdict.NotRun,
+    message: "The upstream refused the request",
+    retried: true,
+    free: false,
+  },
+  [EngineFault.Broken]: {
+    ...TRUNCATED,
+    reason: Reason.UpstreamCrashed,
+    message: "The connection to the upstream broke",
+  },
+  [EngineFault.Silent]: {
+    ...TRUNCATED,
+    reason: Reason.UpstreamSilent,
+    outcome: Outcome.Silent,
+    message: "The upstream went silent",
+  },
+  [EngineFault.Truncated]: TRUNCATED,
+  [EngineFault.Cancelled]: {
+    reason: Reason.Cancelled,
+    outcome: Outcome.Cancelled,
+    verdict: Verdict.MayHaveRun,
+    message: "The request was cancelled",
+    retried: false,
+    free: false,
+  },
+};
+
+const LEAVING: End = {
+  ...ENDS[EngineFault.Cancelled],
+  reason: Reason.UpstreamLeaving,
+  message: "The upstream is leaving",
+  retried: true,
+  // The platform takes upstreams away; no retry storm grows from that.
+  free: true,
+};
+
+function endOf(failure: EngineFailure, options: { leaving: boolean }): End {
+  const cancelled = failure.kind === EngineFault.Cancelled;
+  return cancelled && options.leaving ? LEAVING : ENDS[failure.kind];
+}
+
+/** What a generation has come to over its attempts. */
+class Progress {
+  readonly id: string;
+  readonly tried: string[] = [];
+  tokens = 0;
+  verdict = Verdict.NotRun;
+  readonly #generation: Generation;
+  #text = "";
+  #weightVersion = 0;
+
+  constructor(generation: Generation) {
+    this.id = generation.id;
+    this.#generation = generation;
+  }
+
+  /** What is left to generate. */
+  next(): Generation {
+    if (this.tokens === 0) return this.#generation;
+    const { resume, maxTokens } = this.#generation;
+    return {
+      ...this.#generation,
+      resume: resume + this.#text,
+      maxTokens: maxTokens - this.tokens,
+    };
+  }
+
+  take(chunk: Chunk): Chunk {
+    this.#text += chunk.text;
+    this.tokens += chunk.tokens;
+    this.#weightVersion = chunk.weightVersion;
+    this.verdict = Verdict.MayHaveRun;
+    return chunk;
+  }
+
+  /** Whether all tokens came, though the finish may have been lost. */
+  get whole(): boolean {
+    return this.tokens >= this.#generation.maxTokens;
+  }
+
+  /** The finish of a generation whose engine's own was lost. */
+  finish(): Chunk {
+    return {
+      id: this.id,
+      text: "",
+      tokens: 0,
+      weightVersion: this.#weightVersion,
+      finishReason: "length",
+      promptTokens: 0,
+    };
+  }
+
+  ran(verdict: Verdict) {
+    this.verdict = worse(this.verdict, verdict);
+  }
+}
+
+/** What ends a generation from outside: its consumer or its deadline. */
+class Bound {
+  readonly #abort = new AbortController();
+  readonly #outer: AbortSignal;
+  readonly #cancel = () => this.#end(CANCELLED);
+  refusal: Refusal | undefined;
+
+  constructor(outer: AbortSignal) {
+    this.#outer = outer;
+    outer.addEventListener("abort", this.#cancel);
+    if (outer.aborted) this.#cancel();
+  }
+
+  get signal(): AbortSignal {
+    return this.#abort.signal;
+  }
+
+  expire() {
+    this.#end(EXPIRED);
+  }
+
+  release() {
+    this.#outer.removeEventListener("abort", this.#cancel);
+  }
+
+  #end(refusal: Refusal) {
+    this.refusal ??= refusal;
+    this.#abort.abort();
+  }
+}
+
+// Both get the verdict of the attempts by `following`.
+const CANCELLED = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.Cancelled,
+  message: "The request was cancelled",
+});
+
+const EXPIRED = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.DeadlineExceeded,
+  message: "The request's deadline passed",
+});
+
+register({
+  key: generatorKey,
+  requires: [dispatchKey],
+  create: (kernel) => new Generate({ kernel }),
+});
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -64,15 +64,20 @@
     return this.#draining;
   }
 
-  /** Starts all plug-ins in order. */
+  /** Starts all plug-ins in order, then opens them to callers. */
   async start(): Promise<void> {
     for (const plugin of this.#plugins.values()) await plugin.start();
+    for (const plugin of this.#plugins.values()) await plugin.open();
   }
 
-  /** Shuts down gracefully: drains all plug-ins, then stops them. */
+  /**
+   * Shuts down gracefully: closes all plug-ins to callers while everything
+   * that running requests need is still there, then drains, then stops them.
+   */
   async shutdown(): Promise<void> {
     this.#draining = true;
     const reversed = [...this.#plugins.values()].reverse();
+    for (const plugin of reversed) await plugin.close();
     for (const plugin of reversed) await plugin.drain();
     for (const plugin of reversed) await plugin.stop();
   }
--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -52,6 +52,16 @@
     return Promise.resolve();
   }
 
+  /** Lets callers in; runs after all plug-ins have started. */
+  open(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  /** Finishes callers' running requests; runs before any plug-in drains. */
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
   /** Hands over what this plug-in owns; runs in reverse order of start. */
   drain(): Promise<void> {
     return Promise.resolve();
