--- /dev/null
+++ b/stand_ins/builders.ts
@@ -0,0 +1,61 @@
+/**
+ * Tables for tests, with defaults for all that a test doesn't care about.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import {
+  type Key,
+  Kind,
+  type Pool,
+  Priority,
+  type Route,
+  type Tables,
+} from "../src/tables/mod.ts";
+
+/** A pool of engines. */
+export function pool(fields: Partial<Pool> = {}): Pool {
+  return {
+    name: "lm",
+    model: "model",
+    minUpstreams: 0,
+    maxUpstreams: 8,
+    reclaimableShare: 0,
+    availabilityZones: ["a"],
+    slots: 8,
+    fenced: false,
+    ...fields,
+  };
+}
+
+/** A route of model completions to the pool `lm`. */
+export function route(fields: Partial<Route> = {}): Route {
+  return {
+    name: "chat",
+    path: "",
+    model: "model",
+    kind: Kind.Model,
+    pool: "lm",
+    priority: Priority.Interactive,
+    open: false,
+    repeatable: true,
+    tenants: [{ tenant: "one", weight: 1 }],
+    keys: [key("key-one", "one")],
+    deadlineMs: 30_000,
+    maxBodyBytes: 1 << 20,
+    stalenessBound: 1,
+    ...fields,
+  };
+}
+
+/** The key whose secret is `secret`, named by the secret's hash. */
+export function key(secret: string, tenant: string): Key {
+  const sha256 = createHash("sha256").update(secret).digest("hex");
+  return { id: sha256.slice(0, 8), sha256, tenant };
+}
+
+/** Both tables; a route and its pool by default. */
+export function tables(fields: Partial<Tables> = {}): Tables {
+  return { routes: [route()], pools: [pool()], ...fields };
+}
--- /dev/null
+++ b/stand_ins/cache.ts
@@ -0,0 +1,62 @@
+/**
+ * The engine stand-in's prefix cache: bounded, least recently used first out,
+ * with events that come late and with gaps.
+ *
+ * @module
+ */
+
+import type { CacheEvent } from "../src/platform/mod.ts";
+import { Random } from "./random.ts";
+
+/** Events kept for readers that lag. */
+const KEPT_EVENTS = 4096;
+
+/** Cached prefix blocks and the events about them. */
+export class Cache {
+  readonly #blocks: number;
+  readonly #loss: number;
+  readonly #random: Random;
+  readonly #cached = new Set<string>();
+  #seq = 0;
+  #events: readonly { at: number; event: CacheEvent }[] = [];
+
+  constructor(options: { blocks: number; loss: number; seed: number }) {
+    this.#blocks = options.blocks;
+    this.#loss = options.loss;
+    this.#random = new Random({ seed: options.seed });
+  }
+
+  /** Caches a prompt's prefixes; answers with how many were missing. */
+  use(prefixes: readonly string[]): number {
+    const missed = prefixes.filter((prefix) => !this.#cached.has(prefix));
+    for (const prefix of prefixes) {
+      this.#cached.delete(prefix);
+      this.#cached.add(prefix);
+    }
+    for (const prefix of missed) this.#emit(prefix, true);
+    const surplus = Math.max(0, this.#cached.size - this.#blocks);
+    for (const prefix of [...this.#cached].slice(0, surplus)) {
+      this.#cached.delete(prefix);
+      this.#emit(prefix, false);
+    }
+    return missed.length;
+  }
+
+  /** Events after `seq` that are at least `lagMs` old. */
+  events(seq: number, lagMs: number): readonly CacheEvent[] {
+    const seen = performance.now() - lagMs;
+    return this.#events
+      .filter(({ at, event }) => at <= seen && event.seq > seq)
+      .map(({ event }) => event);
+  }
+
+  #emit(prefix: string, cached: boolean): void {
+    const seq = ++this.#seq;
+    if (this.#random.next() < this.#loss) return;
+    const event = { seq, prefix, cached };
+    this.#events = [
+      ...this.#events.slice(1 - KEPT_EVENTS),
+      { at: performance.now(), event },
+    ];
+  }
+}
--- /dev/null
+++ b/stand_ins/history.ts
@@ -0,0 +1,44 @@
+/**
+ * The record of what truly happened at a stand-in, as JSON lines.
+ *
+ * @module
+ */
+
+import { appendFileSync } from "node:fs";
+
+/** One event at one stand-in. */
+export interface HistoryEvent {
+  /** Wall time in milliseconds, with fractions. */
+  readonly t: number;
+  /** The stand-in that saw the event. */
+  readonly at: string;
+  readonly kind: string;
+  readonly [field: string]: unknown;
+}
+
+/** Appends events to a file, to a callback, or to both. */
+export class History {
+  readonly #at: string;
+  readonly #file: string;
+  readonly #sink: (event: HistoryEvent) => void;
+
+  constructor(options: {
+    at: string;
+    file?: string;
+    sink?: (event: HistoryEvent) => void;
+  }) {
+    this.#at = options.at;
+    this.#file = options.file ?? "";
+    this.#sink = options.sink ?? (() => {});
+  }
+
+  /** Records an event; it is on file when this returns. */
+  record(kind: string, fields: Readonly<Record<string, unknown>> = {}): void {
+    const t = performance.timeOrigin + performance.now();
+    const event = { t, at: this.#at, kind, ...fields };
+    if (this.#file !== "") {
+      appendFileSync(this.#file, `${JSON.stringify(event)}\n`);
+    }
+    this.#sink(event);
+  }
+}
--- /dev/null
+++ b/stand_ins/launches.ts
@@ -0,0 +1,206 @@
+/**
+ * The platform stand-in's VMs: the lagging list, what each availability zone
+ * offers, and the upstreams that orders start and end.
+ *
+ * @module
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  type Offer,
+  type Order,
+  Role,
+  Standing,
+  type Vm,
+} from "../src/platform/mod.ts";
+import type { History } from "./history.ts";
+
+/** What can be ordered of one kind in one availability zone. */
+export interface Offered {
+  readonly pool: string;
+  readonly availabilityZone: string;
+  readonly reclaimable: boolean;
+  readonly pricePerHour: number;
+  readonly available: number;
+}
+
+/** An upstream to start. */
+export interface Wanted {
+  readonly pool: string;
+  readonly availabilityZone: string;
+  readonly reclaimable: boolean;
+}
+
+interface Snapshot {
+  readonly at: number;
+  readonly vms: readonly Vm[];
+}
+
+interface LaunchesOptions {
+  readonly history: History;
+  readonly lagMs?: number;
+  readonly fenced?: boolean;
+  readonly offers?: readonly Offered[];
+  readonly startMs?: number;
+  readonly leaveMs?: number;
+  readonly launch?: (wanted: Wanted) => Promise<Vm>;
+  readonly terminate?: (vm: Vm) => Promise<void>;
+}
+
+/** VMs, offers and orders. */
+export class Launches {
+  readonly #options: LaunchesOptions;
+  #snapshots: readonly Snapshot[] = [{ at: -Infinity, vms: [] }];
+  #offers: readonly Offered[];
+  #term = 0;
+  #closed = false;
+  readonly #ids = new Set<string>();
+  readonly #starting = new Map<string, number>();
+  readonly #reclaimAt = new Map<string, number>();
+  readonly #tasks = new Set<Promise<void>>();
+
+  constructor(options: LaunchesOptions) {
+    this.#options = options;
+    this.#offers = options.offers ?? [];
+  }
+
+  /** The true list. */
+  get vms(): readonly Vm[] {
+    return this.#snapshots[this.#snapshots.length - 1].vms;
+  }
+
+  /** The list as it was `lagMs` ago. */
+  listed(): readonly Vm[] {
+    const seen = performance.now() - (this.#options.lagMs ?? 0);
+    const old = this.#snapshots.filter(({ at }) => at <= seen);
+    this.#snapshots = this.#snapshots.slice(old.length - 1);
+    return old[old.length - 1].vms;
+  }
+
+  setVms(vms: readonly Vm[]): void {
+    this.#snapshots = [...this.#snapshots, { at: performance.now(), vms }];
+    this.#options.history.record("vms", { vms });
+  }
+
+  putVm(vm: Vm): void {
+    this.setVms([...this.vms.filter(({ id }) => id !== vm.id), vm]);
+  }
+
+  removeVm(id: string): void {
+    this.setVms(this.vms.filter((vm) => vm.id !== id));
+  }
+
+  offers(): readonly Offer[] {
+    return this.#offers.map((offered) => {
+      const reclaimAt = this.#reclaimAt.get(keyOf(offered));
+      const reclaimInMs = reclaimAt === undefined
+        ? {}
+        : { reclaimInMs: Math.max(0, reclaimAt - performance.now()) };
+      return {
+        ...offered,
+        ...reclaimInMs,
+        running: this.#running(offered).length,
+        starting: this.#starting.get(keyOf(offered)) ?? 0,
+      };
+    });
+  }
+
+  setOffers(offers: readonly Offered[]): void {
+    this.#offers = offers;
+    this.#options.history.record("offers", { offers });
+  }
+
+  /** Takes an order; `false` when its term is old and that is checked. */
+  order(order: Order): boolean {
+    const accepted = !this.#options.fenced || order.term >= this.#term;
+    const repeat = this.#ids.has(order.id);
+    this.#options.history.record("ordered", { order, accepted, repeat });
+    if (!accepted) return false;
+    this.#term = Math.max(this.#term, order.term);
+    this.#ids.add(order.id);
+    if (!repeat && this.#options.launch) this.#carryOut(order);
+    return true;
+  }
+
+  /** Takes a zone's reclaimable VMs away after `noticeMs`. */
+  async reclaim(availabilityZone: string, noticeMs: number): Promise<void> {
+    this.#options.history.record("reclaiming", { availabilityZone, noticeMs });
+    const gone = (vm: Vm) =>
+      vm.reclaimable && vm.availabilityZone === availabilityZone;
+    const hit = this.#offers.filter((offered) =>
+      offered.reclaimable && offered.availabilityZone === availabilityZone
+    );
+    const at = performance.now() + noticeMs;
+    for (const offered of hit) this.#reclaimAt.set(keyOf(offered), at);
+    this.setOffers(
+      this.#offers.map((offered) =>
+        hit.includes(offered) ? { ...offered, available: 0 } : offered
+      ),
+    );
+    this.setVms(
+      this.vms.map((vm) =>
+        gone(vm) ? { ...vm, standing: Standing.Leaving } : vm
+      ),
+    );
+    await sleep(noticeMs);
+    for (const offered of hit) this.#reclaimAt.delete(keyOf(offered));
+    const victims = this.vms.filter(gone);
+    this.setVms(this.vms.filter((vm) => !gone(vm)));
+    await Promise.all(victims.map((vm) => this.#options.terminate?.(vm)));
+    this.#options.history.record("reclaimed", { availabilityZone });
+  }
+
+  async close(): Promise<void> {
+    this.#closed = true;
+    await Promise.allSettled(this.#tasks);
+  }
+
+  #carryOut(order: Order): void {
+    const offered = this.#offers.find((offer) => keyOf(offer) === keyOf(order));
+    const count = Math.min(order.count, offered?.available ?? 0);
+    const running = this.#running(order);
+    const starting = this.#starting.get(keyOf(order)) ?? 0;
+    const missing = count - running.length - starting;
+    for (let n = 0; n < missing; n++) this.#spawn(this.#start(order));
+    const surplus = running.slice(Math.max(0, count));
+    for (const vm of surplus) this.#spawn(this.#end(vm));
+  }
+
+  #running(wanted: Wanted): readonly Vm[] {
+    return this.vms.filter((vm) =>
+      vm.role === Role.Upstream && vm.standing === Standing.Live &&
+      keyOf(vm) === keyOf(wanted)
+    );
+  }
+
+  #spawn(task: Promise<void>): void {
+    this.#tasks.add(task);
+    task.finally(() => this.#tasks.delete(task)).catch(() => {});
+  }
+
+  async #start(wanted: Wanted): Promise<void> {
+    const key = keyOf(wanted);
+    const count = (by: number) =>
+      this.#starting.set(key, (this.#starting.get(key) ?? 0) + by);
+    count(1);
+    try {
+      await sleep(this.#options.startMs ?? 0);
+      if (this.#closed || !this.#options.launch) return;
+      this.putVm(await this.#options.launch(wanted));
+    } finally {
+      count(-1);
+    }
+  }
+
+  async #end(vm: Vm): Promise<void> {
+    this.putVm({ ...vm, standing: Standing.Leaving });
+    await sleep(this.#options.leaveMs ?? 1000);
+    this.removeVm(vm.id);
+    await this.#options.terminate?.(vm);
+  }
+}
+
+function keyOf(wanted: Wanted): string {
+  const { pool, availabilityZone, reclaimable } = wanted;
+  return `${pool}/${availabilityZone}/${reclaimable}`;
+}
--- /dev/null
+++ b/stand_ins/random.ts
@@ -0,0 +1,28 @@
+/**
+ * Seeded draws for the stand-ins, the same on every machine.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+
+/** A number from 0 up to 1 that depends on `parts` only. */
+export function uniform(...parts: readonly (string | number)[]): number {
+  const digest = createHash("sha256").update(JSON.stringify(parts)).digest();
+  return digest.readUInt32BE(0) / 2 ** 32;
+}
+
+/** A sequence of draws from one seed. */
+export class Random {
+  readonly #seed: number;
+  #drawn = 0;
+
+  constructor(options: { seed: number }) {
+    this.#seed = options.seed;
+  }
+
+  /** The next draw, from 0 up to 1. */
+  next(): number {
+    return uniform(this.#seed, this.#drawn++);
+  }
+}
