The platform and the engines over HTTP

The contracts of src/platform had no implementation. Each call has a bound on its time and a verdict: not sent only when the connection was surely not made (an error of connect itself, since an established connection can give the same codes), refused for 4xx but 408, else unknown. Nothing is sent twice; undici's retry handlers stay unused. After a silence the idle connections beside the silent one are given up too.

--- /dev/null
+++ b/src/platform/http_endpoint.ts
@@ -0,0 +1,165 @@
+/**
+ * Calls to one HTTP service, each with a bound on its time and a careful
+ * verdict on its failure. Nothing is sent twice.
+ *
+ * @module
+ */
+
+import { Err, Ok, type Result } from "ts-results";
+import { errors, Pool } from "undici";
+import type { ZodType } from "zod";
+import { type Failure, Fault } from "./mod.ts";
+
+const CONNECT_TIMEOUT_MS = 1000;
+const CALL_TIMEOUT_MS = 1000;
+const IDLE_TIMEOUT_MS = 4000;
+
+/** One call to an endpoint. */
+export interface Call<T> {
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  /** Sent as JSON, or as it is if it is text. */
+  readonly body?: unknown;
+  /** What the answer must look like. */
+  readonly answer: ZodType<T>;
+  readonly timeoutMs?: number;
+  readonly signal?: AbortSignal;
+}
+
+/** An HTTP service and the connections to it. */
+export class Endpoint {
+  readonly #base: URL;
+  readonly #connections: number | null;
+  #pool: Pool;
+
+  constructor(options: { url: string; connections?: number | null }) {
+    this.#base = new URL(options.url);
+    this.#connections = options.connections ?? null;
+    this.#pool = this.#connect();
+  }
+
+  /** Makes one call. */
+  async call<T>(call: Call<T>): Promise<Result<T, Failure>> {
+    const bound = new Bound(call.timeoutMs ?? CALL_TIMEOUT_MS, call.signal);
+    try {
+      return await this.#send(call, bound.signal);
+    } catch (error) {
+      if (bound.timedOut) this.#renew();
+      return Err(failure(error, bound.timedOut));
+    } finally {
+      bound.end();
+    }
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  async #send<T>(
+    call: Call<T>,
+    signal: AbortSignal,
+  ): Promise<Result<T, Failure>> {
+    const text = typeof call.body === "string";
+    const response = await this.#pool.request({
+      method: call.method,
+      path: this.#base.pathname.replace(/\/$/, "") + call.path,
+      headers: call.body === undefined ? {} : {
+        "content-type": text ? "application/octet-stream" : "application/json",
+      },
+      body: text ? call.body as string : JSON.stringify(call.body),
+      signal,
+    });
+    const body = await response.body.text();
+    const status = response.statusCode;
+    if (status !== 200) return Err(refusal(status, body));
+    const answer = call.answer.safeParse(JSON.parse(body));
+    if (answer.success) return Ok(answer.data);
+    return Err({ fault: Fault.Unknown, message: answer.error.message });
+  }
+
+  #connect(): Pool {
+    return new Pool(this.#base.origin, {
+      connections: this.#connections,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
+    });
+  }
+
+  // After a call that timed out, idle connections may be silent too: new
+  // calls get new ones, running calls end on theirs.
+  #renew(): void {
+    const old = this.#pool;
+    this.#pool = this.#connect();
+    old.close().catch(() => old.destroy());
+  }
+}
+
+/** A signal that aborts with `outer` or after a time. */
+export class Bound {
+  readonly #abort = new AbortController();
+  readonly #timer: NodeJS.Timeout;
+  readonly #outer: AbortSignal | undefined;
+  readonly #follow = () => this.#abort.abort();
+  #timedOut = false;
+
+  constructor(timeoutMs: number, outer?: AbortSignal) {
+    this.#timer = setTimeout(() => {
+      this.#timedOut = true;
+      this.#abort.abort();
+    }, timeoutMs);
+    this.#outer = outer;
+    if (outer?.aborted) this.#abort.abort();
+    outer?.addEventListener("abort", this.#follow, { once: true });
+  }
+
+  get signal(): AbortSignal {
+    return this.#abort.signal;
+  }
+
+  get timedOut(): boolean {
+    return this.#timedOut;
+  }
+
+  /** Releases the timer and the outer signal. */
+  end(): void {
+    clearTimeout(this.#timer);
+    this.#outer?.removeEventListener("abort", this.#follow);
+  }
+}
+
+/** Whether an answer with this status says that nothing was done. */
+export function declines(status: number): boolean {
+  return status >= 400 && status < 500 && status !== 408;
+}
+
+/**
+ * Whether the error shows that no connection was made. An error of an
+ * established connection has another syscall, whatever its code.
+ */
+export function isConnectError(error: unknown): boolean {
+  if (error instanceof errors.ConnectTimeoutError) return true;
+  if (error instanceof AggregateError) {
+    return error.errors.length > 0 && error.errors.every(isConnectError);
+  }
+  return error instanceof Error &&
+    (error as NodeJS.ErrnoException).syscall === "connect";
+}
+
+/** The error's message, or the value itself as text. */
+export function messageOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
+
+function refusal(status: number, body: string): Failure {
+  const fault = declines(status) ? Fault.Refused : Fault.Unknown;
+  return { fault, message: `Answer ${status}: ${body.slice(0, 200)}` };
+}
+
+function failure(error: unknown, timedOut: boolean): Failure {
+  if (timedOut) return { fault: Fault.Unknown, message: "No answer in time" };
+  const fault = isConnectError(error) ? Fault.NotSent : Fault.Unknown;
+  return { fault, message: messageOf(error) };
+}
--- /dev/null
+++ b/src/platform/http_platform.ts
@@ -0,0 +1,194 @@
+/**
+ * The platform's list of VMs, orders, reports and weight store over HTTP, and
+ * all of the platform from a daemon's settings.
+ *
+ * @module
+ */
+
+import type { Result } from "ts-results";
+import { z } from "zod";
+import type { Settings } from "../settings/mod.ts";
+import { Endpoint } from "./http_endpoint.ts";
+import { HttpEngine } from "./http_engine.ts";
+import { HttpKeyValue } from "./http_key_value.ts";
+import {
+  Directory,
+  type Failure,
+  type Offer,
+  type Order,
+  OrderDesk,
+  type Platform,
+  ReportDesk,
+  Role,
+  Standing,
+  type Vm,
+  WeightStore,
+} from "./mod.ts";
+
+const done = z.object({ ok: z.literal(true) });
+
+const vms = z.object({
+  vms: z.array(z.object({
+    id: z.string(),
+    role: z.enum(Role),
+    standing: z.enum(Standing),
+    availabilityZone: z.string(),
+    address: z.string(),
+    http: z.string(),
+    pool: z.string(),
+    reclaimable: z.boolean(),
+  })),
+});
+
+const offers = z.object({
+  offers: z.array(z.object({
+    pool: z.string(),
+    availabilityZone: z.string(),
+    reclaimable: z.boolean(),
+    pricePerHour: z.number(),
+    running: z.number(),
+    starting: z.number(),
+    available: z.number(),
+    reclaimInMs: z.number().optional(),
+  })),
+});
+
+const latest = z.object({ version: z.number() });
+
+/** `Directory` over HTTP. */
+export class HttpDirectory extends Directory {
+  readonly #endpoint: Endpoint;
+
+  constructor(options: { url: string }) {
+    super();
+    this.#endpoint = new Endpoint(options);
+  }
+
+  async list(): Promise<Result<readonly Vm[], Failure>> {
+    const call = { method: "GET", path: "/vms", answer: vms } as const;
+    return (await this.#endpoint.call(call)).map(({ vms }) => vms);
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#endpoint.close();
+  }
+}
+
+/** `OrderDesk` over HTTP. */
+export class HttpOrderDesk extends OrderDesk {
+  readonly #endpoint: Endpoint;
+
+  constructor(options: { url: string }) {
+    super();
+    this.#endpoint = new Endpoint(options);
+  }
+
+  async offers(): Promise<Result<readonly Offer[], Failure>> {
+    const call = { method: "GET", path: "/offers", answer: offers } as const;
+    return (await this.#endpoint.call(call)).map(({ offers }) => offers);
+  }
+
+  async place(
+    order: Order,
+    signal: AbortSignal,
+  ): Promise<Result<true, Failure>> {
+    const answer = await this.#endpoint.call({
+      method: "POST",
+      path: "/orders",
+      body: order,
+      answer: done,
+      signal,
+    });
+    return answer.map(() => true as const);
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#endpoint.close();
+  }
+}
+
+/** `ReportDesk` over HTTP. */
+export class HttpReportDesk extends ReportDesk {
+  readonly #endpoint: Endpoint;
+
+  constructor(options: { url: string }) {
+    super();
+    this.#endpoint = new Endpoint(options);
+  }
+
+  async send(
+    id: string,
+    body: string,
+    signal: AbortSignal,
+  ): Promise<Result<true, Failure>> {
+    const answer = await this.#endpoint.call({
+      method: "POST",
+      path: `/reports/${encodeURIComponent(id)}`,
+      body,
+      answer: done,
+      signal,
+    });
+    return answer.map(() => true as const);
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#endpoint.close();
+  }
+}
+
+/** `WeightStore` over HTTP. */
+export class HttpWeightStore extends WeightStore {
+  readonly #endpoint: Endpoint;
+
+  constructor(options: { url: string }) {
+    super();
+    this.#endpoint = new Endpoint(options);
+  }
+
+  async latest(model: string): Promise<Result<number, Failure>> {
+    const answer = await this.#endpoint.call({
+      method: "GET",
+      path: `/weights/${encodeURIComponent(model)}`,
+      answer: latest,
+    });
+    return answer.map(({ version }) => version);
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#endpoint.close();
+  }
+}
+
+/** The platform over HTTP, with its connections. */
+export interface HttpPlatform extends Platform {
+  close(): Promise<void>;
+}
+
+/** Everything outside, at the addresses that the settings give. */
+export function httpPlatform(settings: Settings): HttpPlatform {
+  const urls = settings.platform;
+  const keyValue = new HttpKeyValue({ url: urls.keyValue });
+  const directory = new HttpDirectory({ url: urls.directory });
+  const orders = new HttpOrderDesk({ url: urls.orders });
+  const reports = new HttpReportDesk({ url: urls.reports });
+  const weights = new HttpWeightStore({ url: urls.weights });
+  const engine = new HttpEngine({
+    silenceMs: settings.timing.upstreamSilenceMs,
+  });
+  const all = [keyValue, directory, orders, reports, weights, engine];
+  return {
+    keyValue,
+    directory,
+    orders,
+    reports,
+    weights,
+    engine,
+    close: async () => {
+      await Promise.all(all.map((service) => service.close()));
+    },
+  };
+}
--- /dev/null
+++ b/src/platform/http_test.ts
@@ -0,0 +1,198 @@
+import { none } from "fp-ts/Option";
+import { expect } from "earl";
+import { once } from "node:events";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { test } from "node:test";
+import { startEngine } from "../../stand_ins/engine.ts";
+import { FaultKind } from "../../stand_ins/faults.ts";
+import { startPlatform } from "../../stand_ins/platform.ts";
+import { HttpEngine } from "./http_engine.ts";
+import { HttpKeyValue } from "./http_key_value.ts";
+import { type Chunk, EngineFault, Fault, type Generation } from "./mod.ts";
+
+const NEVER = new AbortController().signal;
+
+function generation(fields: Partial<Generation> = {}): Generation {
+  return {
+    id: "r1",
+    model: "m",
+    prompt: "[tokens=5]",
+    resume: "",
+    maxTokens: 100,
+    temperature: 1,
+    seed: 1,
+    priority: 0,
+    ...fields,
+  };
+}
+
+/** Runs a generation; answers with its chunks and how it failed, if so. */
+async function run(engine: HttpEngine, address: string, options: {
+  generation?: Partial<Generation>;
+  signal?: AbortSignal;
+} = {}): Promise<{ chunks: Chunk[]; fault?: EngineFault }> {
+  const chunks: Chunk[] = [];
+  const stream = engine.generate(
+    { id: "u", address },
+    generation(options.generation),
+    options.signal ?? NEVER,
+  );
+  for await (const item of stream) {
+    if (item.err) return { chunks, fault: item.val.kind };
+    chunks.push(item.val);
+  }
+  return { chunks };
+}
+
+/** A TCP server that does to each connection what `serve` does. */
+async function raw(serve: (socket: Socket) => void): Promise<Server> {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    serve(socket);
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  return server;
+}
+
+function addressOf(server: Server): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+test("a whole stream ends with its last chunk and keeps its connection", async () => {
+  const connections = new Set<unknown>();
+  const standIn = await startEngine({
+    tokenMs: 1,
+    sink: (event) => event.connection && connections.add(event.connection),
+  });
+  const engine = new HttpEngine();
+  const { host } = new URL(standIn.url);
+  for (let n = 0; n < 3; n++) {
+    const { chunks, fault } = await run(engine, host);
+    expect([chunks.length, chunks[4].finishReason]).toEqual([5, "stop"]);
+    expect(fault).toEqual(undefined);
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  expect(connections.size).toEqual(1);
+  await engine.close();
+  await standIn.close();
+});
+
+test("a refused connection was surely not made", async () => {
+  const server = await raw(() => {});
+  const address = addressOf(server);
+  server.close();
+  await once(server, "close");
+  const engine = new HttpEngine();
+  expect((await run(engine, address)).fault).toEqual(EngineFault.Connect);
+  const load = await engine.load({ id: "u", address });
+  expect(load.err && load.val.fault).toEqual(Fault.NotSent);
+  await engine.close();
+});
+
+test("a connection that breaks after the request may have run it", async () => {
+  const server = await raw((socket) =>
+    socket.once("data", () => socket.destroy())
+  );
+  const engine = new HttpEngine();
+  const address = addressOf(server);
+  expect((await run(engine, address)).fault).toEqual(EngineFault.Broken);
+  const load = await engine.load({ id: "u", address });
+  expect(load.err && load.val.fault).toEqual(Fault.Unknown);
+  await engine.close();
+  server.close();
+});
+
+test("each way of ending early has its own fault", async () => {
+  const standIn = await startEngine({ tokenMs: 2 });
+  const engine = new HttpEngine();
+  const { host } = new URL(standIn.url);
+  const fault = async () => (await run(engine, host)).fault;
+  standIn.behave({ truncate: 1 });
+  expect(await fault()).toEqual(EngineFault.Truncated);
+  standIn.behave({ breaks: 1 });
+  expect(await fault()).toEqual(EngineFault.Broken);
+  standIn.behave({ cross: 1 });
+  expect(await fault()).toEqual(EngineFault.Broken);
+  standIn.behave({ refuse: true });
+  expect(await fault()).toEqual(EngineFault.Refused);
+  await engine.close();
+  await standIn.close();
+});
+
+test("a silent upstream is given up on, and its connections with it", async () => {
+  const standIn = await startEngine({ tokenMs: 2 });
+  const engine = new HttpEngine({ silenceMs: 60 });
+  const { host } = new URL(standIn.url);
+  await run(engine, host);
+  standIn.behave({ silent: true });
+  expect((await run(engine, host)).fault).toEqual(EngineFault.Silent);
+  standIn.behave({ silent: false });
+  const { chunks, fault } = await run(engine, host);
+  expect([chunks.length, fault]).toEqual([5, undefined]);
+  await engine.close();
+  await standIn.close();
+});
+
+test("a cancelled stream is cancelled at the engine", async () => {
+  const kinds: string[] = [];
+  const standIn = await startEngine({ sink: ({ kind }) => kinds.push(kind) });
+  const engine = new HttpEngine();
+  const { host } = new URL(standIn.url);
+  const stream = engine.generate(
+    { id: "u", address: host },
+    generation({ prompt: "[tokens=1000]" }),
+    NEVER,
+  );
+  await stream.next();
+  await stream.return();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(kinds).toEqual(["received", "started", "cancelled"]);
+  const abort = new AbortController();
+  setTimeout(() => abort.abort(), 20);
+  const { fault } = await run(engine, host, {
+    generation: { prompt: "[tokens=1000]" },
+    signal: abort.signal,
+  });
+  expect(fault).toEqual(EngineFault.Cancelled);
+  await engine.close();
+  await standIn.close();
+});
+
+test("the key-value service over HTTP tells its failures apart", async () => {
+  const platform = await startPlatform();
+  const keyValue = new HttpKeyValue({ url: platform.url, timeoutMs: 100 });
+  const missing = await keyValue.get("k");
+  expect(missing.unwrap()).toEqual(none);
+  platform.inject([{ kind: FaultKind.Lost, operation: "swap", count: 1 }]);
+  const write = { value: "v", expected: 0 };
+  const lost = await keyValue.swap("k", write);
+  expect(lost.err && lost.val.fault).toEqual(Fault.Unknown);
+  const again = (await keyValue.swap("k", write)).unwrap();
+  expect(again.applied).toEqual(false);
+  const renewal = await keyValue.renew("nobody's");
+  expect(renewal.err && renewal.val.fault).toEqual(Fault.Refused);
+  platform.inject([
+    { kind: FaultKind.Delay, operation: "get", delayMs: 300 },
+  ]);
+  const slow = await keyValue.get("k");
+  expect(slow.err && slow.val.fault).toEqual(Fault.Unknown);
+  await keyValue.close();
+  await platform.close();
+});
+
+test("a watch ends when the key changes", async () => {
+  const platform = await startPlatform();
+  const keyValue = new HttpKeyValue({ url: platform.url });
+  const watch = keyValue.watch("k", { known: 0, waitMs: 5000 });
+  await keyValue.swap("k", { value: "v", expected: 0 });
+  const entry = (await watch).unwrap();
+  expect(entry._tag === "Some" && entry.value.value).toEqual("v");
+  await keyValue.close();
+  await platform.close();
+});
--- a/stand_ins/engine.ts
+++ b/stand_ins/engine.ts
@@ -223,6 +223,7 @@
       priority,
       resumed: body.resume.length,
       rawHeaders: request.raw.rawHeaders,
+      connection: request.socket.remotePort,
     });
     if (this.#behaviour.refuse) {
       this.#history.record("refused", { id });
