--- /dev/null
+++ b/src/settings/load.ts
@@ -0,0 +1,172 @@
+/**
+ * Reads a daemon's settings from a TOML file. All errors are told at once,
+ * each with the file and the key.
+ *
+ * @module
+ */
+
+import { readFileSync } from "node:fs";
+import { dirname, resolve } from "node:path";
+import { parse } from "smol-toml";
+import { Err, Ok, type Result } from "ts-results";
+import { z } from "zod";
+import type { Settings, Timing } from "./mod.ts";
+
+const MIN_SECRET_CHARS = 8;
+
+/** The bounds on time where the settings file gives none. */
+export const DEFAULT_TIMING: Timing = {
+  heartbeatMs: 500,
+  peerSilenceMs: 2000,
+  leaseMs: 3000,
+  freshnessMs: 2500,
+  usageWindowMs: 60_000,
+  usageGraceMs: 3000,
+  directoryMs: 500,
+  loadMs: 250,
+  upstreamSilenceMs: 5000,
+  drainMs: 30_000,
+  claimRetentionMs: 3_600_000,
+};
+
+const name = z.string().min(1);
+const port = z.int().min(1).max(65_535);
+const listener = z.strictObject({ host: name, port });
+const url = z.url({ protocol: /^https?$/ });
+
+function milliseconds(byDefault: number) {
+  return z.int().positive().default(byDefault);
+}
+
+const timing = z.strictObject({
+  heartbeat_ms: milliseconds(DEFAULT_TIMING.heartbeatMs),
+  peer_silence_ms: milliseconds(DEFAULT_TIMING.peerSilenceMs),
+  lease_ms: milliseconds(DEFAULT_TIMING.leaseMs),
+  freshness_ms: milliseconds(DEFAULT_TIMING.freshnessMs),
+  usage_window_ms: milliseconds(DEFAULT_TIMING.usageWindowMs),
+  usage_grace_ms: milliseconds(DEFAULT_TIMING.usageGraceMs),
+  directory_ms: milliseconds(DEFAULT_TIMING.directoryMs),
+  load_ms: milliseconds(DEFAULT_TIMING.loadMs),
+  upstream_silence_ms: milliseconds(DEFAULT_TIMING.upstreamSilenceMs),
+  drain_ms: milliseconds(DEFAULT_TIMING.drainMs),
+  claim_retention_ms: milliseconds(DEFAULT_TIMING.claimRetentionMs),
+}).refine((times) => times.peer_silence_ms > times.heartbeat_ms, {
+  path: ["peer_silence_ms"],
+  message: "Must be longer than heartbeat_ms",
+});
+
+const file = z.strictObject({
+  vm: name,
+  availability_zone: name,
+  region: name,
+  data_folder: z.string().default(""),
+  http: listener,
+  peer: z.strictObject({ host: name, port, secret_file: name }),
+  platform: z.strictObject({
+    key_value: url,
+    directory: url,
+    orders: url,
+    reports: url,
+    weights: url,
+  }),
+  timing: timing.prefault({}),
+});
+
+/** Reads settings; the errors name the file and the key, one a line. */
+export function loadSettings(
+  path: string,
+): Result<Settings, readonly string[]> {
+  const text = read(path);
+  if (text.err) return Err([text.val]);
+  const toml = parsed(text.val);
+  if (toml.err) return Err([`${path}: ${toml.val}`]);
+  const checked = file.safeParse(toml.val);
+  const secret = secretOf(path, toml.val);
+  const errors = [
+    ...checked.error?.issues.flatMap(messagesOf) ?? [],
+    ...secret.err ? [secret.val] : [],
+  ];
+  if (!checked.success || secret.err) {
+    return Err(errors.map((error) => `${path}: ${error}`));
+  }
+  return Ok(settingsOf(checked.data, secret.val));
+}
+
+function read(path: string): Result<string, string> {
+  try {
+    return Ok(readFileSync(path, "utf8"));
+  } catch (error) {
+    const { code } = error as NodeJS.ErrnoException;
+    return Err(`File "${path}" can't be read: ${code}`);
+  }
+}
+
+function parsed(text: string): Result<Record<string, unknown>, string> {
+  try {
+    return Ok(parse(text));
+  } catch (error) {
+    return Err(String(error).trim());
+  }
+}
+
+/** Reads the secret; a settings file without its name has its own error. */
+function secretOf(
+  path: string,
+  toml: Record<string, unknown>,
+): Result<string, string> {
+  const peer = toml.peer as { secret_file?: unknown } | undefined;
+  const name = peer?.secret_file;
+  if (typeof name !== "string" || name === "") return Ok("");
+  const text = read(resolve(dirname(path), name));
+  if (text.err) return Err(`Key "peer.secret_file": ${text.val}`);
+  const secret = text.val.trim();
+  if (secret.length >= MIN_SECRET_CHARS) return Ok(secret);
+  return Err(
+    `Key "peer.secret_file": Secret is shorter than ` +
+      `${MIN_SECRET_CHARS} characters`,
+  );
+}
+
+function messagesOf(issue: z.core.$ZodIssue): readonly string[] {
+  if (issue.code === "unrecognized_keys") {
+    return issue.keys.map((key) =>
+      `Key "${[...issue.path, key].join(".")}" is unknown`
+    );
+  }
+  return [`Key "${issue.path.join(".")}": ${issue.message}`];
+}
+
+function settingsOf(
+  { timing, platform, http, peer, ...given }: z.infer<typeof file>,
+  peerSecret: string,
+): Settings {
+  return {
+    vm: given.vm,
+    availabilityZone: given.availability_zone,
+    region: given.region,
+    http,
+    peer: { host: peer.host, port: peer.port },
+    peerSecret,
+    platform: {
+      keyValue: platform.key_value,
+      directory: platform.directory,
+      orders: platform.orders,
+      reports: platform.reports,
+      weights: platform.weights,
+    },
+    dataFolder: given.data_folder,
+    timing: {
+      heartbeatMs: timing.heartbeat_ms,
+      peerSilenceMs: timing.peer_silence_ms,
+      leaseMs: timing.lease_ms,
+      freshnessMs: timing.freshness_ms,
+      usageWindowMs: timing.usage_window_ms,
+      usageGraceMs: timing.usage_grace_ms,
+      directoryMs: timing.directory_ms,
+      loadMs: timing.load_ms,
+      upstreamSilenceMs: timing.upstream_silence_ms,
+      drainMs: timing.drain_ms,
+      claimRetentionMs: timing.claim_retention_ms,
+    },
+  };
+}
