The daemon's command

Loads the settings, imports the plug-ins listed in src/plugins.ts, starts the kernel, and shuts down on SIGTERM within drain_ms and a margin. Exit codes are in the module's comment.

--- /dev/null
+++ b/src/bin/toucanwindd.ts
@@ -0,0 +1,118 @@
+#!/usr/bin/env node
+/**
+ * The daemon: `toucanwindd --settings FILE [--check]`.
+ *
+ * SIGTERM or SIGINT shuts it down gracefully; a second one ends it at once.
+ * Exit codes: 0 after a graceful shutdown or a good `--check`, 1 after an
+ * internal error, 2 for a bad command line, 3 for bad settings, 4 when it
+ * couldn't start, 5 when a shutdown took longer than its bound.
+ *
+ * @module
+ */
+
+import { Cli, Command, Option } from "clipanion";
+import { randomUUID } from "node:crypto";
+import { Kernel, logger } from "../kernel/mod.ts";
+import { httpPlatform } from "../platform/http_platform.ts";
+import "../plugins.ts";
+import { loadSettings } from "../settings/load.ts";
+import type { Settings } from "../settings/mod.ts";
+
+enum Exit {
+  Done = 0,
+  Internal = 1,
+  Usage = 2,
+  Settings = 3,
+  Start = 4,
+  Overdue = 5,
+}
+
+/** Time beyond the drain bound after which a shutdown is cut short. */
+const SHUTDOWN_MARGIN_MS = 5000;
+
+const log = logger("daemon");
+
+class Daemon extends Command {
+  static override usage = Command.Usage({
+    description: "Runs the toucanwind daemon",
+  });
+
+  settings = Option.String("--settings", {
+    required: true,
+    description: "The settings file, TOML",
+  });
+
+  check = Option.Boolean("--check", false, {
+    description: "Only check the settings",
+  });
+
+  async execute(): Promise<number> {
+    const settings = loadSettings(this.settings);
+    if (settings.err) {
+      for (const error of settings.val) {
+        this.context.stderr.write(`${error}\n`);
+      }
+      return Exit.Settings;
+    }
+    if (this.check) return Exit.Done;
+    return await serve(settings.val);
+  }
+}
+
+/** Runs the daemon until a signal ends it; answers with the exit code. */
+async function serve(settings: Settings): Promise<number> {
+  const platform = httpPlatform(settings);
+  const incarnation = randomUUID();
+  const kernel = new Kernel({ settings, platform, incarnation });
+  const signalled = signal();
+  try {
+    await kernel.start();
+  } catch (error) {
+    process.stderr.write(`Daemon can't start: ${String(error)}\n`);
+    return Exit.Start;
+  }
+  log("started", { vm: settings.vm, incarnation });
+  await signalled;
+  log("draining", { vm: settings.vm });
+  const overdueMs = settings.timing.drainMs + SHUTDOWN_MARGIN_MS;
+  const overdue = setTimeout(() => process.exit(Exit.Overdue), overdueMs);
+  await kernel.shutdown();
+  clearTimeout(overdue);
+  await platform.close();
+  log("stopped", { vm: settings.vm });
+  return Exit.Done;
+}
+
+/** Resolves at the first signal to end; the second one ends the process. */
+function signal(): Promise<void> {
+  return new Promise((resolve) => {
+    const ask = () => {
+      process.once("SIGTERM", () => process.exit(Exit.Internal));
+      process.once("SIGINT", () => process.exit(Exit.Internal));
+      resolve();
+    };
+    process.once("SIGTERM", ask);
+    process.once("SIGINT", ask);
+  });
+}
+
+/** Runs the command line; answers with the exit code. */
+async function main(args: string[]): Promise<number> {
+  const cli = new Cli({ binaryName: "toucanwindd" });
+  cli.register(Daemon);
+  const command = parsed(cli, args);
+  if (command === undefined) return Exit.Usage;
+  return await cli.run(command, Cli.defaultContext);
+}
+
+function parsed(cli: Cli, args: string[]): Command | undefined {
+  try {
+    return cli.process(args, Cli.defaultContext);
+  } catch (error) {
+    process.stderr.write(cli.error(error, { colored: false }));
+    return undefined;
+  }
+}
+
+// Connections and timers that a plug-in left open don't keep it alive.
+main(process.argv.slice(2)).then((code) => process.exit(code));
