Command line and admin pages

Cause: operators drive the system by editing the two tables while traffic runs, race each other, and lose answers of the platform's service.

Change: `toucanwind` with validate, diff, apply, show, history, rollback, key new/grant/withdraw, status and in-force; the chain of revisions in src/cli/revisions.ts (archive before replace, settle by reading, marks for withdrawn keys); admin pages /admin/status and /admin/in-force. Additive: Settings.operatorSha256 (operator_sha256 in the file), optional.

Found by the tests: none in the product; the first check of the chain took a copy of the head in the archive, left by an edit that failed, for a doubled revision. It now holds such copies to be the same text.

Measured (fast-check, 120 runs of 2 to 5 operators with 4 edits each, up to 60 % of calls faulty): one chain, no false message.

The admin plug-in is not yet listed in src/plugins.ts: it requires the peers and configuration plug-ins.

--- /dev/null
+++ b/src/admin/admin_test.ts
@@ -0,0 +1,100 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { hashKey } from "../tables/mod.ts";
+import { startAdmin } from "./fixture.ts";
+
+test("in-force names members behind, silent and missing", async () => {
+  const { server, peers } = await startAdmin({
+    members: ["a", "b", "c"],
+    listed: ["a", "b", "c", "d"],
+    revision: 7,
+  });
+  peers.answers = {
+    a: { revision: 7, ageMs: 3 },
+    b: { revision: 6, ageMs: null },
+  };
+  const answer = await server.inject("/admin/in-force");
+  expect(answer.json()).toEqual({
+    revision: 7,
+    members: [
+      { vm: "a", revision: 7, ageMs: 3 },
+      { vm: "b", revision: 6, ageMs: null },
+      { vm: "c", revision: null, ageMs: null },
+    ],
+    missing: ["d"],
+  });
+});
+
+test("members known to have a revision are not asked again", async () => {
+  const { server, peers } = await startAdmin({ members: ["a", "b"] });
+  peers.answers = {
+    a: { revision: 7, ageMs: 3 },
+    b: { revision: 6, ageMs: 3 },
+  };
+  await server.inject("/admin/in-force?revision=7");
+  await server.inject("/admin/in-force?revision=7");
+  const asked = peers.asked.filter((kind) => kind === "a admin.revision");
+  expect(asked.length).toEqual(1);
+  expect(peers.asked.length).toEqual(3);
+});
+
+test("an unreadable list of VMs is told as such", async () => {
+  const { server } = await startAdmin({ members: ["a"] });
+  const answer = await server.inject("/admin/in-force");
+  expect(answer.json().missing).toEqual(null);
+});
+
+test("status holds every part, bounded, and survives one that fails", async () => {
+  const { server } = await startAdmin({
+    members: ["a"],
+    parts: {
+      well: () => ({ running: 3 }),
+      large: () => "x".repeat(300_000),
+      broken: () => {
+        throw new Error("broken");
+      },
+    },
+  });
+  const { parts } = (await server.inject("/admin/status")).json();
+  expect(parts).toEqual({
+    well: { running: 3 },
+    large: { tooLarge: true },
+    broken: { failed: true },
+  });
+  const one = (await server.inject("/admin/status?part=well")).json();
+  expect(Object.keys(one.parts)).toEqual(["well"]);
+});
+
+test("status of all shows a silent or garbled member as null", async () => {
+  const { server, peers } = await startAdmin({ members: ["a", "b", "c"] });
+  peers.answers = { a: `{"vm":"a","parts":{}}`, b: "{" };
+  const answer = await server.inject("/admin/status?all=1");
+  expect(answer.json().members).toEqual([
+    { vm: "a", parts: {} },
+    { vm: "b", parts: null },
+    { vm: "c", parts: null },
+  ]);
+});
+
+test("without a token set, only the VM itself is answered", async () => {
+  const { server } = await startAdmin({ members: ["a"] });
+  const from = async (remoteAddress: string) =>
+    (await server.inject({ url: "/admin/status", remoteAddress })).statusCode;
+  expect(await from("127.0.0.1")).toEqual(200);
+  expect(await from("::1")).toEqual(200);
+  expect(await from("10.0.0.9")).toEqual(401);
+});
+
+test("with a token set, nothing else opens the pages", async () => {
+  const { server } = await startAdmin({
+    members: ["a"],
+    operatorSha256: hashKey("operator-token"),
+  });
+  const status = async (headers: Record<string, string>) =>
+    (await server.inject({ url: "/admin/in-force", headers })).statusCode;
+  expect(await status({ authorization: "Bearer operator-token" })).toEqual(200);
+  expect(await status({ authorization: "Bearer other" })).toEqual(401);
+  expect(await status({ authorization: hashKey("operator-token") }))
+    .toEqual(401);
+  expect(await status({})).toEqual(401);
+});
--- /dev/null
+++ b/src/admin/fixture.ts
@@ -0,0 +1,204 @@
+/**
+ * The admin pages over fakes of what they ask, for tests.
+ *
+ * @module
+ */
+
+import fastify, { type FastifyInstance, type FastifyReply } from "fastify";
+import { none, type Option, some } from "fp-ts/Option";
+import { Err, Ok, type Result } from "ts-results";
+import { type Caller, Config, configKey } from "../config/mod.ts";
+import { Gateway, gatewayKey } from "../gateway/mod.ts";
+import {
+  Kernel,
+  ManualClock,
+  Plugin,
+  PluginKey,
+  Reason,
+  Refusal,
+  Verdict,
+} from "../kernel/mod.ts";
+import { type Member, Peers, peersKey } from "../peers/mod.ts";
+import {
+  Directory,
+  type Failure,
+  Fault,
+  type Platform,
+  Role,
+  type Vm,
+} from "../platform/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import type { Configuration, Key } from "../tables/mod.ts";
+import { vm } from "../../stand_ins/platform.ts";
+import { AdminPages } from "./admin.ts";
+import { adminKey } from "./mod.ts";
+
+class FakeGateway extends Gateway {
+  readonly server: FastifyInstance = fastify();
+
+  refuse(reply: FastifyReply, refusal: Refusal): FastifyReply {
+    return reply.code(401).send({ reason: refusal.reason });
+  }
+
+  count(): void {}
+}
+
+class FakeConfig extends Config {
+  readonly #revision: number;
+
+  constructor(revision: number) {
+    super();
+    this.#revision = revision;
+  }
+
+  current(): Option<Configuration> {
+    return this.#revision === 0
+      ? none
+      : some({ revision: this.#revision } as Configuration);
+  }
+
+  ageMs(): number {
+    return 12.4;
+  }
+
+  fresh(): boolean {
+    return true;
+  }
+
+  authorize(): Result<Caller, Refusal> {
+    return Ok({ tenant: "", keyId: "" });
+  }
+
+  granted(): Option<Key> {
+    return none;
+  }
+
+  onChange(): () => void {
+    return () => {};
+  }
+}
+
+/** Peers that answer as told; every request is recorded. */
+export class FakePeers extends Peers {
+  readonly asked: string[] = [];
+  /** The answer of each VM; a VM without one can't be reached. */
+  answers: Readonly<Record<string, unknown>> = {};
+  readonly #members: readonly Member[];
+
+  constructor(vms: readonly string[]) {
+    super();
+    this.#members = vms.map((vm) => ({
+      vm,
+      incarnation: `${vm}-1`,
+      address: "",
+      http: "",
+      availabilityZone: "a",
+      leaving: false,
+    }));
+  }
+
+  get self(): Member {
+    return this.#members[0];
+  }
+
+  members(): readonly Member[] {
+    return this.#members;
+  }
+
+  ranked(): readonly Member[] {
+    return this.#members;
+  }
+
+  ask(vm: string, kind: string): Promise<Result<unknown, Refusal>> {
+    this.asked.push(`${vm} ${kind}`);
+    const unreachable = new Refusal({
+      verdict: Verdict.NotRun,
+      reason: Reason.PeerUnreachable,
+      message: "No link",
+    });
+    return Promise.resolve(
+      vm in this.answers ? Ok(this.answers[vm]) : Err(unreachable),
+    );
+  }
+
+  onChange(): () => void {
+    return () => {};
+  }
+}
+
+class FakeDirectory extends Directory {
+  readonly #vms: readonly string[] | undefined;
+
+  constructor(vms: readonly string[] | undefined) {
+    super();
+    this.#vms = vms;
+  }
+
+  list(): Promise<Result<readonly Vm[], Failure>> {
+    const down = { fault: Fault.NotSent, message: "down" };
+    const vms = this.#vms?.map((id) => vm({ id, role: Role.Entry }));
+    return Promise.resolve(vms === undefined ? Err(down) : Ok(vms));
+  }
+}
+
+class Reporting extends Plugin {
+  override readonly props;
+
+  constructor(status: () => unknown) {
+    super();
+    this.props = { status };
+  }
+}
+
+/** A daemon that has nothing but its admin pages. */
+export interface AdminDaemon {
+  readonly server: FastifyInstance;
+  readonly peers: FakePeers;
+}
+
+/** Starts the admin pages of a daemon that knows these members. */
+export async function startAdmin(options: {
+  members: readonly string[];
+  revision?: number;
+  listed?: readonly string[];
+  operatorSha256?: string;
+  parts?: Readonly<Record<string, () => unknown>>;
+}): Promise<AdminDaemon> {
+  const gateway = new FakeGateway();
+  const peers = new FakePeers(options.members);
+  const fakes = [
+    { key: gatewayKey, create: () => gateway },
+    { key: peersKey, create: () => peers },
+    { key: configKey, create: () => new FakeConfig(options.revision ?? 0) },
+    ...Object.entries(options.parts ?? {}).map(([name, status]) => ({
+      key: new PluginKey(name),
+      create: () => new Reporting(status),
+    })),
+  ].map((fake) => ({ ...fake, requires: [] }));
+  const kernel = new Kernel({
+    settings: {
+      vm: options.members[0],
+      availabilityZone: "a",
+      operatorSha256: options.operatorSha256,
+    } as Settings,
+    platform: platformOf(new FakeDirectory(options.listed)),
+    incarnation: "1",
+    clock: new ManualClock(),
+    registrations: [
+      ...fakes,
+      {
+        key: adminKey,
+        requires: [],
+        create: (kernel) => new AdminPages({ kernel }),
+      },
+    ],
+  });
+  await kernel.start();
+  return { server: gateway.server, peers };
+}
+
+/** A platform of which only the list of VMs is reached. */
+function platformOf(directory: Directory): Platform {
+  const platform: Partial<Platform> = { directory };
+  return platform as Platform;
+}
--- /dev/null
+++ b/src/cli/commands_test.ts
@@ -0,0 +1,214 @@
+import { expect } from "earl";
+import fastify from "fastify";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test, type TestContext } from "node:test";
+import { hashKey, printTables, type Tables } from "../tables/mod.ts";
+import { pool, route, tables } from "../../stand_ins/builders.ts";
+import { Call, commands, MemoryKeyValue } from "./fixture.ts";
+import { Exit } from "./mod.ts";
+
+const NO_WAIT = ["--wait-ms", "0"];
+
+/** A folder with the files of these tables. */
+function folderOf(t: TestContext, tables: Tables): string {
+  const folder = mkdtempSync(join(tmpdir(), "toucanwind-cli-"));
+  t.after(() => rmSync(folder, { recursive: true }));
+  const files = printTables(tables);
+  writeFileSync(join(folder, "routes.toml"), files.routes);
+  writeFileSync(join(folder, "pools.toml"), files.pools);
+  return folder;
+}
+
+function withSlots(slots: number): Tables {
+  return tables({ pools: [pool({ slots })] });
+}
+
+/** A daemon whose in-force page shows these members. */
+async function daemonOf(
+  t: TestContext,
+  members: () => readonly unknown[],
+): Promise<string> {
+  const server = fastify();
+  server.get("/admin/in-force", () => ({
+    revision: 0,
+    members: members(),
+    missing: ["vm-9"],
+  }));
+  await server.listen({ host: "127.0.0.1", port: 0 });
+  t.after(() => server.close());
+  const { port } = server.server.address() as AddressInfo;
+  return `http://127.0.0.1:${port}`;
+}
+
+test("validate reports all problems and exits with 1", async (t) => {
+  const command = commands(new MemoryKeyValue());
+  const folder = folderOf(t, tables());
+  expect((await command("validate", folder)).exit).toEqual(Exit.Done);
+  writeFileSync(join(folder, "pools.toml"), "[pools.lm]\nslots = 0\n");
+  const { exit, stderr } = await command("validate", folder);
+  expect(exit).toEqual(Exit.Refused);
+  expect(stderr.split("\n").length).toBeGreaterThanOrEqual(4);
+});
+
+test("apply, show and history tell the same revision", async (t) => {
+  const command = commands(new MemoryKeyValue());
+  const folder = folderOf(t, withSlots(3));
+  const applied = await command("apply", folder, "--json", ...NO_WAIT);
+  expect(JSON.parse(applied.stdout).revision).toEqual(1);
+  const again = await command("apply", folder, "--json", ...NO_WAIT);
+  expect(JSON.parse(again.stdout).outcome).toEqual("unchanged");
+  const shown = await command("show", "--json");
+  expect(JSON.parse(shown.stdout).tables).toEqual(withSlots(3));
+  const listed = await command("history", "--json");
+  expect(JSON.parse(listed.stdout).revisions.length).toEqual(1);
+});
+
+test("what show writes is what apply takes", async (t) => {
+  const command = commands(new MemoryKeyValue());
+  const folder = folderOf(t, withSlots(3));
+  await command("apply", folder, ...NO_WAIT);
+  const out = join(folder, "out");
+  await command("show", "--out", out);
+  const { stdout } = await command("diff", out);
+  expect(stdout).toEqual("Nothing differs from revision 1\n");
+});
+
+test("an edit of an older revision loses to the newer one", async (t) => {
+  const command = commands(new MemoryKeyValue());
+  await command("apply", folderOf(t, withSlots(3)), ...NO_WAIT);
+  const winner = ["--author", "ana", "--note", "more slots", ...NO_WAIT];
+  await command("apply", folderOf(t, withSlots(4)), ...winner);
+  const lost = await command("apply", folderOf(t, withSlots(5)), "--on", "1");
+  expect(lost.exit).toEqual(Exit.Lost);
+  expect(/Another edit of revision 1 came first.*\n.*2 .*ana {2}more slots/
+    .test(lost.stderr)).toEqual(true);
+});
+
+test("a resend by its attempt is recognised, other tables refused", async (t) => {
+  const keyValue = new MemoryKeyValue();
+  const command = commands(keyValue);
+  const folder = folderOf(t, withSlots(3));
+  await command("apply", folderOf(t, withSlots(2)), ...NO_WAIT);
+  let sent = false;
+  keyValue.plan = (operation, key) => {
+    if (operation === "swap" && key.endsWith("configuration")) sent = true;
+    return sent ? Call.AnswerLost : Call.Answered;
+  };
+  const lost = await command("apply", folder, "--json", ...NO_WAIT);
+  expect(lost.exit).toEqual(Exit.Unknown);
+  const { attempt } = JSON.parse(lost.stdout);
+  keyValue.plan = () => Call.Answered;
+  await command("apply", folderOf(t, withSlots(9)), ...NO_WAIT);
+  const resend = ["--on", "1", "--attempt", attempt, "--json", ...NO_WAIT];
+  const again = await command("apply", folder, ...resend);
+  expect(JSON.parse(again.stdout).outcome).toEqual("accepted");
+  expect(JSON.parse(again.stdout).revision).toEqual(2);
+  const other = await command("apply", folderOf(t, withSlots(5)), ...resend);
+  expect(other.exit).toEqual(Exit.Refused);
+});
+
+test("a granted key is shown once, and only its hash is stored", async (t) => {
+  const keyValue = new MemoryKeyValue();
+  const command = commands(keyValue);
+  await command("apply", folderOf(t, tables()), ...NO_WAIT);
+  const grant = ["--route", "chat", "--tenant", "one", "--json", ...NO_WAIT];
+  const granted = await command("key", "grant", "one-2", ...grant);
+  const { key } = JSON.parse(granted.stdout);
+  const stored = JSON.stringify([...keyValue.entries.values()]);
+  expect(stored.includes(key)).toEqual(false);
+  expect(stored.includes(hashKey(key))).toEqual(true);
+  const twice = await command("key", "grant", "one-2", ...grant);
+  expect(twice.exit).toEqual(Exit.Refused);
+});
+
+test("a withdrawn key comes back by --regrant only", async (t) => {
+  const command = commands(new MemoryKeyValue());
+  const folder = folderOf(t, tables());
+  const id = tables().routes[0].keys[0].id;
+  await command("apply", folder, ...NO_WAIT);
+  const withdrawn = await command("key", "withdraw", id, ...NO_WAIT);
+  expect(withdrawn.exit).toEqual(Exit.Done);
+  const refused = await command("apply", folder, ...NO_WAIT);
+  expect(refused.exit).toEqual(Exit.Refused);
+  expect(refused.stderr.includes(`"${id}"`)).toEqual(true);
+  const back = await command("rollback", "1", "--json", ...NO_WAIT);
+  expect(JSON.parse(back.stdout).outcome).toEqual("unchanged");
+  const forced = await command("apply", folder, "--regrant", ...NO_WAIT);
+  expect(forced.exit).toEqual(Exit.Done);
+});
+
+test("rollback makes a new revision of the old tables", async (t) => {
+  const command = commands(new MemoryKeyValue());
+  for (const slots of [3, 4, 5]) {
+    await command("apply", folderOf(t, withSlots(slots)), ...NO_WAIT);
+  }
+  const back = await command("rollback", "1", "--json", ...NO_WAIT);
+  expect(JSON.parse(back.stdout).revision).toEqual(4);
+  const shown = await command("show", "--json");
+  expect(JSON.parse(shown.stdout).tables).toEqual(withSlots(3));
+});
+
+test("two edits of keys at once both stand", async (t) => {
+  const keyValue = new MemoryKeyValue();
+  const command = commands(keyValue);
+  await command("apply", folderOf(t, tables()), ...NO_WAIT);
+  const grant = ["--route", "chat", "--tenant", "one", ...NO_WAIT];
+  const exits = await Promise.all(
+    ["k1", "k2", "k3", "k4"].map((id) => command("key", "grant", id, ...grant)),
+  );
+  expect(exits.map(({ exit }) => exit)).toEqual([0, 0, 0, 0]);
+  const shown = JSON.parse((await command("show", "--json")).stdout);
+  expect(shown.tables.routes[0].keys.length).toEqual(5);
+});
+
+test("daemons that lag, are silent or missing are named", async (t) => {
+  const entry = await daemonOf(t, () => [
+    { vm: "vm-1", revision: 1, ageMs: 3 },
+    { vm: "vm-2", revision: 0, ageMs: 3 },
+    { vm: "vm-3", revision: null, ageMs: null },
+  ]);
+  const command = commands(new MemoryKeyValue(), { TOUCANWIND_ENTRY: entry });
+  const { exit, stderr } = await command("apply", folderOf(t, tables()));
+  expect(exit).toEqual(Exit.Lagging);
+  expect(stderr.includes("vm-1")).toEqual(false);
+  for (const line of ["vm-2: has 0", "vm-3: no answer", "vm-9: no answer"]) {
+    expect(stderr.includes(line)).toEqual(true);
+  }
+});
+
+test("a daemon that can't be asked leaves an edit accepted", async (t) => {
+  const env = { TOUCANWIND_ENTRY: "http://127.0.0.1:1" };
+  const command = commands(new MemoryKeyValue(), env);
+  const { exit, stderr } = await command("apply", folderOf(t, tables()));
+  expect(exit).toEqual(Exit.Lagging);
+  expect(stderr.includes("Revision 1 is accepted")).toEqual(true);
+  expect((await command("status")).exit).toEqual(Exit.Unknown);
+});
+
+test("a platform that is down changes nothing and says so", async (t) => {
+  const keyValue = new MemoryKeyValue({ plan: () => Call.NotSent });
+  const command = commands(keyValue);
+  const down = await command("apply", folderOf(t, tables()), "--json");
+  expect(down.exit).toEqual(Exit.Unknown);
+  expect(JSON.parse(down.stdout).outcome).toEqual("unreached");
+});
+
+test("wrong options and settings exit with 1", async (t) => {
+  const command = commands(new MemoryKeyValue());
+  const folder = folderOf(t, tables({ routes: [route()] }));
+  for (
+    const args of [
+      ["apply", folder, "--on", "x"],
+      ["apply", folder, "--attempt", "a"],
+      ["show", "--platform", "nowhere"],
+      ["show", "--settings", join(folder, "none.toml")],
+      ["show", "--settings", join(folder, "routes.toml")],
+      ["fly"],
+    ]
+  ) {
+    expect((await command(...args)).exit).toEqual(Exit.Refused);
+  }
+});
--- a/src/cli/daemons.ts
+++ b/src/cli/daemons.ts
@@ -68,9 +68,13 @@
     return await this.#get(`/admin/status${options.all ? "?all=1" : ""}`);
   }
 
-  /** Which revision each daemon has in force. */
-  async force(): Promise<Result<Force, string>> {
-    const page = await this.#get("/admin/in-force");
+  /**
+   * Which revision each daemon has in force; those known to have `wanted`
+   * are not asked again.
+   */
+  async force(wanted?: number): Promise<Result<Force, string>> {
+    const search = wanted === undefined ? "" : `?revision=${wanted}`;
+    const page = await this.#get(`/admin/in-force${search}`);
     if (page.err) return page;
     const parsed = force.safeParse(page.val);
     return parsed.success
@@ -82,7 +86,7 @@
   async arrival(revision: number, waitMs: number): Promise<Arrival> {
     const start = this.#clock.now();
     for (;;) {
-      const answer = await this.force();
+      const answer = await this.force(revision);
       const waitedMs = Math.round(this.#clock.now() - start);
       const arrival = arrived(answer, revision, waitedMs);
       if (arrival.inForce || waitedMs + POLL_MS > waitMs) return arrival;
--- /dev/null
+++ b/src/cli/fixture.ts
@@ -0,0 +1,202 @@
+/**
+ * What the tests of the command line are built from: a key-value service in
+ * memory whose calls fail as told, and commands run against it.
+ *
+ * @module
+ */
+
+import { fromNullable, type Option } from "fp-ts/Option";
+import { PassThrough } from "node:stream";
+import { Err, Ok, type Result } from "ts-results";
+import { Clock } from "../kernel/mod.ts";
+import {
+  type Entry,
+  type Failure,
+  Fault,
+  type Grant,
+  KeyValue,
+  type Swap,
+} from "../platform/mod.ts";
+import { run } from "./mod.ts";
+
+/** How one call of the service in memory goes. */
+export enum Call {
+  Answered = "answered",
+  /** Nothing is sent. */
+  NotSent = "not sent",
+  /** The answer is lost; the call has no effect. */
+  Dropped = "dropped",
+  /** The answer is lost; the call takes effect. */
+  AnswerLost = "answer lost",
+  /** The answer is lost; the call takes effect a while later. */
+  Late = "late",
+}
+
+/** Decides how a call goes. */
+export type Plan = (operation: "get" | "range" | "swap", key: string) => Call;
+
+const LATE_TURNS = 8;
+
+/** A key-value service in memory. */
+export class MemoryKeyValue extends KeyValue {
+  readonly entries = new Map<string, Entry>();
+  plan: Plan;
+  #revision = 0;
+
+  constructor(options: { plan?: Plan } = {}) {
+    super();
+    this.plan = options.plan ?? (() => Call.Answered);
+  }
+
+  async get(key: string): Promise<Result<Option<Entry>, Failure>> {
+    return await this.#call(
+      this.plan("get", key),
+      () => fromNullable(this.entries.get(key)),
+    );
+  }
+
+  async range(
+    prefix: string,
+    options: { after?: string; limit?: number } = {},
+  ): Promise<Result<readonly Entry[], Failure>> {
+    return await this.#call(
+      this.plan("range", prefix),
+      () =>
+        [...this.entries.values()]
+          .filter(({ key }) => key.startsWith(prefix))
+          .filter(({ key }) => key > (options.after ?? ""))
+          .sort((a, b) => a.key < b.key ? -1 : 1)
+          .slice(0, options.limit),
+    );
+  }
+
+  async swap(
+    key: string,
+    options: { value: string; expected: number },
+  ): Promise<Result<Swap, Failure>> {
+    return await this.#call(this.plan("swap", key), () => {
+      const { value, expected } = options;
+      return this.#replace(key, expected, (revision) => {
+        this.entries.set(key, { key, value, revision });
+      });
+    });
+  }
+
+  async remove(key: string, expected: number): Promise<Result<Swap, Failure>> {
+    return await this.#call(
+      Call.Answered,
+      () =>
+        this.#replace(key, expected, () => {
+          this.entries.delete(key);
+        }),
+    );
+  }
+
+  grant(): Promise<Result<Grant, Failure>> {
+    throw new RangeError("The command line takes no leases");
+  }
+
+  renew(): Promise<Result<Grant, Failure>> {
+    throw new RangeError("The command line takes no leases");
+  }
+
+  revoke(): Promise<Result<true, Failure>> {
+    throw new RangeError("The command line takes no leases");
+  }
+
+  watch(): Promise<Result<Option<Entry>, Failure>> {
+    throw new RangeError("The command line watches nothing");
+  }
+
+  #replace(
+    key: string,
+    expected: number,
+    write: (revision: number) => void,
+  ): Swap {
+    const current = this.entries.get(key);
+    if ((current?.revision ?? 0) !== expected) {
+      return { applied: false, current: fromNullable(current) };
+    }
+    write(++this.#revision);
+    return { applied: true, revision: this.#revision };
+  }
+
+  async #call<T>(call: Call, effect: () => T): Promise<Result<T, Failure>> {
+    await turn();
+    if (call === Call.NotSent) return Err(failure(Fault.NotSent));
+    if (call === Call.Dropped) return Err(failure(Fault.Unknown));
+    if (call === Call.Late) {
+      void turns(LATE_TURNS).then(effect);
+      return Err(failure(Fault.Unknown));
+    }
+    const answer = effect();
+    await turn();
+    if (call === Call.AnswerLost) return Err(failure(Fault.Unknown));
+    return Ok(answer);
+  }
+}
+
+function failure(fault: Fault): Failure {
+  return { fault, message: "as planned" };
+}
+
+function turn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+async function turns(count: number): Promise<void> {
+  for (let at = 0; at < count; at++) await turn();
+}
+
+/** A clock on which every wait is over at once. */
+export class InstantClock extends Clock {
+  #now = 0;
+
+  now(): number {
+    return this.#now;
+  }
+
+  wall(): number {
+    return Date.UTC(2026, 11, 4) + this.#now;
+  }
+
+  after(delayMs: number, task: () => void): () => void {
+    const timer = setImmediate(() => {
+      this.#now += delayMs;
+      task();
+    });
+    return () => clearImmediate(timer);
+  }
+}
+
+/** What a command printed, and its exit code. */
+export interface Output {
+  readonly exit: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/** Runs commands against one key-value service. */
+export function commands(
+  keyValue: KeyValue,
+  env: Readonly<Record<string, string>> = {},
+): (...args: readonly string[]) => Promise<Output> {
+  return async (...args) => {
+    const stdout = new PassThrough();
+    const stderr = new PassThrough();
+    const exit = await run(args, {
+      env: { TOUCANWIND_PLATFORM: "http://127.0.0.1:1", ...env },
+      stdin: new PassThrough(),
+      stdout,
+      stderr,
+      colorDepth: 1,
+      clock: new InstantClock(),
+      connect: () => keyValue,
+    });
+    return { exit, stdout: drained(stdout), stderr: drained(stderr) };
+  };
+}
+
+function drained(stream: PassThrough): string {
+  return String(stream.read() ?? "");
+}
--- a/src/cli/mod.ts
+++ b/src/cli/mod.ts
@@ -37,6 +37,7 @@
     binaryName: "toucanwind",
     binaryLabel: "toucanwind, a rollout service",
     binaryVersion: "0.1.0",
+    enableColors: "isTTY" in context.stdout && context.stdout.isTTY === true,
   });
   const commands = [
     ...[Validate, Diff, Apply, Show, History, Rollback],
--- a/src/cli/revisions.ts
+++ b/src/cli/revisions.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { isNone, none, type Option, some } from "fp-ts/Option";
+import { isNone, map, none, type Option, some } from "fp-ts/Option";
 import { Err, Ok, type Result } from "ts-results";
 import type { Clock } from "../kernel/mod.ts";
 import {
@@ -191,7 +191,7 @@
     };
     const text = encodeConfiguration({ ...stamp, tables: edit.tables });
     if (text.err) return { ending: Ending.Invalid, problems: text.val };
-    const expected = isNone(head) ? 0 : head.value.entry.revision;
+    const expected = revisionIn(map(({ entry }: Stored) => entry)(head));
     const sent = await this.#send(text.val, expected);
     if (sent.err) return sent.val;
     if (!sent.val.applied) {
@@ -254,21 +254,26 @@
   }
 
   /**
-   * Swaps the head until there is an answer. The same swap is sent each time:
-   * once one has taken effect, the others can't.
+   * Swaps the head until there is an answer. When one is lost, the head is
+   * read; while it is unchanged, the same swap is sent again, since of all
+   * these only one can take effect.
    */
   async #send(
     value: string,
     expected: number,
   ): Promise<Result<Swap, Commit>> {
     let mayStand = false;
-    const sent = await this.#insist(async () => {
+    const sent = await this.#insist<Swap>(async () => {
       const swap = await this.#keyValue.swap(CONFIGURATION_KEY, {
         value,
         expected,
       });
-      if (swap.err && swap.val.fault === Fault.Unknown) mayStand = true;
-      return swap;
+      if (swap.ok || swap.val.fault !== Fault.Unknown) return swap;
+      mayStand = true;
+      const read = await this.#keyValue.get(CONFIGURATION_KEY);
+      if (read.err) return read;
+      const unchanged = revisionIn(read.val) === expected;
+      return unchanged ? swap : Ok({ applied: false, current: read.val });
     });
     if (sent.ok || !mayStand) return sent;
     return Err({ ending: Ending.Unknown, message: sent.val.message });
@@ -358,6 +363,10 @@
   return ARCHIVE_PREFIX + String(revision).padStart(REVISION_DIGITS, "0");
 }
 
+function revisionIn(entry: Option<Entry>): number {
+  return isNone(entry) ? 0 : entry.value.revision;
+}
+
 function storedIn(entry: Entry): Result<Stored, Unread> {
   const stamp = decodeStamp(entry.value);
   if (stamp.err) return Err(damaged(entry.key));
--- /dev/null
+++ b/src/cli/revisions_test.ts
@@ -0,0 +1,234 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { isNone, isSome } from "fp-ts/Option";
+import { test } from "node:test";
+import { decodeConfiguration, hashKey, type Tables } from "../tables/mod.ts";
+import { pool, route } from "../../stand_ins/builders.ts";
+import { Call, InstantClock, MemoryKeyValue, type Plan } from "./fixture.ts";
+import {
+  ARCHIVE_PREFIX,
+  type Commit,
+  type Edit,
+  Ending,
+  Revisions,
+} from "./mod.ts";
+
+const HEAD = "toucanwind/configuration";
+
+function tables(slots: number, secrets: readonly string[] = []): Tables {
+  const keys = secrets.map((secret) => ({
+    id: secret,
+    sha256: hashKey(secret),
+    tenant: "one",
+  }));
+  return { routes: [route({ keys })], pools: [pool({ slots })] };
+}
+
+function edit(on: number, attempt: string, slots = on + 1): Edit {
+  return { on, attempt, tables: tables(slots), author: attempt, note: "" };
+}
+
+function revisionsOf(keyValue: MemoryKeyValue, patienceMs = 5_000): Revisions {
+  return new Revisions({ keyValue, clock: new InstantClock(), patienceMs });
+}
+
+/** The calls of a plan in their order, then only answered ones. */
+function first(operation: string, key: string, calls: readonly Call[]): Plan {
+  const left = [...calls];
+  return (op, at) =>
+    op === operation && at.startsWith(key)
+      ? left.shift() ?? Call.Answered
+      : Call.Answered;
+}
+
+async function chain(length: number): Promise<MemoryKeyValue> {
+  const keyValue = new MemoryKeyValue();
+  const revisions = revisionsOf(keyValue);
+  for (let on = 0; on < length; on++) {
+    await revisions.commit(edit(on, `a${on + 1}`));
+  }
+  return keyValue;
+}
+
+test("each revision before the head is archived", async () => {
+  const revisions = revisionsOf(await chain(3));
+  const listed = (await revisions.list(10)).unwrap();
+  expect(listed.map((stamp) => stamp.attempt)).toEqual(["a3", "a2", "a1"]);
+  expect((await revisions.list(2)).unwrap().length).toEqual(2);
+  const second = (await revisions.at(2)).unwrap();
+  expect(isSome(second) && second.value.tables.unwrap().pools[0]?.slots)
+    .toEqual(2);
+  expect(isNone((await revisions.at(9)).unwrap())).toEqual(true);
+});
+
+for (const call of [Call.AnswerLost, Call.Dropped, Call.Late, Call.NotSent]) {
+  test(`an edit is accepted once when its swap is ${call}`, async () => {
+    const keyValue = await chain(2);
+    keyValue.plan = first("swap", HEAD, [call, call]);
+    const commit = await revisionsOf(keyValue).commit(edit(2, "mine"));
+    expect(commit.ending).toEqual(Ending.Accepted);
+    const listed = (await revisionsOf(keyValue).list(10)).unwrap();
+    expect(listed.map((stamp) => stamp.attempt)).toEqual(["mine", "a2", "a1"]);
+  });
+}
+
+test("the loser of a race is told the winner", async () => {
+  const keyValue = await chain(2);
+  const commit = await revisionsOf(keyValue).commit(edit(1, "late"));
+  if (commit.ending !== Ending.Lost) throw new Error(commit.ending);
+  expect(isSome(commit.winner) && commit.winner.value.author).toEqual("a2");
+});
+
+test("a lost answer is recognised after others went on", async () => {
+  const keyValue = await chain(1);
+  const mine = edit(1, "mine");
+  const lost = first("swap", HEAD, Array(99).fill(Call.AnswerLost));
+  const unread = first("get", HEAD, [Call.Answered, Call.NotSent]);
+  keyValue.plan = (...call) =>
+    call[0] === "get" ? unread(...call) : lost(...call);
+  const commit = await revisionsOf(keyValue, 0).commit(mine);
+  expect(commit.ending).toEqual(Ending.Unknown);
+  keyValue.plan = () => Call.Answered;
+  await revisionsOf(keyValue).commit(edit(2, "other"));
+  const again = await revisionsOf(keyValue).commit(mine);
+  expect(again.ending).toEqual(Ending.Accepted);
+  const listed = (await revisionsOf(keyValue).list(10)).unwrap();
+  expect(listed.map((stamp) => stamp.attempt)).toEqual(["other", "mine", "a1"]);
+});
+
+test("without a swap of the head, nothing was changed", async () => {
+  const keyValue = await chain(1);
+  keyValue.plan = first("swap", ARCHIVE_PREFIX, Array(99).fill(Call.Dropped));
+  const commit = await revisionsOf(keyValue, 0).commit(edit(1, "mine"));
+  expect(commit.ending).toEqual(Ending.Unreached);
+  keyValue.plan = first("swap", HEAD, Array(99).fill(Call.NotSent));
+  const again = await revisionsOf(keyValue, 0).commit(edit(1, "mine"));
+  expect(again.ending).toEqual(Ending.Unreached);
+});
+
+test("a withdrawn key is remembered, a granted one isn't", async () => {
+  const keyValue = new MemoryKeyValue();
+  const revisions = revisionsOf(keyValue);
+  const keyed = (on: number, secrets: readonly string[]) => ({
+    ...edit(on, `e${on}`),
+    tables: tables(4, secrets),
+  });
+  await revisions.commit(keyed(0, ["x", "y"]));
+  await revisions.commit(keyed(1, ["y"]));
+  const hashes = ["x", "y", "z"].map(hashKey);
+  expect((await revisions.withdrawn(hashes)).unwrap()).toEqual([hashKey("x")]);
+});
+
+test("a chain whose head is gone goes on above its archive", async () => {
+  const keyValue = await chain(3);
+  keyValue.entries.delete(HEAD);
+  const commit = await revisionsOf(keyValue).commit(edit(0, "again"));
+  if (commit.ending !== Ending.Accepted) throw new Error(commit.ending);
+  // The head was 3 and its archive ends at 2; any head so far was below 4.
+  expect(commit.stamp.revision).toEqual(4);
+});
+
+test("a head that today's checks refuse can be replaced", async () => {
+  const keyValue = await chain(1);
+  const entry = keyValue.entries.get(HEAD);
+  if (entry === undefined) throw new Error("No head");
+  const value = entry.value.replace(`"slots":1`, `"slots":-1`);
+  keyValue.entries.set(HEAD, { ...entry, value });
+  const commit = await revisionsOf(keyValue).commit(edit(1, "mine"));
+  expect(commit.ending).toEqual(Ending.Accepted);
+});
+
+interface Told {
+  readonly edit: Edit;
+  readonly commit: Commit;
+}
+
+/** Several operators edit at once, each from what it last saw. */
+async function race(
+  keyValue: MemoryKeyValue,
+  options: { operators: number; edits: number },
+): Promise<readonly Told[]> {
+  const told: Told[] = [];
+  const operate = async (operator: number) => {
+    const revisions = revisionsOf(keyValue, 400);
+    for (let nth = 0; nth < options.edits; nth++) {
+      const head = await revisions.head();
+      const on = head.ok && isSome(head.val)
+        ? head.val.value.stamp.revision
+        : 0;
+      const mine = edit(on, `${operator}.${nth}`, 1 + operator);
+      told.push({ edit: mine, commit: await revisions.commit(mine) });
+    }
+  };
+  const all = Array.from({ length: options.operators }, (_, at) => operate(at));
+  await Promise.all(all);
+  return told;
+}
+
+/** What the chain and what operators were told of it contradict each other in. */
+function contradictions(
+  keyValue: MemoryKeyValue,
+  told: readonly Told[],
+): readonly string[] {
+  // An edit that failed may have archived the head; it is the same text.
+  const texts = [...keyValue.entries.values()]
+    .filter(({ key }) => key === HEAD || key.startsWith(ARCHIVE_PREFIX))
+    .map((entry) => entry.value);
+  const chain = [...new Set(texts)]
+    .map((text) => decodeConfiguration(text).unwrap())
+    .sort((a, b) => a.revision - b.revision);
+  const faults = chain
+    .filter((one, at) => one.revision !== at + 1)
+    .map((one) => `revision ${one.revision} is out of line`);
+  for (const { edit, commit } of told) {
+    const at = chain.find((one) => one.attempt === edit.attempt)?.revision;
+    const { ending } = commit;
+    if (at !== undefined && at !== edit.on + 1) {
+      faults.push(`${edit.attempt} on ${edit.on} became ${at}`);
+    }
+    const stands = at !== undefined;
+    if (ending !== Ending.Unknown && stands !== (ending === Ending.Accepted)) {
+      faults.push(`${edit.attempt} is told ${ending}, stands: ${stands}`);
+    }
+  }
+  return faults;
+}
+
+test("under faults, the chain is one and every message true", async () => {
+  const draw = fc.record({
+    calls: fc.infiniteStream(fc.nat(99)),
+    operators: fc.integer({ min: 2, max: 5 }),
+    faulty: fc.constantFrom(0, 20, 60),
+  });
+  const faults = [Call.AnswerLost, Call.Dropped, Call.Late, Call.NotSent];
+  await fc.assert(
+    fc.asyncProperty(draw, async ({ calls, operators, faulty }) => {
+      const keyValue = new MemoryKeyValue({
+        plan: () => {
+          const drawn = calls.next().value as number;
+          return drawn < faulty ? faults[drawn % 4] : Call.Answered;
+        },
+      });
+      const told = await race(keyValue, { operators, edits: 4 });
+      expect(contradictions(keyValue, told)).toEqual([]);
+    }),
+    { seed: 20261204, numRuns: 120, includeErrorInReport: true },
+  );
+});
+
+test("the check of the chain finds a doubled and a false message", async () => {
+  const keyValue = new MemoryKeyValue();
+  const told = await race(keyValue, { operators: 2, edits: 2 });
+  const lied = told.map(({ edit, commit }) => ({
+    edit,
+    commit: commit.ending === Ending.Accepted
+      ? { ending: Ending.Unreached as const, message: "" }
+      : commit,
+  }));
+  expect(contradictions(keyValue, lied).length).toBeGreaterThanOrEqual(1);
+  const moved = told.map((one) => ({
+    ...one,
+    edit: { ...one.edit, on: one.edit.on + 1 },
+  }));
+  expect(contradictions(keyValue, moved).length).toBeGreaterThanOrEqual(1);
+});
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -60,6 +60,10 @@
   availability_zone: name,
   region: name,
   data_folder: z.string().default(""),
+  operator_sha256: z.string().regex(
+    /^[0-9a-f]{64}$/,
+    "Must be a SHA-256 as 64 lower-case hexadecimal digits",
+  ).optional(),
   http: listener,
   peer: z.strictObject({ host: name, port, secret_file: name }),
   platform: z.strictObject({
@@ -155,6 +159,7 @@
       weights: platform.weights,
     },
     dataFolder: given.data_folder,
+    operatorSha256: given.operator_sha256,
     timing: {
       heartbeatMs: timing.heartbeat_ms,
       peerSilenceMs: timing.peer_silence_ms,
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -23,6 +23,11 @@
     readonly reports: string;
     readonly weights: string;
   };
+  /**
+   * SHA-256 of the operators' token for the admin pages; without it they are
+   * served on the VM itself only.
+   */
+  readonly operatorSha256?: string;
   /** Folder for bulk data, or empty where the VM keeps nothing. */
   readonly dataFolder: string;
   readonly timing: Timing;
