--- /dev/null
+++ b/src/dispatch/choice.ts
@@ -0,0 +1,57 @@
+/**
+ * Which upstream a request goes to: the contract and two baselines.
+ *
+ * @module
+ */
+
+import type { CacheEvent, Load } from "../platform/mod.ts";
+import type { Upstream } from "./shards.ts";
+import type { Ticket } from "./queue.ts";
+
+/** An upstream that may take a request now, as its keeper sees it. */
+export interface Candidate {
+  readonly upstream: Upstream;
+  /** Permits in use; exact, unlike the reported load. */
+  readonly inFlight: number;
+  /** Requests that the upstream runs besides, as far as reports tell. */
+  readonly foreign: number;
+  /** The last reported load, if any. */
+  readonly load: Load | undefined;
+  /** Milliseconds since the upstream was first seen ready. */
+  readonly readyForMs: number;
+}
+
+/** Picks upstreams. */
+export abstract class Choice {
+  /** The upstream for a request; `candidates` is not empty. */
+  abstract pick(ticket: Ticket, candidates: readonly Candidate[]): Candidate;
+
+  /** Takes note that a request went to an upstream. */
+  granted(_ticket: Ticket, _upstream: string): void {}
+
+  /** Takes in an upstream's cache events. */
+  cached(_upstream: string, _events: readonly CacheEvent[]): void {}
+
+  /** Forgets an upstream. */
+  forget(_upstream: string): void {}
+}
+
+/** Takes the upstreams in turn. */
+export class RoundRobin extends Choice {
+  #turn = 0;
+
+  pick(_ticket: Ticket, candidates: readonly Candidate[]): Candidate {
+    return candidates[this.#turn++ % candidates.length];
+  }
+}
+
+/** Takes the upstream whose last report tells the least load. */
+export class LeastReported extends Choice {
+  pick(_ticket: Ticket, candidates: readonly Candidate[]): Candidate {
+    const reported = ({ load }: Candidate) =>
+      load === undefined ? 0 : load.running + load.queued;
+    return candidates.reduce((best, candidate) =>
+      reported(candidate) < reported(best) ? candidate : best
+    );
+  }
+}
--- /dev/null
+++ b/src/dispatch/crashes.ts
@@ -0,0 +1,171 @@
+/**
+ * Tells an upstream's crash from the break of one connection, and a crash
+ * that a request caused from an availability zone that went away.
+ *
+ * A break opens an episode. It ends as a crash when the upstream's load can't
+ * be read or every request that ran there broke, and as a mere break when
+ * one of them is served or the load can be read while others still run.
+ *
+ * @module
+ */
+
+import type { Holding } from "./permits.ts";
+import { Outcome } from "./mod.ts";
+import type { Quarantine } from "./quarantine.ts";
+import type { Upstream } from "./shards.ts";
+
+/** Breaks further apart than this are not of one crash. */
+const EPISODE_MS = 2000;
+
+/** Upstreams of a zone that fall within this time fell with the zone. */
+const ZONE_MS = 2000;
+
+interface Episode {
+  readonly upstream: Upstream;
+  readonly startedAt: number;
+  /** Everything that ran on the upstream when the episode began. */
+  readonly holdings: readonly Holding[];
+  readonly broken: Set<string>;
+  readonly ended: Set<string>;
+}
+
+interface Fall {
+  readonly upstream: Upstream;
+  readonly at: number;
+  readonly fingerprints: readonly string[];
+}
+
+/** A shard's recent breaks and crashes. */
+export class Crashes {
+  readonly #quarantine: Quarantine;
+  readonly #episodes = new Map<string, Episode>();
+  /** Upstreams that fell and have not answered since. */
+  readonly #down = new Set<string>();
+  #falls: readonly Fall[] = [];
+
+  constructor(options: { quarantine: Quarantine }) {
+    this.#quarantine = options.quarantine;
+  }
+
+  /** Takes in how a request ended; `running` are those still there. */
+  ended(holding: Holding, options: {
+    outcome: Outcome;
+    upstream: Upstream;
+    running: readonly Holding[];
+    now: number;
+  }): void {
+    const { outcome, upstream, now } = options;
+    if (outcome === Outcome.Broken) this.#broke(holding, options);
+    const episode = this.#episode(upstream.id, now);
+    if (episode === undefined) return;
+    episode.ended.add(holding.permit);
+    if (outcome === Outcome.Served) return this.#acquit(episode);
+    const all = episode.holdings.every(({ permit }) =>
+      episode.ended.has(permit)
+    );
+    if (all && episode.broken.size > 1) this.#crashed(episode, now);
+  }
+
+  /** Takes in whether an upstream's load could be read. */
+  probed(upstream: Upstream, ok: boolean, now: number): void {
+    const episode = this.#episode(upstream.id, now);
+    if (!ok) {
+      if (episode !== undefined) this.#crashed(episode, now);
+      else this.#fell({ upstream, at: now, fingerprints: [] });
+      return;
+    }
+    this.#down.delete(upstream.id);
+    if (episode === undefined) return;
+    const running = episode.holdings.some(({ permit }) =>
+      !episode.ended.has(permit)
+    );
+    // Where nothing else ran, an upstream may have crashed and restarted.
+    if (running || episode.holdings.length === 1) this.#acquit(episode);
+  }
+
+  #broke(holding: Holding, options: {
+    upstream: Upstream;
+    running: readonly Holding[];
+    now: number;
+  }): void {
+    const { upstream, running, now } = options;
+    const { fingerprint } = holding.demand;
+    if (now < holding.aloneUntil) {
+      if (!upstream.leaving) {
+        this.#quarantine.convict(fingerprint, holding.permit);
+      }
+      this.#fell({ upstream, at: now, fingerprints: [fingerprint] });
+      return;
+    }
+    if (upstream.leaving) return;
+    this.#quarantine.suspect(fingerprint, {
+      permit: holding.permit,
+      ranMs: now - holding.grantedAt,
+    });
+    const episode = this.#episode(upstream.id, now) ?? {
+      upstream,
+      startedAt: now,
+      holdings: [holding, ...running],
+      broken: new Set<string>(),
+      ended: new Set<string>(),
+    };
+    episode.broken.add(holding.permit);
+    this.#episodes.set(upstream.id, episode);
+  }
+
+  #episode(upstream: string, now: number): Episode | undefined {
+    const episode = this.#episodes.get(upstream);
+    if (episode === undefined || now - episode.startedAt <= EPISODE_MS) {
+      return episode;
+    }
+    this.#acquit(episode);
+    return undefined;
+  }
+
+  #crashed(episode: Episode, now: number): void {
+    this.#episodes.delete(episode.upstream.id);
+    const fingerprints = episode.holdings
+      .map(({ demand }) => demand.fingerprint);
+    for (const { permit, demand, grantedAt } of episode.holdings) {
+      this.#quarantine.suspect(demand.fingerprint, {
+        permit,
+        ranMs: episode.startedAt - grantedAt,
+      });
+    }
+    this.#fell({ upstream: episode.upstream, at: now, fingerprints });
+  }
+
+  #acquit(episode: Episode): void {
+    this.#episodes.delete(episode.upstream.id);
+    for (const { permit, demand } of episode.holdings) {
+      const finding = this.#quarantine.finding(demand.fingerprint);
+      if (finding?.permit !== permit || finding.crashes > 1) continue;
+      this.#quarantine.clear(demand.fingerprint);
+    }
+  }
+
+  /** Notes a crash; if its zone went away, nobody is blamed. */
+  #fell(fall: Fall): void {
+    if (this.#down.has(fall.upstream.id)) return;
+    this.#down.add(fall.upstream.id);
+    const recent = this.#falls.filter(({ at, upstream }) =>
+      fall.at - at <= ZONE_MS && upstream.id !== fall.upstream.id
+    );
+    this.#falls = [...recent, fall];
+    const zone = this.#falls.filter(({ upstream }) =>
+      upstream.availabilityZone === fall.upstream.availabilityZone
+    );
+    const others = zone.filter((other) =>
+      other !== fall &&
+      !other.fingerprints.some((name) => fall.fingerprints.includes(name))
+    );
+    if (others.length === 0) return;
+    for (const fingerprint of [...others, fall].flatMap(named)) {
+      this.#quarantine.clear(fingerprint);
+    }
+  }
+}
+
+function named(fall: Fall): readonly string[] {
+  return fall.fingerprints;
+}
--- /dev/null
+++ b/src/dispatch/dispatcher.ts
@@ -0,0 +1,443 @@
+/**
+ * The dispatch plug-in: on each daemon an asking side, and the keepers of
+ * those shards that fall to it.
+ *
+ * @module
+ */
+
+import { isSome, toUndefined } from "fp-ts/Option";
+import type { Counter, Gauge, Histogram } from "prom-client";
+import type { Result } from "ts-results";
+import { type Config, configKey } from "../config/mod.ts";
+import {
+  type GossipSection,
+  type Kernel,
+  type PeerHandler,
+  type Props,
+  Reason,
+  type Refusal,
+  register,
+} from "../kernel/mod.ts";
+import { type Peers, peersKey } from "../peers/mod.ts";
+import type { Vm } from "../platform/mod.ts";
+import { Entry } from "./entry.ts";
+import { Fleet } from "./fleet.ts";
+import { Hosting } from "./hosting.ts";
+import type { Answer } from "./keeper.ts";
+import {
+  acquireBody,
+  cancelBody,
+  Ending,
+  findingsBody,
+  holdingsBody,
+  Message,
+  pressureAnswer,
+  releaseBody,
+  renewBody,
+  shardBody,
+} from "./messages.ts";
+import {
+  type Demand,
+  Dispatch,
+  dispatchKey,
+  type Permit,
+  type Pressure,
+  type UpstreamStatus,
+} from "./mod.ts";
+import { RENEWAL_MS } from "./permits.ts";
+import { type Finding, Quarantine } from "./quarantine.ts";
+import { Summaries } from "./summaries.ts";
+import { Uses } from "./uses.ts";
+
+/** How often keepers end leases and waits that are over. */
+const TICK_MS = 100;
+
+/** How often summaries are published, and per shard of the whole system. */
+const PUBLISH_MS = 500;
+const PUBLISH_PER_SHARD_MS = 100;
+
+/** How long findings are gathered before the keepers are told. */
+const FINDINGS_DELAY_MS = 2;
+
+/** Time-out of messages that need a quick answer. */
+const NOTICE_TIMEOUT_MS = 1000;
+
+/** Buckets of waiting time, in seconds. */
+const WAIT_BUCKETS_S = [0.001, 0.005, 0.02, 0.1, 0.5, 2, 10, 60, 600];
+
+/** Grants permits over all daemons. */
+export class Dispatcher extends Dispatch {
+  override readonly props: Props;
+  readonly #kernel: Kernel;
+  readonly #peers: Peers;
+  readonly #config: Config;
+  readonly #quarantine: Quarantine;
+  readonly #summaries: Summaries;
+  readonly #hosting: Hosting;
+  readonly #uses: Uses;
+  readonly #entry: Entry;
+  readonly #abort = new AbortController();
+  readonly #refusals: Counter<"reason">;
+  readonly #retries: Counter<"reason">;
+  readonly #grants: Counter<"priority">;
+  readonly #waits: Histogram<"priority">;
+  readonly #load: Gauge<"pool" | "state">;
+  #removals: readonly (() => void)[] = [];
+  #vms: readonly Vm[] = [];
+  #fleet = new Fleet();
+  #findings: readonly Finding[] = [];
+
+  constructor(kernel: Kernel) {
+    super();
+    this.#kernel = kernel;
+    this.#peers = kernel.get(peersKey);
+    this.#config = kernel.get(configKey);
+    this.#quarantine = new Quarantine({ clock: kernel.clock });
+    this.#summaries = new Summaries({
+      clock: kernel.clock,
+      onService: (service) => this.#hosting.charge(service),
+    });
+    const shared = {
+      kernel,
+      clock: kernel.clock,
+      peers: this.#peers,
+      quarantine: this.#quarantine,
+      summaries: this.#summaries,
+      fleet: this.#fleet,
+    };
+    this.#hosting = new Hosting(shared);
+    this.#uses = new Uses(shared);
+    this.#retries = kernel.counter(
+      "toucanwind_dispatch_retries_total",
+      "Keepers asked again, by reason",
+      ["reason"],
+    );
+    this.#entry = new Entry({
+      ...shared,
+      uses: this.#uses,
+      onRetry: (reason) => this.#retries.inc({ reason }),
+    });
+    this.#refusals = kernel.counter(
+      "toucanwind_dispatch_refusals_total",
+      "Requests that got no permit, by reason",
+      ["reason"],
+    );
+    this.#grants = kernel.counter(
+      "toucanwind_dispatch_grants_total",
+      "Permits granted to this daemon, by priority",
+      ["priority"],
+    );
+    this.#waits = kernel.histogram(
+      "toucanwind_dispatch_wait_seconds",
+      "Time from a request's demand to its permit",
+      WAIT_BUCKETS_S,
+      ["priority"],
+    );
+    this.#load = kernel.gauge(
+      "toucanwind_dispatch_requests",
+      "Requests at the shards kept here, by pool and state",
+      ["pool", "state"],
+    );
+    this.#quarantine.onChange((finding) => this.#tell(finding));
+    this.props = {
+      peerHandlers: this.#handlers(),
+      gossip: {
+        "dispatch.shards": this.#summaries,
+        "dispatch.findings": this.#findingsSection(),
+      },
+      status: () => this.#status(),
+    };
+  }
+
+  override async start(): Promise<void> {
+    this.#removals = [
+      this.#peers.onChange(() => this.#assign()),
+      this.#config.onChange(() => this.#assign()),
+    ];
+    await this.#readDirectory();
+    const { timing } = this.#kernel.settings;
+    this.#every(() => timing.directoryMs, () => this.#readDirectory());
+    this.#every(() => TICK_MS, () => this.#hosting.tick());
+    this.#every(() => RENEWAL_MS, () => this.#uses.renew());
+    this.#every(() => this.#publishMs(), () => this.#publish());
+  }
+
+  override drain(): Promise<void> {
+    this.#hosting.close();
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    for (const remove of this.#removals) remove();
+    this.#hosting.close();
+    this.#abort.abort();
+    return Promise.resolve();
+  }
+
+  async acquire(
+    demand: Demand,
+    signal: AbortSignal,
+  ): Promise<Result<Permit, Refusal>> {
+    const startedAt = this.#kernel.clock.now();
+    const permit = await this.#entry.acquire(demand, signal);
+    const { priority } = demand;
+    if (permit.err) {
+      this.#refusals.inc({ reason: permit.val.reason });
+      return permit;
+    }
+    this.#grants.inc({ priority });
+    const waitedMs = this.#kernel.clock.now() - startedAt;
+    this.#waits.observe({ priority }, waitedMs / 1000);
+    return permit;
+  }
+
+  upstreams(pool: string): readonly UpstreamStatus[] {
+    return this.#fleet.of(pool).flatMap((shard) => {
+      const summary = this.#summaries.of(shard.name);
+      const keeper = this.#peers.ranked(shard.name)[0]?.vm ?? "";
+      return shard.upstreams.map((upstream) => {
+        const known = summary?.upstreams.find(({ id }) => id === upstream.id);
+        return {
+          id: upstream.id,
+          pool,
+          availabilityZone: upstream.availabilityZone,
+          keeper,
+          running: known?.running ?? 0,
+          queued: known?.queued ?? 0,
+          weightVersion: known?.weightVersion ?? 0,
+          reclaimable: upstream.reclaimable,
+          leaving: upstream.leaving,
+        };
+      });
+    });
+  }
+
+  async pressure(pool: string): Promise<Pressure> {
+    const shards = this.#fleet.of(pool);
+    const all = await Promise.all(
+      shards.map(({ name }) => this.#pressureOf(name)),
+    );
+    return all.reduce(sum, { running: 0, queued: 0, urgent: 0, slots: 0 });
+  }
+
+  async #pressureOf(shard: string): Promise<Pressure> {
+    const none = { running: 0, queued: 0, urgent: 0, slots: 0 };
+    const keeper = this.#peers.ranked(shard)[0]?.vm;
+    if (keeper === undefined) return none;
+    const answer = await this.#peers.ask(keeper, Message.Pressure, { shard }, {
+      timeoutMs: NOTICE_TIMEOUT_MS,
+    });
+    const parsed = pressureAnswer.safeParse(answer.ok ? answer.val : undefined);
+    if (parsed.success) return parsed.data;
+    const { running, queued, slots } = this.#summaries.of(shard) ?? none;
+    return { running, queued, slots, urgent: 0 };
+  }
+
+  #handlers(): Readonly<Record<Message, PeerHandler>> {
+    const answer = (body: unknown) => Promise.resolve(body);
+    return {
+      [Message.Acquire]: (body, from) => this.#acquired(body, from),
+      [Message.Cancel]: (body) => {
+        const { shard, ticket } = cancelBody.parse(body);
+        return answer(this.#hosting.keeper(shard)?.cancel(ticket) ?? false);
+      },
+      [Message.Release]: (body) => {
+        for (const end of releaseBody.parse(body).ends) {
+          this.#hosting.keeper(end.shard)
+            ?.release(end.permit, end.outcome, end.tokens);
+        }
+        return answer(true);
+      },
+      [Message.Renew]: (body) => {
+        const { shards } = renewBody.parse(body);
+        const unknown = Object.entries(shards).flatMap(([shard, permits]) =>
+          this.#hosting.keeper(shard)?.renew(permits) ?? []
+        );
+        return answer({ unknown });
+      },
+      [Message.Adopt]: (body, from) => {
+        const { shard, holdings } = holdingsBody.parse(body);
+        this.#hosting.adopt(shard, from, holdings);
+        return answer(true);
+      },
+      [Message.Holdings]: (body) => {
+        const { shard } = shardBody.parse(body);
+        return answer({ shard, holdings: this.#uses.held(shard) });
+      },
+      [Message.Pressure]: (body) => {
+        const { shard } = shardBody.parse(body);
+        return answer(this.#hosting.keeper(shard)?.pressure());
+      },
+      [Message.Findings]: (body) => {
+        for (const finding of findingsBody.parse(body).findings) {
+          this.#quarantine.merge(finding);
+        }
+        return answer(true);
+      },
+    };
+  }
+
+  /** Lets a request from `entry` wait at a keeper here. */
+  #acquired(body: unknown, entry: string): Promise<unknown> {
+    const { shard, ticket, availabilityZone, demand, findings, insist } =
+      acquireBody.parse(body);
+    for (const finding of findings) this.#quarantine.merge(finding);
+    const keeper = this.#hosting.keeper(shard, insist);
+    if (keeper === undefined) {
+      return Promise.resolve(this.#moved(shard));
+    }
+    const queuedAt = this.#kernel.clock.now();
+    return new Promise((resolve) => {
+      keeper.submit(
+        { id: ticket, entry, availabilityZone, demand, queuedAt },
+        (answer) => resolve(this.#answer(shard, ticket, answer)),
+      );
+    });
+  }
+
+  #answer(shard: string, ticket: string, answer: Answer): unknown {
+    if ("moved" in answer) return this.#moved(shard);
+    if ("refusal" in answer) {
+      const { reason, message, retryAfterMs } = answer.refusal;
+      return { ending: Ending.Refused, reason, message, retryAfterMs };
+    }
+    const { permit, upstream } = answer;
+    const { id, address } = upstream;
+    return { ending: Ending.Granted, permit, ticket, upstream: id, address };
+  }
+
+  /** Names the shard's keeper as seen from here, this daemon excepted. */
+  #moved(shard: string): unknown {
+    const self = this.#peers.self.vm;
+    const keeper = this.#peers.ranked(shard)
+      .find(({ vm }) => vm !== self)?.vm;
+    if (keeper !== undefined) return { ending: Ending.Moved, keeper };
+    return {
+      ending: Ending.Refused,
+      reason: Reason.Draining,
+      message: "The last daemon is shutting down",
+      retryAfterMs: NOTICE_TIMEOUT_MS,
+    };
+  }
+
+  async #readDirectory(): Promise<void> {
+    const vms = await this.#kernel.platform.directory.list();
+    // Without an answer the last list stays in use; load reads tell the rest.
+    if (vms.err) return;
+    this.#vms = vms.val;
+    this.#assign();
+  }
+
+  #assign(): void {
+    if (this.#abort.signal.aborted) return;
+    const configuration = toUndefined(this.#config.current());
+    this.#fleet = new Fleet({ vms: this.#vms, configuration });
+    this.#uses.setFleet(this.#fleet);
+    this.#entry.setFleet(this.#fleet);
+    this.#hosting.assign(this.#fleet);
+    this.#summaries.retain(
+      new Set(this.#peers.members().map(({ vm }) => vm)),
+    );
+  }
+
+  #publish(): void {
+    this.#hosting.publish();
+    this.#load.reset();
+    for (const { pool, keeper } of this.#hosting.list()) {
+      const { running, queued } = keeper.pressure();
+      this.#load.inc({ pool, state: "running" }, running);
+      this.#load.inc({ pool, state: "queued" }, queued);
+    }
+  }
+
+  /** Grows with the number of shards, so that gossip's volume does not. */
+  #publishMs(): number {
+    return Math.max(
+      PUBLISH_MS,
+      this.#fleet.shards.length * PUBLISH_PER_SHARD_MS,
+    );
+  }
+
+  /** Tells all keepers of a finding; gossip tells the other daemons. */
+  #tell(finding: Finding): void {
+    this.#findings = [...this.#findings, finding];
+    if (this.#findings.length > 1) return;
+    this.#kernel.clock.after(FINDINGS_DELAY_MS, () => {
+      const findings = this.#findings;
+      this.#findings = [];
+      for (const vm of this.#keeperVms()) {
+        void this.#peers.ask(vm, Message.Findings, { findings }, {
+          timeoutMs: NOTICE_TIMEOUT_MS,
+        });
+      }
+    });
+  }
+
+  #keeperVms(): ReadonlySet<string> {
+    const vms = new Set(
+      this.#fleet.shards.flatMap(({ name }) =>
+        this.#peers.ranked(name).slice(0, 1).map(({ vm }) => vm)
+      ),
+    );
+    vms.delete(this.#peers.self.vm);
+    return vms;
+  }
+
+  #findingsSection(): GossipSection {
+    return {
+      offer: () => {
+        const findings = this.#quarantine.findings();
+        return findings.length === 0 ? undefined : { findings };
+      },
+      accept: (body) => {
+        for (const finding of findingsBody.parse(body).findings) {
+          this.#quarantine.merge(finding);
+        }
+      },
+    };
+  }
+
+  #status(): unknown {
+    return {
+      configured: isSome(this.#config.current()),
+      permits: this.#uses.size,
+      shards: this.#fleet.shards.map(({ name, upstreams }) => ({
+        name,
+        keeper: this.#peers.ranked(name)[0]?.vm ?? "",
+        upstreams: upstreams.map(({ id }) => id),
+      })),
+      kept: this.#hosting.list().map(({ shard, keeper }) => ({
+        shard,
+        ...keeper.pressure(),
+      })),
+      findings: this.#quarantine.findings(),
+    };
+  }
+
+  /** Runs `task` again and again, each run after the one before. */
+  #every(delayMs: () => number, task: () => void | Promise<void>): void {
+    const { signal } = this.#abort;
+    const run = async () => {
+      while (!signal.aborted) {
+        await this.#kernel.clock.sleep(delayMs(), signal);
+        if (!signal.aborted) await task();
+      }
+    };
+    void run();
+  }
+}
+
+function sum(a: Pressure, b: Pressure): Pressure {
+  return {
+    running: a.running + b.running,
+    queued: a.queued + b.queued,
+    urgent: a.urgent + b.urgent,
+    slots: a.slots + b.slots,
+  };
+}
+
+register({
+  key: dispatchKey,
+  requires: [peersKey, configKey],
+  create: (kernel) => new Dispatcher(kernel),
+});
--- /dev/null
+++ b/src/dispatch/dispatcher_test.ts
@@ -0,0 +1,121 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { Reason } from "../kernel/mod.ts";
+import { Standing } from "../platform/mod.ts";
+import { Cluster, demand, vm } from "./fixtures_test.ts";
+import { type Demand, Outcome, type Permit } from "./mod.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+
+const idle = new AbortController().signal;
+
+async function granted(
+  entry: Dispatcher,
+  part: Partial<Demand> = {},
+): Promise<Permit> {
+  return (await entry.acquire(demand(part), idle)).unwrap();
+}
+
+async function cluster(
+  run: (cluster: Cluster, entries: readonly Dispatcher[]) => Promise<void>,
+): Promise<void> {
+  const made = new Cluster({ vms: [vm()] });
+  const entries = ["e1", "e2", "e3"].map((id) => made.add(id));
+  await made.start();
+  try {
+    await run(made, entries);
+  } finally {
+    await made.stop();
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+test("slots are counted over all entries", () =>
+  cluster(async (_, [one, two, three]) => {
+    const first = await granted(one);
+    await granted(two);
+    let third: Permit | undefined;
+    const waiting = granted(three).then((permit) => third = permit);
+    await pause(50);
+    expect(third).toEqual(undefined);
+    first.release(Outcome.Served, 10);
+    await waiting;
+    expect(third?.target.id).toEqual("up-1");
+  }));
+
+test("a wait outlives its keeper, and permits in use stay counted", () =>
+  cluster(async (made, entries) => {
+    const keeper = made.keeperOf("shard/lm/0");
+    const left = entries.filter((_, index) => `e${index + 1}` !== keeper);
+    const first = await granted(left[0]);
+    await granted(left[1]);
+    let third: Permit | undefined;
+    const waiting = granted(left[1]).then((permit) => third = permit);
+    await pause(20);
+    made.lose(keeper);
+    await pause(300);
+    expect(third).toEqual(undefined);
+    first.release(Outcome.Served, 10);
+    await waiting;
+    expect(third?.target.id).toEqual("up-1");
+  }));
+
+test("a wait that its caller gave up holds no slot", () =>
+  cluster(async (_, [one, two]) => {
+    const first = await granted(one);
+    await granted(one);
+    const abort = new AbortController();
+    const given = two.acquire(demand(), abort.signal);
+    await pause(20);
+    abort.abort();
+    expect((await given).err).toEqual(true);
+    first.release(Outcome.Served, 10);
+    await granted(one);
+  }));
+
+test("a grant whose answer was lost comes back", () =>
+  cluster(async (made, [one]) => {
+    made.muted.add("dispatch.acquire");
+    await granted(one);
+    await granted(one);
+  }));
+
+test("a draining keeper hands its waits over", () =>
+  cluster(async (made, entries) => {
+    const keeper = made.keeperOf("shard/lm/0");
+    const left = entries.filter((_, index) => `e${index + 1}` !== keeper);
+    const first = await granted(left[0]);
+    await granted(left[0]);
+    const waiting = granted(left[1]);
+    await pause(20);
+    await entries[Number(keeper.slice(1)) - 1].drain();
+    first.release(Outcome.Served, 10);
+    expect((await waiting).target.id).toEqual("up-1");
+  }));
+
+test("a leaving upstream warns its users and gets no work", () =>
+  cluster(async (made, [one]) => {
+    const permit = await granted(one);
+    made.vms = [vm({ standing: Standing.Leaving }), vm({ id: "up-2" })];
+    await pause(60);
+    expect(permit.leaving.aborted).toEqual(true);
+    expect((await granted(one)).target.id).toEqual("up-2");
+  }));
+
+test("a pool without upstreams refuses at once", () =>
+  cluster(async (_, [one]) => {
+    const refused = await one.acquire(demand({ pool: "none" }), idle);
+    expect(refused.err && refused.val.reason).toEqual(Reason.NoUpstream);
+  }));
+
+test("pressure counts a pool over all daemons", () =>
+  cluster(async (_, [one, two]) => {
+    await granted(one);
+    await granted(two);
+    void two.acquire(demand({ remainingMs: 200 }), idle);
+    await pause(20);
+    const pressure = await one.pressure("lm");
+    expect(pressure).toEqual({ running: 2, queued: 1, urgent: 1, slots: 2 });
+  }));
--- /dev/null
+++ b/src/dispatch/fixtures_test.ts
@@ -0,0 +1,314 @@
+/**
+ * Builders for the tests of this folder, and daemons linked in memory.
+ *
+ * @module
+ */
+
+import { none, type Option, some } from "fp-ts/Option";
+import { Err, Ok, type Result } from "ts-results";
+import { Config } from "../config/mod.ts";
+import { configKey } from "../config/mod.ts";
+import {
+  Kernel,
+  Reason,
+  Refusal,
+  SystemClock,
+  Verdict,
+} from "../kernel/mod.ts";
+import { type Member, Peers, peersKey } from "../peers/mod.ts";
+import {
+  type Failure,
+  Fault,
+  type Load,
+  type Platform,
+  Role,
+  Standing,
+  type Vm,
+} from "../platform/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import { type Configuration, type Pool, Priority } from "../tables/mod.ts";
+import { Dispatcher } from "./dispatcher.ts";
+import { type Demand, dispatchKey } from "./mod.ts";
+import type { Ticket } from "./queue.ts";
+import { hash, type Upstream } from "./shards.ts";
+
+let count = 0;
+
+export function demand(part: Partial<Demand> = {}): Demand {
+  count += 1;
+  return {
+    id: `request-${count}`,
+    pool: "lm",
+    route: "chat",
+    tenant: "a",
+    priority: Priority.Standard,
+    weight: 1,
+    tokens: 100,
+    prefixes: [],
+    remainingMs: 60_000,
+    minVersion: 0,
+    exclude: [],
+    fingerprint: `fingerprint-${count}`,
+    attempt: 0,
+    ...part,
+  };
+}
+
+export function ticket(part: Partial<Demand> = {}): Ticket {
+  const wanted = demand(part);
+  return {
+    id: wanted.id,
+    entry: "entry-1",
+    availabilityZone: "zone-1",
+    demand: wanted,
+    queuedAt: 0,
+  };
+}
+
+export function upstream(part: Partial<Upstream> = {}): Upstream {
+  const id = part.id ?? "up-1";
+  return {
+    id,
+    address: `${id}:80`,
+    pool: "lm",
+    availabilityZone: "zone-1",
+    reclaimable: false,
+    leaving: false,
+    slots: 2,
+    ...part,
+  };
+}
+
+export function vm(part: Partial<Vm> = {}): Vm {
+  const id = part.id ?? "up-1";
+  return {
+    id,
+    role: Role.Upstream,
+    standing: Standing.Live,
+    availabilityZone: "zone-1",
+    address: `${id}:80`,
+    http: "",
+    pool: "lm",
+    reclaimable: false,
+    ...part,
+  };
+}
+
+export function load(part: Partial<Load> = {}): Load {
+  return {
+    running: 0,
+    queued: 0,
+    slots: 2,
+    weightVersion: 1,
+    adapters: [],
+    ...part,
+  };
+}
+
+const pool: Pool = {
+  name: "lm",
+  model: "lm",
+  minUpstreams: 1,
+  maxUpstreams: 8,
+  reclaimableShare: 0,
+  availabilityZones: ["zone-1"],
+  slots: 2,
+  fenced: true,
+};
+
+class FixedConfig extends Config {
+  current(): Option<Configuration> {
+    return some({
+      revision: 1,
+      attempt: "1",
+      author: "",
+      note: "",
+      at: "",
+      tables: { routes: [], pools: [pool] },
+    });
+  }
+  ageMs(): number {
+    return 0;
+  }
+  fresh(): boolean {
+    return true;
+  }
+  authorize(): never {
+    throw new Error("Not used");
+  }
+  granted(): Option<never> {
+    return none;
+  }
+  onChange(): () => void {
+    return () => {};
+  }
+}
+
+/** Daemons in one process, their links and what they stand before. */
+export class Cluster {
+  readonly nodes = new Map<string, Kernel>();
+  readonly lost = new Set<string>();
+  readonly listeners = new Set<() => void>();
+  vms: readonly Vm[];
+  /** Kinds of message whose answers are lost. */
+  readonly muted = new Set<string>();
+
+  constructor(options: { vms: readonly Vm[] }) {
+    this.vms = options.vms;
+  }
+
+  add(id: string): Dispatcher {
+    const kernel = new Kernel({
+      settings: settings(id),
+      platform: this.#platform(),
+      incarnation: `${id}-1`,
+      clock: new SystemClock(),
+      registrations: [
+        { key: peersKey, requires: [], create: () => new Links(this, id) },
+        { key: configKey, requires: [], create: () => new FixedConfig() },
+        {
+          key: dispatchKey,
+          requires: [],
+          create: (kernel) => new Dispatcher(kernel),
+        },
+      ],
+    });
+    this.nodes.set(id, kernel);
+    return kernel.get(dispatchKey) as Dispatcher;
+  }
+
+  async start(): Promise<void> {
+    for (const kernel of this.nodes.values()) await kernel.start();
+  }
+
+  /** A daemon dies: its links fail and the others notice. */
+  lose(id: string): void {
+    this.lost.add(id);
+    for (const listener of this.listeners) listener();
+  }
+
+  async stop(): Promise<void> {
+    for (const kernel of this.nodes.values()) await kernel.shutdown();
+  }
+
+  keeperOf(shard: string): string {
+    const kernel = [...this.nodes.entries()]
+      .find(([id]) => !this.lost.has(id));
+    return kernel?.[1].get(peersKey).ranked(shard)[0].vm ?? "";
+  }
+
+  #platform(): Platform {
+    const platform = {
+      directory: { list: () => Promise.resolve(Ok(this.vms)) },
+      engine: {
+        load: ({ id }: { id: string }): Promise<Result<Load, Failure>> =>
+          Promise.resolve(
+            this.vms.some((one) => one.id === id)
+              ? Ok(load())
+              : Err({ fault: Fault.NotSent, message: "Gone" }),
+          ),
+        events: () => Promise.resolve(Ok([])),
+      },
+    };
+    return platform as unknown as Platform;
+  }
+}
+
+class Links extends Peers {
+  readonly self: Member;
+  readonly #cluster: Cluster;
+
+  constructor(cluster: Cluster, id: string) {
+    super();
+    this.#cluster = cluster;
+    this.self = member(id);
+  }
+
+  members(): readonly Member[] {
+    return [...this.#cluster.nodes.keys()]
+      .filter((id) => !this.#cluster.lost.has(id))
+      .map(member);
+  }
+
+  ranked(name: string): readonly Member[] {
+    const score = ({ vm }: Member) => hash(`${name}@${vm}`);
+    return [...this.members()].sort((a, b) => score(b) - score(a));
+  }
+
+  async ask(
+    id: string,
+    kind: string,
+    body: unknown,
+    options: { timeoutMs: number; signal?: AbortSignal },
+  ): Promise<Result<unknown, Refusal>> {
+    const kernel = this.#cluster.nodes.get(id);
+    if (kernel === undefined || this.#cluster.lost.has(id)) {
+      return Err(failed(Verdict.NotRun));
+    }
+    const handler = kernel.get(dispatchKey).props.peerHandlers?.[kind];
+    if (handler === undefined) return Err(failed(Verdict.MayHaveRun));
+    const copy: unknown = JSON.parse(JSON.stringify(body));
+    const answer = handler(copy, this.self.vm);
+    const muted = this.#cluster.muted.delete(kind);
+    const lost = this.#ends(id, options);
+    const first = await Promise.race([
+      answer.then((value) => Ok(value)),
+      lost.promise,
+    ]);
+    lost.end();
+    return muted ? Err(failed(Verdict.MayHaveRun)) : first;
+  }
+
+  onChange(listener: () => void): () => void {
+    this.#cluster.listeners.add(listener);
+    return () => this.#cluster.listeners.delete(listener);
+  }
+
+  /** Resolves when the link, the caller or the time is gone. */
+  #ends(id: string, options: { timeoutMs: number; signal?: AbortSignal }) {
+    let end = () => {};
+    const promise = new Promise<Result<unknown, Refusal>>((resolve) => {
+      const give = () => resolve(Err(failed(Verdict.MayHaveRun)));
+      const listener = () => {
+        if (this.#cluster.lost.has(id)) give();
+      };
+      const timer = setTimeout(give, Math.min(options.timeoutMs, 10_000));
+      this.#cluster.listeners.add(listener);
+      options.signal?.addEventListener("abort", give);
+      end = () => {
+        clearTimeout(timer);
+        this.#cluster.listeners.delete(listener);
+        options.signal?.removeEventListener("abort", give);
+      };
+    });
+    return { promise, end: () => end() };
+  }
+}
+
+function failed(verdict: Verdict): Refusal {
+  return new Refusal({
+    verdict,
+    reason: Reason.PeerFailed,
+    message: "The link is gone",
+  });
+}
+
+function member(vm: string): Member {
+  return {
+    vm,
+    incarnation: `${vm}-1`,
+    address: `${vm}:1`,
+    http: `${vm}:2`,
+    availabilityZone: "zone-1",
+    leaving: false,
+  };
+}
+
+function settings(id: string): Settings {
+  const part = {
+    vm: id,
+    availabilityZone: "zone-1",
+    timing: { directoryMs: 20, loadMs: 50 },
+  };
+  return part as unknown as Settings;
+}
--- /dev/null
+++ b/src/dispatch/fleet.ts
@@ -0,0 +1,85 @@
+/**
+ * The upstreams of all pools as the platform's list and the configuration in
+ * force describe them, cut into shards.
+ *
+ * @module
+ */
+
+import type { Configuration } from "../tables/mod.ts";
+import { Role, Standing, type Vm } from "../platform/mod.ts";
+import { cut, shardName, type Upstream } from "./shards.ts";
+
+/** Slots of an upstream whose pool is not in the table. */
+const UNKNOWN_SLOTS = 1;
+
+/** One shard of a pool. */
+export interface Shard {
+  readonly name: string;
+  readonly pool: string;
+  readonly upstreams: readonly Upstream[];
+}
+
+/** A view of all upstreams; immutable. */
+export class Fleet {
+  readonly shards: readonly Shard[];
+  readonly #byName: ReadonlyMap<string, Shard>;
+  readonly #byUpstream: ReadonlyMap<string, Shard>;
+
+  constructor(options: {
+    vms?: readonly Vm[];
+    configuration?: Configuration;
+  } = {}) {
+    const upstreams = (options.vms ?? [])
+      .filter(({ role }) => role === Role.Upstream)
+      .map((vm) => described(vm, options.configuration));
+    const pools = [...new Set(upstreams.map(({ pool }) => pool))].sort();
+    this.shards = pools.flatMap((pool) =>
+      cut(upstreams.filter((upstream) => upstream.pool === pool))
+        .map((part, index) => ({
+          name: shardName(pool, index),
+          pool,
+          upstreams: part,
+        }))
+    );
+    this.#byName = new Map(this.shards.map((shard) => [shard.name, shard]));
+    this.#byUpstream = new Map(
+      this.shards.flatMap((shard) =>
+        shard.upstreams.map(({ id }) => [id, shard] as const)
+      ),
+    );
+  }
+
+  /** The shard of this name. */
+  shard(name: string): Shard | undefined {
+    return this.#byName.get(name);
+  }
+
+  /** The shard that an upstream is in. */
+  shardOf(upstream: string): Shard | undefined {
+    return this.#byUpstream.get(upstream);
+  }
+
+  /** The shards of a pool. */
+  of(pool: string): readonly Shard[] {
+    return this.shards.filter((shard) => shard.pool === pool);
+  }
+
+  /** An upstream by id. */
+  upstream(id: string): Upstream | undefined {
+    return this.shardOf(id)?.upstreams.find((upstream) => upstream.id === id);
+  }
+}
+
+function described(vm: Vm, configuration?: Configuration): Upstream {
+  const pool = configuration?.tables.pools
+    .find(({ name }) => name === vm.pool);
+  return {
+    id: vm.id,
+    address: vm.address,
+    pool: vm.pool,
+    availabilityZone: vm.availabilityZone,
+    reclaimable: vm.reclaimable,
+    leaving: vm.standing === Standing.Leaving,
+    slots: pool?.slots ?? UNKNOWN_SLOTS,
+  };
+}
--- /dev/null
+++ b/src/dispatch/health.ts
@@ -0,0 +1,82 @@
+/**
+ * A circuit breaker for one upstream. A broken connection of one request is
+ * no verdict on the upstream; failures to connect in a row are, and so is a
+ * row of requests that went silent or broke with none served between them.
+ *
+ * @module
+ */
+
+import { Outcome } from "./mod.ts";
+
+/** Whether an upstream gets work. */
+export enum Circuit {
+  Closed = "closed",
+  /** One request at a time tries whether it works again. */
+  HalfOpen = "half_open",
+  Open = "open",
+}
+
+/** Failures in a row that open the circuit. */
+const FAILURE_LIMIT = 3;
+
+/** First and longest time for which the circuit stays open. */
+const OPEN_MS = 500;
+const MAX_OPEN_MS = 15_000;
+
+/** An upstream's recent failures, which decide whether it gets work. */
+export class Health {
+  #failures = 0;
+  #probeFailures = 0;
+  #openings = 0;
+  #openUntil = -Infinity;
+  #trial = false;
+
+  /** Whether it gets work at `now`. */
+  circuit(now: number): Circuit {
+    if (this.#openings === 0) return Circuit.Closed;
+    return now < this.#openUntil ? Circuit.Open : Circuit.HalfOpen;
+  }
+
+  /** Whether another request may go there at `now`. */
+  allows(now: number): boolean {
+    const circuit = this.circuit(now);
+    if (circuit === Circuit.HalfOpen) return !this.#trial;
+    return circuit === Circuit.Closed;
+  }
+
+  /** Takes note that a request was granted. */
+  granted(now: number): void {
+    if (this.circuit(now) === Circuit.HalfOpen) this.#trial = true;
+  }
+
+  /** Takes in how a request ended. */
+  ended(outcome: Outcome, now: number): void {
+    if (outcome === Outcome.Served) return this.#close();
+    this.#trial = false;
+    if (outcome === Outcome.Cancelled || outcome === Outcome.Refused) return;
+    this.#failures += 1;
+    if (this.#failures >= FAILURE_LIMIT) this.#open(now);
+  }
+
+  /** Takes in whether a load report could be read. */
+  probed(ok: boolean, now: number): void {
+    this.#probeFailures = ok ? 0 : this.#probeFailures + 1;
+    if (this.#probeFailures >= FAILURE_LIMIT) this.#open(now);
+    // A report that can be read ends the wait, not the need for a trial.
+    if (ok) this.#openUntil = Math.min(this.#openUntil, now);
+  }
+
+  #close(): void {
+    this.#failures = 0;
+    this.#openings = 0;
+    this.#trial = false;
+  }
+
+  #open(now: number): void {
+    if (now < this.#openUntil) return;
+    const openMs = Math.min(OPEN_MS * 2 ** this.#openings, MAX_OPEN_MS);
+    this.#openings += 1;
+    this.#openUntil = now + openMs;
+    this.#trial = false;
+  }
+}
--- /dev/null
+++ b/src/dispatch/keeper_test.ts
@@ -0,0 +1,139 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { ManualClock, Reason } from "../kernel/mod.ts";
+import { Priority } from "../tables/mod.ts";
+import { load, ticket, upstream } from "./fixtures_test.ts";
+import { Headroom } from "./headroom.ts";
+import { type Answer, Keeper } from "./keeper.ts";
+import { type Demand, Outcome } from "./mod.ts";
+import { Quarantine, Suspicion } from "./quarantine.ts";
+import type { Upstream } from "./shards.ts";
+
+function shard(upstreams: readonly Upstream[], headroom?: Headroom) {
+  const clock = new ManualClock();
+  const quarantine = new Quarantine({ clock });
+  const keeper = new Keeper({ clock, quarantine, headroom });
+  keeper.setUpstreams(upstreams);
+  const ask = (part: Partial<Demand> = {}) => {
+    const wait: { answer?: Answer } = {};
+    keeper.submit(ticket(part), (answer) => wait.answer = answer);
+    return wait;
+  };
+  return { clock, quarantine, keeper, ask };
+}
+
+function permit(wait: { answer?: Answer }): string {
+  return wait.answer && "permit" in wait.answer ? wait.answer.permit : "";
+}
+
+function place(wait: { answer?: Answer }): string {
+  return wait.answer && "permit" in wait.answer ? wait.answer.upstream.id : "";
+}
+
+function reason(wait: { answer?: Answer }): Reason | undefined {
+  return wait.answer && "refusal" in wait.answer
+    ? wait.answer.refusal.reason
+    : undefined;
+}
+
+test("a permit that is not renewed comes back", () => {
+  const { clock, keeper, ask } = shard([upstream({ slots: 1 })]);
+  ask();
+  const second = ask();
+  clock.advance(6000);
+  keeper.tick();
+  expect(place(second)).toEqual("up-1");
+});
+
+test("a request whose deadline passes while it waits is refused", () => {
+  const { clock, keeper, ask } = shard([upstream({ slots: 1 })]);
+  ask();
+  const second = ask({ remainingMs: 100 });
+  clock.advance(100);
+  keeper.tick();
+  expect(reason(second)).toEqual(Reason.DeadlineExceeded);
+});
+
+test("what the report tells beyond our permits takes slots", () => {
+  const { keeper, ask } = shard([upstream()]);
+  keeper.probed("up-1", true, load({ running: 2 }));
+  keeper.probed("up-1", true, load({ running: 2 }));
+  expect(place(ask())).toEqual("");
+});
+
+test("a request waits for the weight version that it needs", () => {
+  const { keeper, ask } = shard([upstream()]);
+  const wait = ask({ minVersion: 2 });
+  keeper.probed("up-1", true, load({ weightVersion: 1 }));
+  expect(place(wait)).toEqual("");
+  keeper.probed("up-1", true, load({ weightVersion: 2 }));
+  expect(place(wait)).toEqual("up-1");
+});
+
+test("a slot stays free for the interactive requests of before", () => {
+  const { keeper, ask } = shard([upstream({ slots: 4 })], new Headroom());
+  const urgent = ask({ priority: Priority.Interactive });
+  keeper.release(permit(urgent), Outcome.Served, 100);
+  const batch = [1, 2, 3, 4].map(() => ask({ priority: Priority.Batch }));
+  expect(batch.map(place)).toEqual(["up-1", "up-1", "up-1", ""]);
+  expect(place(ask({ priority: Priority.Interactive }))).toEqual("up-1");
+});
+
+test("a crash makes suspects, which run alone next", () => {
+  const { keeper, ask, quarantine } = shard([
+    upstream({ id: "up-1" }),
+    upstream({ id: "up-2", availabilityZone: "zone-2" }),
+  ]);
+  const first = ask({ fingerprint: "bad" });
+  keeper.probed(place(first), true, load());
+  keeper.release(permit(first), Outcome.Broken, 0);
+  keeper.probed("up-1", false);
+  expect(quarantine.suspicion("bad")).toEqual(Suspicion.Suspect);
+  const again = ask({ fingerprint: "bad", exclude: ["up-1"] });
+  expect(place(again)).toEqual("up-2");
+  expect(place(ask({ exclude: ["up-1"] }))).toEqual("");
+  keeper.release(permit(again), Outcome.Broken, 0);
+  expect(reason(ask({ fingerprint: "bad" }))).toEqual(Reason.Quarantined);
+});
+
+test("a suspect that is served is cleared", () => {
+  const { keeper, ask, quarantine } = shard([upstream()]);
+  quarantine.suspect("maybe", { permit: "before", ranMs: 10 });
+  const alone = ask({ fingerprint: "maybe" });
+  keeper.release(permit(alone), Outcome.Served, 10);
+  expect(quarantine.suspicion("maybe")).toEqual(Suspicion.None);
+});
+
+test("one broken connection beside a running request blames nobody", () => {
+  const { keeper, ask, quarantine } = shard([upstream()]);
+  const first = ask({ fingerprint: "unlucky" });
+  ask();
+  keeper.release(permit(first), Outcome.Broken, 0);
+  keeper.probed("up-1", true, load());
+  expect(quarantine.suspicion("unlucky")).toEqual(Suspicion.None);
+});
+
+test("an availability zone that goes away blames nobody", () => {
+  const { keeper, ask, quarantine } = shard([
+    upstream({ id: "up-1", slots: 1 }),
+    upstream({ id: "up-2", slots: 1 }),
+  ]);
+  const waits = ["x", "y"].map((fingerprint) => ask({ fingerprint }));
+  for (const wait of waits) {
+    keeper.release(permit(wait), Outcome.Broken, 0);
+    keeper.probed(place(wait), false);
+  }
+  expect(quarantine.suspicion("x")).toEqual(Suspicion.None);
+  expect(quarantine.suspicion("y")).toEqual(Suspicion.None);
+});
+
+test("failures to connect open the circuit until a report is read", () => {
+  const { keeper, ask } = shard([upstream({ slots: 8 })]);
+  for (let failure = 0; failure < 3; failure++) {
+    keeper.release(permit(ask()), Outcome.Unreachable, 0);
+  }
+  const wait = ask();
+  expect(place(wait)).toEqual("");
+  keeper.probed("up-1", true, load({ slots: 8 }));
+  expect(place(wait)).toEqual("up-1");
+});
--- /dev/null
+++ b/src/dispatch/messages.ts
@@ -0,0 +1,192 @@
+/**
+ * What the daemons say to each other about permits.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { Reason, Refusal, Verdict } from "../kernel/mod.ts";
+import { Priority } from "../tables/mod.ts";
+import { Outcome } from "./mod.ts";
+import { Suspicion } from "./quarantine.ts";
+
+/** Kinds of peer requests that this plug-in answers. */
+export enum Message {
+  /** Waits for a permit. */
+  Acquire = "dispatch.acquire",
+  /** Ends a wait whose caller went away. */
+  Cancel = "dispatch.cancel",
+  /** Gives permits back. */
+  Release = "dispatch.release",
+  /** Renews the permits that a daemon holds. */
+  Renew = "dispatch.renew",
+  /** Tells a keeper of permits that it doesn't know. */
+  Adopt = "dispatch.adopt",
+  /** Asks a daemon which permits of a shard it holds. */
+  Holdings = "dispatch.holdings",
+  /** Asks a keeper how busy its shard is. */
+  Pressure = "dispatch.pressure",
+  /** Tells of suspected requests. */
+  Findings = "dispatch.findings",
+}
+
+const demand = z.object({
+  id: z.string(),
+  pool: z.string(),
+  route: z.string(),
+  tenant: z.string(),
+  priority: z.enum(Priority),
+  weight: z.number().positive(),
+  tokens: z.number().nonnegative(),
+  prefixes: z.array(z.string()),
+  remainingMs: z.number(),
+  minVersion: z.number(),
+  exclude: z.array(z.string()),
+  fingerprint: z.string(),
+  attempt: z.number(),
+});
+
+const finding = z.object({
+  fingerprint: z.string(),
+  suspicion: z.enum(Suspicion),
+  stamp: z.number(),
+  crashes: z.number(),
+  ranMs: z.number(),
+  permit: z.string(),
+  remainingMs: z.number(),
+});
+
+/** Body of `Message.Findings`, and of the gossip on them. */
+export const findingsBody = z.object({ findings: z.array(finding) });
+
+/** Body of `Message.Acquire`. */
+export const acquireBody = z.object({
+  shard: z.string(),
+  ticket: z.string(),
+  availabilityZone: z.string(),
+  demand,
+  /** What the asker knows of the request's fingerprint. */
+  findings: z.array(finding),
+  /** Whether to serve although another daemon seems to be the keeper. */
+  insist: z.boolean(),
+});
+
+/** How a wait for a permit ended. */
+export enum Ending {
+  Granted = "granted",
+  Refused = "refused",
+  Moved = "moved",
+}
+
+/** Answer to `Message.Acquire`. */
+export const acquireAnswer = z.discriminatedUnion("ending", [
+  z.object({
+    ending: z.literal(Ending.Granted),
+    permit: z.string(),
+    ticket: z.string(),
+    upstream: z.string(),
+    address: z.string(),
+  }),
+  z.object({
+    ending: z.literal(Ending.Refused),
+    reason: z.enum(Reason),
+    message: z.string(),
+    retryAfterMs: z.number(),
+  }),
+  z.object({ ending: z.literal(Ending.Moved), keeper: z.string() }),
+]);
+
+/** An answer to `Message.Acquire`. */
+export type AcquireAnswer = z.infer<typeof acquireAnswer>;
+
+/** Body of `Message.Cancel`. */
+export const cancelBody = z.object({ shard: z.string(), ticket: z.string() });
+
+/** Body of `Message.Release`. */
+export const releaseBody = z.object({
+  ends: z.array(z.object({
+    shard: z.string(),
+    permit: z.string(),
+    outcome: z.enum(Outcome),
+    tokens: z.number(),
+  })),
+});
+
+/** One permit's end. */
+export type End = z.infer<typeof releaseBody>["ends"][number];
+
+/** Body of `Message.Renew`: permits by shard. */
+export const renewBody = z.object({
+  shards: z.record(z.string(), z.array(z.string())),
+});
+
+/** Answer to `Message.Renew`: permits that the keeper doesn't know. */
+export const renewAnswer = z.object({ unknown: z.array(z.string()) });
+
+const held = z.object({
+  permit: z.string(),
+  ticket: z.string(),
+  upstream: z.string(),
+  heldMs: z.number(),
+  demand,
+});
+
+/** Body of `Message.Adopt` and answer to `Message.Holdings`. */
+export const holdingsBody = z.object({
+  shard: z.string(),
+  holdings: z.array(held),
+});
+
+/** A permit as its holder tells of it. */
+export type Held = z.infer<typeof held>;
+
+/** Body of `Message.Holdings` and `Message.Pressure`. */
+export const shardBody = z.object({ shard: z.string() });
+
+/** Answer to `Message.Pressure`. */
+export const pressureAnswer = z.object({
+  running: z.number(),
+  queued: z.number(),
+  urgent: z.number(),
+  slots: z.number(),
+});
+
+/** What daemons gossip of each shard. */
+export const summariesBody = z.object({
+  summaries: z.array(z.object({
+    shard: z.string(),
+    pool: z.string(),
+    /** Unique to one keeper of the shard. */
+    keeper: z.string(),
+    /** Grows with each change of the summary. */
+    seq: z.number(),
+    running: z.number(),
+    queued: z.number(),
+    slots: z.number(),
+    /** Tokens served so far, by tenant. */
+    served: z.record(z.string(), z.number()),
+    upstreams: z.array(z.object({
+      id: z.string(),
+      running: z.number(),
+      queued: z.number(),
+      weightVersion: z.number(),
+    })),
+  })),
+});
+
+/** A shard's load and what its tenants were served. */
+export type Summary = z.infer<typeof summariesBody>["summaries"][number];
+
+/** A refusal after which nothing has run. */
+export function notRun(
+  reason: Reason,
+  message: string,
+  retryAfterMs = 0,
+): Refusal {
+  return new Refusal({
+    verdict: Verdict.NotRun,
+    reason,
+    message,
+    retryAfterMs,
+  });
+}
--- /dev/null
+++ b/src/dispatch/prefixes.ts
@@ -0,0 +1,71 @@
+/**
+ * What an upstream's prefix memory is thought to hold, learnt from granted
+ * requests at once and from the engine's events later.
+ *
+ * @module
+ */
+
+import type { CacheEvent } from "../platform/mod.ts";
+
+/** Prefixes remembered for one upstream. */
+const PREFIX_LIMIT = 4096;
+
+/** Trust that remains after one lost event. */
+const GAP_FACTOR = 0.98;
+
+/** Trust won back with each event that follows its predecessor. */
+const RECOVERY = 0.02;
+
+/** A bounded model of one upstream's prefix memory. */
+export class Prefixes {
+  /** Prefixes, the least recently used first. */
+  readonly #held = new Map<string, true>();
+  #seq = 0;
+  #trust = 1;
+
+  /** How far the model is believed, from 0 to 1. */
+  get trust(): number {
+    return this.#trust;
+  }
+
+  /** Sequence number of the last event taken in. */
+  get seq(): number {
+    return this.#seq;
+  }
+
+  /** Notes that a prompt with these prefixes was sent to the upstream. */
+  use(prefixes: readonly string[]): void {
+    for (const prefix of prefixes) this.#hold(prefix);
+  }
+
+  /** Takes in events; a gap in their numbers costs trust. */
+  take(events: readonly CacheEvent[]): void {
+    for (const event of events) {
+      if (event.seq <= this.#seq) continue;
+      const lost = this.#seq === 0 ? 0 : event.seq - this.#seq - 1;
+      this.#trust = Math.min(
+        1,
+        this.#trust * GAP_FACTOR ** lost + RECOVERY,
+      );
+      this.#seq = event.seq;
+      if (event.cached) this.#hold(event.prefix);
+      else this.#held.delete(event.prefix);
+    }
+  }
+
+  /** The believed part of a prompt that is held, from 0 to 1. */
+  overlap(prefixes: readonly string[]): number {
+    if (prefixes.length === 0) return 0;
+    let held = 0;
+    while (held < prefixes.length && this.#held.has(prefixes[held])) held++;
+    return held / prefixes.length * this.#trust;
+  }
+
+  #hold(prefix: string): void {
+    this.#held.delete(prefix);
+    this.#held.set(prefix, true);
+    if (this.#held.size <= PREFIX_LIMIT) return;
+    const [oldest] = this.#held.keys();
+    this.#held.delete(oldest);
+  }
+}
--- /dev/null
+++ b/src/dispatch/prefixes_test.ts
@@ -0,0 +1,19 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { Prefixes } from "./prefixes.ts";
+
+test("the overlap is the leading part that is held", () => {
+  const prefixes = new Prefixes();
+  prefixes.use(["a", "ab"]);
+  expect(prefixes.overlap(["a", "ab", "abc", "abcd"])).toEqual(0.5);
+});
+
+test("an eviction is believed, and a gap costs trust", () => {
+  const prefixes = new Prefixes();
+  prefixes.take([{ seq: 1, prefix: "a", cached: true }]);
+  prefixes.take([{ seq: 2, prefix: "a", cached: false }]);
+  expect(prefixes.overlap(["a"])).toEqual(0);
+  prefixes.take([{ seq: 30, prefix: "b", cached: true }]);
+  expect(prefixes.trust).toBeLessThan(0.7);
+  expect(prefixes.overlap(["b"])).toEqual(prefixes.trust);
+});
--- /dev/null
+++ b/src/dispatch/quarantine.ts
@@ -0,0 +1,154 @@
+/**
+ * Which requests are suspected, or convicted, of crashing upstreams. Every
+ * daemon holds the whole set and merges what the others tell.
+ *
+ * @module
+ */
+
+import type { Clock } from "../kernel/mod.ts";
+
+/** What is held against a request's fingerprint. */
+export enum Suspicion {
+  /** Nothing, or no longer anything. */
+  None = "none",
+  /** It ran on an upstream that crashed: it runs alone next. */
+  Suspect = "suspect",
+  /** An upstream that ran it alone crashed as well: it runs no more. */
+  Quarantined = "quarantined",
+}
+
+/** How long a suspicion lasts after its last change. */
+export const QUARANTINE_MS = 600_000;
+
+/** What daemons tell each other of one fingerprint. */
+export interface Finding {
+  readonly fingerprint: string;
+  readonly suspicion: Suspicion;
+  /** Grows with each change; of two findings the larger one holds. */
+  readonly stamp: number;
+  /** Crashes that it was part of. */
+  readonly crashes: number;
+  /** Longest that it ran before a crash, in milliseconds. */
+  readonly ranMs: number;
+  /** The permit whose end caused the finding; counts once. */
+  readonly permit: string;
+  /** Milliseconds until the finding is forgotten. */
+  readonly remainingMs: number;
+}
+
+interface Kept {
+  readonly finding: Finding;
+  readonly until: number;
+}
+
+/** The findings known to one daemon. */
+export class Quarantine {
+  readonly #clock: Clock;
+  readonly #kept = new Map<string, Kept>();
+  readonly #listeners: ((finding: Finding) => void)[] = [];
+
+  constructor(options: { clock: Clock }) {
+    this.#clock = options.clock;
+  }
+
+  /** What is held against a fingerprint now. */
+  suspicion(fingerprint: string): Suspicion {
+    return this.finding(fingerprint)?.suspicion ?? Suspicion.None;
+  }
+
+  /** The finding on a fingerprint, if there is one. */
+  finding(fingerprint: string): Finding | undefined {
+    const kept = this.#kept.get(fingerprint);
+    if (kept === undefined || kept.until <= this.#clock.now()) return undefined;
+    return kept.finding;
+  }
+
+  /** Suspects a request whose upstream failed while `permit` was in use. */
+  suspect(fingerprint: string, options: {
+    permit: string;
+    ranMs: number;
+  }): void {
+    const known = this.finding(fingerprint);
+    if (known?.suspicion === Suspicion.Quarantined) return;
+    if (known?.permit === options.permit) return;
+    this.#change(fingerprint, {
+      suspicion: Suspicion.Suspect,
+      crashes: (known?.crashes ?? 0) + 1,
+      ranMs: Math.max(known?.ranMs ?? 0, options.ranMs),
+      permit: options.permit,
+    });
+  }
+
+  /** Convicts a request that crashed an upstream alone. */
+  convict(fingerprint: string, permit: string): void {
+    this.#change(fingerprint, { suspicion: Suspicion.Quarantined, permit });
+  }
+
+  /** Drops a suspicion; it stays known that there was one. */
+  clear(fingerprint: string): void {
+    const known = this.finding(fingerprint);
+    if (known === undefined || known.suspicion === Suspicion.None) return;
+    this.#change(fingerprint, {
+      suspicion: Suspicion.None,
+      crashes: 0,
+      ranMs: 0,
+    });
+  }
+
+  /** All findings, with the time that each has left. */
+  findings(): readonly Finding[] {
+    const now = this.#clock.now();
+    const findings: Finding[] = [];
+    for (const [fingerprint, { finding, until }] of this.#kept) {
+      if (until <= now) this.#kept.delete(fingerprint);
+      else findings.push({ ...finding, remainingMs: until - now });
+    }
+    return findings;
+  }
+
+  /** Takes in another daemon's finding, unless a newer one is known. */
+  merge(finding: Finding): void {
+    const known = this.finding(finding.fingerprint);
+    if (known !== undefined && !overrides(finding, known)) return;
+    this.#keep(finding);
+  }
+
+  /** Calls `listener` after each change made here, not for merged ones. */
+  onChange(listener: (finding: Finding) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  #change(fingerprint: string, change: Partial<Finding>): void {
+    const known = this.finding(fingerprint);
+    const finding = {
+      fingerprint,
+      suspicion: Suspicion.None,
+      crashes: 0,
+      ranMs: 0,
+      permit: "",
+      ...known,
+      ...change,
+      stamp: (known?.stamp ?? 0) + 1,
+      remainingMs: QUARANTINE_MS,
+    };
+    this.#keep(finding);
+    for (const listener of this.#listeners) listener(finding);
+  }
+
+  #keep(finding: Finding): void {
+    const until = this.#clock.now() + finding.remainingMs;
+    this.#kept.set(finding.fingerprint, { finding, until });
+  }
+}
+
+const SEVERITY: Readonly<Record<Suspicion, number>> = {
+  [Suspicion.None]: 0,
+  [Suspicion.Suspect]: 1,
+  [Suspicion.Quarantined]: 2,
+};
+
+/** Whether `a` holds against `b`; of equal stamps the severer one does. */
+function overrides(a: Finding, b: Finding): boolean {
+  if (a.stamp !== b.stamp) return a.stamp > b.stamp;
+  return SEVERITY[a.suspicion] > SEVERITY[b.suspicion];
+}
