Usage: books copied to peers, windows sealed once and then reported

Each daemon writes what it delivered into a numbered book and releases an answer when a peer holds the entry too. The holder of the usage charge seals a window by one create-only write that names how far each book went into it, and sends only what is sealed.

--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -71,11 +71,12 @@
   }
 
   /**
-   * Shuts down gracefully: closes all plug-ins to callers while everything
+   * Shuts down gracefully: announces that this daemon leaves, closes all plug-ins to callers while everything
    * that running requests need is still there, then drains, then stops them.
    */
   async shutdown(): Promise<void> {
     this.#draining = true;
+    for (const plugin of this.#plugins.values()) await plugin.leave();
     const reversed = [...this.#plugins.values()].reverse();
     for (const plugin of reversed) await plugin.close();
     for (const plugin of reversed) await plugin.drain();
--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -57,6 +57,11 @@
     return Promise.resolve();
   }
 
+  /** Tells the other daemons that this one owns nothing new; runs first. */
+  leave(): Promise<void> {
+    return Promise.resolve();
+  }
+
   /** Finishes callers' running requests; runs before any plug-in drains. */
   close(): Promise<void> {
     return Promise.resolve();
--- a/src/usage/mod.ts
+++ b/src/usage/mod.ts
@@ -12,8 +12,12 @@
   readonly id: string;
   readonly tenant: string;
   readonly route: string;
+  /** Requests or samples; 1 if absent. */
+  readonly requests?: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
+  /** Whether another daemon may record it too; matched by id if so. */
+  readonly shared?: boolean;
 }
 
 /** Records use and reports it. */
--- /dev/null
+++ b/src/usage/seal_test.ts
@@ -0,0 +1,79 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import type { Report } from "../platform/mod.ts";
+import { Book, type BookEntry } from "./book.ts";
+import type { Use } from "./mod.ts";
+import { type BookCopy, longestCopies, seal } from "./seal.ts";
+
+function use(fields: Partial<Use> = {}): Use {
+  return {
+    id: "u",
+    tenant: "one",
+    route: "chat",
+    promptTokens: 1,
+    outputTokens: 10,
+    ...fields,
+  };
+}
+
+function copy(incarnation: string, ...uses: Use[]): BookCopy {
+  const entries = uses.map((use, i) => ({ seq: i + 1, use, lateFrom: 0 }));
+  return { incarnation, window: 0, entries };
+}
+
+function sealed(copies: readonly BookCopy[], shared: readonly string[] = []) {
+  return seal(copies, {
+    window: 0,
+    holder: "a",
+    term: 1,
+    attempt: "x",
+    sealedShared: new Set(shared),
+  });
+}
+
+function outputTokens(text: string): number {
+  return (JSON.parse(text) as Report).lines
+    .reduce((sum, line) => sum + line.outputTokens, 0);
+}
+
+test("a copy with a gap is not extended beyond it", () => {
+  const book = new Book({ incarnation: "a", window: 0 });
+  const entry = (seq: number): BookEntry => ({ seq, use: use(), lateFrom: 0 });
+  expect(book.merge([entry(1), entry(3)])).toEqual(1);
+  expect(book.merge([entry(1), entry(2), entry(3)])).toEqual(3);
+});
+
+test("the longest copy of a book counts, once", () => {
+  const copies = [copy("a", use()), copy("a", use(), use()), copy("b", use())];
+  expect(longestCopies(copies).length).toEqual(2);
+  expect(outputTokens(sealed(copies).reports.one)).toEqual(30);
+  expect(sealed(copies).included).toEqual({ a: 2, b: 1 });
+});
+
+test("a shared use counts once over daemons and windows", () => {
+  const shared = use({ id: "s", shared: true });
+  const copies = [copy("a", shared), copy("b", shared)];
+  expect(outputTokens(sealed(copies).reports.one)).toEqual(10);
+  expect(sealed(copies, ["s"]).reports).toEqual({});
+});
+
+test("late use stands under the window that it is from", () => {
+  const late = { seq: 1, use: use(), lateFrom: 60_000 };
+  const text = sealed([{ incarnation: "a", window: 0, entries: [late] }])
+    .reports.one;
+  const { lines } = JSON.parse(text) as Report;
+  expect(lines.map(({ lateFrom }) => lateFrom))
+    .toEqual(["1970-01-01T00:01:00.000Z"]);
+});
+
+test("figures do not depend on the order in which copies come", () => {
+  const one = copy("a", use(), use({ tenant: "two" }));
+  const two = copy("b", use({ route: "batch" }));
+  fc.assert(fc.property(
+    fc.shuffledSubarray([one, two, one], { minLength: 3 }),
+    (copies) => {
+      expect(sealed(copies).reports).toEqual(sealed([one, two]).reports);
+    },
+  ));
+});
