Steps: samples pulled by a cursor that says what the trainer holds

The cursor carries the set of samples in the trainer's hands, signed, so any daemon can go on with a step and no store decides what was delivered. Staleness is checked against the version named in the pull; what misses it is generated again. A leaving owner gives its step to the successor with all samples so far.

--- /dev/null
+++ b/src/steps/steps.ts
@@ -0,0 +1,575 @@
+/**
+ * The steps plug-in: takes trainers' submissions and pulls at any entry, asks
+ * the step's owner, and gives steps away when ownership moves.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { isNone, none, type Option, some } from "fp-ts/Option";
+import type { FastifyReply, FastifyRequest } from "fastify";
+import { Err, Ok, type Result } from "ts-results";
+import { type Config, configKey } from "../config/mod.ts";
+import { type Dispatch, dispatchKey } from "../dispatch/mod.ts";
+import { type Gateway, gatewayKey } from "../gateway/mod.ts";
+import { type Generator, generatorKey } from "../gateway/generate.ts";
+import { presentedKey } from "../gateway/admission.ts";
+import {
+  type Kernel,
+  logger,
+  Plugin,
+  PluginKey,
+  type Props,
+  Reason,
+  Refusal,
+  register,
+  Verdict,
+} from "../kernel/mod.ts";
+import { type Peers, peersKey } from "../peers/mod.ts";
+import { Kind, type Route } from "../tables/mod.ts";
+import { type Usage, usageKey } from "../usage/mod.ts";
+import { Bitmap, type Cursor, CursorCodec, type Handover } from "./cursor.ts";
+import { parseSubmission, type Spec, specDigest, stepName } from "./spec.ts";
+import {
+  type Delivery,
+  type Progress,
+  Step,
+  type StepState,
+  type Terms,
+} from "./step.ts";
+
+/** The key of the steps plug-in. */
+export const stepsKey = new PluginKey<Steps>("steps");
+
+const log = logger("steps");
+
+/** Longest wait of one pull. */
+const MAX_PULL_WAIT_MS = 10_000;
+/** What an answer needs on its way, beyond the wait of the pull. */
+const ANSWER_MARGIN_MS = 5_000;
+/** Most text of one pull. */
+const MAX_PULL_BYTES = 512 * 1024;
+/** Most samples of one pull. */
+const MAX_PULL_SAMPLES = 256;
+/** A step that nobody asked for in this time is dropped. */
+const ABANDONED_MS = 15 * 60_000;
+/** How often ownership and abandoned steps are looked at. */
+const SWEEP_MS = 1_000;
+/** How long a successor may take to adopt a step. */
+const ADOPT_TIMEOUT_MS = 5_000;
+/** Samples kept in the queue of the pool for each of its slots. */
+const QUEUED_PER_SLOT = 1.5;
+const MIN_CONCURRENCY = 8;
+
+interface Pull {
+  readonly name: string;
+  readonly cursor: string;
+  readonly version: number;
+  readonly waitMs: number;
+  readonly max: number;
+}
+
+interface Answer {
+  readonly samples: readonly Delivery[];
+  readonly cursor: string;
+  readonly done: boolean;
+  readonly progress: Progress;
+}
+
+/** Runs the steps that this daemon owns and forwards for the others. */
+export class Steps extends Plugin {
+  override readonly props: Props;
+  readonly #kernel: Kernel;
+  readonly #peers: Peers;
+  readonly #config: Config;
+  readonly #dispatch: Dispatch;
+  readonly #gateway: Gateway;
+  readonly #generator: Generator;
+  readonly #usage: Usage;
+  readonly #codec: CursorCodec;
+  readonly #steps = new Map<string, Step>();
+  readonly #ended = new AbortController();
+  readonly #handedOver;
+  readonly #discarded;
+  readonly #moved;
+  readonly #refusals;
+
+  constructor(kernel: Kernel) {
+    super();
+    this.#kernel = kernel;
+    this.#peers = kernel.get(peersKey);
+    this.#config = kernel.get(configKey);
+    this.#dispatch = kernel.get(dispatchKey);
+    this.#gateway = kernel.get(gatewayKey);
+    this.#generator = kernel.get(generatorKey);
+    this.#usage = kernel.get(usageKey);
+    this.#codec = new CursorCodec({ secret: kernel.settings.peerSecret });
+    this.#handedOver = kernel.counter(
+      "toucanwind_step_samples_handed_over_total",
+      "Samples handed over to trainers, also more than once",
+      ["route"],
+    );
+    this.#discarded = kernel.counter(
+      "toucanwind_step_stale_tokens_total",
+      "Tokens thrown away as older than the staleness bound",
+      ["route"],
+    );
+    this.#moved = kernel.counter(
+      "toucanwind_steps_moved_total",
+      "Steps given to another daemon, by whether it took them",
+      ["taken"],
+    );
+    this.#refusals = kernel.counter(
+      "toucanwind_step_refusals_total",
+      "Refused samples and trainers' requests, by reason",
+      ["reason"],
+    );
+    this.props = {
+      peerHandlers: {
+        "steps.submit": (body) => this.#onSubmit(body as Spec),
+        "steps.pull": (body) => this.#onPull(body as Pull),
+        "steps.cancel": (body) => this.#onCancel(body as { name: string }),
+        "steps.progress": (body) => this.#onProgress(body as { name: string }),
+        "steps.adopt": (body) => this.#onAdopt(body as StepState),
+      },
+      status: () => this.#status(),
+    };
+  }
+
+  override start(): Promise<void> {
+    const { server } = this.#gateway;
+    const steps = "/v1/training/:route/steps";
+    server.post(steps, (request, reply) => this.#submit(request, reply));
+    server.post(
+      `${steps}/:step/pull`,
+      (request, reply) => this.#pull(request, reply),
+    );
+    server.get(
+      `${steps}/:step`,
+      (request, reply) => this.#relay("steps.progress", request, reply),
+    );
+    server.delete(
+      `${steps}/:step`,
+      (request, reply) => this.#relay("steps.cancel", request, reply),
+    );
+    this.#config.onChange(() => this.#dropWithdrawn());
+    void this.#sweep();
+    return Promise.resolve();
+  }
+
+  /** Steps move first, so that no trainer waits here for samples. */
+  override async close(): Promise<void> {
+    const steps = [...this.#steps.values()];
+    await Promise.all(steps.map((step) => this.#handOver(step)));
+  }
+
+  override stop(): Promise<void> {
+    this.#ended.abort();
+    for (const step of this.#steps.values()) step.stop();
+    return Promise.resolve();
+  }
+
+  async #submit(request: FastifyRequest, reply: FastifyReply) {
+    const caller = this.#authorize(request);
+    if (caller.err) return this.#refuse(reply, caller.val);
+    const { route, tenant, keyId } = caller.val;
+    const submission = parseSubmission(request.body);
+    if (submission.err) {
+      return this.#refuse(reply, badRequest(submission.val));
+    }
+    const asked = submission.val.stalenessBound ?? route.stalenessBound;
+    const spec: Spec = {
+      ...submission.val,
+      route: route.name,
+      tenant,
+      keyId,
+      stalenessBound: Math.min(asked, route.stalenessBound),
+    };
+    const answer = await this.#askOwner(
+      stepName(spec),
+      "steps.submit",
+      spec,
+      ANSWER_MARGIN_MS,
+    );
+    if (answer.err) return this.#refuse(reply, answer.val);
+    return reply.code(202).send(answer.val);
+  }
+
+  async #pull(request: FastifyRequest, reply: FastifyReply) {
+    const caller = this.#authorize(request);
+    if (caller.err) return this.#refuse(reply, caller.val);
+    const pull = this.#parsePull(request, caller.val);
+    if (pull.err) return this.#refuse(reply, pull.val);
+    const answer = await this.#askOwner(
+      pull.val.name,
+      "steps.pull",
+      pull.val,
+      pull.val.waitMs + ANSWER_MARGIN_MS,
+    );
+    if (answer.err) return this.#refuse(reply, answer.val);
+    return reply.send(printAnswer(answer.val as Answer));
+  }
+
+  async #relay(
+    kind: string,
+    request: FastifyRequest,
+    reply: FastifyReply,
+  ) {
+    const caller = this.#authorize(request);
+    if (caller.err) return this.#refuse(reply, caller.val);
+    const { route, tenant } = caller.val;
+    const { step } = request.params as { step: string };
+    const name = stepName({ tenant, route: route.name, id: step });
+    const answer = await this.#askOwner(name, kind, { name }, ANSWER_MARGIN_MS);
+    if (answer.err) return this.#refuse(reply, answer.val);
+    return reply.send(answer.val);
+  }
+
+  #authorize(
+    request: FastifyRequest,
+  ): Result<{ route: Route; tenant: string; keyId: string }, Refusal> {
+    const { route: name } = request.params as { route: string };
+    const route = this.#route(name);
+    if (isNone(route)) return Err(noRoute(name));
+    const caller = this.#config.authorize(
+      route.value,
+      presentedKey(request),
+    );
+    return caller.map((found) => ({ ...found, route: route.value }));
+  }
+
+  #route(name: string): Option<Route> {
+    const configuration = this.#config.current();
+    if (isNone(configuration)) return none;
+    const route = configuration.value.tables.routes.find((candidate) =>
+      candidate.name === name && candidate.kind === Kind.Training
+    );
+    return route === undefined ? none : some(route);
+  }
+
+  #parsePull(
+    request: FastifyRequest,
+    caller: { route: Route; tenant: string },
+  ): Result<Pull, Refusal> {
+    const { step } = request.params as { step: string };
+    const body = (request.body ?? {}) as Record<string, unknown>;
+    const name = stepName({
+      tenant: caller.tenant,
+      route: caller.route.name,
+      id: step,
+    });
+    if (typeof body.cursor !== "string") {
+      return Err(badRequest("A pull needs the cursor of the last one"));
+    }
+    const cursor = this.#codec.parse(body.cursor);
+    if (cursor.err) return Err(badRequest(cursor.val));
+    if (cursor.val.name !== name) {
+      return Err(badRequest(`The cursor is not one of step "${step}"`));
+    }
+    if (!Number.isSafeInteger(body.version)) {
+      return Err(badRequest("A pull names the weight version trained on"));
+    }
+    return Ok({
+      name,
+      cursor: body.cursor,
+      version: body.version as number,
+      waitMs: bounded(body.wait_ms, MAX_PULL_WAIT_MS, MAX_PULL_WAIT_MS),
+      max: Math.max(1, bounded(body.max, MAX_PULL_SAMPLES, MAX_PULL_SAMPLES)),
+    });
+  }
+
+  async #askOwner(
+    name: string,
+    kind: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, Refusal>> {
+    const owner = this.#peers.ranked(name)[0] ?? this.#peers.self;
+    const answer = await this.#peers.ask(owner.vm, kind, body, { timeoutMs });
+    if (answer.err) return answer;
+    const { refusal } = answer.val as { refusal?: Refusal };
+    return refusal === undefined ? answer : Err(new Refusal(refusal));
+  }
+
+  // On the owner.
+
+  #onSubmit(spec: Spec): Promise<unknown> {
+    const name = stepName(spec);
+    const known = this.#steps.get(name);
+    if (known !== undefined && specDigest(known.spec) !== specDigest(spec)) {
+      const message = `Step "${spec.id}" was submitted with other contents`;
+      return Promise.resolve({ refusal: badRequest(message) });
+    }
+    const step = known ?? this.#open(spec);
+    if (step === undefined) {
+      return Promise.resolve({ refusal: noRoute(spec.route) });
+    }
+    const cursor = this.#codec.print({ name, held: new Bitmap() });
+    return Promise.resolve({ step: spec.id, cursor, progress: step.progress });
+  }
+
+  async #onPull(pull: Pull): Promise<unknown> {
+    const cursor = this.#codec.parse(pull.cursor).unwrap();
+    const step = this.#steps.get(pull.name);
+    if (step === undefined) return { refusal: stepUnknown() };
+    const { staleTokens } = step.progress.waste;
+    step.acknowledge(cursor.held, pull.version);
+    await this.#bill(step, cursor.handover);
+    await this.#awaitSamples(step, pull);
+    if (step.stopped) return { refusal: stepUnknown() };
+    this.#discarded.inc(
+      { route: step.spec.route },
+      step.progress.waste.staleTokens - staleTokens,
+    );
+    return this.#handOut(step, cursor, pull);
+  }
+
+  async #awaitSamples(step: Step, pull: Pull): Promise<void> {
+    const { clock } = this.#kernel;
+    const end = clock.now() + pull.waitMs;
+    const limits = { max: 1, maxBytes: MAX_PULL_BYTES };
+    while (
+      !step.complete && !step.stopped && step.ready(limits).length === 0
+    ) {
+      const leftMs = end - clock.now();
+      if (leftMs <= 0) return;
+      await step.changed(leftMs, this.#ended.signal);
+    }
+  }
+
+  #handOut(step: Step, cursor: Cursor, pull: Pull): Answer {
+    const samples = step.ready({ max: pull.max, maxBytes: MAX_PULL_BYTES });
+    this.#handedOver.inc({ route: step.spec.route }, samples.length);
+    const held = cursor.held.with(samples.map((sample) => sample.number));
+    const next = samples.length === 0
+      ? { name: step.name, held }
+      : { name: step.name, held, handover: handoverOf(samples) };
+    return {
+      samples,
+      cursor: this.#codec.print(next),
+      done: step.complete,
+      progress: step.progress,
+    };
+  }
+
+  /** What came back with a cursor has reached the trainer: it is billed. */
+  async #bill(step: Step, handover: Handover | undefined): Promise<void> {
+    if (handover === undefined) return;
+    await this.#usage.record({
+      id: handover.id,
+      tenant: step.spec.tenant,
+      route: step.spec.route,
+      requests: handover.samples,
+      promptTokens: handover.promptTokens,
+      outputTokens: handover.outputTokens,
+      shared: true,
+    });
+  }
+
+  #onCancel(body: { name: string }): Promise<unknown> {
+    const step = this.#steps.get(body.name);
+    if (step === undefined) return Promise.resolve({ refusal: stepUnknown() });
+    this.#drop(step, "cancelled");
+    return Promise.resolve({ cancelled: true, progress: step.progress });
+  }
+
+  #onProgress(body: { name: string }): Promise<unknown> {
+    const step = this.#steps.get(body.name);
+    if (step === undefined) return Promise.resolve({ refusal: stepUnknown() });
+    return Promise.resolve({ progress: step.progress });
+  }
+
+  #onAdopt(state: StepState): Promise<unknown> {
+    if (this.#kernel.draining) return Promise.resolve({ taken: false });
+    if (this.#steps.has(stepName(state.spec))) {
+      return Promise.resolve({ taken: true });
+    }
+    const step = this.#open(state.spec, state);
+    return Promise.resolve({ taken: step !== undefined });
+  }
+
+  #open(spec: Spec, state?: StepState): Step | undefined {
+    const terms = this.#terms(spec);
+    if (isNone(terms)) return undefined;
+    const held = state && new Bitmap({ bytes: Uint8Array.from(state.held) });
+    const step = new Step({
+      spec,
+      terms: terms.value,
+      generator: this.#generator,
+      clock: this.#kernel.clock,
+      concurrency: () => this.#concurrency(terms.value.pool),
+      held,
+      version: state?.version,
+      samples: state?.samples,
+      onRefused: (refusal) => this.#refusals.inc({ reason: refusal.reason }),
+    });
+    this.#steps.set(step.name, step);
+    log("step_opened", { step: step.name, adopted: state !== undefined });
+    step.fill();
+    return step;
+  }
+
+  #terms(spec: Spec): Option<Terms> {
+    const configuration = this.#config.current();
+    const route = this.#route(spec.route);
+    if (isNone(configuration) || isNone(route)) return none;
+    const { tables } = configuration.value;
+    const pool = tables.pools.find((row) => row.name === route.value.pool);
+    if (pool === undefined) return none;
+    const share = route.value.tenants.find((row) => row.tenant === spec.tenant);
+    return some({
+      pool: pool.name,
+      model: pool.model,
+      weight: share?.weight ?? 1,
+      priority: route.value.priority,
+      deadlineMs: route.value.deadlineMs,
+    });
+  }
+
+  #concurrency(poolName: string): number {
+    const configuration = this.#config.current();
+    if (isNone(configuration)) return 0;
+    const pool = configuration.value.tables.pools.find((row) =>
+      row.name === poolName
+    );
+    const slots = this.#dispatch.upstreams(poolName).length *
+      (pool?.slots ?? 1);
+    return Math.max(MIN_CONCURRENCY, Math.ceil(slots * QUEUED_PER_SLOT));
+  }
+
+  #drop(step: Step, why: string): void {
+    step.stop();
+    this.#steps.delete(step.name);
+    log("step_dropped", { step: step.name, why });
+  }
+
+  #dropWithdrawn(): void {
+    for (const step of this.#steps.values()) {
+      const { route, keyId } = step.spec;
+      if (keyId !== "" && isNone(this.#config.granted(route, keyId))) {
+        this.#drop(step, Reason.KeyWithdrawn);
+      }
+    }
+  }
+
+  async #sweep(): Promise<void> {
+    const { clock } = this.#kernel;
+    while (!this.#ended.signal.aborted) {
+      await clock.sleep(SWEEP_MS, this.#ended.signal);
+      for (const step of [...this.#steps.values()]) {
+        if (clock.now() - step.touchedAt > ABANDONED_MS) {
+          this.#drop(step, "abandoned");
+        } else if (!this.#owns(step)) await this.#handOver(step);
+        else step.fill();
+      }
+    }
+  }
+
+  #owns(step: Step): boolean {
+    const owner = this.#peers.ranked(step.name)[0];
+    return owner === undefined || owner.vm === this.#peers.self.vm;
+  }
+
+  /**
+   * Gives a step to its new owner. If nobody takes it, it is dropped only on
+   * a change of owner: the trainer's next pull is told to submit again.
+   */
+  async #handOver(step: Step): Promise<void> {
+    const successor = this.#peers.ranked(step.name)
+      .find((member) => member.vm !== this.#peers.self.vm);
+    if (successor === undefined) return;
+    step.stop();
+    const answer = await this.#peers.ask(
+      successor.vm,
+      "steps.adopt",
+      step.state,
+      { timeoutMs: ADOPT_TIMEOUT_MS },
+    );
+    const taken = answer.ok && (answer.val as { taken: boolean }).taken;
+    this.#moved.inc({ taken: String(taken) });
+    this.#drop(step, `moved to ${successor.vm}`);
+  }
+
+  #refuse(reply: FastifyReply, refusal: Refusal) {
+    this.#refusals.inc({ reason: refusal.reason });
+    return this.#gateway.refuse(reply, refusal);
+  }
+
+  #status(): unknown {
+    return [...this.#steps.values()].map((step) => ({
+      step: step.name,
+      tenant: step.spec.tenant,
+      route: step.spec.route,
+      progress: step.progress,
+    }));
+  }
+}
+
+/** A pull's answer in the words of the HTTP interface. */
+function printAnswer(answer: Answer): unknown {
+  return {
+    ...answer,
+    samples: answer.samples.map(({ group, index, sample }) => ({
+      group,
+      index,
+      text: sample.text,
+      versions: sample.spans,
+      tokens: sample.tokens,
+      prompt_tokens: sample.promptTokens,
+      finish_reason: sample.finishReason,
+    })),
+  };
+}
+
+function handoverOf(samples: readonly Delivery[]): Handover {
+  const sum = (tokens: (delivery: Delivery) => number) =>
+    samples.reduce((total, delivery) => total + tokens(delivery), 0);
+  return {
+    id: randomUUID(),
+    samples: samples.length,
+    promptTokens: sum(({ sample }) => sample.promptTokens),
+    outputTokens: sum(({ sample }) => sample.tokens),
+  };
+}
+
+function bounded(value: unknown, fallback: number, max: number): number {
+  if (typeof value !== "number" || !Number.isFinite(value)) return fallback;
+  return Math.min(Math.max(0, value), max);
+}
+
+function badRequest(message: string): Refusal {
+  return new Refusal({
+    verdict: Verdict.NotRun,
+    reason: Reason.BadRequest,
+    message,
+  });
+}
+
+function noRoute(name: string): Refusal {
+  return new Refusal({
+    verdict: Verdict.NotRun,
+    reason: Reason.NoRoute,
+    message: `There is no training route "${name}"`,
+  });
+}
+
+function stepUnknown(): Refusal {
+  return new Refusal({
+    verdict: Verdict.NotRun,
+    reason: Reason.StepUnknown,
+    message: "The step is not known here; submit it again and go on pulling",
+  });
+}
+
+register({
+  key: stepsKey,
+  requires: [
+    peersKey,
+    configKey,
+    dispatchKey,
+    gatewayKey,
+    generatorKey,
+    usageKey,
+  ],
+  create: (kernel) => new Steps(kernel),
+});
