--- /dev/null
+++ b/proofs/caller.ts
@@ -0,0 +1,239 @@
+/**
+ * A caller that sends requests to any entry and records what it gets.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { Agent, type Dispatcher, request } from "undici";
+import { tokenOf } from "../stand_ins/engine.ts";
+import type { Recorder } from "./recorder.ts";
+import { requestMarker } from "./requests.ts";
+
+const REQUEST_TIMEOUT_MS = 20_000;
+
+/** The key that a caller shows, and what it is good for. */
+export interface Badge {
+  /** Tenant of the key; empty when the key isn't good. */
+  readonly tenant: string;
+  readonly keyId: string;
+  readonly secret: string;
+}
+
+/** What to ask a model route for. */
+export interface Completion {
+  readonly route: string;
+  readonly model: string;
+  readonly tokens: number;
+  readonly stream: boolean;
+  /** Put into the prompt. */
+  readonly note?: string;
+  /** Equal for resends of one request. */
+  readonly prompt?: string;
+}
+
+/** Sends requests and records their ends. */
+export class Caller {
+  readonly #name: string;
+  readonly #recorder: Recorder;
+  readonly #agent = new Agent({ connections: 64, pipelining: 1 });
+
+  constructor(options: { name: string; recorder: Recorder }) {
+    this.#name = options.name;
+    this.#recorder = options.recorder;
+  }
+
+  /** Asks a model route at `entry` and reads the answer to its end. */
+  async complete(
+    entry: string,
+    options: { badge: Badge; ask: Completion },
+  ): Promise<void> {
+    const { badge, ask } = options;
+    const id = randomUUID();
+    const prompt = `${requestMarker(id)} [tokens=${ask.tokens}] ` +
+      (ask.note ?? "");
+    this.#recorder.record("asked", {
+      at: this.#name,
+      id,
+      route: ask.route,
+      tenant: badge.tenant,
+      keyId: badge.keyId,
+      idempotencyKey: "",
+      expected: expectedText({ seed: 7, prompt }, ask.tokens),
+    });
+    const body = {
+      model: ask.model,
+      prompt,
+      max_tokens: 1 + ask.tokens,
+      seed: 7,
+      stream: ask.stream,
+    };
+    await this.#send(id, {
+      url: `${entry}/v1/completions`,
+      method: "POST",
+      headers: headersOf(badge),
+      body: JSON.stringify(body),
+    }, ask.stream ? readStream : readCompletion);
+  }
+
+  /** Sends a request to a plain service, with an idempotency key if given. */
+  async call(
+    entry: string,
+    options: { badge: Badge; path: string; idempotencyKey: string },
+  ): Promise<boolean> {
+    const id = randomUUID();
+    const { badge, path, idempotencyKey } = options;
+    this.#recorder.record("asked", {
+      at: this.#name,
+      id,
+      route: path,
+      tenant: badge.tenant,
+      keyId: badge.keyId,
+      idempotencyKey,
+      expected: "",
+    });
+    const key: Record<string, string> = idempotencyKey === ""
+      ? {}
+      : { "idempotency-key": idempotencyKey };
+    // Resends of a request are equal to the letter, so no marker is in them.
+    const marked = idempotencyKey === ""
+      ? `${path}/${encodeURIComponent(requestMarker(id))}`
+      : `${path}/${idempotencyKey}`;
+    return await this.#send(id, {
+      url: entry + marked,
+      method: "POST",
+      headers: { ...headersOf(badge), ...key },
+      body: JSON.stringify({ idempotencyKey }),
+    }, (text) => ({ text, tokens: 0 }));
+  }
+
+  /** Closes the caller's connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #send(
+    id: string,
+    sent: {
+      url: string;
+      method: Dispatcher.HttpMethod;
+      headers: Record<string, string>;
+      body: string;
+    },
+    read: (text: string) => Ending,
+  ): Promise<boolean> {
+    const at = this.#name;
+    const since = performance.now();
+    let began = false;
+    let text = "";
+    try {
+      const response = await request(sent.url, {
+        method: sent.method,
+        headers: sent.headers,
+        body: sent.body,
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+      });
+      began = true;
+      response.body.setEncoding("utf8");
+      for await (const part of response.body) text += part;
+      const afterMs = performance.now() - since;
+      const ending = response.statusCode === 200
+        ? read(text)
+        : readRefusal(text);
+      if ("reason" in ending) {
+        const status = response.statusCode;
+        this.#recorder.record("refused", {
+          at,
+          id,
+          status,
+          afterMs,
+          ...ending,
+        });
+        return false;
+      }
+      if ("why" in ending) {
+        this.#recorder.record("cut", { at, id, clean: true, ...ending });
+        return false;
+      }
+      const replayed = response.headers["idempotency-replayed"] !== undefined;
+      this.#recorder.record("answered", {
+        at,
+        id,
+        text: ending.text,
+        outputTokens: ending.tokens,
+        replayed,
+      });
+      return true;
+    } catch (error) {
+      const why = String(error);
+      if (began) this.#recorder.record("cut", { at, id, why, clean: false });
+      else this.#recorder.record("lost", { at, id, why });
+      return false;
+    }
+  }
+}
+
+type Ending =
+  | { readonly text: string; readonly tokens: number }
+  | { readonly verdict: string; readonly reason: string }
+  | { readonly why: string };
+
+/** The text that engines make of a prompt. */
+export function expectedText(
+  body: { seed: number; prompt: string },
+  tokens: number,
+): string {
+  return Array.from({ length: tokens }, (_, at) => tokenOf(body, at)).join("");
+}
+
+function headersOf(badge: Badge): Record<string, string> {
+  const headers = {
+    "content-type": "application/json",
+    "x-tenant": "forged",
+    "x-toucanwind-tenant": "forged",
+  };
+  if (badge.secret === "") return headers;
+  return { ...headers, authorization: `Bearer ${badge.secret}` };
+}
+
+function readRefusal(text: string): Ending {
+  try {
+    const { error } = JSON.parse(text) as {
+      error: { verdict: string; reason: string };
+    };
+    return { verdict: error.verdict, reason: error.reason };
+  } catch {
+    return { why: `An error without a verdict: "${text.slice(0, 80)}"` };
+  }
+}
+
+function readCompletion(text: string): Ending {
+  const body = JSON.parse(text) as {
+    choices: { text: string }[];
+    usage: { completion_tokens: number };
+  };
+  return {
+    text: body.choices[0].text,
+    tokens: body.usage.completion_tokens,
+  };
+}
+
+/** Reads a stream's events; one that ends without `[DONE]` was cut. */
+function readStream(text: string): Ending {
+  const events = text.split("\n\n")
+    .filter((event) => event.startsWith("data: "))
+    .map((event) => event.slice("data: ".length));
+  if (events.at(-1) !== "[DONE]") {
+    const last = events.at(-1) ?? "";
+    return last.includes('"error"')
+      ? readRefusal(last)
+      : { why: "The stream ended without its end" };
+  }
+  const chunks = events.slice(0, -1).map((event) =>
+    JSON.parse(event) as { choices: { text: string }[] }
+  );
+  const texts = chunks.map((chunk) => chunk.choices[0]?.text ?? "");
+  const tokens = texts.filter((piece) => piece !== "").length;
+  return { text: texts.join(""), tokens };
+}
--- /dev/null
+++ b/proofs/platform.ts
@@ -0,0 +1,176 @@
+/**
+ * Checkers of what the platform and its operators are promised.
+ *
+ * @module
+ */
+
+import { Standing } from "../src/platform/mod.ts";
+import {
+  type Event,
+  groupBy,
+  type History,
+  Promised,
+  select,
+  type Violation,
+} from "./events.ts";
+
+/** No order arrives under an old term after one under a new term. */
+export function oneOrderer(history: History): readonly Violation[] {
+  const orders = select(history, "ordered");
+  const old = orders.flatMap((late, i) => {
+    const newer = orders.slice(0, i)
+      .find((earlier) => earlier.order.term > late.order.term);
+    if (newer === undefined) return [];
+    const refused = late.accepted ? "" : " and was refused";
+    return [{
+      promise: Promised.OneOrderer,
+      message: `An order of term ${late.order.term} came after term ` +
+        `${newer.order.term}${refused}`,
+      events: [newer, late],
+    }];
+  });
+  const terms = groupBy(orders, ({ order }) => String(order.term));
+  const shared = [...terms].flatMap(([term, list]) => {
+    const other = list.find(({ order }) =>
+      order.holder !== list[0].order.holder
+    );
+    if (other === undefined) return [];
+    return [{
+      promise: Promised.OneOrderer,
+      message: `Two holders ordered under term ${term}`,
+      events: [list[0], other],
+    }];
+  });
+  return [...old, ...shared];
+}
+
+/** No window is reported twice with other figures. */
+export function oneReport(history: History): readonly Violation[] {
+  const byId = groupBy(select(history, "reported"), ({ id }) => id);
+  return [...byId].flatMap(([id, list]) => {
+    const other = list.find(({ body }) => body !== list[0].body);
+    if (other === undefined) return [];
+    return [{
+      promise: Promised.OneReport,
+      message: `Report ${id} came with two contents`,
+      events: [list[0], other],
+    }];
+  });
+}
+
+/** Output tokens that were billed to a tenant over all its reports. */
+export function billedTokens(history: History, tenant: string): number {
+  const byId = groupBy(select(history, "reported"), ({ id }) => id);
+  const bodies = [...byId.values()].map((list) =>
+    JSON.parse(list[0].body) as {
+      tenant: string;
+      lines: { outputTokens: number }[];
+    }
+  );
+  return bodies.filter((body) => body.tenant === tenant)
+    .flatMap((body) => body.lines)
+    .reduce((sum, line) => sum + line.outputTokens, 0);
+}
+
+/** A leaving upstream gets no work `boundMs` after the list says so. */
+export function leavingUpstream(
+  history: History,
+  boundMs: number,
+): readonly Violation[] {
+  const leftAt = leavingTimes(history);
+  return select(history, "received").flatMap((received) => {
+    const left = leftAt.get(received.at);
+    if (left === undefined || received.t <= left.t + boundMs) return [];
+    const lateMs = Math.round(received.t - left.t);
+    return [{
+      promise: Promised.LeavingUpstream,
+      message: `Upstream ${received.at} got work ${lateMs} ms after leaving`,
+      events: [left, received],
+    }];
+  });
+}
+
+function leavingTimes(history: History): ReadonlyMap<string, Event<"vms">> {
+  const leftAt = new Map<string, Event<"vms">>();
+  for (const event of select(history, "vms")) {
+    for (const vm of event.vms) {
+      if (vm.standing === Standing.Live) leftAt.delete(vm.id);
+      else if (!leftAt.has(vm.id)) leftAt.set(vm.id, event);
+    }
+  }
+  return leftAt;
+}
+
+/** A daemon's revision only grows, and a new one is in force in time. */
+export function configuration(
+  history: History,
+  options: { boundMs: number; daemons: readonly string[] },
+): readonly Violation[] {
+  return [
+    ...reverted(history),
+    ...lagging(history, options),
+  ];
+}
+
+function reverted(history: History): readonly Violation[] {
+  const byDaemon = groupBy(
+    select(history, "in force"),
+    ({ daemon }) => daemon,
+  );
+  return [...byDaemon.values()].flatMap((seen) =>
+    seen.slice(1).flatMap((event, i) =>
+      event.revision >= seen[i].revision ? [] : [{
+        promise: Promised.Configuration,
+        message: `Daemon ${event.daemon} went from revision ` +
+          `${seen[i].revision} back to ${event.revision}`,
+        events: [seen[i], event],
+      }]
+    )
+  );
+}
+
+function lagging(
+  history: History,
+  options: { boundMs: number; daemons: readonly string[] },
+): readonly Violation[] {
+  const inForce = select(history, "in force");
+  return select(history, "accepted").flatMap((accepted) =>
+    inForce.filter((event) =>
+      options.daemons.includes(event.daemon) &&
+      event.t > accepted.t + options.boundMs &&
+      event.revision < accepted.revision
+    ).slice(0, 1).map((event) => ({
+      promise: Promised.Configuration,
+      message: `Daemon ${event.daemon} is at revision ${event.revision}, ` +
+        `${Math.round(event.t - accepted.t)} ms after ${accepted.revision}`,
+      events: [accepted, event],
+    }))
+  );
+}
+
+/** No prompt with the marker takes down more than `bound` upstreams. */
+export function quarantine(
+  history: History,
+  options: { marker: string; bound: number },
+): readonly Violation[] {
+  const downs = select(history, "down");
+  const crashed = downs.filter((down) =>
+    select(history, "crashed").some((run) =>
+      run.at === down.at && Math.abs(run.t - down.t) < 5 &&
+      promptOf(history, run).includes(options.marker)
+    )
+  );
+  if (crashed.length <= options.bound) return [];
+  return [{
+    promise: Promised.Quarantine,
+    message: `One request took down ${crashed.length} upstreams`,
+    events: crashed,
+  }];
+}
+
+function promptOf(history: History, run: Event<"crashed">): string {
+  const received = select(history, "received").find((event) =>
+    event.id === run.id && event.at === run.at
+  );
+  return received?.prompt ?? "";
+}
--- /dev/null
+++ b/proofs/recorder.ts
@@ -0,0 +1,26 @@
+/**
+ * Where clients and stand-ins write what they saw, by one clock.
+ *
+ * @module
+ */
+
+import type { HistoryEvent } from "../stand_ins/history.ts";
+import type { Fields } from "./events.ts";
+
+/** Appends events to a history. */
+export class Recorder {
+  readonly #history: HistoryEvent[];
+
+  constructor(options: { history: HistoryEvent[] }) {
+    this.#history = options.history;
+  }
+
+  /** Records an event of the client `at`, now. */
+  record<K extends keyof Fields>(
+    kind: K,
+    event: Fields[K] & { at: string },
+  ): void {
+    const t = performance.timeOrigin + performance.now();
+    this.#history.push({ ...event, t, kind });
+  }
+}
--- /dev/null
+++ b/proofs/samples.ts
@@ -0,0 +1,200 @@
+/**
+ * Checkers of what trainers are promised.
+ *
+ * @module
+ */
+
+import {
+  type Ended,
+  type Event,
+  groupBy,
+  type History,
+  Promised,
+  type Pulled,
+  type PulledSample,
+  type Received,
+  select,
+  type Violation,
+} from "./events.ts";
+
+/** Characters of each token of the engine stand-in. */
+const TOKEN_CHARS = 5;
+
+/** Each sample names, token for token, the versions that made it. */
+export function versionLabels(history: History): readonly Violation[] {
+  const runs = engineRuns(history);
+  return pulledSamples(history).flatMap(({ pull, sample }) => {
+    const made = runs
+      .filter((run) => run.received.prompt.includes(marker(pull, sample)))
+      .filter((run) => sampleNumber(run.received) === sampleId(pull, sample));
+    const right = explains(made, labelsOf(sample));
+    if (right) return [];
+    return [{
+      promise: Promised.VersionLabels,
+      message: `Sample ${sampleId(pull, sample)} is labelled ` +
+        `${JSON.stringify(sample.versions)}`,
+      events: [pull, ...made.flatMap((run) => [run.received, run.ended])],
+    }];
+  });
+}
+
+/** No sample is older than the bound when it is handed over. */
+export function staleness(history: History): readonly Violation[] {
+  const bounds = new Map(
+    select(history, "submitted").map((event) =>
+      [event.step, event.stalenessBound] as const
+    ),
+  );
+  return pulledSamples(history).flatMap(({ pull, sample }) => {
+    const oldest = Math.min(...sample.versions.map((span) => span.version));
+    const bound = bounds.get(pull.step) ?? 0;
+    if (oldest >= pull.version - bound) return [];
+    return [{
+      promise: Promised.Staleness,
+      message: `Sample ${sampleId(pull, sample)} of version ${oldest} was ` +
+        `handed over at version ${pull.version} with bound ${bound}`,
+      events: [pull],
+    }];
+  });
+}
+
+/** Each sample reaches its trainer once, whole, and none is missing. */
+export function exactlyOnce(history: History): readonly Violation[] {
+  const submitted = select(history, "submitted");
+  const steps = new Map(submitted.map((event) => [event.step, event]));
+  return [...steps.values()].flatMap((step) => {
+    const pulls = select(history, "pulled")
+      .filter((pull) => pull.step === step.step);
+    const taken = pulls.flatMap((pull) =>
+      pull.samples.map((sample) => ({ pull, sample }))
+    );
+    const byPlace = groupBy(
+      taken,
+      ({ pull, sample }) => sampleId(pull, sample),
+    );
+    const doubled = [...byPlace].filter(([, list]) => list.length > 1)
+      .map(([id, list]) =>
+        violation(`Sample ${id} was delivered ${list.length} times`, [
+          step,
+          ...list.map(({ pull }) => pull),
+        ])
+      );
+    const done = pulls.some((pull) => pull.done);
+    const total = step.groups.reduce((sum, count) => sum + count, 0);
+    const missing = done && byPlace.size !== total
+      ? [violation(
+        `Step ${step.step} ended with ${byPlace.size} of ${total} samples`,
+        [step, ...pulls],
+      )]
+      : [];
+    const wrong = taken
+      .filter(({ sample }) => sample.text !== sample.expected)
+      .map(({ pull, sample }) =>
+        violation(`Sample ${sampleId(pull, sample)} has another text`, [pull])
+      );
+    return [...doubled, ...missing, ...wrong];
+  });
+}
+
+interface EngineRun {
+  readonly received: Event<"received">;
+  readonly ended: Event<"finished">;
+}
+
+const ENDINGS = new Set([
+  "finished",
+  "cancelled",
+  "broken",
+  "truncated",
+  "crashed",
+]);
+
+/** Each engine's runs: a generation's arrival with its next end there. */
+function engineRuns(history: History): readonly EngineRun[] {
+  const ends = history.filter((event) => ENDINGS.has(event.kind))
+    .map((event) => event as Event<"finished">);
+  const used = new Set<Event<"finished">>();
+  return select(history, "received").flatMap((received) => {
+    const ended = ends.find((end) =>
+      !used.has(end) && end.at === received.at && end.id === received.id &&
+      end.t >= received.t
+    );
+    if (ended === undefined) return [];
+    used.add(ended);
+    return [{ received, ended }];
+  });
+}
+
+/**
+ * Whether runs explain a sample's labels: a first run from the start, each
+ * next one from where the one before it had got to when its stream ended.
+ */
+function explains(
+  runs: readonly EngineRun[],
+  labels: readonly number[],
+): boolean {
+  const parts = runs.map(({ received, ended }) => ({
+    from: Math.floor(received.resumed / TOKEN_CHARS),
+    made: runLabels(ended),
+  }));
+  const fits = (part: typeof parts[0], to: number) =>
+    to >= part.from && to <= part.from + part.made.length &&
+    sameLabels(
+      labels.slice(part.from, to),
+      part.made.slice(0, to - part.from),
+    );
+  const reached: boolean[] = [];
+  parts.forEach((part, i) => {
+    reached[i] = part.from === 0 ||
+      parts.slice(0, i).some((earlier, j) =>
+        reached[j] && fits(earlier, part.from)
+      );
+  });
+  return parts.some((part, i) => reached[i] && fits(part, labels.length));
+}
+
+function runLabels(ended: Ended): readonly number[] {
+  return ended.versions.flatMap(({ version, tokens }) =>
+    new Array<number>(tokens).fill(version)
+  );
+}
+
+function labelsOf(sample: PulledSample): readonly number[] {
+  return sample.versions.flatMap(({ version, from, to }) =>
+    new Array<number>(to - from).fill(version)
+  );
+}
+
+function sameLabels(a: readonly number[], b: readonly number[]): boolean {
+  return a.length === b.length && a.every((label, i) => label === b[i]);
+}
+
+function pulledSamples(
+  history: History,
+): readonly { pull: Event<"pulled">; sample: PulledSample }[] {
+  return select(history, "pulled").flatMap((pull) =>
+    pull.samples.map((sample) => ({ pull, sample }))
+  );
+}
+
+/** What the prompt of a sample's group holds. */
+function marker(pull: Pulled, sample: PulledSample): string {
+  return `[${pull.step}/${sample.group}+`;
+}
+
+function sampleId(pull: Pulled, sample: PulledSample): string {
+  return `${pull.step}/${sample.group}/${sample.index}`;
+}
+
+/** The sample that a generation is for, from the prompt and its marker. */
+function sampleNumber(received: Received): string {
+  const group = /\[([^\]/]+)\/(\d+)\+(\d+)\]/.exec(received.prompt);
+  const number = /\/(\d+)\/[^/]+$/.exec(received.id);
+  if (group === null || number === null) return "";
+  const index = Number(number[1]) - Number(group[3]);
+  return `${group[1]}/${group[2]}/${index}`;
+}
+
+function violation(message: string, events: History): Violation {
+  return { promise: Promised.ExactlyOnce, message, events };
+}
--- /dev/null
+++ b/proofs/trainers.ts
@@ -0,0 +1,120 @@
+/**
+ * A trainer under test: runs step after step through the product's own client
+ * and records what it takes.
+ *
+ * @module
+ */
+
+import { Trainer, type TrainerSample } from "../src/steps/mod.ts";
+import { expectedText } from "./caller.ts";
+import type { PulledSample } from "./events.ts";
+import type { Recorder } from "./recorder.ts";
+
+const SEED = 11;
+
+/** The shape of a step, over all its groups. */
+export interface StepShape {
+  readonly groups: number;
+  readonly samplesPerGroup: number;
+  /** Tokens of each group's samples. */
+  readonly tokens: (group: number) => number;
+  readonly stalenessBound: number;
+}
+
+/** Trains: runs steps until told to stop, then ends the step under way. */
+export async function train(options: {
+  name: string;
+  entries: readonly string[];
+  key: string;
+  recorder: Recorder;
+  shape: StepShape;
+  version: () => number;
+  /** No step starts after this aborts. */
+  last: AbortSignal;
+  /** Ends the step under way. */
+  signal: AbortSignal;
+}): Promise<number> {
+  const { name, recorder, shape, last, signal } = options;
+  const trainer = new Trainer({
+    entries: options.entries,
+    route: "train",
+    key: options.key,
+    version: options.version,
+  });
+  let steps = 0;
+  while (!last.aborted && !signal.aborted) {
+    const step = `${name}.${steps}`;
+    recorder.record("submitted", {
+      at: name,
+      step,
+      groups: new Array<number>(shape.groups).fill(shape.samplesPerGroup),
+      stalenessBound: shape.stalenessBound,
+    });
+    if (!await pullStep(trainer, { step, ...options })) break;
+    steps++;
+  }
+  await trainer.close();
+  return steps;
+}
+
+async function pullStep(
+  trainer: Trainer,
+  options: {
+    step: string;
+    name: string;
+    recorder: Recorder;
+    shape: StepShape;
+    signal: AbortSignal;
+  },
+): Promise<boolean> {
+  const { step, name, recorder, shape, signal } = options;
+  const prompts = Array.from(
+    { length: shape.groups },
+    (_, group) => promptOf(step, group, shape),
+  );
+  const longest = Math.max(...prompts.map((_, group) => shape.tokens(group)));
+  const batches = trainer.run({
+    step,
+    groups: prompts.map((prompt) => ({
+      prompt,
+      samples: shape.samplesPerGroup,
+    })),
+    max_tokens: longest + 1,
+    seed: SEED,
+    staleness_bound: shape.stalenessBound,
+  }, signal);
+  for await (const { samples, version, done } of batches) {
+    recorder.record("pulled", {
+      at: name,
+      step,
+      version,
+      samples: samples.map((sample) => taken(sample, prompts, shape)),
+      done,
+    });
+    if (done) return true;
+  }
+  return false;
+}
+
+/** The prompt names its step, its group, and the group's first sample. */
+function promptOf(step: string, group: number, shape: StepShape): string {
+  const first = group * shape.samplesPerGroup;
+  return `[${step}/${group}+${first}] [tokens=${shape.tokens(group)}]`;
+}
+
+function taken(
+  sample: TrainerSample,
+  prompts: readonly string[],
+  shape: StepShape,
+): PulledSample {
+  const number = sample.group * shape.samplesPerGroup + sample.index;
+  const body = { seed: SEED + number, prompt: prompts[sample.group] };
+  return {
+    group: sample.group,
+    index: sample.index,
+    tokens: sample.tokens,
+    versions: sample.versions,
+    text: sample.text,
+    expected: expectedText(body, shape.tokens(sample.group)),
+  };
+}
