--- a/src/steps/step.ts
+++ b/src/steps/step.ts
@@ -12,6 +12,7 @@
 import type { Demand } from "../dispatch/mod.ts";
 import type { Generator } from "../gateway/generate.ts";
 import type { Generation } from "../platform/mod.ts";
+import { blocksOf } from "../platform/prefixes.ts";
 import type { Priority } from "../tables/mod.ts";
 import { Bitmap } from "./cursor.ts";
 import { EMPTY_SAMPLE, extend, oldestVersion, type Sample } from "./sample.ts";
@@ -327,7 +328,7 @@
       priority: this.terms.priority,
       weight: this.terms.weight,
       tokens: Math.ceil(prompt.length / 4) + this.#expectedOutput(),
-      prefixes: [],
+      prefixes: blocksOf(prompt),
       remainingMs: this.terms.deadlineMs,
       minVersion: Math.max(0, this.#version - this.spec.stalenessBound),
       exclude: [],
