Operators' races as processes, checked against the chain

Cause: the command line was only raced in one process, on a service in memory; a killed command was not covered at all.

Change: src/cli/races.ts runs operators whose commands are processes, some killed, over the platform stand-in with lost answers and cut calls; src/cli/chain.ts checks the chain against each message.

--- /dev/null
+++ b/src/cli/chain.ts
@@ -0,0 +1,89 @@
+/**
+ * Checks what operators were told of their edits against the chain of
+ * configurations that the platform's service holds in the end.
+ *
+ * @module
+ */
+
+import { isSome, type Option } from "fp-ts/Option";
+import type { Entry } from "../platform/mod.ts";
+import {
+  type Configuration,
+  CONFIGURATION_KEY,
+  decodeConfiguration,
+  type Stamp,
+} from "../tables/mod.ts";
+import { ARCHIVE_PREFIX, Ending, keyHashes } from "./revisions.ts";
+
+/** What an operator was told of one try of an edit. */
+export interface Message {
+  readonly attempt: string;
+  readonly on: number;
+  readonly ending: Ending;
+  readonly winner: Option<Stamp>;
+}
+
+/** Every contradiction between the stored entries and the messages. */
+export function checkChain(
+  entries: readonly Entry[],
+  messages: readonly Message[],
+): readonly string[] {
+  const chain = chainIn(entries);
+  const byAttempt = new Map(chain.map((one) => [one.attempt, one.revision]));
+  return [
+    ...chain
+      .filter((one, at) => one.revision !== at + 1)
+      .map((one) => `revision ${one.revision} is out of line`),
+    ...(byAttempt.size === chain.length ? [] : ["an edit stands twice"]),
+    ...messages.flatMap((message) => checkMessage(message, chain)),
+  ];
+}
+
+/** Every key that came back after it was withdrawn. */
+export function returnedKeys(entries: readonly Entry[]): readonly string[] {
+  const withdrawn = new Set<string>();
+  const returned: string[] = [];
+  let held: ReadonlySet<string> = new Set();
+  for (const { revision, tables } of chainIn(entries)) {
+    const hashes = keyHashes(tables);
+    for (const hash of held) if (!hashes.has(hash)) withdrawn.add(hash);
+    for (const hash of hashes) {
+      if (withdrawn.has(hash)) returned.push(`${hash} is back in ${revision}`);
+    }
+    held = hashes;
+  }
+  return returned;
+}
+
+/** The revisions in order; a copy of the head in the archive counts once. */
+export function chainIn(entries: readonly Entry[]): readonly Configuration[] {
+  const texts = entries
+    .filter(({ key }) =>
+      key === CONFIGURATION_KEY || key.startsWith(ARCHIVE_PREFIX)
+    )
+    .map((entry) => entry.value);
+  return [...new Set(texts)]
+    .map((text) => decodeConfiguration(text).unwrap())
+    .sort((a, b) => a.revision - b.revision);
+}
+
+function checkMessage(
+  message: Message,
+  chain: readonly Configuration[],
+): readonly string[] {
+  const { attempt, on, ending, winner } = message;
+  const at = chain.find((one) => one.attempt === attempt)?.revision;
+  const faults: string[] = [];
+  if (at !== undefined && at !== on + 1) {
+    faults.push(`${attempt} on ${on} became ${at}`);
+  }
+  const stands = at !== undefined;
+  if (ending !== Ending.Unknown && stands !== (ending === Ending.Accepted)) {
+    faults.push(`${attempt} is told ${ending}, stands: ${stands}`);
+  }
+  const won = chain.find((one) => one.revision === on + 1);
+  if (isSome(winner) && winner.value.attempt !== won?.attempt) {
+    faults.push(`${attempt} is told a wrong winner of ${on}`);
+  }
+  return faults;
+}
--- a/src/cli/commands_test.ts
+++ b/src/cli/commands_test.ts
@@ -140,6 +140,17 @@
   expect(forced.exit).toEqual(Exit.Done);
 });
 
+test("a withdrawn key is granted by its hash with --regrant only", async (t) => {
+  const command = commands(new MemoryKeyValue());
+  await command("apply", folderOf(t, tables()), ...NO_WAIT);
+  const { id, sha256 } = tables().routes[0].keys[0];
+  await command("key", "withdraw", id, ...NO_WAIT);
+  const grant = ["key", "grant", "x", "--route", "chat", "--tenant", "one"];
+  const args = [...grant, "--sha256", sha256, ...NO_WAIT];
+  expect((await command(...args)).exit).toEqual(Exit.Refused);
+  expect((await command(...args, "--regrant")).exit).toEqual(Exit.Done);
+});
+
 test("rollback makes a new revision of the old tables", async (t) => {
   const command = commands(new MemoryKeyValue());
   for (const slots of [3, 4, 5]) {
--- a/src/cli/key_commands.ts
+++ b/src/cli/key_commands.ts
@@ -46,6 +46,9 @@
 
 /** An edit of a route's keys. */
 abstract class KeyEdit extends EditOperation {
+  /** Whether the edit may grant a withdrawn key. */
+  regrant = false;
+
   /** The tables with the edit made, or why it can't be. */
   protected abstract edited(tables: Tables): Result<Tables, string>;
 
@@ -61,6 +64,14 @@
       if (now.err) return now.val;
       const tables = this.edited(now.val);
       if (tables.err) return impossible(tables.val);
+      // On each head anew: the key may have been withdrawn in between.
+      const again = this.regrant
+        ? Ok(new Set<string>())
+        : await this.regranted(head.val, tables.val);
+      if (again.err) return again.val;
+      if (again.val.size > 0) {
+        return impossible("This key was withdrawn before; say --regrant");
+      }
       const submission = await this.submit(head.val, {
         tables: tables.val,
         attempt: randomUUID(),
@@ -107,7 +118,7 @@
   sha256 = Option.String("--sha256", {
     description: "Hash of a key that was made elsewhere",
   });
-  regrant = Option.Boolean("--regrant", false, {
+  override regrant = Option.Boolean("--regrant", false, {
     description: "Grant it also if it was withdrawn before",
   });
 
@@ -119,13 +130,6 @@
     if (!/^[0-9a-f]{64}$/.test(this.#hash)) {
       throw new UsageError("--sha256 must be 64 lower-case hexadecimal digits");
     }
-    if (this.sha256 !== undefined && !this.regrant) {
-      const again = await this.revisions().withdrawn([this.#hash]);
-      if (again.err) return unread(again.val);
-      if (again.val.length > 0) {
-        return impossible("This key was withdrawn before; say --regrant");
-      }
-    }
     return withSecret(await this.commitEdit(), secret);
   }
 
--- a/src/cli/operation.ts
+++ b/src/cli/operation.ts
@@ -90,6 +90,9 @@
   settings = Option.String("--settings", {
     description: "TOML file with platform, entries, token and author",
   });
+  timeoutMs = Option.String("--timeout-ms", "15000", {
+    description: "How long to go on asking a platform that doesn't answer",
+  });
 
   /** The settings; wrong ones end the command. */
   protected configured(author?: string): Settings {
@@ -112,8 +115,11 @@
     if (platform === "") {
       throw new UsageError("Set --platform or TOUCANWIND_PLATFORM");
     }
-    const keyValue = this.context.connect(platform);
-    return new Revisions({ keyValue, clock: this.context.clock });
+    return new Revisions({
+      keyValue: this.context.connect(platform),
+      clock: this.context.clock,
+      patienceMs: wholeNumber("--timeout-ms", this.timeoutMs),
+    });
   }
 
   /** The daemons' admin pages. */
@@ -187,7 +193,11 @@
   /** Waits, if the edit was accepted, and answers. */
   protected async conclude(submission: Submission): Promise<Answer> {
     const { commit } = submission;
-    if (commit.ending !== Ending.Accepted) return refused(submission);
+    if (commit.ending !== Ending.Accepted) {
+      const answer = refused(submission);
+      const { attempt, on } = submission;
+      return { ...answer, json: { ...answer.json, attempt, on } };
+    }
     const { revision } = commit.stamp;
     const arrival = await this.arrival(revision);
     return {
@@ -350,7 +360,6 @@
     ],
     json: {
       outcome: Ending.Lost,
-      on,
       winner: isNone(winner) ? null : winner.value,
       head: isNone(head) ? null : head.value,
     },
@@ -366,6 +375,6 @@
       "The edit may have taken effect, or may do so yet",
       `Its attempt is "${attempt}" on revision ${on}`,
     ],
-    json: { outcome: Ending.Unknown, attempt, on, message },
+    json: { outcome: Ending.Unknown, message },
   };
 }
--- /dev/null
+++ b/src/cli/races.ts
@@ -0,0 +1,223 @@
+/**
+ * Operators who race each other, each command a process of its own, over a
+ * platform that loses answers. Used by a test and by longer sweeps.
+ *
+ * @module
+ */
+
+import { spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fromNullable } from "fp-ts/Option";
+import { z } from "zod";
+import { pool, route, tables } from "../../stand_ins/builders.ts";
+import { FaultKind } from "../../stand_ins/faults.ts";
+import { startPlatform } from "../../stand_ins/platform.ts";
+import { Random } from "../../stand_ins/random.ts";
+import type { Entry } from "../platform/mod.ts";
+import { hashKey, printTables, type Stamp } from "../tables/mod.ts";
+import type { Message } from "./chain.ts";
+import { Ending } from "./revisions.ts";
+
+const COMMAND = join(__dirname, "../bin/toucanwind.js");
+const GUARD = join(__dirname, "../../stand_ins/guard.js");
+const COMMAND_TIMEOUT_MS = 60_000;
+const KILL_WITHIN_MS = 1_500;
+const SHORT_TIMEOUT_MS = "150";
+const MAX_ENTRIES = 10_000;
+
+/** A race and how rough it gets. */
+export interface Race {
+  readonly seed: number;
+  readonly operators: number;
+  readonly edits: number;
+  /** Chance of a call to lose its answer. */
+  readonly lost: number;
+  /** Chance of a call to be cut before it takes effect. */
+  readonly cut: number;
+  /** Chance of a command to be killed at a random moment. */
+  readonly killed: number;
+}
+
+/** How a race ended. */
+export interface Finish {
+  readonly entries: readonly Entry[];
+  readonly messages: readonly Message[];
+  /** Commands that were killed before they told anything. */
+  readonly silent: number;
+}
+
+/** What one command printed with `--json`. */
+const printed = z.looseObject({
+  outcome: z.string(),
+  attempt: z.string().optional(),
+  on: z.number().optional(),
+  revision: z.number().optional(),
+  winner: z.custom<Stamp>().nullish(),
+});
+
+type Printed = z.infer<typeof printed>;
+
+/** Runs a race to its end. */
+export async function race(options: Race): Promise<Finish> {
+  const platform = await startPlatform();
+  const folder = mkdtempSync(join(tmpdir(), "toucanwind-race-"));
+  try {
+    const command = (args: readonly string[], killMs?: number) =>
+      runCommand(args, { url: platform.url, killMs });
+    await command(["apply", writeTables(folder, 1), "--wait-ms", "0"]);
+    const { seed } = options;
+    platform.inject([
+      { kind: FaultKind.Lost, operation: "*", probability: options.lost, seed },
+      {
+        kind: FaultKind.Outage,
+        operation: "*",
+        probability: options.cut,
+        seed: seed + 1,
+      },
+    ]);
+    const names = Array.from({ length: options.operators }, (_, at) => at);
+    const told = await Promise.all(
+      names.map((operator) =>
+        operate({ ...options, operator, folder, command })
+      ),
+    );
+    platform.inject([]);
+    return {
+      entries: await entriesOf(platform.url),
+      messages: told.flatMap((one) => one.messages),
+      silent: told.reduce((sum, one) => sum + one.silent, 0),
+    };
+  } finally {
+    rmSync(folder, { recursive: true });
+    await platform.close();
+  }
+}
+
+interface Operator extends Race {
+  readonly operator: number;
+  readonly folder: string;
+  command(
+    args: readonly string[],
+    killMs?: number,
+  ): Promise<Printed | undefined>;
+}
+
+/** One operator's edits, one after the other. */
+async function operate(
+  options: Operator,
+): Promise<{ messages: readonly Message[]; silent: number }> {
+  const { operator, folder, command, edits, killed } = options;
+  const random = new Random({ seed: options.seed * 1_000 + operator });
+  const mine = join(folder, `operator-${operator}`);
+  const messages: Message[] = [];
+  let silent = 0;
+  for (let nth = 0; nth < edits; nth++) {
+    const shown = await command(["show", "--json", "--out", mine]);
+    const on = shown?.revision ?? 0;
+    const args = edit({ random, operator, nth, on, folder: mine });
+    const killMs = random.next() < killed
+      ? random.next() * KILL_WITHIN_MS
+      : undefined;
+    const told = await command(args, killMs);
+    if (told === undefined) silent++;
+    else messages.push(...messagesOf(told));
+    if (told?.outcome !== Ending.Unknown || args[0] !== "apply") continue;
+    const again = await command([
+      ...args,
+      "--attempt",
+      told.attempt ?? "",
+    ]);
+    if (again !== undefined) messages.push(...messagesOf(again));
+  }
+  return { messages, silent };
+}
+
+/** The arguments of a random edit. */
+function edit(options: {
+  random: Random;
+  operator: number;
+  nth: number;
+  on: number;
+  folder: string;
+}): readonly string[] {
+  const { random, operator, nth, on } = options;
+  const hasty = random.next() < 0.5 ? ["--timeout-ms", SHORT_TIMEOUT_MS] : [];
+  const author = ["--author", `op-${operator}`];
+  const common = ["--json", "--wait-ms", "0", ...author, ...hasty];
+  const drawn = random.next();
+  const id = `key-${operator}-${nth}`;
+  if (drawn < 0.25) {
+    const grant = ["--tenant", "one", "--route", "chat"];
+    return ["key", "grant", id, ...grant, ...common];
+  }
+  if (drawn < 0.4) {
+    return ["key", "withdraw", `key-${operator}-${nth - 1}`, ...common];
+  }
+  if (drawn < 0.5 && on > 1) {
+    return ["rollback", String(on - 1), "--on", String(on), ...common];
+  }
+  const slots = 1 + Math.floor(random.next() * 4_000);
+  writeTables(options.folder, slots);
+  return ["apply", options.folder, "--on", String(on), ...common];
+}
+
+/** Files whose only key is the first one, so that applying them withdraws. */
+function writeTables(folder: string, slots: number): string {
+  const key = { id: "first", sha256: hashKey("first"), tenant: "one" };
+  const files = printTables(tables({
+    routes: [route({ keys: [key] })],
+    pools: [pool({ slots })],
+  }));
+  writeFileSync(join(folder, "routes.toml"), files.routes);
+  writeFileSync(join(folder, "pools.toml"), files.pools);
+  return folder;
+}
+
+function messagesOf(told: Printed): readonly Message[] {
+  const ending = Object.values(Ending).find((one) => one === told.outcome);
+  if (ending === undefined || told.attempt === undefined) return [];
+  const on = told.on ?? (told.revision ?? 0) - 1;
+  const winner = fromNullable(told.winner);
+  return [{ attempt: told.attempt, on, ending, winner }];
+}
+
+/** Runs one command; `undefined` if it was killed before it answered. */
+async function runCommand(
+  args: readonly string[],
+  options: { url: string; killMs?: number },
+): Promise<Printed | undefined> {
+  const child = spawn(
+    process.execPath,
+    ["--require", GUARD, COMMAND, ...args],
+    {
+      stdio: ["ignore", "pipe", "ignore"],
+      env: { ...process.env, TOUCANWIND_PLATFORM: options.url },
+    },
+  );
+  const timer = setTimeout(
+    () => child.kill("SIGKILL"),
+    options.killMs ?? COMMAND_TIMEOUT_MS,
+  );
+  const pieces: Buffer[] = [];
+  for await (const piece of child.stdout) pieces.push(piece);
+  clearTimeout(timer);
+  return parsed(Buffer.concat(pieces).toString("utf8"));
+}
+
+function parsed(text: string): Printed | undefined {
+  try {
+    return printed.safeParse(JSON.parse(text)).data;
+  } catch {
+    // Killed before it printed, or a command without --json.
+    return undefined;
+  }
+}
+
+async function entriesOf(url: string): Promise<readonly Entry[]> {
+  const query = `prefix=toucanwind/&limit=${MAX_ENTRIES}`;
+  const answer = await fetch(`${url}/kv/range?${query}`);
+  const { entries } = await answer.json() as { entries: readonly Entry[] };
+  return entries;
+}
--- a/src/cli/revisions_test.ts
+++ b/src/cli/revisions_test.ts
@@ -1,9 +1,10 @@
 import { expect } from "earl";
 import fc from "fast-check";
-import { isNone, isSome } from "fp-ts/Option";
+import { isNone, isSome, none } from "fp-ts/Option";
 import { test } from "node:test";
-import { decodeConfiguration, hashKey, type Tables } from "../tables/mod.ts";
+import { hashKey, type Tables } from "../tables/mod.ts";
 import { pool, route } from "../../stand_ins/builders.ts";
+import { checkChain } from "./chain.ts";
 import { Call, InstantClock, MemoryKeyValue, type Plan } from "./fixture.ts";
 import {
   ARCHIVE_PREFIX,
@@ -165,33 +166,19 @@
   return told;
 }
 
-/** What the chain and what operators were told of it contradict each other in. */
+/** What the chain and what operators were told contradict each other in. */
 function contradictions(
   keyValue: MemoryKeyValue,
   told: readonly Told[],
 ): readonly string[] {
-  // An edit that failed may have archived the head; it is the same text.
-  const texts = [...keyValue.entries.values()]
-    .filter(({ key }) => key === HEAD || key.startsWith(ARCHIVE_PREFIX))
-    .map((entry) => entry.value);
-  const chain = [...new Set(texts)]
-    .map((text) => decodeConfiguration(text).unwrap())
-    .sort((a, b) => a.revision - b.revision);
-  const faults = chain
-    .filter((one, at) => one.revision !== at + 1)
-    .map((one) => `revision ${one.revision} is out of line`);
-  for (const { edit, commit } of told) {
-    const at = chain.find((one) => one.attempt === edit.attempt)?.revision;
-    const { ending } = commit;
-    if (at !== undefined && at !== edit.on + 1) {
-      faults.push(`${edit.attempt} on ${edit.on} became ${at}`);
-    }
-    const stands = at !== undefined;
-    if (ending !== Ending.Unknown && stands !== (ending === Ending.Accepted)) {
-      faults.push(`${edit.attempt} is told ${ending}, stands: ${stands}`);
-    }
-  }
-  return faults;
+  const entries = [...keyValue.entries.values()];
+  const messages = told.map(({ edit, commit }) => ({
+    attempt: edit.attempt,
+    on: edit.on,
+    ending: commit.ending,
+    winner: commit.ending === Ending.Lost ? commit.winner : none,
+  }));
+  return checkChain(entries, messages);
 }
 
 test("under faults, the chain is one and every message true", async () => {
