Tell the loser of the first edit its true winner

Cause: an edit made when there was no head yet, that read the archive after others had made a few revisions, took them for the archive of a lost head, aimed at a revision above them, and after its swap failed named the edit there as the winner. It was truly lost; only the name was wrong.

Ruled out: a swap that took effect (it expects an absent head).

Change: where there is an archive, the head is read again before it counts as lost. src/cli/revisions.ts is cut into shorter steps.

--- a/src/cli/revisions.ts
+++ b/src/cli/revisions.ts
@@ -6,7 +6,15 @@
  * @module
  */
 
-import { isNone, map, none, type Option, some } from "fp-ts/Option";
+import {
+  isNone,
+  isSome,
+  map,
+  none,
+  type Option,
+  type Some,
+  some,
+} from "fp-ts/Option";
 import { Err, Ok, type Result } from "ts-results";
 import type { Clock } from "../kernel/mod.ts";
 import {
@@ -173,17 +181,37 @@
    * called again with the same edit: it takes effect at most once.
    */
   async commit(edit: Edit): Promise<Commit> {
-    const read = await this.head();
-    if (read.err) return read.val;
-    const head = read.val;
-    const newest = isNone(head) ? 0 : head.value.stamp.revision;
-    if (newest !== edit.on) {
-      return await this.#settle({ ...edit, revision: edit.on + 1 }, head);
+    const head = await this.head();
+    if (head.err) return head.val;
+    if (stampRevision(head.val) !== edit.on) {
+      return await this.#settle({ ...edit, revision: edit.on + 1 }, head.val);
     }
-    const prepared = await this.#prepare(edit, head);
+    if (isSome(head.val)) return await this.#follow(edit, head.val);
+    const revision = await this.#firstRevision();
+    if (revision.err) return revision.val;
+    if (revision.val === 1) return await this.#write(edit, none, 1);
+    // Where there is an archive there is a head, unless it was lost.
+    const again = await this.head();
+    if (again.err) return again.val;
+    return isSome(again.val)
+      ? await this.#settle({ ...edit, revision: 1 }, again.val)
+      : await this.#write(edit, none, revision.val);
+  }
+
+  /** Makes the edit the revision after `head`. */
+  async #follow(edit: Edit, head: Some<Stored>): Promise<Commit> {
+    const prepared = await this.#prepare(edit, head.value);
     if (prepared.err) return prepared.val;
+    return await this.#write(edit, head, edit.on + 1);
+  }
+
+  async #write(
+    edit: Edit,
+    head: Option<Stored>,
+    revision: number,
+  ): Promise<Commit> {
     const stamp: Stamp = {
-      revision: prepared.val,
+      revision,
       attempt: edit.attempt,
       author: edit.author,
       note: edit.note,
@@ -201,26 +229,20 @@
     return { ending: Ending.Accepted, stamp };
   }
 
-  /** Does what must stand before the swap; gives the next revision. */
-  async #prepare(
-    edit: Edit,
-    head: Option<Stored>,
-  ): Promise<Result<number, Commit>> {
-    if (isNone(head)) return await this.#firstRevision();
-    const { entry, stamp, tables } = head.value;
-    const kept = await this.#keep(archiveKey(stamp.revision), entry.value);
+  /** Archives the head and marks the keys that the edit withdraws. */
+  async #prepare(edit: Edit, head: Stored): Promise<Result<true, Commit>> {
+    const key = archiveKey(head.stamp.revision);
+    const kept = await this.#keep(key, head.entry.value);
     if (kept.err) return kept;
-    if (kept.val !== entry.value) {
-      return Err(damaged(archiveKey(stamp.revision)));
-    }
-    if (tables.err) return Ok(stamp.revision + 1);
+    if (kept.val !== head.entry.value) return Err(damaged(key));
+    if (head.tables.err) return Ok(true);
     const granted = keyHashes(edit.tables);
-    for (const hash of keyHashes(tables.val)) {
+    for (const hash of keyHashes(head.tables.val)) {
       if (granted.has(hash)) continue;
       const mark = await this.#keep(WITHDRAWN_PREFIX + hash, edit.attempt);
       if (mark.err) return mark;
     }
-    return Ok(stamp.revision + 1);
+    return Ok(true);
   }
 
   /**
@@ -363,6 +385,10 @@
   return ARCHIVE_PREFIX + String(revision).padStart(REVISION_DIGITS, "0");
 }
 
+function stampRevision(head: Option<Stored>): number {
+  return isNone(head) ? 0 : head.value.stamp.revision;
+}
+
 function revisionIn(entry: Option<Entry>): number {
   return isNone(entry) ? 0 : entry.value.revision;
 }
--- a/src/cli/revisions_test.ts
+++ b/src/cli/revisions_test.ts
@@ -129,6 +129,22 @@
   expect(commit.stamp.revision).toEqual(4);
 });
 
+test("the loser of the first edit is told the first winner", async () => {
+  const keyValue = new MemoryKeyValue();
+  const revisions = revisionsOf(keyValue);
+  // Two revisions are made between the loser's look at the head and the rest.
+  const read = keyValue.range.bind(keyValue);
+  keyValue.range = async (prefix, options) => {
+    keyValue.range = read;
+    await revisions.commit(edit(0, "a1"));
+    await revisions.commit(edit(1, "a2"));
+    return await read(prefix, options);
+  };
+  const commit = await revisionsOf(keyValue).commit(edit(0, "late"));
+  if (commit.ending !== Ending.Lost) throw new Error(commit.ending);
+  expect(isSome(commit.winner) && commit.winner.value.attempt).toEqual("a1");
+});
+
 test("a head that today's checks refuse can be replaced", async () => {
   const keyValue = await chain(1);
   const entry = keyValue.entries.get(HEAD);
