Dispatch: equal requests start on one upstream; suspects outlive suspicion

Cause: samples of one group, or a caller's parallel resends, share a fingerprint. Started together on many upstreams, one that crashes engines took all of them down before any suspicion could act. And a suspect ran alone to its end, though it had outlived the point of its crash long before.

Change: equal requests start on one upstream until one has run a second. A finding counts a crash by upstream, not by permit.

Not measured yet.

--- a/src/dispatch/crashes.ts
+++ b/src/dispatch/crashes.ts
@@ -92,14 +92,14 @@
     const { fingerprint } = holding.demand;
     if (now < holding.aloneUntil) {
       if (!upstream.leaving) {
-        this.#quarantine.convict(fingerprint, holding.permit);
+        this.#quarantine.convict(fingerprint, upstream.id);
       }
       this.#fell({ upstream, at: now, fingerprints: [fingerprint] });
       return;
     }
     if (upstream.leaving) return;
     this.#quarantine.suspect(fingerprint, {
-      permit: holding.permit,
+      upstream: upstream.id,
       ranMs: now - holding.grantedAt,
     });
     const episode = this.#episode(upstream.id, now) ?? {
@@ -126,9 +126,9 @@
     this.#episodes.delete(episode.upstream.id);
     const fingerprints = episode.holdings
       .map(({ demand }) => demand.fingerprint);
-    for (const { permit, demand, grantedAt } of episode.holdings) {
+    for (const { demand, grantedAt } of episode.holdings) {
       this.#quarantine.suspect(demand.fingerprint, {
-        permit,
+        upstream: episode.upstream.id,
         ranMs: episode.startedAt - grantedAt,
       });
     }
@@ -137,10 +137,11 @@
 
   #acquit(episode: Episode): void {
     this.#episodes.delete(episode.upstream.id);
-    for (const { permit, demand } of episode.holdings) {
+    for (const { demand } of episode.holdings) {
       const finding = this.#quarantine.finding(demand.fingerprint);
-      if (finding?.permit !== permit || finding.crashes > 1) continue;
-      this.#quarantine.clear(demand.fingerprint);
+      if (finding?.upstream !== episode.upstream.id) continue;
+      if (finding.crashes > 1) this.#quarantine.ease(demand.fingerprint);
+      else this.#quarantine.clear(demand.fingerprint);
     }
   }
 
--- a/src/dispatch/keeper.ts
+++ b/src/dispatch/keeper.ts
@@ -28,6 +28,12 @@
 /** Part of the old value that a running mean keeps at each new one. */
 const MEAN_KEEP = 0.95;
 
+/**
+ * Equal requests start on one upstream until one of them has run this long,
+ * so that a request that crashes what runs it doesn't start everywhere.
+ */
+const TRIAL_MS = 1000;
+
 /** Extra time that a suspect runs alone beyond what it ran before. */
 const ALONE_MARGIN_MS = 500;
 
@@ -228,6 +234,11 @@
     for (const { permit } of this.#permits.lapsed(now)) {
       this.release(permit, Outcome.Cancelled, 0);
     }
+    for (const { demand, aloneUntil } of this.#permits.all()) {
+      if (aloneUntil > now || aloneUntil === -Infinity) continue;
+      const finding = this.#quarantine.finding(demand.fingerprint);
+      if (finding?.crashes === 1) this.#quarantine.ease(demand.fingerprint);
+    }
     for (const ticket of [...this.#queue.waiting()]) {
       if (ticket.queuedAt + ticket.demand.remainingMs > now) continue;
       this.#refuse(ticket, Reason.DeadlineExceeded, "The deadline passed");
@@ -308,14 +319,28 @@
     free: readonly Candidate[],
   ): Candidate | undefined {
     if (this.#suspected(ticket.demand)) return this.#placeAlone(ticket, free);
+    const trial = this.#trial(ticket.demand);
     const fitting = free.filter((candidate) =>
       !this.#reserved.has(candidate.upstream.id) &&
+      (trial === undefined || trial === candidate.upstream.id) &&
       suits(ticket.demand, candidate)
     );
     if (fitting.length === 0) return undefined;
     return this.#choice.pick(ticket, fitting);
   }
 
+  /** The upstream that equal requests just started on, if none ran longer. */
+  #trial(demand: Demand): string | undefined {
+    const equal = this.#permits.equal(demand.fingerprint);
+    const since = this.#clock.now() - TRIAL_MS;
+    if (equal.some(({ grantedAt }) => grantedAt <= since)) return undefined;
+    const tried = equal.find(({ upstream }) =>
+      this.#states.get(upstream)?.upstream.leaving === false &&
+      !demand.exclude.includes(upstream)
+    );
+    return tried?.upstream;
+  }
+
   /** An empty upstream for a suspect; reserves one if none is empty. */
   #placeAlone(
     ticket: Ticket,
--- a/src/dispatch/keeper_test.ts
+++ b/src/dispatch/keeper_test.ts
@@ -96,9 +96,33 @@
   expect(reason(ask({ fingerprint: "bad" }))).toEqual(Reason.Quarantined);
 });
 
+test("a suspect that outlives its crash alone shares its upstream again", () => {
+  const { clock, keeper, ask, quarantine } = shard([upstream()]);
+  quarantine.suspect("maybe", { upstream: "up-0", ranMs: 100 });
+  ask({ fingerprint: "maybe" });
+  const beside = ask();
+  expect(place(beside)).toEqual("");
+  clock.advance(1000);
+  keeper.tick();
+  expect(place(beside)).toEqual("up-1");
+  expect(quarantine.suspicion("maybe")).toEqual(Suspicion.None);
+});
+
+test("equal requests start on one upstream until one has run a while", () => {
+  const { clock, keeper, ask } = shard([
+    upstream({ id: "up-1" }),
+    upstream({ id: "up-2" }),
+  ]);
+  const waits = [1, 2, 3].map(() => ask({ fingerprint: "group" }));
+  expect(waits.map(place)).toEqual(["up-1", "up-1", ""]);
+  clock.advance(1000);
+  keeper.tick();
+  expect(place(waits[2])).toEqual("up-2");
+});
+
 test("a suspect that is served is cleared", () => {
   const { keeper, ask, quarantine } = shard([upstream()]);
-  quarantine.suspect("maybe", { permit: "before", ranMs: 10 });
+  quarantine.suspect("maybe", { upstream: "up-0", ranMs: 10 });
   const alone = ask({ fingerprint: "maybe" });
   keeper.release(permit(alone), Outcome.Served, 10);
   expect(quarantine.suspicion("maybe")).toEqual(Suspicion.None);
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -52,7 +52,7 @@
   stamp: z.number(),
   crashes: z.number(),
   ranMs: z.number(),
-  permit: z.string(),
+  upstream: z.string(),
   remainingMs: z.number(),
 });
 
--- a/src/dispatch/permits.ts
+++ b/src/dispatch/permits.ts
@@ -32,6 +32,7 @@
   readonly #holdings = new Map<string, Holding>();
   readonly #renewedAt = new Map<string, number>();
   readonly #byUpstream = new Map<string, Map<string, Holding>>();
+  readonly #byFingerprint = new Map<string, Map<string, Holding>>();
 
   /** Number of permits in use. */
   get size(): number {
@@ -41,9 +42,8 @@
   add(holding: Holding, now: number): void {
     this.#holdings.set(holding.permit, holding);
     this.#renewedAt.set(holding.permit, now);
-    const siblings = this.#byUpstream.get(holding.upstream) ?? new Map();
-    siblings.set(holding.permit, holding);
-    this.#byUpstream.set(holding.upstream, siblings);
+    insert(this.#byUpstream, holding.upstream, holding);
+    insert(this.#byFingerprint, holding.demand.fingerprint, holding);
   }
 
   get(permit: string): Holding | undefined {
@@ -55,9 +55,8 @@
     if (holding === undefined) return undefined;
     this.#holdings.delete(permit);
     this.#renewedAt.delete(permit);
-    const siblings = this.#byUpstream.get(holding.upstream);
-    siblings?.delete(permit);
-    if (siblings?.size === 0) this.#byUpstream.delete(holding.upstream);
+    erase(this.#byUpstream, holding.upstream, permit);
+    erase(this.#byFingerprint, holding.demand.fingerprint, permit);
     return holding;
   }
 
@@ -71,6 +70,11 @@
     return this.#byUpstream.get(upstream)?.size ?? 0;
   }
 
+  /** Permits in use by requests with this fingerprint. */
+  equal(fingerprint: string): readonly Holding[] {
+    return [...this.#byFingerprint.get(fingerprint)?.values() ?? []];
+  }
+
   /** All permits in use. */
   all(): Iterable<Holding> {
     return this.#holdings.values();
@@ -92,3 +96,17 @@
     );
   }
 }
+
+type Index = Map<string, Map<string, Holding>>;
+
+function insert(index: Index, key: string, holding: Holding): void {
+  const siblings = index.get(key) ?? new Map<string, Holding>();
+  siblings.set(holding.permit, holding);
+  index.set(key, siblings);
+}
+
+function erase(index: Index, key: string, permit: string): void {
+  const siblings = index.get(key);
+  siblings?.delete(permit);
+  if (siblings?.size === 0) index.delete(key);
+}
--- a/src/dispatch/quarantine.ts
+++ b/src/dispatch/quarantine.ts
@@ -30,8 +30,8 @@
   readonly crashes: number;
   /** Longest that it ran before a crash, in milliseconds. */
   readonly ranMs: number;
-  /** The permit whose end caused the finding; counts once. */
-  readonly permit: string;
+  /** The upstream whose failure caused the finding; counts once. */
+  readonly upstream: string;
   /** Milliseconds until the finding is forgotten. */
   readonly remainingMs: number;
 }
@@ -63,31 +63,31 @@
     return kept.finding;
   }
 
-  /** Suspects a request whose upstream failed while `permit` was in use. */
+  /** Suspects a request that ran on `upstream` when that failed. */
   suspect(fingerprint: string, options: {
-    permit: string;
+    upstream: string;
     ranMs: number;
   }): void {
     const known = this.finding(fingerprint);
     if (known?.suspicion === Suspicion.Quarantined) return;
-    if (known?.permit === options.permit) return;
+    const suspected = known?.suspicion === Suspicion.Suspect;
+    if (suspected && known.upstream === options.upstream) return;
     this.#change(fingerprint, {
       suspicion: Suspicion.Suspect,
       crashes: (known?.crashes ?? 0) + 1,
       ranMs: Math.max(known?.ranMs ?? 0, options.ranMs),
-      permit: options.permit,
+      upstream: options.upstream,
     });
   }
 
   /** Convicts a request that crashed an upstream alone. */
-  convict(fingerprint: string, permit: string): void {
-    this.#change(fingerprint, { suspicion: Suspicion.Quarantined, permit });
+  convict(fingerprint: string, upstream: string): void {
+    this.#change(fingerprint, { suspicion: Suspicion.Quarantined, upstream });
   }
 
-  /** Drops a suspicion; it stays known that there was one. */
+  /** Drops a suspicion and forgets the crashes: the request is innocent. */
   clear(fingerprint: string): void {
-    const known = this.finding(fingerprint);
-    if (known === undefined || known.suspicion === Suspicion.None) return;
+    if (this.finding(fingerprint) === undefined) return;
     this.#change(fingerprint, {
       suspicion: Suspicion.None,
       crashes: 0,
@@ -95,6 +95,12 @@
     });
   }
 
+  /** Drops a suspicion but keeps count: the request may run beside others. */
+  ease(fingerprint: string): void {
+    if (this.suspicion(fingerprint) !== Suspicion.Suspect) return;
+    this.#change(fingerprint, { suspicion: Suspicion.None });
+  }
+
   /** All findings, with the time that each has left. */
   findings(): readonly Finding[] {
     const now = this.#clock.now();
@@ -125,7 +131,7 @@
       suspicion: Suspicion.None,
       crashes: 0,
       ranMs: 0,
-      permit: "",
+      upstream: "",
       ...known,
       ...change,
       stamp: (known?.stamp ?? 0) + 1,
--- a/src/dispatch/uses.ts
+++ b/src/dispatch/uses.ts
@@ -151,7 +151,7 @@
     if (outcome !== Outcome.Broken) return;
     if (this.#fleet.upstream(kept.upstream)?.leaving) return;
     this.#quarantine.suspect(kept.demand.fingerprint, {
-      permit: kept.permit,
+      upstream: kept.upstream,
       ranMs: this.#clock.now() - kept.grantedAt,
     });
   }
