Experiments: a load model that drives the dispatch decisions

Change: seeded requests of eight tenants against modelled engines, with the product's queue, choice and admission on a manual clock; result files, comparison and plot. The worst-served figure counts only tokens that a tenant went without while its requests waited, so that engines running faster than a full batch don't look like unfairness.

--- /dev/null
+++ b/experiments/compare.ts
@@ -0,0 +1,49 @@
+/**
+ * Compares two result files of one scenario:
+ * `node dist/experiments/compare.js A B`.
+ *
+ * @module
+ */
+
+import { readFileSync } from "node:fs";
+import { HEADLINES, median } from "./headlines.ts";
+import type { Results } from "./run.ts";
+
+function main(): void {
+  const [before, after] = process.argv.slice(2).map(read);
+  const groups = new Set(
+    [...before.rows, ...after.rows].map(({ policy, load }) =>
+      JSON.stringify([policy, load])
+    ),
+  );
+  for (const group of groups) {
+    console.log(group);
+    for (const [name, value] of Object.entries(HEADLINES)) {
+      const texts = [before, after].map((results) => {
+        const values = results.rows
+          .filter(({ policy, load }) =>
+            JSON.stringify([policy, load]) === group
+          )
+          .map(({ figures }) => value(figures));
+        return values.length === 0 ? "-" : range(values);
+      });
+      if (texts[0] !== texts[1]) {
+        console.log(`  ${name}: ${texts.join(" -> ")}`);
+      }
+    }
+  }
+}
+
+/** Median, least and most over the seeds. */
+function range(values: readonly number[]): string {
+  const round = (value: number) => Math.round(value * 10) / 10;
+  const least = round(Math.min(...values));
+  const most = round(Math.max(...values));
+  return `${round(median(values))} (${least} to ${most})`;
+}
+
+function read(file: string): Results {
+  return JSON.parse(readFileSync(file, "utf8")) as Results;
+}
+
+main();
--- /dev/null
+++ b/experiments/run.ts
@@ -0,0 +1,73 @@
+/**
+ * Runs one scenario with all policies and writes one result file:
+ * `node dist/experiments/run.js --scenario flood --seeds 5 --out FILE`.
+ *
+ * @module
+ */
+
+import { writeFileSync } from "node:fs";
+import { parseArgs } from "node:util";
+import { HEADLINES, median } from "./headlines.ts";
+import type { Figures } from "./measure.ts";
+import { POLICIES, run, SCENARIOS } from "./scenarios.ts";
+
+/** One run's figures and what was run. */
+export interface Row {
+  readonly policy: string;
+  readonly load: number;
+  readonly seed: number;
+  readonly figures: Figures;
+}
+
+/** What a result file holds. */
+export interface Results {
+  readonly scenario: string;
+  readonly rows: readonly Row[];
+}
+
+function main(): void {
+  const { values } = parseArgs({
+    options: {
+      scenario: { type: "string", default: "flood" },
+      seeds: { type: "string", default: "5" },
+      out: { type: "string", default: "" },
+      policy: { type: "string", default: "" },
+    },
+  });
+  const scenario = SCENARIOS[values.scenario];
+  if (scenario === undefined) {
+    throw new RangeError(`No scenario is named "${values.scenario}"`);
+  }
+  const rows: Row[] = [];
+  const seeds = Array.from({ length: Number(values.seeds) }, (_, n) => n + 1);
+  for (const [name, policy] of Object.entries(POLICIES)) {
+    if (!name.includes(values.policy)) continue;
+    for (const load of scenario.loads) {
+      for (const seed of seeds) {
+        const figures = run({ scenario, policy, load, seed });
+        rows.push({ policy: name, load, seed, figures });
+      }
+      summarize(rows.filter((row) => row.policy === name && row.load === load));
+    }
+  }
+  const results: Results = { scenario: values.scenario, rows };
+  if (values.out !== "") {
+    writeFileSync(values.out, JSON.stringify(results, rounded) + "\n");
+  }
+}
+
+/** Prints the median over the seeds of each headline figure. */
+function summarize(rows: readonly Row[]): void {
+  const texts = Object.entries(HEADLINES).map(([name, value]) => {
+    const middle = median(rows.map(({ figures }) => value(figures)));
+    return `${name} ${Math.round(middle * 10) / 10}`;
+  });
+  console.log(`${rows[0].policy} @ ${rows[0].load}\n  ${texts.join(", ")}`);
+}
+
+/** Shortens numbers, so that result files stay small. */
+function rounded(_key: string, value: unknown): unknown {
+  return typeof value === "number" ? Number(value.toPrecision(5)) : value;
+}
+
+if (require.main === module) main();
--- /dev/null
+++ b/experiments/workload.ts
@@ -0,0 +1,222 @@
+/**
+ * Requests of several tenants over time, drawn from one seed.
+ *
+ * @module
+ */
+
+import { Priority } from "../src/tables/mod.ts";
+import { BLOCK_TOKENS } from "./engine_model.ts";
+import { Random } from "./random.ts";
+
+/** Weights of the tenants: a few are large. */
+export const WEIGHTS: Readonly<Record<string, number>> = {
+  t1: 4,
+  t2: 3,
+  t3: 2,
+  t4: 1,
+  t5: 1,
+  t6: 1,
+  t7: 1,
+  t8: 1,
+};
+
+/** The tenant that floods. */
+export const FLOODER = "t8";
+
+/** A kind of work. */
+interface Work {
+  readonly priority: Priority;
+  /** Part of a tenant's tokens. */
+  readonly part: number;
+  readonly medianTokens: number;
+  readonly sigma: number;
+  readonly maxTokens: number;
+  readonly deadlineMs: number;
+  /** Requests of one prompt that come together. */
+  readonly group: number;
+}
+
+/** The mix of each tenant. */
+export const MIX: readonly Work[] = [
+  {
+    priority: Priority.Interactive,
+    part: 0.25,
+    medianTokens: 30,
+    sigma: 0.5,
+    maxTokens: 128,
+    deadlineMs: 10_000,
+    group: 1,
+  },
+  {
+    priority: Priority.Standard,
+    part: 0.15,
+    medianTokens: 100,
+    sigma: 0.6,
+    maxTokens: 512,
+    deadlineMs: 30_000,
+    group: 1,
+  },
+  {
+    priority: Priority.Training,
+    part: 0.5,
+    medianTokens: 200,
+    sigma: 0.9,
+    maxTokens: 1024,
+    deadlineMs: 120_000,
+    group: 8,
+  },
+  {
+    priority: Priority.Batch,
+    part: 0.1,
+    medianTokens: 200,
+    sigma: 0.7,
+    maxTokens: 1024,
+    deadlineMs: 300_000,
+    group: 1,
+  },
+];
+
+/** One request. */
+export interface Request {
+  readonly id: string;
+  readonly at: number;
+  readonly entry: number;
+  readonly tenant: string;
+  readonly priority: Priority;
+  readonly promptTokens: number;
+  readonly prefixes: readonly string[];
+  readonly outputTokens: number;
+  readonly maxTokens: number;
+  readonly deadlineMs: number;
+  readonly fingerprint: string;
+}
+
+/** What a run asks for. */
+export interface Plan {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly entries: number;
+  /** Tokens a second that all tenants ask for together, by weight. */
+  readonly tokensPerSecond: number;
+  /** Tokens a second that the flooder asks for from `from` until `to`. */
+  readonly flood?: {
+    readonly tokensPerSecond: number;
+    readonly from: number;
+    readonly to: number;
+    /** The only class that floods; all of the mix by default. */
+    readonly priority?: Priority;
+  };
+}
+
+/** Prompt templates that a tenant's interactive requests share. */
+const TEMPLATES = 12;
+
+/** All requests of a plan, in order of time. */
+export function requestsOf(plan: Plan): readonly Request[] {
+  const requests: Request[] = [];
+  const total = Object.values(WEIGHTS).reduce((sum, one) => sum + one, 0);
+  Object.entries(WEIGHTS).forEach(([tenant, weight], row) => {
+    MIX.forEach((work, column) => {
+      const random = new Random({ seed: plan.seed * 1000 + row * 10 + column });
+      const rate = plan.tokensPerSecond * weight / total * work.part;
+      requests.push(...stream(random, {
+        plan,
+        tenant,
+        work,
+        rate,
+        from: 0,
+        to: plan.durationMs,
+      }));
+    });
+  });
+  requests.push(...floodOf(plan));
+  return requests.sort((a, b) => a.at - b.at);
+}
+
+function floodOf(plan: Plan): readonly Request[] {
+  const { flood } = plan;
+  if (flood === undefined) return [];
+  return MIX.flatMap((work, column) => {
+    if (flood.priority !== undefined && work.priority !== flood.priority) {
+      return [];
+    }
+    const random = new Random({ seed: plan.seed * 1000 + 500 + column });
+    const part = flood.priority === undefined ? work.part : 1;
+    return stream(random, {
+      plan,
+      tenant: FLOODER,
+      work,
+      rate: flood.tokensPerSecond * part,
+      from: flood.from,
+      to: flood.to,
+      entry: 0,
+    });
+  });
+}
+
+function stream(random: Random, options: {
+  plan: Plan;
+  tenant: string;
+  work: Work;
+  /** Tokens a second. */
+  rate: number;
+  from: number;
+  to: number;
+  entry?: number;
+}): readonly Request[] {
+  const { plan, tenant, work, from, to } = options;
+  const meanTokens = work.medianTokens * Math.exp(work.sigma ** 2 / 2);
+  const gapMs = meanTokens * work.group / options.rate * 1000;
+  const requests: Request[] = [];
+  let count = 0;
+  for (
+    let at = from + random.exponential(gapMs);
+    at < to;
+    at += random.exponential(gapMs)
+  ) {
+    count += 1;
+    const prompt = promptOf(random, { tenant, work, count });
+    const entry = options.entry ?? Math.floor(random.next() * plan.entries);
+    for (let sample = 0; sample < work.group; sample++) {
+      const drawn = Math.round(random.lognormal(work.medianTokens, work.sigma));
+      requests.push({
+        ...prompt,
+        id: `${tenant}/${work.priority}/${from}/${count}/${sample}`,
+        at,
+        entry,
+        tenant,
+        priority: work.priority,
+        outputTokens: Math.max(1, Math.min(work.maxTokens, drawn)),
+        maxTokens: work.maxTokens,
+        deadlineMs: work.deadlineMs,
+      });
+    }
+  }
+  return requests;
+}
+
+/** A prompt: a shared template, then blocks of its own. */
+function promptOf(random: Random, options: {
+  tenant: string;
+  work: Work;
+  count: number;
+}): Pick<Request, "promptTokens" | "prefixes" | "fingerprint"> {
+  const { tenant, work, count } = options;
+  // A few templates are much more frequent than the others.
+  const template = Math.floor(TEMPLATES * random.next() ** 2);
+  const shared = 6;
+  const own = 2 + Math.floor(random.next() * 4);
+  const name = `${tenant}.${work.priority}`;
+  const prefixes = Array.from(
+    { length: shared + own },
+    (_, block) =>
+      block < shared
+        ? `${name}.${template}.${block}`
+        : `${name}.${template}.${count}.${block}`,
+  );
+  return {
+    prefixes,
+    promptTokens: prefixes.length * BLOCK_TOKENS,
+    fingerprint: `${name}.${count}`,
+  };
+}
--- a/src/dispatch/choice.ts
+++ b/src/dispatch/choice.ts
@@ -48,10 +48,29 @@
 /** Takes the upstream whose last report tells the least load. */
 export class LeastReported extends Choice {
   pick(_ticket: Ticket, candidates: readonly Candidate[]): Candidate {
-    const reported = ({ load }: Candidate) =>
-      load === undefined ? 0 : load.running + load.queued;
     return candidates.reduce((best, candidate) =>
       reported(candidate) < reported(best) ? candidate : best
     );
   }
 }
+
+/** Draws two upstreams and takes the one whose last report tells less load. */
+export class TwoReported extends Choice {
+  readonly #random: () => number;
+
+  constructor(options: { random?: () => number } = {}) {
+    super();
+    this.#random = options.random ?? Math.random;
+  }
+
+  pick(_ticket: Ticket, candidates: readonly Candidate[]): Candidate {
+    const draw = () =>
+      candidates[Math.floor(this.#random() * candidates.length)];
+    const [one, other] = [draw(), draw()];
+    return reported(one) <= reported(other) ? one : other;
+  }
+}
+
+function reported({ load }: Candidate): number {
+  return load === undefined ? 0 : load.running + load.queued;
+}
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -23,7 +23,7 @@
 } from "./messages.ts";
 import { type Demand, Outcome, type Permit } from "./mod.ts";
 import { type Quarantine, Suspicion } from "./quarantine.ts";
-import { hash } from "./shards.ts";
+import { pickShard } from "./pick.ts";
 import type { Summaries } from "./summaries.ts";
 import type { Uses } from "./uses.ts";
 
@@ -40,9 +40,6 @@
 /** When to come back to a pool that has no usable upstream. */
 const NO_UPSTREAM_RETRY_MS = 1000;
 
-/** Load by which the shard that shares the prompt may exceed another's. */
-const AFFINITY_MARGIN = 0.25;
-
 /** Cost of a shard without upstreams in this zone, in parts of a full one. */
 const DISTANCE = 0.05;
 
@@ -201,24 +198,18 @@
     return { shard, keeper, insist: false };
   }
 
-  /** The less loaded of two shards, one of them chosen by the prompt. */
+  /** The shard to ask, of those with an upstream that the request may use. */
   #pick(demand: Demand): Shard | undefined {
     const shards = this.#fleet.of(demand.pool).filter((shard) =>
       shard.upstreams.some(({ id, leaving }) =>
         !leaving && !demand.exclude.includes(id)
       )
     );
-    if (shards.length <= 1) return shards[0];
-    const other = shards[Math.floor(this.#random() * shards.length)];
-    const shared = demand.prefixes.at(-1);
-    if (shared === undefined) {
-      const one = shards[Math.floor(this.#random() * shards.length)];
-      return this.#load(one) <= this.#load(other) ? one : other;
-    }
-    const near = affine(shared, shards);
-    return this.#load(near) <= this.#load(other) + AFFINITY_MARGIN
-      ? near
-      : other;
+    return pickShard(shards, {
+      prefix: demand.prefixes.at(-1),
+      load: (shard) => this.#load(shard),
+      random: this.#random,
+    });
   }
 
   /** How full a shard is as far as gossip tells; 1 has every slot in use. */
@@ -233,13 +224,6 @@
   }
 }
 
-/** The shard that a prompt falls to by rendezvous hashing. */
-function affine(prefix: string, shards: readonly Shard[]): Shard {
-  return shards.reduce((best, shard) =>
-    hash(prefix + shard.name) > hash(prefix + best.name) ? shard : best
-  );
-}
-
 function parse(body: unknown): Result<AcquireAnswer, Refusal> {
   const parsed = acquireAnswer.safeParse(body);
   if (parsed.success) return Ok(parsed.data);
