Claims: at most one run for each idempotency key

Cause: a caller's resend of a request that may not be repeated ran again.

Each shard of claims has a log of numbered segments in the key-value service; the first claim of an id in the log holds it. Segments live in a ring of slots, each written by compare-and-swap against what the writer last saw in the slot.

Ruled out: deleting old segments, as that doubles the writes and frees numbers under a paused writer; segments under leases, as a log that has expired whole can be begun twice. The ring needs neither, and its safety depends on no clock.

A second unanswered ask never reuses an attempt: the owner releases an attempt that it refused, which would free a claim that a retry had got.

--- /dev/null
+++ b/src/claims/log_test.ts
@@ -0,0 +1,362 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import * as O from "fp-ts/Option";
+import { test } from "node:test";
+import { Err, Ok, type Result } from "ts-results";
+import { Clock, ManualClock, Reason, Verdict } from "../kernel/mod.ts";
+import {
+  type Entry,
+  type Failure,
+  Fault,
+  type Grant,
+  KeyValue,
+  type Swap,
+} from "../platform/mod.ts";
+import { ClaimLog } from "./log.ts";
+import { type Claim, Ending, Standing } from "./mod.ts";
+import { RecordKind } from "./record.ts";
+
+const SEED = 20261204;
+
+/** How a call of the fake service goes. */
+type Fate = "answered" | "lost before" | "lost after" | "refused" | "late";
+
+/** A key-value service whose calls meet the fates that a test gives. */
+class FakeKeyValue extends KeyValue {
+  readonly entries = new Map<string, Entry>();
+  writes = 0;
+  /** With `false`, swaps write whatever the revision. */
+  comparing = true;
+  fate: () => Fate = () => "answered";
+  turn: () => Promise<unknown> = () => Promise.resolve();
+  #revision = 0;
+
+  get(key: string): Promise<Result<O.Option<Entry>, Failure>> {
+    return this.#call(() => Ok(O.fromNullable(this.entries.get(key))));
+  }
+
+  range(
+    prefix: string,
+    options: { after?: string; limit?: number } = {},
+  ): Promise<Result<readonly Entry[], Failure>> {
+    const { after = "", limit = 1000 } = options;
+    return this.#call(() =>
+      Ok(
+        [...this.entries.values()]
+          .filter(({ key }) => key.startsWith(prefix) && key > after)
+          .sort((a, b) => a.key < b.key ? -1 : 1)
+          .slice(0, limit),
+      )
+    );
+  }
+
+  swap(
+    key: string,
+    options: { value: string; expected: number },
+  ): Promise<Result<Swap, Failure>> {
+    return this.#call((): Result<Swap, Failure> => {
+      const current = this.entries.get(key);
+      const same = (current?.revision ?? 0) === options.expected;
+      if (this.comparing && !same) {
+        return Ok({ applied: false, current: O.fromNullable(current) });
+      }
+      const revision = ++this.#revision;
+      this.writes++;
+      this.entries.set(key, { key, value: options.value, revision });
+      return Ok({ applied: true, revision });
+    });
+  }
+
+  remove(): Promise<Result<Swap, Failure>> {
+    return Promise.resolve(Err(FAILED));
+  }
+
+  grant(): Promise<Result<Grant, Failure>> {
+    return Promise.resolve(Err(FAILED));
+  }
+
+  renew(): Promise<Result<Grant, Failure>> {
+    return Promise.resolve(Err(FAILED));
+  }
+
+  revoke(): Promise<Result<true, Failure>> {
+    return Promise.resolve(Err(FAILED));
+  }
+
+  watch(): Promise<Result<O.Option<Entry>, Failure>> {
+    return Promise.resolve(Err(FAILED));
+  }
+
+  async #call<T>(run: () => Result<T, Failure>): Promise<Result<T, Failure>> {
+    const fate = this.fate();
+    await this.turn();
+    if (fate === "refused") return Err({ ...FAILED, fault: Fault.Refused });
+    if (fate === "lost before") return Err(FAILED);
+    if (fate === "late") {
+      // Takes effect some time after its caller has given up on it.
+      void this.turn().then(run);
+      return Err(FAILED);
+    }
+    const answer = run();
+    await this.turn();
+    return fate === "lost after" ? Err(FAILED) : answer;
+  }
+}
+
+const FAILED: Failure = { fault: Fault.Unknown, message: "No answer" };
+
+let seq = 0;
+
+function claimOf(id: string, fingerprint = "f"): Claim {
+  return { id, attempt: `attempt-${++seq}`, fingerprint };
+}
+
+function logOf(
+  keyValue: KeyValue,
+  options: { clock?: Clock; author?: string; retentionMs?: number } = {},
+) {
+  return new ClaimLog({
+    keyValue,
+    clock: options.clock ?? new ManualClock(),
+    shard: 1,
+    author: options.author ?? "a",
+    retentionMs: options.retentionMs ?? 1000,
+  });
+}
+
+/** Lets time pass until `promise` resolves. */
+async function during<T>(clock: ManualClock, promise: Promise<T>): Promise<T> {
+  let pending = true;
+  void promise.finally(() => pending = false);
+  for (;;) {
+    for (let n = 0; n < 20; n++) await new Promise(setImmediate);
+    if (!pending) return await promise;
+    clock.advance(50);
+  }
+}
+
+async function standing(log: ClaimLog, claim: Claim) {
+  const claimed = await log.claim(claim);
+  return claimed.ok ? claimed.val.standing : claimed.val.reason;
+}
+
+const NEVER = new AbortController().signal;
+
+const ANSWERED = {
+  ending: Ending.Answered,
+  status: 200,
+  contentType: "text/plain",
+  body: "done",
+  whole: true,
+  digest: "",
+};
+
+test("an id is granted once, also by another daemon", async () => {
+  const keyValue = new FakeKeyValue();
+  const [a, b] = [logOf(keyValue), logOf(keyValue, { author: "b" })];
+  expect(await standing(a, claimOf("x"))).toEqual(Standing.Granted);
+  expect(await standing(a, claimOf("x"))).toEqual(Standing.Held);
+  expect(await standing(b, claimOf("x"))).toEqual(Standing.Held);
+  expect(await standing(b, claimOf("x", "other"))).toEqual(Standing.Mismatch);
+});
+
+test("claims that wait together share a write", async () => {
+  const keyValue = new FakeKeyValue();
+  const log = logOf(keyValue);
+  const ids = Array.from({ length: 50 }, (_, n) => `id-${n}`);
+  await Promise.all(ids.map((id) => log.claim(claimOf(id))));
+  expect(keyValue.writes <= 2).toEqual(true);
+});
+
+test("a lost answer is resolved by recognising one's own write", async () => {
+  const keyValue = new FakeKeyValue();
+  const clock = new ManualClock();
+  const log = logOf(keyValue, { clock });
+  const fates: Fate[] = ["answered", "lost after"];
+  keyValue.fate = () => fates.shift() ?? "answered";
+  const claimed = during(clock, standing(log, claimOf("x")));
+  expect(await claimed).toEqual(Standing.Granted);
+  expect(keyValue.writes).toEqual(1);
+});
+
+test("claims of an outage are refused as not run, and granted after it", async () => {
+  const keyValue = new FakeKeyValue();
+  const clock = new ManualClock();
+  const log = logOf(keyValue, { clock });
+  keyValue.fate = () => "lost before";
+  const claimed = await during(clock, log.claim(claimOf("x")));
+  expect(claimed.err && claimed.val.verdict).toEqual(Verdict.NotRun);
+  keyValue.fate = () => "answered";
+  await during(clock, clock.sleep(1200));
+  expect(await standing(log, claimOf("x"))).toEqual(Standing.Granted);
+});
+
+test("claims during an outage are not held back", async () => {
+  const keyValue = new FakeKeyValue();
+  const clock = new ManualClock();
+  const log = logOf(keyValue, { clock });
+  keyValue.fate = () => "lost before";
+  void log.claim(claimOf("x"));
+  await during(clock, clock.sleep(600));
+  const at = clock.now();
+  expect(await standing(log, claimOf("y"))).toEqual(Reason.PlatformDown);
+  expect(clock.now()).toEqual(at);
+});
+
+test("a released claim can be claimed again, by a new attempt only", async () => {
+  const keyValue = new FakeKeyValue();
+  const clock = new ManualClock();
+  const log = logOf(keyValue, { clock });
+  const first = claimOf("x");
+  await log.claim(first);
+  log.append({ kind: RecordKind.Released, claim: first });
+  await during(clock, log.flushed(NEVER));
+  const other = logOf(keyValue, { author: "b" });
+  expect(await standing(other, claimOf("x"))).toEqual(Standing.Granted);
+  expect(await standing(other, first)).toEqual(Standing.Held);
+});
+
+test("an outcome is found through another daemon", async () => {
+  const keyValue = new FakeKeyValue();
+  const clock = new ManualClock();
+  const log = logOf(keyValue, { clock });
+  const claim = claimOf("x");
+  await log.claim(claim);
+  log.append({ kind: RecordKind.Settled, claim, outcome: ANSWERED });
+  await during(clock, log.flushed(NEVER));
+  const found = await logOf(keyValue, { author: "b" }).find("x");
+  expect(found.unwrap()).toEqual(O.some({ outcome: O.some(ANSWERED) }));
+  expect(await standing(log, claimOf("x"))).toEqual(Standing.Ended);
+});
+
+test("a ring that is written round still grants once", async () => {
+  const keyValue = new FakeKeyValue();
+  const clock = new ManualClock();
+  const retentionMs = 100;
+  const a = logOf(keyValue, { clock, retentionMs });
+  for (let n = 0; n < 11; n++) {
+    const claimed = during(clock, standing(a, claimOf(`id-${n}`)));
+    expect(await claimed).toEqual(Standing.Granted);
+  }
+  expect(keyValue.entries.size).toEqual(4);
+  const b = logOf(keyValue, { clock, author: "b", retentionMs });
+  expect(await standing(b, claimOf("id-10"))).toEqual(Standing.Held);
+  expect(await standing(b, claimOf("fresh"))).toEqual(Standing.Granted);
+  const late = during(clock, standing(a, claimOf("fresh")));
+  expect(await late).toEqual(Standing.Held);
+});
+
+/** Time passes only as the scheduler lets timers run, in any order. */
+class ScheduledClock extends Clock {
+  readonly #scheduler: fc.Scheduler;
+
+  constructor(scheduler: fc.Scheduler) {
+    super();
+    this.#scheduler = scheduler;
+  }
+
+  now(): number {
+    return 0;
+  }
+
+  wall(): number {
+    return 0;
+  }
+
+  after(_delayMs: number, task: () => void): () => void {
+    let cancelled = false;
+    void this.#scheduler.schedule(Promise.resolve()).then(() => {
+      if (!cancelled) task();
+    });
+    return () => cancelled = true;
+  }
+}
+
+/** What a run's history must satisfy: no id ran twice. */
+function ranTwice(runs: readonly string[]): readonly string[] {
+  return runs.filter((id, n) => runs.indexOf(id) !== n);
+}
+
+interface Plan {
+  readonly scheduler: fc.Scheduler;
+  readonly sends: readonly { id: string; log: number; dies: boolean }[];
+  readonly fates: readonly Fate[];
+  readonly comparing: boolean;
+}
+
+/** Sends requests through several owners at once; answers with what ran. */
+async function runsOf(plan: Plan): Promise<readonly string[]> {
+  const { scheduler, sends, fates } = plan;
+  const keyValue = new FakeKeyValue();
+  keyValue.comparing = plan.comparing;
+  let call = 0;
+  keyValue.fate = () => fates[call++] ?? "answered";
+  keyValue.turn = () => scheduler.schedule(Promise.resolve());
+  const logs = [0, 1, 2].map((n) =>
+    logOf(keyValue, {
+      clock: new ScheduledClock(scheduler),
+      author: `log-${n}`,
+      retentionMs: 100_000,
+    })
+  );
+  const runs: string[] = [];
+  const send = async ({ id, log, dies }: Plan["sends"][number]) => {
+    const claim = claimOf(id);
+    await scheduler.schedule(Promise.resolve());
+    const claimed = await logs[log].claim(claim);
+    if (claimed.err || claimed.val.standing !== Standing.Granted) return;
+    // Death between claim and dispatch: the claim stays, nothing runs.
+    if (dies) return;
+    runs.push(id);
+    await scheduler.schedule(Promise.resolve());
+    const outcome = ANSWERED;
+    logs[log].append({ kind: RecordKind.Settled, claim, outcome });
+  };
+  await scheduler.waitFor(Promise.all(sends.map(send)));
+  for (const log of logs) log.stop();
+  return runs;
+}
+
+function plans(comparing: boolean): fc.Arbitrary<Plan> {
+  const fates: Fate[] = [
+    "answered",
+    "answered",
+    "lost before",
+    "lost after",
+    "refused",
+    "late",
+  ];
+  return fc.record({
+    scheduler: fc.scheduler(),
+    sends: fc.array(
+      fc.record({
+        id: fc.constantFrom("x", "y"),
+        log: fc.nat({ max: 2 }),
+        dies: fc.boolean(),
+      }),
+      { minLength: 2, maxLength: 8 },
+    ),
+    fates: fc.array(fc.constantFrom(...fates), { maxLength: 20 }),
+    comparing: fc.constant(comparing),
+  });
+}
+
+test("no interleaving of owners and lost answers runs an id twice", async () => {
+  await fc.assert(
+    fc.asyncProperty(plans(true), async (plan) => {
+      expect(ranTwice(await runsOf(plan))).toEqual([]);
+    }),
+    { seed: SEED, numRuns: 500 },
+  );
+});
+
+test("the check rejects a service that does not compare", async () => {
+  const details = await fc.check(
+    fc.asyncProperty(
+      plans(false),
+      async (plan) => ranTwice(await runsOf(plan)).length === 0,
+    ),
+    { seed: SEED, numRuns: 500 },
+  );
+  expect(details.failed).toEqual(true);
+});
--- /dev/null
+++ b/src/claims/outcomes.ts
@@ -0,0 +1,90 @@
+/**
+ * Outcomes of idempotency keys, for their callers.
+ *
+ * @module
+ */
+
+import type { FastifyReply, FastifyRequest } from "fastify";
+import * as O from "fp-ts/Option";
+import { configKey } from "../config/mod.ts";
+import { Admission } from "../gateway/admission.ts";
+import { type Gateway, gatewayKey } from "../gateway/mod.ts";
+import { type Kernel, Plugin, PluginKey, register } from "../kernel/mod.ts";
+import type { Route } from "../tables/mod.ts";
+import { type Claims, claimsKey, type Found } from "./mod.ts";
+
+/** What the outcome of an idempotency key is known to be. */
+export enum OutcomeState {
+  /** No claim is known: no request has run yet. */
+  Unknown = "unknown",
+  /** A request was claimed; it runs, or ran and its outcome was not told. */
+  Claimed = "claimed",
+  Answered = "answered",
+  Lost = "lost",
+}
+
+/** Serves `GET /v1/outcomes/<idempotency key>?route=<route>`. */
+export class Outcomes extends Plugin {
+  readonly #gateway: Gateway;
+  readonly #claims: Claims;
+  readonly #admission: Admission;
+
+  constructor(options: { kernel: Kernel }) {
+    super();
+    const { kernel } = options;
+    this.#gateway = kernel.get(gatewayKey);
+    this.#claims = kernel.get(claimsKey);
+    const config = kernel.get(configKey);
+    this.#admission = new Admission({ kernel, config });
+  }
+
+  override start(): Promise<void> {
+    this.#gateway.server.get(
+      "/v1/outcomes/:key",
+      (request, reply) => this.#serve(request, reply),
+    );
+    return Promise.resolve();
+  }
+
+  async #serve(request: FastifyRequest, reply: FastifyReply) {
+    const { key } = request.params as { key: string };
+    const { route: name } = request.query as { route?: string };
+    const admitted = this.#admission.admit(request, named(name));
+    if (admitted.err) return this.#gateway.refuse(reply, admitted.val);
+    const { route, caller } = admitted.val;
+    const scope = { tenant: caller.tenant, route: route.name, key };
+    const found = await this.#claims.find(scope);
+    if (found.err) {
+      return this.#gateway.refuse(reply, found.val, { route: route.name });
+    }
+    return reply.send(told(found.val));
+  }
+}
+
+function named(name: string | undefined) {
+  return (routes: readonly Route[]) =>
+    O.fromNullable(routes.find((route) => route.name === name));
+}
+
+function told(found: O.Option<Found>): unknown {
+  if (O.isNone(found)) return { state: OutcomeState.Unknown };
+  const { outcome } = found.value;
+  if (O.isNone(outcome)) return { state: OutcomeState.Claimed };
+  const { ending, status, contentType, body, whole, digest } = outcome.value;
+  return {
+    state: ending,
+    status,
+    content_type: contentType,
+    body: whole ? body : null,
+    sha256: digest,
+  };
+}
+
+/** The key of the plug-in that tells outcomes. */
+export const outcomesKey = new PluginKey<Outcomes>("outcomes");
+
+register({
+  key: outcomesKey,
+  requires: [gatewayKey, configKey, claimsKey],
+  create: (kernel) => new Outcomes({ kernel }),
+});
--- a/src/gateway/completions.ts
+++ b/src/gateway/completions.ts
@@ -11,6 +11,7 @@
 import type { ServerResponse } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
+import { type ClaimOutcome, claimsKey } from "../claims/mod.ts";
 import { configKey } from "../config/mod.ts";
 import {
   type Kernel,
@@ -22,6 +23,7 @@
   Verdict,
 } from "../kernel/mod.ts";
 import type { Chunk, Generation } from "../platform/mod.ts";
+import { blocksOf } from "../platform/prefixes.ts";
 import { Kind, Priority, type Route } from "../tables/mod.ts";
 import { type Usage, usageKey } from "../usage/mod.ts";
 import {
@@ -38,9 +40,12 @@
   generatorKey,
   refusalBody,
 } from "./mod.ts";
+import { type Capture, Once, type Run } from "./once.ts";
 
 const MAX_TOKENS = 65_536;
 const CHARS_PER_TOKEN = 4;
+const STREAM_TYPE = "text/event-stream";
+const JSON_TYPE = "application/json; charset=utf-8";
 const MAX_SEED = 2 ** 31;
 
 /** What an engine is told of a route's priority; higher runs first. */
@@ -105,6 +110,7 @@
   readonly #usage: Usage;
   readonly #admission: Admission;
   readonly #running: Running;
+  readonly #once: Once;
   readonly #tokens;
 
   constructor(options: { kernel: Kernel }) {
@@ -117,6 +123,7 @@
     this.#usage = kernel.get(usageKey);
     this.#admission = new Admission({ kernel, config });
     this.#running = new Running({ config });
+    this.#once = new Once({ kernel });
     this.#tokens = kernel.counter(
       "toucanwind_completion_tokens_total",
       "Tokens that callers got, by route",
@@ -169,20 +176,31 @@
       admitted: admitted.val,
       createdAt: this.#kernel.clock.wall(),
     });
+    const run = await this.#once.begin(request, reply, {
+      admitted: admitted.val,
+      fingerprint: createHash("sha256").update(raw).digest("base64url"),
+    });
+    if (O.isNone(run)) return reply;
+    answer.capture = run.value.capture();
     const remove = this.#running.add(admitted.val, () => answer.withdraw());
+    // What throws is a fault of this daemon; it may have run.
+    let verdict = Verdict.MayHaveRun;
     try {
-      await this.#answer(answer);
+      verdict = await this.#answer(answer, run.value) ?? verdict;
     } finally {
+      run.value.failed(verdict);
       remove();
     }
     return reply;
   }
 
-  async #answer(answer: Answer): Promise<void> {
+  /** Answers with the verdict if the request failed. */
+  async #answer(answer: Answer, run: Run): Promise<Verdict | undefined> {
     const { route } = answer.admitted;
     const { prompt, maxTokens } = answer.ask;
     const demand = this.#admission.demand(answer.admitted, {
       tokens: Math.ceil(prompt.length / CHARS_PER_TOKEN) + maxTokens,
+      prefixes: blocksOf(prompt),
       fingerprint: fingerprintOf(answer),
     });
     const chunks = this.#generator.run(
@@ -198,21 +216,24 @@
         await answer.add(item.val);
         continue;
       }
-      answer.last(item.val);
+      const rest = answer.last(item.val);
+      const outcome = answer.outcome();
+      if (O.isSome(outcome)) run.answered(outcome.value);
       await this.#record(answer);
-      answer.finish();
-      return;
+      answer.finish(rest);
+      return undefined;
     }
-    await this.#fail(answer, UNFINISHED);
+    return await this.#fail(answer, UNFINISHED);
   }
 
-  async #fail(answer: Answer, refusal: Refusal): Promise<void> {
+  async #fail(answer: Answer, refusal: Refusal): Promise<Verdict> {
     // What was streamed was had; a whole answer that never left was not.
     if (answer.streaming) await this.#record(answer);
     const own = answer.withdrawn
       ? new Refusal({ ...WITHDRAWN, verdict: refusal.verdict })
       : refusal;
     this.#refuse(answer, own);
+    return own.verdict;
   }
 
   #refuse(answer: Answer, refusal: Refusal): void {
@@ -247,11 +268,12 @@
   outputTokens = 0;
   withdrawn = false;
   streaming = false;
+  /** Records what is sent, if it is to be kept for resends. */
+  capture: Capture | undefined;
   readonly #abort = new AbortController();
   readonly #versions = new Set<number>();
   readonly #created: number;
   #text = "";
-  #finishReason = "";
 
   constructor(
     reply: FastifyReply,
@@ -279,33 +301,44 @@
   /** Passes on a chunk of a stream, or keeps it for the whole answer. */
   async add(chunk: Chunk): Promise<void> {
     this.#take(chunk);
-    if (!this.ask.stream) return;
+    if (!this.ask.stream) {
+      this.#text += chunk.text;
+      return;
+    }
     this.#begin();
-    const room = this.reply.raw.write(event(this.#piece(chunk.text, null)));
+    const piece = event(this.#piece(chunk.text, null));
+    this.capture?.add(Buffer.from(piece));
+    const room = this.reply.raw.write(piece);
     if (!room) await drained(this.reply.raw, this.signal);
   }
 
-  /** Keeps the last chunk until its use is recorded. */
-  last(chunk: Chunk) {
+  /** What is left to send with the last chunk; its use is recorded first. */
+  last(chunk: Chunk): string {
     this.#take(chunk);
-    this.#text = this.ask.stream ? chunk.text : this.#text;
-    this.#finishReason = chunk.finishReason;
     this.promptTokens = chunk.promptTokens;
+    const rest = this.ask.stream
+      ? this.#tail(chunk)
+      : JSON.stringify(this.#whole(this.#text + chunk.text, chunk));
+    this.capture?.add(Buffer.from(rest));
+    return rest;
+  }
+
+  /** The answer as kept for resends. */
+  outcome(): O.Option<ClaimOutcome> {
+    const type = this.ask.stream ? STREAM_TYPE : JSON_TYPE;
+    const { capture } = this;
+    return capture ? O.some(capture.outcome(200, type)) : O.none;
   }
 
-  /** Ends the answer whole. */
-  finish() {
+  /** Ends the answer whole with what `last` left to send. */
+  finish(rest: string) {
     if (!this.ask.stream) {
       this.reply.header("x-request-id", this.admitted.id);
-      this.reply.send(this.#whole());
+      this.reply.type(JSON_TYPE).send(rest);
       return;
     }
     this.#begin();
-    const piece = this.#piece(this.#text, this.#finishReason);
-    const usage = this.ask.includeUsage
-      ? event({ ...this.#head(), choices: [], usage: this.#used() })
-      : "";
-    this.reply.raw.end(event(piece) + usage + "data: [DONE]\n\n");
+    this.reply.raw.end(rest);
   }
 
   /** Ends a stream with an explicit error, and without `[DONE]`. */
@@ -316,7 +349,6 @@
   #take(chunk: Chunk) {
     this.outputTokens += chunk.tokens;
     this.#versions.add(chunk.weightVersion);
-    if (!this.ask.stream) this.#text += chunk.text;
   }
 
   #begin() {
@@ -324,7 +356,7 @@
     this.streaming = true;
     this.reply.hijack();
     this.reply.raw.writeHead(200, {
-      "content-type": "text/event-stream",
+      "content-type": STREAM_TYPE,
       "cache-control": "no-cache",
       "x-request-id": this.admitted.id,
     });
@@ -350,16 +382,19 @@
     return { ...this.#head(), choices: [choice] };
   }
 
-  #whole() {
-    const text = this.#text;
+  #tail(chunk: Chunk): string {
+    const piece = this.#piece(chunk.text, chunk.finishReason);
+    const usage = this.ask.includeUsage
+      ? event({ ...this.#head(), choices: [], usage: this.#used() })
+      : "";
+    return `${event(piece)}${usage}data: [DONE]\n\n`;
+  }
+
+  #whole(text: string, { finishReason }: Chunk) {
     const content = this.ask.chat
       ? { message: { role: "assistant", content: text } }
       : { text };
-    const choice = {
-      index: 0,
-      ...content,
-      finish_reason: this.#finishReason,
-    };
+    const choice = { index: 0, ...content, finish_reason: finishReason };
     return { ...this.#head(), choices: [choice], usage: this.#used() };
   }
 
@@ -493,6 +528,6 @@
 
 register({
   key: completionsKey,
-  requires: [gatewayKey, generatorKey, configKey, usageKey],
+  requires: [gatewayKey, generatorKey, configKey, usageKey, claimsKey],
   create: (kernel) => new Completions({ kernel }),
 });
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -6,6 +6,17 @@
 
 import * as O from "fp-ts/Option";
 import { Err, Ok, type Result } from "ts-results";
+import {
+  type Claim,
+  type Claimed,
+  type ClaimOutcome,
+  Claims,
+  claimsKey,
+  type Found,
+  type Scope,
+  Standing,
+} from "../claims/mod.ts";
+import { Outcomes, outcomesKey } from "../claims/outcomes.ts";
 import { type Caller, Config, configKey } from "../config/mod.ts";
 import {
   type Demand,
@@ -201,6 +212,56 @@
   }
 }
 
+/** Claims in memory. */
+export class FakeClaims extends Claims {
+  readonly held = new Map<
+    string,
+    { claim: Claim; outcome?: ClaimOutcome }
+  >();
+  refusal: Refusal | undefined;
+
+  claim(
+    scope: Scope,
+    fingerprint: string,
+  ): Promise<Result<Claimed, Refusal>> {
+    if (this.refusal) return Promise.resolve(Err(this.refusal));
+    return Promise.resolve(Ok(this.#standing(scope, fingerprint)));
+  }
+
+  settle(claim: Claim, outcome: ClaimOutcome) {
+    this.held.set(claim.id, { claim, outcome });
+  }
+
+  release(claim: Claim) {
+    this.held.delete(claim.id);
+  }
+
+  find({ key }: Scope): Promise<Result<O.Option<Found>, Refusal>> {
+    const held = O.fromNullable(this.held.get(key));
+    return Promise.resolve(Ok(
+      O.map(({ outcome }: { outcome?: ClaimOutcome }) => ({
+        outcome: O.fromNullable(outcome),
+      }))(held),
+    ));
+  }
+
+  #standing({ key: id }: Scope, fingerprint: string): Claimed {
+    const held = this.held.get(id);
+    if (held === undefined) {
+      const claim = { id, attempt: "1", fingerprint };
+      this.held.set(id, { claim });
+      return { standing: Standing.Granted, claim };
+    }
+    if (held.claim.fingerprint !== fingerprint) {
+      return { standing: Standing.Mismatch };
+    }
+    const { outcome } = held;
+    return outcome
+      ? { standing: Standing.Ended, outcome }
+      : { standing: Standing.Held };
+  }
+}
+
 /** What one attempt at an engine does. */
 export type Script = (
   generation: Generation,
@@ -283,6 +344,7 @@
   readonly dispatch: FakeDispatch;
   readonly usage: FakeUsage;
   readonly engine: FakeEngine;
+  readonly claims: FakeClaims;
 }
 
 /** Runs `body` against a gateway that listens on loopback. */
@@ -301,6 +363,7 @@
   dispatch.targets = options.targets ??
     ["u1", "u2", "u3"].map((id) => ({ id, address: "127.0.0.1:1" }));
   const usage = new FakeUsage();
+  const claims = new FakeClaims();
   const kernel = new Kernel({
     settings: settings(options),
     platform: { engine } as unknown as Platform,
@@ -309,17 +372,19 @@
       plugin(configKey, () => config),
       plugin(dispatchKey, () => dispatch),
       plugin(usageKey, () => usage),
+      plugin(claimsKey, () => claims),
       plugin(gatewayKey, (kernel) => new HttpGateway({ kernel })),
       plugin(generatorKey, (kernel) => new Generate({ kernel })),
       plugin(completionsKey, (kernel) => new Completions({ kernel })),
       plugin(forwardKey, (kernel) => new Forward({ kernel })),
+      plugin(outcomesKey, (kernel) => new Outcomes({ kernel })),
     ],
   });
   await kernel.start();
   const { port } = kernel.get(gatewayKey) as HttpGateway;
   const url = `http://127.0.0.1:${port}`;
   try {
-    await body({ kernel, url, config, dispatch, usage, engine });
+    await body({ kernel, url, config, dispatch, usage, engine, claims });
   } finally {
     await kernel.shutdown();
   }
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -22,9 +22,11 @@
 } from "../kernel/mod.ts";
 import type { Target } from "../platform/mod.ts";
 import { Kind, type Route } from "../tables/mod.ts";
+import { claimsKey } from "../claims/mod.ts";
 import { type Usage, usageKey } from "../usage/mod.ts";
 import { Admission, type Admitted, Running, WITHDRAWN } from "./admission.ts";
 import { type Gateway, gatewayKey } from "./mod.ts";
+import { Once, type Run } from "./once.ts";
 import { forwardedHeaders, readBody, type RequestBody } from "./passage.ts";
 import { Relay, type RelayEnd } from "./relay.ts";
 import { Budget } from "./retry.ts";
@@ -41,6 +43,7 @@
   readonly #usage: Usage;
   readonly #admission: Admission;
   readonly #running: Running;
+  readonly #once: Once;
   readonly #budget: Budget;
   readonly #retries;
   readonly #pooled = new Agent({
@@ -64,6 +67,7 @@
     this.#usage = kernel.get(usageKey);
     this.#admission = new Admission({ kernel, config });
     this.#running = new Running({ config });
+    this.#once = new Once({ kernel });
     this.#budget = options.budget ?? new Budget();
     this.#retries = kernel.counter(
       "toucanwind_forward_retries_total",
@@ -107,19 +111,33 @@
       admitted: admitted.val,
       body: body.val,
     });
-    const { deadlineAt } = admitted.val;
-    const left = deadlineAt - this.#kernel.clock.now();
+    const run = await this.#once.begin(request, reply, {
+      admitted: admitted.val,
+      fingerprint: exchange.fingerprint,
+    });
+    if (O.isSome(run)) await this.#relay(exchange, run.value);
+    return reply;
+  }
+
+  /** Runs a request until it is answered, refused or cut. */
+  async #relay(exchange: Exchange, run: Run): Promise<void> {
+    const { admitted } = exchange;
+    const left = admitted.deadlineAt - this.#kernel.clock.now();
     const cancel = this.#kernel.clock.after(left, () => exchange.end(EXPIRED));
     const remove = this.#running
-      .add(admitted.val, () => exchange.end(WITHDRAWN_BEFORE));
+      .add(admitted, () => exchange.end(WITHDRAWN_BEFORE));
+    // What throws is a fault of this daemon; it may have run.
+    let verdict = Verdict.MayHaveRun;
     try {
-      const refusal = await this.#run(exchange);
-      if (refusal !== undefined) this.#fail(exchange, refusal);
+      const refusal = await this.#run(exchange, run);
+      if (refusal === undefined) return;
+      verdict = refusal.verdict;
+      this.#fail(exchange, refusal);
     } finally {
+      run.failed(verdict);
       cancel();
       remove();
     }
-    return reply;
   }
 
   #fail({ reply, admitted }: Exchange, refusal: Refusal) {
@@ -134,7 +152,10 @@
   }
 
   /** Answers why the request failed, or `undefined` once it is answered. */
-  async #run(exchange: Exchange): Promise<Refusal | undefined> {
+  async #run(
+    exchange: Exchange,
+    run: Run,
+  ): Promise<Refusal | undefined> {
     const { admitted } = exchange;
     const { route } = admitted;
     const tried: string[] = [];
@@ -154,13 +175,13 @@
       // What throws is a fault of this daemon; the upstream may have run it.
       let outcome = Outcome.Broken;
       try {
-        const end = await this.#attempt(exchange, target);
+        const end = await this.#attempt(exchange, { target, run });
         outcome = end?.outcome ?? Outcome.Served;
         if (end === undefined) return undefined;
         exchange.verdict = end.verdict === Verdict.MayHaveRun
           ? end.verdict
           : exchange.verdict;
-        const refusal = this.#refusal(exchange, { end, attempt });
+        const refusal = this.#refusal(exchange, { end, attempt, run });
         if (refusal !== undefined) return refusal;
         this.#retries.inc({ reason: end.reason });
       } finally {
@@ -171,9 +192,9 @@
 
   #refusal(
     exchange: Exchange,
-    options: { end: RelayEnd; attempt: number },
+    options: { end: RelayEnd; attempt: number; run: Run },
   ): Refusal | undefined {
-    const { end, attempt } = options;
+    const { end, attempt, run } = options;
     const { route } = exchange.admitted;
     const refusal = exchange.refusal(
       new Refusal({
@@ -183,16 +204,20 @@
         retryAfterMs: 1000,
       }),
     );
+    // Without a claim nobody would know of a second attempt.
+    const harmless = route.repeatable ||
+      run.claimed && exchange.verdict === Verdict.NotRun;
     const again = !exchange.signal.aborted && exchange.replayable &&
-      route.repeatable && attempt + 1 < MAX_ATTEMPTS;
+      harmless && attempt + 1 < MAX_ATTEMPTS;
     if (!again) return refusal;
     return this.#budget.spend(route.name) ? undefined : refusal;
   }
 
   #attempt(
     exchange: Exchange,
-    target: Target,
+    options: { target: Target; run: Run },
   ): Promise<RelayEnd | undefined> {
+    const { target, run } = options;
     const { request, reply, admitted, body, signal } = exchange;
     const { route } = admitted;
     const { upstreamSilenceMs } = this.#kernel.settings.timing;
@@ -200,10 +225,15 @@
     const headersTimeout = route.repeatable
       ? Math.min(left, upstreamSilenceMs)
       : left;
+    const capture = run.capture();
     const relay = new Relay({
       reply,
       signal,
-      record: (status) => this.#record(admitted, status),
+      capture,
+      record: async (status, contentType) => {
+        if (capture) run.answered(capture.outcome(status, contentType));
+        await this.#record(admitted, status);
+      },
     });
     const agent = route.repeatable ? this.#pooled : this.#single;
     try {
@@ -276,6 +306,7 @@
         admitted.caller.tenant,
         request.method,
         request.url,
+        request.headers["content-length"] ?? "",
       ]))
       .update(body.bytes)
       .digest("base64url");
@@ -336,6 +367,6 @@
 
 register({
   key: forwardKey,
-  requires: [gatewayKey, dispatchKey, configKey, usageKey],
+  requires: [gatewayKey, dispatchKey, configKey, usageKey, claimsKey],
   create: (kernel) => new Forward({ kernel }),
 });
--- /dev/null
+++ b/src/gateway/once.ts
@@ -0,0 +1,219 @@
+/**
+ * Requests with an idempotency key on routes that may not be repeated: claimed
+ * before they are dispatched, and their outcomes kept.
+ *
+ * @module
+ */
+
+import type { FastifyReply, FastifyRequest } from "fastify";
+import * as O from "fp-ts/Option";
+import { createHash, type Hash } from "node:crypto";
+import {
+  type Claim,
+  type Claimed,
+  type ClaimOutcome,
+  type Claims,
+  claimsKey,
+  Ending,
+  Standing,
+} from "../claims/mod.ts";
+import { type Kernel, Reason, Refusal, Verdict } from "../kernel/mod.ts";
+import type { Admitted } from "./admission.ts";
+import { type Gateway, gatewayKey } from "./mod.ts";
+
+const KEY_HEADER = "idempotency-key";
+const MAX_KEY_CHARS = 255;
+/** Answers up to this size are kept and replayed to resends. */
+const MAX_KEPT_BYTES = 4 * 1024;
+
+/** Lets requests with an idempotency key run once. */
+export class Once {
+  readonly #claims: Claims;
+  readonly #gateway: Gateway;
+
+  constructor(options: { kernel: Kernel }) {
+    this.#claims = options.kernel.get(claimsKey);
+    this.#gateway = options.kernel.get(gatewayKey);
+  }
+
+  /**
+   * Claims the request if it needs a claim. `None` means that the request has
+   * been answered here: it was refused, or its outcome replayed.
+   */
+  async begin(
+    request: FastifyRequest,
+    reply: FastifyReply,
+    options: { admitted: Admitted; fingerprint: string },
+  ): Promise<O.Option<Run>> {
+    const { route, caller } = options.admitted;
+    const key = request.headers[KEY_HEADER];
+    if (route.repeatable || key === undefined) return O.some(UNCLAIMED);
+    if (typeof key !== "string" || key === "" || key.length > MAX_KEY_CHARS) {
+      this.#gateway.refuse(reply, BAD_KEY, { route: route.name });
+      return O.none;
+    }
+    const claimed = await this.#claims.claim(
+      { tenant: caller.tenant, route: route.name, key },
+      options.fingerprint,
+    );
+    if (claimed.err) {
+      this.#gateway.refuse(reply, claimed.val, { route: route.name });
+      return O.none;
+    }
+    if (claimed.val.standing === Standing.Granted) {
+      return O.some(new ClaimedRun(this.#claims, claimed.val.claim));
+    }
+    this.#tell(reply, claimed.val, route.name);
+    return O.none;
+  }
+
+  #tell(
+    reply: FastifyReply,
+    claimed: Exclude<Claimed, { standing: Standing.Granted }>,
+    route: string,
+  ) {
+    if (claimed.standing === Standing.Mismatch) {
+      this.#gateway.refuse(reply, MISMATCH, { route, status: 422 });
+      return;
+    }
+    if (claimed.standing === Standing.Held) {
+      this.#gateway.refuse(reply, HELD, { route });
+      return;
+    }
+    const { outcome } = claimed;
+    if (outcome.ending === Ending.Answered && outcome.whole) {
+      replay(reply, outcome);
+      return;
+    }
+    const lost = outcome.ending === Ending.Lost;
+    this.#gateway.refuse(reply, lost ? LOST : NOT_KEPT, { route });
+  }
+}
+
+/** One run of a request, as far as its claim is concerned. */
+export interface Run {
+  /** Whether a claim guards the run. */
+  readonly claimed: boolean;
+  /** A recorder of the answer, if the run's outcome is to be kept. */
+  capture(): Capture | undefined;
+  /** Notes that the answer was had. */
+  answered(outcome: ClaimOutcome): void;
+  /** Notes that the run failed. */
+  failed(verdict: Verdict): void;
+}
+
+const UNCLAIMED: Run = {
+  claimed: false,
+  capture: () => undefined,
+  answered: () => {},
+  failed: () => {},
+};
+
+class ClaimedRun implements Run {
+  readonly claimed = true;
+  readonly #claims: Claims;
+  readonly #claim: Claim;
+  #ended = false;
+
+  constructor(claims: Claims, claim: Claim) {
+    this.#claims = claims;
+    this.#claim = claim;
+  }
+
+  capture(): Capture {
+    return new Capture();
+  }
+
+  answered(outcome: ClaimOutcome) {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#claims.settle(this.#claim, outcome);
+  }
+
+  failed(verdict: Verdict) {
+    if (this.#ended) return;
+    this.#ended = true;
+    if (verdict === Verdict.NotRun) this.#claims.release(this.#claim);
+    else this.#claims.settle(this.#claim, LOST_OUTCOME);
+  }
+}
+
+/** Records an answer as it passes: all of a small one, else its digest. */
+export class Capture {
+  readonly #hash: Hash = createHash("sha256");
+  #chunks: Uint8Array[] = [];
+  #bytes = 0;
+
+  /** Takes in the next piece of the body. */
+  add(chunk: Uint8Array) {
+    this.#hash.update(chunk);
+    this.#bytes += chunk.length;
+    if (this.#bytes <= MAX_KEPT_BYTES) this.#chunks.push(chunk);
+    else this.#chunks = [];
+  }
+
+  /** The outcome, once the body is complete; call once. */
+  outcome(status: number, contentType: string): ClaimOutcome {
+    const body = Buffer.concat(this.#chunks);
+    const text = body.toString("utf8");
+    // Only text survives being kept as text.
+    const whole = this.#bytes <= MAX_KEPT_BYTES &&
+      Buffer.from(text).equals(body);
+    return {
+      ending: Ending.Answered,
+      status,
+      contentType,
+      body: whole ? text : "",
+      whole,
+      digest: this.#hash.digest("hex"),
+    };
+  }
+}
+
+function replay(reply: FastifyReply, outcome: ClaimOutcome) {
+  reply.code(outcome.status).header("x-idempotent-replay", "true");
+  if (outcome.contentType !== "") {
+    reply.header("content-type", outcome.contentType);
+  }
+  reply.send(Buffer.from(outcome.body));
+}
+
+const LOST_OUTCOME: ClaimOutcome = {
+  ending: Ending.Lost,
+  status: 0,
+  contentType: "",
+  body: "",
+  whole: false,
+  digest: "",
+};
+
+const BAD_KEY = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.BadRequest,
+  message: `An idempotency key has 1 to ${MAX_KEY_CHARS} characters`,
+});
+
+const MISMATCH = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.IdempotencyConflict,
+  message: "The idempotency key came with another request before",
+});
+
+const HELD = new Refusal({
+  verdict: Verdict.MayHaveRun,
+  reason: Reason.IdempotencyConflict,
+  message: "A request with this idempotency key runs, or ran and was lost",
+  retryAfterMs: 1000,
+});
+
+const LOST = new Refusal({
+  verdict: Verdict.MayHaveRun,
+  reason: Reason.IdempotencyConflict,
+  message: "The request with this idempotency key broke off; it may have run",
+});
+
+const NOT_KEPT = new Refusal({
+  verdict: Verdict.MayHaveRun,
+  reason: Reason.IdempotencyConflict,
+  message: "The request has run; its answer was too large to keep",
+});
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -8,6 +8,7 @@
 import type { Dispatcher } from "undici";
 import { Outcome } from "../dispatch/mod.ts";
 import { Reason, Verdict } from "../kernel/mod.ts";
+import type { Capture } from "./once.ts";
 import { answeredHeaders, BodyRefused } from "./passage.ts";
 
 /** How an attempt ended without a whole answer. */
@@ -24,11 +25,13 @@
   readonly ended: Promise<RelayEnd | undefined>;
   readonly #reply: FastifyReply;
   readonly #signal: AbortSignal;
-  readonly #record: (status: number) => Promise<void>;
+  readonly #record: (status: number, contentType: string) => Promise<void>;
+  readonly #capture: Capture | undefined;
   readonly #cancel = () => this.#cancelled();
   #resolve!: (end: RelayEnd | undefined) => void;
   #controller: Dispatcher.DispatchController | undefined;
   #status = 0;
+  #contentType = "";
   /** Bytes still to come; `undefined` when the answer's length isn't told. */
   #left: number | undefined;
   #held: Buffer | undefined;
@@ -36,11 +39,14 @@
   constructor(options: {
     reply: FastifyReply;
     signal: AbortSignal;
-    record: (status: number) => Promise<void>;
+    /** Runs before the last byte is passed on. */
+    record: (status: number, contentType: string) => Promise<void>;
+    capture?: Capture;
   }) {
     this.#reply = options.reply;
     this.#signal = options.signal;
     this.#record = options.record;
+    this.#capture = options.capture;
     this.ended = new Promise((resolve) => this.#resolve = resolve);
     this.#signal.addEventListener("abort", this.#cancel, { once: true });
     if (this.#signal.aborted) this.#cancelled();
@@ -60,6 +66,7 @@
   ) {
     if (status < 200 || this.#signal.aborted) return;
     this.#status = status;
+    this.#contentType = String(headers["content-type"] ?? "");
     const length = headers["content-length"];
     this.#left = length === undefined ? undefined : Number(length);
     this.#reply.hijack();
@@ -68,6 +75,7 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer) {
+    this.#capture?.add(chunk);
     if (this.#left !== undefined) {
       this.#left -= chunk.length;
       // The last bytes wait until the use has been recorded.
@@ -84,7 +92,7 @@
 
   async onResponseEnd() {
     if (this.#signal.aborted) return;
-    await this.#record(this.#status);
+    await this.#record(this.#status, this.#contentType);
     if (this.#signal.aborted) return;
     this.#reply.raw.end(this.#held);
     this.#end(undefined);
