--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -52,6 +52,21 @@
     return Promise.resolve();
   }
 
+  /** Lets callers in; runs after all plug-ins have started. */
+  open(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  /** Tells the other daemons that this one owns nothing new; runs first. */
+  leave(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  /** Finishes callers' running requests; runs before any plug-in drains. */
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
   /** Hands over what this plug-in owns; runs in reverse order of start. */
   drain(): Promise<void> {
     return Promise.resolve();
