--- a/src/plugins.ts
+++ b/src/plugins.ts
@@ -4,4 +4,15 @@
  * @module
  */
 
-export {};
+import "./peers/mesh.ts";
+import "./config/follower.ts";
+import "./admin/admin.ts";
+import "./claims/logged_claims.ts";
+import "./dispatch/dispatcher.ts";
+import "./gateway/http_gateway.ts";
+import "./gateway/completions.ts";
+import "./gateway/forward.ts";
+import "./gateway/resume.ts";
+import "./orders/orders.ts";
+import "./steps/steps.ts";
+import "./usage/ledger.ts";
