Ask for an edit's outcome; options are checked before anything is sent

After an unknown outcome of rollback or key commands there was no way to ask again.

A recognised resend no longer shows the changes against a head that others moved on.

--- a/src/cli/commands_test.ts
+++ b/src/cli/commands_test.ts
@@ -106,6 +106,10 @@
   const again = await command("apply", folder, ...resend);
   expect(JSON.parse(again.stdout).outcome).toEqual("accepted");
   expect(JSON.parse(again.stdout).revision).toEqual(2);
+  const asked = await command("outcome", attempt, "--on", "1", ...NO_WAIT);
+  expect(asked.exit).toEqual(Exit.Done);
+  const open = await command("outcome", attempt, "--on", "3", ...NO_WAIT);
+  expect(open.exit).toEqual(Exit.Unknown);
   const other = await command("apply", folderOf(t, withSlots(5)), ...resend);
   expect(other.exit).toEqual(Exit.Refused);
 });
@@ -214,6 +218,7 @@
     const args of [
       ["apply", folder, "--on", "x"],
       ["apply", folder, "--attempt", "a"],
+      ["apply", folder, "--wait-ms", "soon"],
       ["show", "--platform", "nowhere"],
       ["show", "--settings", join(folder, "none.toml")],
       ["show", "--settings", join(folder, "routes.toml")],
@@ -222,4 +227,5 @@
   ) {
     expect((await command(...args)).exit).toEqual(Exit.Refused);
   }
+  expect((await command("history")).stdout).toEqual("");
 });
--- /dev/null
+++ b/src/cli/edit_operation.ts
@@ -0,0 +1,217 @@
+/**
+ * What the commands that edit share: an edit from its sending to its coming
+ * into force, and how its end is told.
+ *
+ * @module
+ */
+
+import { Option } from "clipanion";
+import { isNone, none, type Option as Maybe, some } from "fp-ts/Option";
+import { Err, Ok, type Result } from "ts-results";
+import {
+  type Change,
+  diffTables,
+  printChange,
+  type Stamp,
+  type Tables,
+} from "../tables/mod.ts";
+import type { Arrival } from "./daemons.ts";
+import { Exit } from "./exit.ts";
+import {
+  type Answer,
+  invalid,
+  printStamp,
+  RemoteOperation,
+  revisionOf,
+  tablesOf,
+  unread,
+  wholeNumber,
+} from "./operation.ts";
+import { type Commit, Ending, keyHashes, type Stored } from "./revisions.ts";
+
+/** A command that adds a revision and waits until it is in force. */
+export abstract class EditOperation extends RemoteOperation {
+  note = Option.String("--note", {
+    description: "Why, for the history",
+  });
+  author = Option.String("--author", {
+    description: "Who, for the history; $USER by default",
+  });
+  waitMs = Option.String("--wait-ms", "6000", {
+    description: "How long to wait until it is in force; 0 for not at all",
+  });
+
+  /** Commits an edit of the stored tables and tells how that went. */
+  protected async submit(
+    stored: Maybe<Stored>,
+    edit: { tables: Tables; attempt: string; note: string; on?: number },
+  ): Promise<Submission> {
+    wholeNumber("--wait-ms", this.waitMs);
+    const on = edit.on ?? revisionOf(stored);
+    const before = tablesOf(stored);
+    const changes = before.ok && on === revisionOf(stored)
+      ? diffTables(before.val, edit.tables)
+      : [];
+    const commit = await this.revisions().commit({
+      on,
+      tables: edit.tables,
+      attempt: edit.attempt,
+      author: this.configured(this.author).author,
+      note: this.note ?? edit.note,
+    });
+    return { commit, changes, attempt: edit.attempt, on };
+  }
+
+  /** Hashes of withdrawn keys that `tables` would grant again. */
+  protected async regranted(
+    stored: Maybe<Stored>,
+    tables: Tables,
+  ): Promise<Result<ReadonlySet<string>, Answer>> {
+    const before = tablesOf(stored);
+    const held = before.ok ? keyHashes(before.val) : new Set<string>();
+    const granted = [...keyHashes(tables)].filter((hash) => !held.has(hash));
+    const withdrawn = await this.revisions().withdrawn(granted);
+    if (withdrawn.err) return Err(unread(withdrawn.val));
+    return Ok(new Set(withdrawn.val));
+  }
+
+  /** Waits for a revision that has the wanted tables already. */
+  protected async unchanged(stamp: Stamp): Promise<Answer> {
+    const { revision } = stamp;
+    const arrival = await this.arrival(revision);
+    return {
+      exit: exitOf(arrival),
+      lines: [
+        `Revision ${revision} has these tables already`,
+        ...printArrival(revision, arrival),
+      ],
+      json: {
+        outcome: "unchanged",
+        ...stamp,
+        ...(isNone(arrival) ? {} : { arrival: arrival.value }),
+      },
+    };
+  }
+
+  /** Waits, if the edit was accepted, and answers. */
+  protected async conclude(submission: Submission): Promise<Answer> {
+    const { commit } = submission;
+    if (commit.ending !== Ending.Accepted) {
+      const answer = refused(submission);
+      const { attempt, on } = submission;
+      return { ...answer, json: { ...answer.json, attempt, on } };
+    }
+    const { revision } = commit.stamp;
+    const arrival = await this.arrival(revision);
+    return {
+      exit: exitOf(arrival),
+      lines: [
+        ...submission.changes.map(printChange),
+        `Revision ${revision} is accepted`,
+        ...printArrival(revision, arrival),
+      ],
+      json: {
+        outcome: commit.ending,
+        ...commit.stamp,
+        changes: submission.changes,
+        ...(isNone(arrival) ? {} : { arrival: arrival.value }),
+      },
+    };
+  }
+
+  /** Waits until a revision is in force, as long as the options say. */
+  protected async arrival(revision: number): Promise<Maybe<Arrival>> {
+    const waitMs = wholeNumber("--wait-ms", this.waitMs);
+    if (waitMs === 0) return none;
+    return some(await this.daemons().arrival(revision, waitMs));
+  }
+}
+
+/** An edit as it was sent, and how it ended. */
+export interface Submission {
+  readonly commit: Commit;
+  readonly changes: readonly Change[];
+  readonly attempt: string;
+  readonly on: number;
+}
+
+/** The exit code that tells whether a revision is in force. */
+export function exitOf(arrival: Maybe<Arrival>): Exit {
+  return isNone(arrival) || arrival.value.inForce ? Exit.Done : Exit.Lagging;
+}
+
+/** Whether a revision is in force, and who lags. */
+export function printArrival(
+  revision: number,
+  arrival: Maybe<Arrival>,
+): readonly string[] {
+  if (isNone(arrival)) return [];
+  const { inForce, waitedMs, daemons, laggards, fault } = arrival.value;
+  if (fault !== "") return [`Whether it is in force is not known: ${fault}`];
+  if (inForce) {
+    const noun = daemons === 1 ? "daemon" : "daemons";
+    return [
+      `Revision ${revision} is in force on ${daemons} ${noun} ` +
+      `after ${waitedMs} ms`,
+    ];
+  }
+  return [
+    `Revision ${revision} is not in force everywhere after ${waitedMs} ms; ` +
+    `${daemons} have it, these don't:`,
+    ...laggards.map(({ vm, revision }) =>
+      `  ${vm}: ${revision === null ? "no answer" : `has ${revision}`}`
+    ),
+  ];
+}
+
+function refused(submission: Submission): Answer {
+  const { commit, attempt, on } = submission;
+  switch (commit.ending) {
+    case Ending.Accepted:
+      throw new RangeError(`Attempt "${attempt}" was accepted`);
+    case Ending.Invalid:
+      return invalid(commit.problems);
+    case Ending.Unreached:
+    case Ending.Damaged:
+      return unread({ ending: commit.ending, message: commit.message });
+    case Ending.Lost:
+      return lost(on, commit.winner, commit.head);
+    case Ending.Unknown:
+      return unknown(submission, commit.message);
+  }
+}
+
+function lost(on: number, winner: Maybe<Stamp>, head: Maybe<Stamp>): Answer {
+  const first = isNone(winner)
+    ? `Revision ${on} is not the newest`
+    : `Another edit of revision ${on} came first:`;
+  const newest = isNone(head) ? 0 : head.value.revision;
+  const told = isNone(winner) ? 0 : winner.value.revision;
+  return {
+    exit: Exit.Lost,
+    lines: [
+      first,
+      ...(isNone(winner) ? [] : [`  ${printStamp(winner.value)}`]),
+      ...(newest === told ? [] : [`The newest revision is ${newest}`]),
+      "Nothing was changed by this command",
+    ],
+    json: {
+      outcome: Ending.Lost,
+      winner: isNone(winner) ? null : winner.value,
+      head: isNone(head) ? null : head.value,
+    },
+  };
+}
+
+function unknown(submission: Submission, message: string): Answer {
+  const { attempt, on } = submission;
+  return {
+    exit: Exit.Unknown,
+    lines: [
+      `The outcome is not known: ${message}`,
+      "The edit may have taken effect, or may do so yet",
+      `Find out with: toucanwind outcome ${attempt} --on ${on}`,
+    ],
+    json: { outcome: Ending.Unknown, message },
+  };
+}
--- a/src/cli/key_commands.ts
+++ b/src/cli/key_commands.ts
@@ -11,9 +11,9 @@
 import { Err, Ok, type Result } from "ts-results";
 import { hashKey, type Key, newSecret, type Tables } from "../tables/mod.ts";
 import { Exit } from "./exit.ts";
+import { EditOperation } from "./edit_operation.ts";
 import {
   type Answer,
-  EditOperation,
   impossible,
   Operation,
   readable,
--- a/src/cli/mod.ts
+++ b/src/cli/mod.ts
@@ -12,6 +12,7 @@
   Apply,
   Diff,
   History,
+  Outcome,
   Rollback,
   Show,
   Validate,
@@ -40,7 +41,7 @@
     enableColors: "isTTY" in context.stdout && context.stdout.isTTY === true,
   });
   const commands = [
-    ...[Validate, Diff, Apply, Show, History, Rollback],
+    ...[Validate, Diff, Apply, Show, History, Rollback, Outcome],
     ...[NewKey, GrantKey, WithdrawKey, Status, InForce],
     ...[Builtins.HelpCommand, Builtins.VersionCommand],
   ];
--- a/src/cli/revisions.ts
+++ b/src/cli/revisions.ts
@@ -198,6 +198,18 @@
       : await this.#write(edit, none, revision.val);
   }
 
+  /** Finds out how an edit ended that was sent earlier, sending nothing. */
+  async outcome(edit: Pick<Edit, "attempt" | "on">): Promise<Commit> {
+    const head = await this.head();
+    if (head.err) return head.val;
+    const { attempt, on } = edit;
+    if (stampRevision(head.val) !== on) {
+      return await this.#settle({ attempt, revision: on + 1 }, head.val);
+    }
+    const message = `No edit of revision "${on}" was accepted so far`;
+    return { ending: Ending.Unknown, message };
+  }
+
   /** Makes the edit the revision after `head`. */
   async #follow(edit: Edit, head: Some<Stored>): Promise<Commit> {
     const prepared = await this.#prepare(edit, head.value);
--- a/src/cli/status_commands.ts
+++ b/src/cli/status_commands.ts
@@ -7,10 +7,9 @@
 import { Command, Option } from "clipanion";
 import { isNone, some } from "fp-ts/Option";
 import { Exit } from "./exit.ts";
+import { exitOf, printArrival } from "./edit_operation.ts";
 import {
   type Answer,
-  exitOf,
-  printArrival,
   RemoteOperation,
   revisionOf,
   unread,
--- a/src/cli/tables_commands.ts
+++ b/src/cli/tables_commands.ts
@@ -21,9 +21,9 @@
   type Tables,
 } from "../tables/mod.ts";
 import { Exit } from "./exit.ts";
+import { EditOperation } from "./edit_operation.ts";
 import {
   type Answer,
-  EditOperation,
   impossible,
   invalid,
   Operation,
@@ -312,6 +312,36 @@
   }
 }
 
+/** Tells how an edit ended that got no answer. */
+export class Outcome extends EditOperation {
+  static override paths = [["outcome"]];
+  static override usage = Command.Usage({
+    category: "Tables",
+    description: "Tell how an edit ended that got no answer",
+    details: `
+      Sends nothing. Exit code 3 means that no edit of that revision was
+      accepted so far: send yours again if you still want it.
+    `,
+    examples: [[
+      "As the edit's own message says",
+      "$0 outcome 6f2c... --on 12",
+    ]],
+  });
+
+  attempt = Option.String({ name: "attempt" });
+  on = Option.String("--on", {
+    description: "Revision that the edit was made on",
+    required: true,
+  });
+
+  async run(): Promise<Answer> {
+    const { attempt } = this;
+    const on = wholeNumber("--on", this.on);
+    const commit = await this.revisions().outcome({ attempt, on });
+    return await this.conclude({ commit, attempt, on, changes: [] });
+  }
+}
+
 function readTables(folder = "."): Result<Tables, Answer> {
   const routes = readText(join(folder, File.Routes));
   if (routes.err) return Err(impossible(routes.val));
