--- /dev/null
+++ b/experiments/operators_day.ts
@@ -0,0 +1,319 @@
+/**
+ * An operator's day with real processes: daemons, commands, a platform stand-in
+ * and engines. Writes what was typed and answered to the file named:
+ * `node dist/experiments/operators_day.js docs/operators/transcript.md`.
+ *
+ * @module
+ */
+
+import { spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  type Cluster,
+  type Daemon,
+  startCluster,
+} from "../stand_ins/cluster.ts";
+import { FaultKind } from "../stand_ins/faults.ts";
+
+const COMMAND = join(__dirname, "../src/bin/toucanwind.js");
+const CALL_TIMEOUT_MS = 10_000;
+const ENGINES = 2;
+
+const POOLS = `[pools.appraise-lm]
+model = "appraise-lm"
+min_upstreams = 0
+max_upstreams = 4
+availability_zones = ["a"]
+`;
+
+const ROUTES = `[routes.appraise]
+kind = "model"
+model = "appraise-lm"
+pool = "appraise-lm"
+priority = "interactive"
+deadline_ms = 10000
+tenants = { authority = 4, insurer = 1 }
+`;
+
+/** A transcript as it grows. */
+class Day {
+  readonly #cluster: Cluster;
+  readonly #folder = mkdtempSync(join(tmpdir(), "toucanwind-day-"));
+  readonly #lines: string[] = [];
+
+  constructor(cluster: Cluster) {
+    this.#cluster = cluster;
+  }
+
+  get text(): string {
+    return this.#lines.join("\n") + "\n";
+  }
+
+  get tables(): string {
+    return join(this.#folder, "tables");
+  }
+
+  /** Starts a section. */
+  section(title: string, ...prose: readonly string[]): void {
+    this.#lines.push("", `## ${title}`, "", ...prose);
+  }
+
+  /** Writes a file of the tables and shows it. */
+  file(name: string, text: string): void {
+    writeFileSync(join(this.#folder, name), text);
+    this.#block([`$ cat ${name}`, ...text.trimEnd().split("\n")]);
+  }
+
+  /** Runs a command, shows it and its answer; gives what it printed. */
+  async run(...args: readonly string[]): Promise<string> {
+    const { output, exit } = await this.command(args);
+    const typed = args.map((arg) => /[^\w./=-]/.test(arg) ? `"${arg}"` : arg);
+    const shown = output.trimEnd().split("\n").filter((line) => line !== "");
+    this.#block([
+      `$ toucanwind ${typed.join(" ")}`,
+      ...shown,
+      `# exit code ${exit}`,
+    ]);
+    return output;
+  }
+
+  /** Runs a command in the folder of the tables. */
+  async command(
+    args: readonly string[],
+  ): Promise<{ output: string; exit: number | null }> {
+    const child = spawn(process.execPath, [COMMAND, ...args], {
+      cwd: this.#folder,
+      stdio: ["ignore", "pipe", "pipe"],
+      env: {
+        ...process.env,
+        TOUCANWIND_PLATFORM: this.#cluster.platform.url,
+        TOUCANWIND_ENTRY: this.#cluster.daemons.map((one) => one.url).join(","),
+        TOUCANWIND_AUTHOR: process.env.TOUCANWIND_AUTHOR ?? "ana",
+      },
+    });
+    const pieces: Buffer[] = [];
+    child.stdout.on("data", (piece: Buffer) => pieces.push(piece));
+    child.stderr.on("data", (piece: Buffer) => pieces.push(piece));
+    const exit = await new Promise<number | null>((resolve) =>
+      child.once("close", resolve)
+    );
+    return { output: Buffer.concat(pieces).toString("utf8"), exit };
+  }
+
+  /** Calls the route through each daemon and shows the answers. */
+  async call(key: string): Promise<void> {
+    const lines: string[] = [];
+    for (const daemon of this.#cluster.daemons) {
+      if (daemon.pid === 0) continue;
+      lines.push(`${daemon.id}: ${await complete(daemon, key)}`);
+    }
+    this.#block(["POST /v1/completions, through each daemon", ...lines]);
+  }
+
+  /** Shows lines that no command printed. */
+  note(...lines: readonly string[]): void {
+    this.#block(lines);
+  }
+
+  close(): void {
+    rmSync(this.#folder, { recursive: true });
+  }
+
+  #block(lines: readonly string[]): void {
+    this.#lines.push("```", ...lines, "```", "");
+  }
+}
+
+async function complete(daemon: Daemon, key: string): Promise<string> {
+  const headers = {
+    "content-type": "application/json",
+    ...(key === "" ? {} : { authorization: `Bearer ${key}` }),
+  };
+  const body = JSON.stringify({
+    model: "appraise-lm",
+    prompt: "A dented door",
+    max_tokens: 4,
+  });
+  const answer = await fetch(`${daemon.url}/v1/completions`, {
+    method: "POST",
+    headers,
+    body,
+    signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+  });
+  const { error, usage } = await answer.json() as {
+    error?: { reason?: string; code?: string; verdict?: string };
+    usage?: { completion_tokens: number };
+  };
+  const told = error === undefined
+    ? `${usage?.completion_tokens} tokens`
+    : JSON.stringify(error);
+  return `${answer.status} ${told}`;
+}
+
+async function theFirstRoute(day: Day): Promise<void> {
+  day.section("The first route", "The files are checked before anything else.");
+  day.file("pools.toml", POOLS.replace("max_upstreams = 4", "slots = 0"));
+  day.file("routes.toml", ROUTES);
+  await day.run("validate");
+  day.file("pools.toml", POOLS);
+  await day.run("validate");
+  await day.run("apply", "--note", "first route");
+  await day.run("in-force");
+  await day.run("show");
+}
+
+async function aNewKey(day: Day): Promise<string> {
+  day.section("A new key", "No call runs without a key.");
+  await day.call("");
+  const granted = await day.run(
+    ...["key", "grant", "insurer-1", "--tenant", "insurer"],
+    ...["--route", "appraise"],
+  );
+  const key = /key +(tw_\S+)/.exec(granted)?.[1] ?? "";
+  await day.call(key);
+  return key;
+}
+
+async function aRace(day: Day): Promise<void> {
+  day.section(
+    "A race",
+    "Two operators edit revision 2. The first is accepted, the second is told",
+    "whose edit came first.",
+  );
+  await day.run("show", "--out", "tables");
+  await day.run("show", "--out", "others");
+  const weight = (folder: string, value: number) =>
+    day.command(["show", "--json"]).then(({ output }) => {
+      const sha256 = /"sha256": "(\w+)"/.exec(output)?.[1] ?? "";
+      day.file(
+        `${folder}/routes.toml`,
+        ROUTES.replace("authority = 4", `authority = ${value}`) +
+          `\n[routes.appraise.keys]\n` +
+          `insurer-1 = { tenant = "insurer", sha256 = "${sha256}" }\n`,
+      );
+    });
+  await weight("tables", 6);
+  await weight("others", 2);
+  await day.run("diff", "tables");
+  await day.run(
+    ...["apply", "tables", "--on", "2", "--note", "auction day"],
+  );
+  await day.run(
+    ...["apply", "others", "--on", "2", "--author", "ben"],
+    ...["--note", "less for the auction"],
+  );
+}
+
+async function aWithdrawal(day: Day, key: string): Promise<void> {
+  day.section("A withdrawal", "The key stops working on every daemon.");
+  await day.run("key", "withdraw", "insurer-1");
+  await day.call(key);
+  day.note("The files from before would bring it back:");
+  await day.run("apply", "tables", "--on", "4");
+}
+
+async function aRollback(day: Day): Promise<void> {
+  day.section(
+    "Going back",
+    "A rollback is a new revision. The withdrawn key stays withdrawn.",
+  );
+  await day.run("rollback", "2", "--note", "auction is over");
+  await day.run("show");
+}
+
+async function aLaggard(day: Day, cluster: Cluster): Promise<void> {
+  day.section(
+    "A daemon that lags",
+    "The process of one daemon is stopped (SIGSTOP) while an edit is made.",
+  );
+  const [, paused] = cluster.daemons;
+  paused.pause();
+  await day.run(
+    ...["rollback", "3", "--note", "next auction", "--wait-ms", "1500"],
+  );
+  day.note(`${paused.id} goes on (SIGCONT).`);
+  paused.resume();
+  await day.run("in-force", "--wait-ms", "6000");
+}
+
+async function aPlatformInTrouble(day: Day, cluster: Cluster): Promise<void> {
+  day.section(
+    "A platform in trouble",
+    "Answers to writes are lost after they took effect:",
+    "",
+  );
+  const { platform } = cluster;
+  platform.inject([{ kind: FaultKind.Lost, operation: "swap", count: 2 }]);
+  await day.run("rollback", "5", "--note", "with lost answers");
+  day.note("The key-value service is down:");
+  platform.inject([{ kind: FaultKind.Outage, operation: "*" }]);
+  await day.run("rollback", "3", "--timeout-ms", "1000");
+  platform.inject([]);
+}
+
+async function aDrain(day: Day, cluster: Cluster): Promise<void> {
+  day.section(
+    "Draining a VM",
+    "The VM leaves the platform's list, and its daemon gets SIGTERM.",
+  );
+  const granted = await day.run(
+    ...["key", "grant", "authority-1", "--tenant", "authority"],
+    ...["--route", "appraise"],
+  );
+  const key = /key +(tw_\S+)/.exec(granted)?.[1] ?? "";
+  const leaving = cluster.daemons[2];
+  const calls = [0, 1, 2, 3].map(() => complete(leaving, key));
+  cluster.platform.removeVm(leaving.id);
+  const exit = leaving.terminate();
+  const answers = await Promise.all(calls);
+  day.note(
+    `${leaving.id} ended with exit code ${await exit}; the calls that it had:`,
+    ...answers,
+  );
+  await sleep(2_500);
+  await day.run("in-force");
+  await day.run("history");
+}
+
+async function main(path: string): Promise<void> {
+  const cluster = await startCluster({ daemons: 3 });
+  const day = new Day(cluster);
+  try {
+    for (let at = 1; at <= ENGINES; at++) {
+      await cluster.addEngine({ id: `engine-${at}`, pool: "appraise-lm" });
+    }
+    await theFirstRoute(day);
+    const key = await aNewKey(day);
+    await aRace(day);
+    await aWithdrawal(day, key);
+    await aRollback(day);
+    await aLaggard(day, cluster);
+    await aPlatformInTrouble(day, cluster);
+    await aDrain(day, cluster);
+    day.section("Status");
+    await day.run("status");
+  } finally {
+    writeFileSync(path, heading() + day.text);
+    day.close();
+    await cluster.stop();
+  }
+}
+
+function heading(): string {
+  return [
+    "# An operator's day",
+    "",
+    "What three daemons, a stand-in for the platform and two for engines",
+    "answered, as `node dist/experiments/operators_day.js FILE` wrote it down.",
+    "The keys are of this run only.",
+    "",
+  ].join("\n");
+}
+
+main(process.argv[2] ?? "docs/operators/transcript.md").catch((error) => {
+  console.error(error);
+  process.exitCode = 1;
+});
--- a/src/cli/revisions.ts
+++ b/src/cli/revisions.ts
@@ -42,8 +42,11 @@
 export const WITHDRAWN_PREFIX = "toucanwind/withdrawn/";
 
 const REVISION_DIGITS = 16;
-/** Revisions kept before the head. */
-const ARCHIVE_LENGTH = 1_000;
+const MAX_ARCHIVED = 1_000;
+const MIN_ARCHIVED = 20;
+const ARCHIVE_BYTES = 33_554_432;
+/** More than one, so that the archive shrinks when its length does. */
+const PRUNED_PER_EDIT = 3;
 const FIRST_PAUSE_MS = 50;
 const LONGEST_PAUSE_MS = 1_000;
 
@@ -237,7 +240,7 @@
     if (!sent.val.applied) {
       return await this.#settleOn(stamp, sent.val.current);
     }
-    await this.#prune(stamp.revision - ARCHIVE_LENGTH);
+    await this.#prune(revision - 1 - archiveLength(text.val));
     return { ending: Ending.Accepted, stamp };
   }
 
@@ -374,18 +377,26 @@
     }
   }
 
-  /** Drops a revision that is older than the archive reaches; one try. */
-  async #prune(revision: number): Promise<void> {
-    if (revision < 1) return;
-    const entry = await this.#keyValue.get(archiveKey(revision));
-    if (entry.err || isNone(entry.val)) return;
-    await this.#keyValue.remove(
-      archiveKey(revision),
-      entry.val.value.revision,
-    );
+  /** Drops a few revisions up to `last`; the next edit goes on with it. */
+  async #prune(last: number): Promise<void> {
+    if (last < 1) return;
+    const oldest = await this.#keyValue.range(ARCHIVE_PREFIX, {
+      limit: PRUNED_PER_EDIT,
+    });
+    if (oldest.err) return;
+    const dropped = oldest.val.filter(({ key }) => key <= archiveKey(last));
+    for (const { key, revision } of dropped) {
+      await this.#keyValue.remove(key, revision);
+    }
   }
 }
 
+/** How many revisions of this size are kept before the head. */
+function archiveLength(text: string): number {
+  const fitting = Math.floor(ARCHIVE_BYTES / Buffer.byteLength(text));
+  return Math.max(MIN_ARCHIVED, Math.min(MAX_ARCHIVED, fitting));
+}
+
 /** The hashes of all keys in the tables. */
 export function keyHashes(tables: Tables): ReadonlySet<string> {
   return new Set(
--- a/src/cli/revisions_test.ts
+++ b/src/cli/revisions_test.ts
@@ -62,6 +62,21 @@
   expect(isNone((await revisions.at(9)).unwrap())).toEqual(true);
 });
 
+test("the archive drops its oldest revisions when it is full", async () => {
+  const keyValue = new MemoryKeyValue();
+  const secrets = Array.from({ length: 8_000 }, (_, at) => `key-${at}`);
+  const large = tables(1, secrets);
+  for (let on = 0; on < 41; on++) {
+    const { ending } = await revisionsOf(keyValue)
+      .commit({ ...edit(on, `a${on}`), tables: large });
+    expect(ending).toEqual(Ending.Accepted);
+  }
+  const bytes = Buffer.byteLength(keyValue.entries.get(HEAD)?.value ?? "");
+  const kept = (await revisionsOf(keyValue).list(100)).unwrap();
+  expect(kept.length).toEqual(1 + Math.floor(33_554_432 / bytes));
+  expect(kept[0]?.revision).toEqual(41);
+});
+
 for (const call of [Call.AnswerLost, Call.Dropped, Call.Late, Call.NotSent]) {
   test(`an edit is accepted once when its swap is ${call}`, async () => {
     const keyValue = await chain(2);
