--- a/src/admin/admin.ts
+++ b/src/admin/admin.ts
@@ -5,12 +5,21 @@
  * @module
  */
 
+import type { FastifyReply } from "fastify";
 import { isNone } from "fp-ts/Option";
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
 import { configKey } from "../config/mod.ts";
 import { gatewayKey } from "../gateway/mod.ts";
-import { type Kernel, logger, type Props, register } from "../kernel/mod.ts";
+import {
+  type Kernel,
+  logger,
+  type Props,
+  Reason,
+  Refusal,
+  register,
+  Verdict,
+} from "../kernel/mod.ts";
 import { type Member, peersKey } from "../peers/mod.ts";
 import { Role, Standing } from "../platform/mod.ts";
 import { admit } from "./admission.ts";
@@ -42,6 +51,8 @@
   revision: z.coerce.number().int().min(0).optional(),
 });
 
+type Query = z.infer<typeof query>;
+
 /** A member's revision, remembered; it only grows within an incarnation. */
 interface Known {
   readonly incarnation: string;
@@ -72,21 +83,14 @@
   }
 
   override start(): Promise<void> {
-    const { server } = this.#gateway;
-    server.get("/admin/status", async (request, reply) => {
-      const asked = query.safeParse(request.query);
-      const refusal = admit(request, this.#kernel.settings.operatorSha256);
-      if (refusal !== undefined) return this.#gateway.refuse(reply, refusal);
-      const { all, part } = asked.data ?? {};
+    this.#serve("/admin/status", async ({ all, part }, reply) => {
       reply.type("application/json");
       return all === "1" ? await this.#all(part) : this.#statusText(part);
     });
-    server.get("/admin/in-force", async (request, reply) => {
-      const asked = query.safeParse(request.query);
-      const refusal = admit(request, this.#kernel.settings.operatorSha256);
-      if (refusal !== undefined) return this.#gateway.refuse(reply, refusal);
-      return await this.force(asked.data?.revision);
-    });
+    this.#serve(
+      "/admin/in-force",
+      async ({ revision }) => await this.force(revision),
+    );
     return Promise.resolve();
   }
 
@@ -122,8 +126,19 @@
     return { revision: this.#revision, members: revisions, missing };
   }
 
-  get #gateway() {
-    return this.#kernel.get(gatewayKey);
+  #serve(
+    path: string,
+    answer: (query: Query, reply: FastifyReply) => Promise<unknown>,
+  ): void {
+    const gateway = this.#kernel.get(gatewayKey);
+    const { operatorSha256 } = this.#kernel.settings;
+    gateway.server.get(path, async (request, reply) => {
+      const refusal = admit(request, operatorSha256);
+      if (refusal !== undefined) return gateway.refuse(reply, refusal);
+      const asked = query.safeParse(request.query);
+      if (asked.success) return await answer(asked.data, reply);
+      return gateway.refuse(reply, badQuery());
+    });
   }
 
   get #peers() {
@@ -235,6 +250,14 @@
   }
 }
 
+function badQuery(): Refusal {
+  return new Refusal({
+    verdict: Verdict.NotRun,
+    reason: Reason.BadRequest,
+    message: "The page doesn't take this query",
+  });
+}
+
 function tooLarge() {
   return { tooLarge: true };
 }
--- a/src/admin/admin_test.ts
+++ b/src/admin/admin_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { test } from "node:test";
+import { Reason } from "../kernel/mod.ts";
 import { hashKey } from "../tables/mod.ts";
 import { startAdmin } from "./fixture.ts";
 
@@ -38,6 +39,12 @@
   expect(peers.asked.length).toEqual(3);
 });
 
+test("a query that is at fault is refused", async () => {
+  const { server } = await startAdmin({ members: ["a"] });
+  const answer = await server.inject("/admin/in-force?revision=newest");
+  expect(answer.json().reason).toEqual(Reason.BadRequest);
+});
+
 test("an unreadable list of VMs is told as such", async () => {
   const { server } = await startAdmin({ members: ["a"] });
   const answer = await server.inject("/admin/in-force");
--- a/src/cli/commands_test.ts
+++ b/src/cli/commands_test.ts
@@ -194,6 +194,37 @@
   }
 });
 
+test("status shows one part of each daemon as a table", async (t) => {
+  const server = fastify();
+  const upstreams = [{ id: "u-1", running: 3 }, { id: "u-20", running: 10 }];
+  server.get("/admin/status", () => ({
+    members: [
+      { vm: "vm-1", parts: { dispatch: { upstreams }, usage: {} } },
+      { vm: "vm-2", parts: null },
+    ],
+  }));
+  await server.listen({ host: "127.0.0.1", port: 0 });
+  t.after(() => server.close());
+  const { port } = server.server.address() as AddressInfo;
+  const env = { TOUCANWIND_ENTRY: `http://127.0.0.1:${port}` };
+  const command = commands(new MemoryKeyValue(), env);
+  const { stdout } = await command("status", "dispatch", "--all");
+  expect(stdout.split("\n")).toEqual([
+    "members:",
+    "  -",
+    "    vm: vm-1",
+    "    dispatch:",
+    "      upstreams:",
+    "        id    running",
+    "        u-1   3",
+    "        u-20  10",
+    "  -",
+    "    vm: vm-2",
+    "    dispatch: null",
+    "",
+  ]);
+});
+
 test("a daemon that can't be asked leaves an edit accepted", async (t) => {
   const env = { TOUCANWIND_ENTRY: "http://127.0.0.1:1" };
   const command = commands(new MemoryKeyValue(), env);
--- a/src/settings/load_test.ts
+++ b/src/settings/load_test.ts
@@ -44,6 +44,15 @@
   expect(settings.dataFolder).toEqual("");
 });
 
+test("the operators' token is given by its hash only", () => {
+  const withToken = (value: string) =>
+    load(`operator_sha256 = "${value}"\n${GOOD}`);
+  const hash = "0f".repeat(32);
+  expect(withToken(hash).unwrap().operatorSha256).toEqual(hash);
+  expect(withToken("the token itself").err).toEqual(true);
+  expect(load(GOOD).unwrap().operatorSha256).toEqual(undefined);
+});
+
 test("a time of the file goes before its default", () => {
   const settings = load(`${GOOD}[timing]\nlease_ms = 1000\n`).unwrap();
   expect(settings.timing).toEqual({ ...DEFAULT_TIMING, leaseMs: 1000 });
