Dispatch: fair shares of slots in use, not of estimated tokens

Cause: the estimate of a generation (prompt and most output tokens) is several times what it uses and stays charged for as long as it runs. A tenant whose eight samples started was locked out for tens of seconds. Ruled out: the order within a tenant, and the engines' balance (within 3 %).

Change: a tenant is entitled to a part of the slots by weight among those present; tenants below it go first, then the most urgent class. Estimates play no part any more. Admission counts what is ahead in measured holding times. Keepers of one pool tell each other slots in use, not tokens.

--- a/experiments/scenarios.ts
+++ b/experiments/scenarios.ts
@@ -26,6 +26,7 @@
   trip,
 } from "./systems.ts";
 import { Timeline } from "./timeline.ts";
+import { TokenQueue } from "./token_queue.ts";
 import { type Plan, requestsOf } from "./workload.ts";
 
 /** Tokens a second of one engine with all its slots in use. */
@@ -52,6 +53,11 @@
       queue: () => new FirstCome(),
       choice: () => new RoundRobin(),
     }),
+  "keeper, fair by tokens, affine": (ground) =>
+    new KeeperSystem(ground, {
+      queue: () => new TokenQueue(),
+      choice: () => new AffineChoice(),
+    }),
   "keeper, fair, least reported load": (ground) =>
     new KeeperSystem(ground, {
       queue: () => new FairQueue(),
--- /dev/null
+++ b/experiments/token_queue.ts
@@ -0,0 +1,272 @@
+/**
+ * An earlier version of the product's queue: weighted fair queueing by
+ * estimated tokens, with priority as a bounded lead.
+ *
+ * Each tenant has a virtual time: tokens it was served, divided by its
+ * weight. The tenant that is furthest behind goes next. A more urgent request
+ * goes ahead of a less urgent one as long as its tenant's virtual time is not
+ * ahead by more than the lead of its class, so urgency never costs another
+ * tenant more than that lead. A tenant that comes back gets no credit for the
+ * time when it asked for nothing.
+ *
+ * @module
+ */
+
+import { Err, Ok, type Result } from "ts-results";
+import { Reason, Refusal, Verdict } from "../src/kernel/mod.ts";
+import { Priority } from "../src/tables/mod.ts";
+import type { Demand } from "../src/dispatch/mod.ts";
+import {
+  type Capacity,
+  Queue,
+  type Spent,
+  type Ticket,
+} from "../src/dispatch/queue.ts";
+
+/** Classes from the most to the least urgent. */
+const CLASSES = [
+  Priority.Interactive,
+  Priority.Standard,
+  Priority.Training,
+  Priority.Batch,
+] as const;
+
+/** Lead of each class, in seconds of the whole shard's service. */
+const LEAD_S: Readonly<Record<Priority, number>> = {
+  [Priority.Interactive]: 4,
+  [Priority.Standard]: 2,
+  [Priority.Training]: 0.5,
+  [Priority.Batch]: 0,
+};
+
+/** Tenants within this many seconds of the furthest behind may use headroom. */
+const URGENT_LEAD_S = 0.5;
+
+/** Rate that leads are counted by until one is measured. */
+const FIRST_TOKENS_PER_SECOND = 1000;
+
+/** Requests of one class and tenant that are looked at for one that fits. */
+const SCAN_LIMIT = 8;
+
+/** A tenant's waiting requests and what it was served. */
+interface Account {
+  weight: number;
+  virtualTime: number;
+  /** Estimated tokens of the waiting requests. */
+  waitingTokens: number;
+  readonly lanes: Readonly<Record<Priority, Map<string, Ticket>>>;
+}
+
+/** Serves tenants by weight, and urgent requests first within bounds. */
+export class TokenQueue extends Queue {
+  readonly #accounts = new Map<string, Account>();
+  readonly #tickets = new Map<string, Ticket>();
+  readonly #tenantLimit: number;
+  readonly #limit: number;
+  #virtualTime = 0;
+  #tokensPerMs = 0;
+  #holdMs = 0;
+  #tokensPerSecond = FIRST_TOKENS_PER_SECOND;
+
+  constructor(options: { tenantLimit?: number; limit?: number } = {}) {
+    super();
+    this.#tenantLimit = options.tenantLimit ?? 4096;
+    this.#limit = options.limit ?? 16384;
+  }
+
+  get size(): number {
+    return this.#tickets.size;
+  }
+
+  waiting(): Iterable<Ticket> {
+    return this.#tickets.values();
+  }
+
+  push(ticket: Ticket, capacity: Capacity): Result<true, Refusal> {
+    if (this.#tokensPerMs > 0) {
+      this.#tokensPerSecond = this.#tokensPerMs * capacity.slots * 1000;
+    }
+    const account = this.#account(ticket.demand);
+    const refusal = this.#refusal(ticket, account, capacity);
+    if (refusal !== undefined) return Err(refusal);
+    if (account.waitingTokens === 0) {
+      account.virtualTime = Math.max(account.virtualTime, this.#virtualTime);
+    }
+    account.lanes[ticket.demand.priority].set(ticket.id, ticket);
+    account.waitingTokens += ticket.demand.tokens;
+    this.#tickets.set(ticket.id, ticket);
+    return Ok(true);
+  }
+
+  take(
+    _capacity: Capacity,
+    fits: (ticket: Ticket) => boolean,
+  ): Ticket | undefined {
+    for (const { account, lane } of this.#ordered()) {
+      let scanned = 0;
+      for (const ticket of lane.values()) {
+        if (++scanned > SCAN_LIMIT) break;
+        if (!fits(ticket)) continue;
+        this.#drop(ticket, account);
+        this.#virtualTime = Math.max(this.#virtualTime, this.#behind());
+        account.virtualTime += ticket.demand.tokens / account.weight;
+        return ticket;
+      }
+    }
+    return undefined;
+  }
+
+  remove(id: string): Ticket | undefined {
+    const ticket = this.#tickets.get(id);
+    if (ticket !== undefined) this.#drop(ticket, this.#account(ticket.demand));
+    return ticket;
+  }
+
+  override urgent(ticket: Ticket): boolean {
+    if (ticket.demand.priority !== Priority.Interactive) return false;
+    const ahead = this.#account(ticket.demand).virtualTime - this.#behind();
+    return ahead <= this.#lead(URGENT_LEAD_S);
+  }
+
+  override ended(demand: Demand, { tokens, heldMs }: Spent): void {
+    const account = this.#accounts.get(demand.tenant);
+    if (account === undefined) return;
+    account.virtualTime += (tokens - demand.tokens) / account.weight;
+    if (tokens === 0) return;
+    this.#tokensPerMs = mean(this.#tokensPerMs, tokens / heldMs);
+    this.#holdMs = mean(this.#holdMs, heldMs);
+  }
+
+  /** Non-empty lanes, the one whose head goes next first. */
+  #ordered() {
+    const heads = [];
+    for (const account of this.#accounts.values()) {
+      if (account.waitingTokens === 0) continue;
+      for (const priority of CLASSES) {
+        const lane = account.lanes[priority];
+        if (lane.size === 0) continue;
+        const rank = account.virtualTime - this.#lead(LEAD_S[priority]);
+        heads.push({ account, lane, rank });
+      }
+    }
+    return heads.sort((a, b) => a.rank - b.rank);
+  }
+
+  /** Why a request is not taken in, if it is not. */
+  #refusal(
+    ticket: Ticket,
+    account: Account,
+    capacity: Capacity,
+  ): Refusal | undefined {
+    const waitMs = this.#waitMs(ticket.demand, account);
+    const refuse = (reason: Reason, message: string) =>
+      new Refusal({
+        verdict: Verdict.NotRun,
+        reason,
+        message,
+        retryAfterMs: Math.max(
+          MIN_RETRY_AFTER_MS,
+          Math.round(waitMs - ticket.demand.remainingMs / 2),
+        ),
+      });
+    if (this.size >= this.#limit) {
+      return refuse(Reason.QueueFull, "The queue of the pool is full");
+    }
+    const waiting = CLASSES
+      .reduce((sum, priority) => sum + account.lanes[priority].size, 0);
+    if (waiting >= this.#tenantLimit) {
+      return refuse(Reason.TenantOverShare, "Too many requests are waiting");
+    }
+    if (capacity.freeSlots > 0 && account.waitingTokens === 0) return undefined;
+    if (waitMs + this.#holdMs <= ticket.demand.remainingMs) {
+      return undefined;
+    }
+    return account.waitingTokens > 0
+      ? refuse(
+        Reason.TenantOverShare,
+        "The tenant asks for more than its share",
+      )
+      : refuse(Reason.DeadlineTooShort, "The deadline cannot be met");
+  }
+
+  /** Expected wait of a new request, in milliseconds. */
+  #waitMs(demand: Demand, account: Account): number {
+    if (this.#tokensPerMs === 0) return 0;
+    const rate = this.#tokensPerSecond * this.#share(demand, account);
+    return this.#tokensAhead(demand, account) / rate * 1000;
+  }
+
+  /** Tokens of the tenant's own requests that go before this one. */
+  #tokensAhead(demand: Demand, account: Account): number {
+    let tokens = 0;
+    for (const priority of CLASSES) {
+      for (const ticket of account.lanes[priority].values()) {
+        tokens += ticket.demand.tokens;
+      }
+      if (priority === demand.priority) break;
+    }
+    return tokens;
+  }
+
+  /** The tenant's part of the service while the present tenants wait. */
+  #share(demand: Demand, account: Account): number {
+    let weights = account.waitingTokens > 0 ? 0 : demand.weight;
+    for (const other of this.#accounts.values()) {
+      if (other.waitingTokens > 0) weights += other.weight;
+    }
+    return demand.weight / weights;
+  }
+
+  /** Virtual time of the waiting tenant that is furthest behind. */
+  #behind(): number {
+    let least = Infinity;
+    for (const account of this.#accounts.values()) {
+      if (account.waitingTokens === 0) continue;
+      least = Math.min(least, account.virtualTime);
+    }
+    return least === Infinity ? this.#virtualTime : least;
+  }
+
+  /** Virtual time that passes in `seconds` of the whole shard's service. */
+  #lead(seconds: number): number {
+    let weights = 0;
+    for (const account of this.#accounts.values()) {
+      if (account.waitingTokens > 0) weights += account.weight;
+    }
+    return seconds * this.#tokensPerSecond / Math.max(weights, 1);
+  }
+
+  #account(demand: Demand): Account {
+    const known = this.#accounts.get(demand.tenant);
+    if (known !== undefined) {
+      known.weight = demand.weight;
+      return known;
+    }
+    const account: Account = {
+      weight: demand.weight,
+      virtualTime: this.#virtualTime,
+      waitingTokens: 0,
+      lanes: {
+        [Priority.Interactive]: new Map(),
+        [Priority.Standard]: new Map(),
+        [Priority.Training]: new Map(),
+        [Priority.Batch]: new Map(),
+      },
+    };
+    this.#accounts.set(demand.tenant, account);
+    return account;
+  }
+
+  #drop(ticket: Ticket, account: Account): void {
+    this.#tickets.delete(ticket.id);
+    account.lanes[ticket.demand.priority].delete(ticket.id);
+    account.waitingTokens -= ticket.demand.tokens;
+  }
+}
+
+/** Soonest time at which a refused caller is asked to come back. */
+const MIN_RETRY_AFTER_MS = 100;
+
+function mean(old: number, value: number): number {
+  return old === 0 ? value : old * 0.95 + value * 0.05;
+}
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -93,10 +93,7 @@
     this.#peers = kernel.get(peersKey);
     this.#config = kernel.get(configKey);
     this.#quarantine = new Quarantine({ clock: kernel.clock });
-    this.#summaries = new Summaries({
-      clock: kernel.clock,
-      onService: (service) => this.#hosting.charge(service),
-    });
+    this.#summaries = new Summaries({ clock: kernel.clock });
     const shared = {
       kernel,
       clock: kernel.clock,
--- a/src/dispatch/fair_queue.ts
+++ b/src/dispatch/fair_queue.ts
@@ -1,12 +1,13 @@
 /**
- * Weighted fair queueing by tenant, with priority as a bounded lead.
+ * Fair shares of a pool's slots.
  *
- * Each tenant has a virtual time: tokens it was served, divided by its
- * weight. The tenant that is furthest behind goes next. A more urgent request
- * goes ahead of a less urgent one as long as its tenant's virtual time is not
- * ahead by more than the lead of its class, so urgency never costs another
- * tenant more than that lead. A tenant that comes back gets no credit for the
- * time when it asked for nothing.
+ * A tenant is entitled to a part of the slots by its weight among the tenants
+ * that are present, which are those that run or wait anywhere in the pool.
+ * Tenants below what they are entitled to go first, and among their requests
+ * the most urgent class; what they leave goes to the others, least served
+ * first. So an idle tenant's slots are lent, and go back to it with the next
+ * ones that come free. Slots in use need no estimate of a request's length,
+ * and a request that runs long is charged for as long as it runs.
  *
  * @module
  */
@@ -15,7 +16,14 @@
 import { Reason, Refusal, Verdict } from "../kernel/mod.ts";
 import { Priority } from "../tables/mod.ts";
 import type { Demand } from "./mod.ts";
-import { type Capacity, Queue, type Ticket } from "./queue.ts";
+import {
+  type Capacity,
+  type Elsewhere,
+  type Presence,
+  Queue,
+  type Spent,
+  type Ticket,
+} from "./queue.ts";
 
 /** Classes from the most to the least urgent. */
 const CLASSES = [
@@ -25,40 +33,94 @@
   Priority.Batch,
 ] as const;
 
-/** Lead of each class, in seconds of the whole shard's service. */
-const LEAD_S: Readonly<Record<Priority, number>> = {
-  [Priority.Interactive]: 4,
-  [Priority.Standard]: 2,
-  [Priority.Training]: 0.5,
+/** Lead of a class among lent slots, in parts of the tenant's entitlement. */
+const LEAD: Readonly<Record<Priority, number>> = {
+  [Priority.Interactive]: 0.5,
+  [Priority.Standard]: 0.2,
+  [Priority.Training]: 0.05,
   [Priority.Batch]: 0,
 };
 
-/** Tenants within this many seconds of the furthest behind may use headroom. */
-const URGENT_LEAD_S = 0.5;
-
-/** Rate that leads are counted by until one is measured. */
-const FIRST_TOKENS_PER_SECOND = 1000;
+/** Part of a tenant's entitlement that its less urgent classes always get. */
+const GUARANTEED = 0.1;
 
 /** Requests of one class and tenant that are looked at for one that fits. */
 const SCAN_LIMIT = 8;
 
-/** A tenant's waiting requests and what it was served. */
-interface Account {
-  weight: number;
-  virtualTime: number;
-  /** Estimated tokens of the waiting requests. */
-  waitingTokens: number;
-  readonly lanes: Readonly<Record<Priority, Map<string, Ticket>>>;
+/** Soonest time at which a refused caller is asked to come back. */
+const MIN_RETRY_AFTER_MS = 100;
+
+/** Part of the old value that a running mean keeps at each new one. */
+const MEAN_KEEP = 0.95;
+
+/** One tenant's waiting requests of one class. */
+class Lane {
+  readonly tickets = new Map<string, Ticket>();
+  running = 0;
+  /** Mean time between two grants while others wait. */
+  #gapMs = 0;
+  #since = 0;
+
+  push(ticket: Ticket): void {
+    if (this.tickets.size === 0) this.#since = ticket.queuedAt;
+    this.tickets.set(ticket.id, ticket);
+  }
+
+  /** Takes note of a grant to a request of this lane. */
+  granted(now: number): void {
+    this.#gapMs = mean(this.#gapMs, now - this.#since);
+    this.#since = now;
+  }
+
+  /** Expected wait of one more request, from how the lane moves. */
+  waitMs(now: number): number {
+    if (this.tickets.size === 0) return 0;
+    const gapMs = Math.max(this.#gapMs, now - this.#since);
+    return this.tickets.size * gapMs;
+  }
 }
 
-/** Serves tenants by weight, and urgent requests first within bounds. */
+/** A tenant's lanes and slots. */
+class Account {
+  readonly lanes: ReadonlyMap<Priority, Lane> = new Map(
+    CLASSES.map((priority) => [priority, new Lane()]),
+  );
+  weight = 1;
+  running = 0;
+  waiting = 0;
+  elsewhere: Presence | undefined;
+
+  get present(): boolean {
+    const { running = 0, waiting = 0 } = this.elsewhere ?? {};
+    return this.running + this.waiting + running + waiting > 0;
+  }
+
+  /** Slots in use over the whole pool. */
+  get total(): number {
+    return this.running + (this.elsewhere?.running ?? 0);
+  }
+
+  lane(priority: Priority): Lane {
+    return this.lanes.get(priority) as Lane;
+  }
+}
+
+/** A lane whose head could go next. */
+interface Head {
+  readonly account: Account;
+  readonly lane: Lane;
+  /** Compared in order; the least goes first. */
+  readonly rank: readonly number[];
+}
+
+/** Serves tenants by their share of the slots, and urgent requests first. */
 export class FairQueue extends Queue {
   readonly #accounts = new Map<string, Account>();
   readonly #tickets = new Map<string, Ticket>();
+  readonly #holdMs = new Map<Priority, number>();
   readonly #tenantLimit: number;
   readonly #limit: number;
-  #virtualTime = 0;
-  #tokensPerSecond = FIRST_TOKENS_PER_SECOND;
+  #slotsElsewhere = 0;
 
   constructor(options: { tenantLimit?: number; limit?: number } = {}) {
     super();
@@ -75,30 +137,27 @@
   }
 
   push(ticket: Ticket, capacity: Capacity): Result<true, Refusal> {
-    if (capacity.tokensPerSecond > 0) {
-      this.#tokensPerSecond = capacity.tokensPerSecond;
-    }
-    const account = this.#account(ticket.demand);
-    const refusal = this.#refusal(ticket, account, capacity);
+    const { demand } = ticket;
+    const account = this.#account(demand.tenant, demand.weight);
+    const refusal = this.#refusal(demand, account, capacity);
     if (refusal !== undefined) return Err(refusal);
-    if (account.waitingTokens === 0) {
-      account.virtualTime = Math.max(account.virtualTime, this.#virtualTime);
-    }
-    account.lanes[ticket.demand.priority].set(ticket.id, ticket);
-    account.waitingTokens += ticket.demand.tokens;
+    account.lane(demand.priority).push(ticket);
+    account.waiting += 1;
     this.#tickets.set(ticket.id, ticket);
     return Ok(true);
   }
 
-  take(fits: (ticket: Ticket) => boolean): Ticket | undefined {
-    for (const { account, lane } of this.#ordered()) {
+  take(
+    capacity: Capacity,
+    fits: (ticket: Ticket) => boolean,
+  ): Ticket | undefined {
+    for (const { account, lane } of this.#heads(capacity)) {
       let scanned = 0;
-      for (const ticket of lane.values()) {
+      for (const ticket of lane.tickets.values()) {
         if (++scanned > SCAN_LIMIT) break;
         if (!fits(ticket)) continue;
         this.#drop(ticket, account);
-        this.#virtualTime = Math.max(this.#virtualTime, this.#behind());
-        account.virtualTime += ticket.demand.tokens / account.weight;
+        lane.granted(capacity.now);
         return ticket;
       }
     }
@@ -107,154 +166,182 @@
 
   remove(id: string): Ticket | undefined {
     const ticket = this.#tickets.get(id);
-    if (ticket !== undefined) this.#drop(ticket, this.#account(ticket.demand));
+    if (ticket === undefined) return undefined;
+    const { tenant, weight } = ticket.demand;
+    this.#drop(ticket, this.#account(tenant, weight));
     return ticket;
   }
 
-  urgent(ticket: Ticket): boolean {
-    if (ticket.demand.priority !== Priority.Interactive) return false;
-    const ahead = this.#account(ticket.demand).virtualTime - this.#behind();
-    return ahead <= this.#lead(URGENT_LEAD_S);
+  override urgent(ticket: Ticket, capacity: Capacity): boolean {
+    const { priority, tenant, weight } = ticket.demand;
+    if (priority !== Priority.Interactive) return false;
+    const account = this.#account(tenant, weight);
+    return account.total < this.#entitled(account, capacity);
+  }
+
+  override started({ tenant, weight, priority }: Demand): void {
+    const account = this.#account(tenant, weight);
+    account.running += 1;
+    account.lane(priority).running += 1;
+  }
+
+  override ended({ tenant, weight, priority }: Demand, spent: Spent): void {
+    const account = this.#account(tenant, weight);
+    account.running -= 1;
+    account.lane(priority).running -= 1;
+    if (spent.tokens === 0) return;
+    const known = this.#holdMs.get(priority) ?? 0;
+    this.#holdMs.set(priority, mean(known, spent.heldMs));
   }
 
-  settle(demand: Demand, tokens: number): void {
-    const account = this.#accounts.get(demand.tenant);
-    if (account === undefined) return;
-    account.virtualTime += (tokens - demand.tokens) / account.weight;
+  override setElsewhere({ slots, tenants }: Elsewhere): void {
+    this.#slotsElsewhere = slots;
+    for (const account of this.#accounts.values()) {
+      account.elsewhere = undefined;
+    }
+    for (const [tenant, presence] of tenants) {
+      this.#account(tenant, presence.weight).elsewhere = presence;
+    }
   }
 
-  charge(tenant: string, tokens: number): void {
-    const account = this.#accounts.get(tenant);
-    if (account === undefined) return;
-    account.virtualTime += tokens / account.weight;
+  override tenants(): ReadonlyMap<string, Presence> {
+    const present = [...this.#accounts]
+      .filter(([, { running, waiting }]) => running + waiting > 0);
+    return new Map(
+      present.map(([tenant, { weight, running, waiting }]) =>
+        [tenant, { weight, running, waiting }] as const
+      ),
+    );
   }
 
-  /** Non-empty lanes, the one whose head goes next first. */
-  #ordered() {
-    const heads = [];
+  /** Lanes with waiting requests, the one that goes next first. */
+  #heads(capacity: Capacity): readonly Head[] {
+    const weights = this.#weights();
+    const heads: Head[] = [];
     for (const account of this.#accounts.values()) {
-      if (account.waitingTokens === 0) continue;
-      for (const priority of CLASSES) {
-        const lane = account.lanes[priority];
-        if (lane.size === 0) continue;
-        const rank = account.virtualTime - this.#lead(LEAD_S[priority]);
-        heads.push({ account, lane, rank });
+      if (account.waiting === 0) continue;
+      const entitled = this.#entitled(account, capacity, weights);
+      for (const [index, priority] of CLASSES.entries()) {
+        const lane = account.lane(priority);
+        if (lane.tickets.size === 0) continue;
+        heads.push({
+          account,
+          lane,
+          rank: rankOf(account, { priority, index, entitled }),
+        });
       }
     }
-    return heads.sort((a, b) => a.rank - b.rank);
+    return heads.sort((a, b) => compare(a.rank, b.rank));
+  }
+
+  /** Slots of the whole pool that a tenant is entitled to now. */
+  #entitled(
+    account: Account,
+    { slots }: Capacity,
+    weights = this.#weights(),
+  ): number {
+    return account.weight / weights * (slots + this.#slotsElsewhere);
+  }
+
+  /** Weights of all tenants that run or wait anywhere in the pool. */
+  #weights(): number {
+    let weights = 0;
+    for (const account of this.#accounts.values()) {
+      if (account.present) weights += account.weight;
+    }
+    return weights;
   }
 
   /** Why a request is not taken in, if it is not. */
   #refusal(
-    ticket: Ticket,
+    demand: Demand,
     account: Account,
     capacity: Capacity,
   ): Refusal | undefined {
-    const waitMs = this.#waitMs(ticket.demand, account, capacity);
-    const refuse = (reason: Reason, message: string) =>
-      new Refusal({
-        verdict: Verdict.NotRun,
-        reason,
-        message,
-        retryAfterMs: Math.max(
-          MIN_RETRY_AFTER_MS,
-          Math.round(waitMs - ticket.demand.remainingMs / 2),
-        ),
-      });
     if (this.size >= this.#limit) {
-      return refuse(Reason.QueueFull, "The queue of the pool is full");
+      return refuse(Reason.QueueFull, "The pool's queue is full");
     }
-    const waiting = CLASSES
-      .reduce((sum, priority) => sum + account.lanes[priority].size, 0);
-    if (waiting >= this.#tenantLimit) {
+    if (account.waiting >= this.#tenantLimit) {
       return refuse(Reason.TenantOverShare, "Too many requests are waiting");
     }
-    if (capacity.freeSlots > 0 && account.waitingTokens === 0) return undefined;
-    if (waitMs + capacity.holdMs <= ticket.demand.remainingMs) {
-      return undefined;
-    }
-    return account.waitingTokens > 0
-      ? refuse(
-        Reason.TenantOverShare,
-        "The tenant asks for more than its share",
-      )
-      : refuse(Reason.DeadlineTooShort, "The deadline cannot be met");
+    if (capacity.freeSlots > 0 && account.waiting === 0) return undefined;
+    const waitMs = this.#waitMs(demand, account, capacity);
+    const lateMs = waitMs + (this.#holdMs.get(demand.priority) ?? 0) -
+      demand.remainingMs;
+    if (lateMs <= 0) return undefined;
+    return account.waiting > 0
+      ? refuse(Reason.TenantOverShare, "The tenant's share is in use", lateMs)
+      : refuse(Reason.DeadlineTooShort, "The deadline can't be met", lateMs);
   }
 
-  /** Expected wait of a new request, in milliseconds. */
+  /** Expected wait of one more request, in milliseconds. */
   #waitMs(demand: Demand, account: Account, capacity: Capacity): number {
-    if (capacity.tokensPerSecond === 0) return 0;
-    const rate = capacity.tokensPerSecond * this.#share(demand, account);
-    return this.#tokensAhead(demand, account) / rate * 1000;
-  }
-
-  /** Tokens of the tenant's own requests that go before this one. */
-  #tokensAhead(demand: Demand, account: Account): number {
-    let tokens = 0;
+    const weights = this.#weights() + (account.present ? 0 : account.weight);
+    const slots = account.weight / weights * capacity.slots;
+    let workMs = 0;
     for (const priority of CLASSES) {
-      for (const ticket of account.lanes[priority].values()) {
-        tokens += ticket.demand.tokens;
-      }
+      const { tickets } = account.lane(priority);
+      workMs += tickets.size * (this.#holdMs.get(priority) ?? 0);
       if (priority === demand.priority) break;
     }
-    return tokens;
+    const lane = account.lane(demand.priority);
+    return Math.max(workMs / Math.max(1, slots), lane.waitMs(capacity.now));
   }
 
-  /** The tenant's part of the service while the present tenants wait. */
-  #share(demand: Demand, account: Account): number {
-    let weights = account.waitingTokens > 0 ? 0 : demand.weight;
-    for (const other of this.#accounts.values()) {
-      if (other.waitingTokens > 0) weights += other.weight;
-    }
-    return demand.weight / weights;
+  #account(tenant: string, weight: number): Account {
+    const account = this.#accounts.get(tenant) ?? new Account();
+    account.weight = weight;
+    this.#accounts.set(tenant, account);
+    return account;
   }
 
-  /** Virtual time of the waiting tenant that is furthest behind. */
-  #behind(): number {
-    let least = Infinity;
-    for (const account of this.#accounts.values()) {
-      if (account.waitingTokens === 0) continue;
-      least = Math.min(least, account.virtualTime);
-    }
-    return least === Infinity ? this.#virtualTime : least;
+  #drop(ticket: Ticket, account: Account): void {
+    this.#tickets.delete(ticket.id);
+    account.lane(ticket.demand.priority).tickets.delete(ticket.id);
+    account.waiting -= 1;
   }
+}
 
-  /** Virtual time that passes in `seconds` of the whole shard's service. */
-  #lead(seconds: number): number {
-    let weights = 0;
-    for (const account of this.#accounts.values()) {
-      if (account.waitingTokens > 0) weights += account.weight;
-    }
-    return seconds * this.#tokensPerSecond / Math.max(weights, 1);
-  }
+/** Below entitlement: by class, then by use. Above: by use, less a lead. */
+function rankOf(account: Account, options: {
+  priority: Priority;
+  index: number;
+  entitled: number;
+}): readonly number[] {
+  const { priority, index, entitled } = options;
+  const use = account.total / entitled;
+  if (use >= 1) return [1, use - LEAD[priority], index];
+  return [0, deprived(account, options) ? -1 : index, use];
+}
 
-  #account(demand: Demand): Account {
-    const known = this.#accounts.get(demand.tenant);
-    if (known !== undefined) {
-      known.weight = demand.weight;
-      return known;
-    }
-    const account: Account = {
-      weight: demand.weight,
-      virtualTime: this.#virtualTime,
-      waitingTokens: 0,
-      lanes: {
-        [Priority.Interactive]: new Map(),
-        [Priority.Standard]: new Map(),
-        [Priority.Training]: new Map(),
-        [Priority.Batch]: new Map(),
-      },
-    };
-    this.#accounts.set(demand.tenant, account);
-    return account;
+/** Whether the tenant's less urgent classes lack their guaranteed slots. */
+function deprived(account: Account, options: {
+  priority: Priority;
+  entitled: number;
+}): boolean {
+  const { priority, entitled } = options;
+  if (priority !== Priority.Training && priority !== Priority.Batch) {
+    return false;
   }
+  const running = account.lane(Priority.Training).running +
+    account.lane(Priority.Batch).running;
+  return running < GUARANTEED * entitled;
+}
 
-  #drop(ticket: Ticket, account: Account): void {
-    this.#tickets.delete(ticket.id);
-    account.lanes[ticket.demand.priority].delete(ticket.id);
-    account.waitingTokens -= ticket.demand.tokens;
-  }
+function compare(a: readonly number[], b: readonly number[]): number {
+  const index = a.findIndex((value, at) => value !== b[at]);
+  return index < 0 ? 0 : a[index] - b[index];
 }
 
-/** Soonest time at which a refused caller is asked to come back. */
-const MIN_RETRY_AFTER_MS = 100;
+function refuse(reason: Reason, message: string, lateMs = 0): Refusal {
+  return new Refusal({
+    verdict: Verdict.NotRun,
+    reason,
+    message,
+    retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.round(lateMs)),
+  });
+}
+
+function mean(old: number, value: number): number {
+  return old === 0 ? value : old * MEAN_KEEP + value * (1 - MEAN_KEEP);
+}
--- a/src/dispatch/hosting.ts
+++ b/src/dispatch/hosting.ts
@@ -14,7 +14,8 @@
 import { Keeper } from "./keeper.ts";
 import { type Held, holdingsBody, Message } from "./messages.ts";
 import type { Quarantine } from "./quarantine.ts";
-import type { Service, Summaries } from "./summaries.ts";
+import type { Elsewhere } from "./queue.ts";
+import { elsewhereOf, type Summaries } from "./summaries.ts";
 import type { Upstream } from "./shards.ts";
 
 /** How long a new keeper waits to be told of the permits in use. */
@@ -70,14 +71,6 @@
     return [...this.#hosts.values()];
   }
 
-  /** Charges a tenant for service by another shard of the pool. */
-  charge({ pool, shard, tenant, tokens }: Service): void {
-    for (const host of this.#hosts.values()) {
-      if (host.pool !== pool || host.shard === shard) continue;
-      host.keeper.charge(tenant, tokens);
-    }
-  }
-
   /** Opens and closes keepers after a change of members or upstreams. */
   assign(fleet: Fleet): void {
     this.#fleet = fleet;
@@ -108,9 +101,10 @@
     for (const { keeper } of this.#hosts.values()) keeper.tick();
   }
 
-  /** Publishes each shard's load and service. */
+  /** Tells of each shard's load, and its keeper of the pool's other shards. */
   publish(): void {
     for (const host of this.#hosts.values()) {
+      host.keeper.setElsewhere(this.#elsewhere(host));
       host.seq += 1;
       const { running, queued, slots } = host.keeper.pressure();
       this.#summaries.publish({
@@ -121,12 +115,19 @@
         running,
         queued,
         slots,
-        served: Object.fromEntries(host.keeper.served),
+        tenants: Object.fromEntries(host.keeper.tenants),
         upstreams: host.keeper.candidates.map(reported),
       });
     }
   }
 
+  #elsewhere({ shard, pool }: Host): Elsewhere {
+    const summaries = this.#fleet.of(pool)
+      .filter(({ name }) => name !== shard)
+      .flatMap(({ name }) => this.#summaries.of(name) ?? []);
+    return elsewhereOf(summaries);
+  }
+
   /** Closes all keepers for good. */
   close(): void {
     this.#closed = true;
--- a/src/dispatch/keeper.ts
+++ b/src/dispatch/keeper.ts
@@ -19,15 +19,12 @@
 import { type Demand, Outcome, type Pressure } from "./mod.ts";
 import { type Holding, Permits } from "./permits.ts";
 import { Quarantine, Suspicion } from "./quarantine.ts";
-import type { Capacity, Queue, Ticket } from "./queue.ts";
+import type { Capacity, Elsewhere, Presence, Queue, Ticket } from "./queue.ts";
 import type { Upstream } from "./shards.ts";
 
 /** When to come back to a shard that has no usable upstream. */
 const NO_UPSTREAM_RETRY_MS = 1000;
 
-/** Part of the old value that a running mean keeps at each new one. */
-const MEAN_KEEP = 0.95;
-
 /**
  * Equal requests start on one upstream until one of them has run this long,
  * so that a request that crashes what runs it doesn't start everywhere.
@@ -71,7 +68,6 @@
   readonly #prefix: string;
   readonly #permits = new Permits();
   readonly #answers = new Map<string, (answer: Answer) => void>();
-  readonly #served = new Map<string, number>();
   readonly #reserved = new Map<string, string>();
   #states: ReadonlyMap<string, State> = new Map();
   #warm: boolean;
@@ -79,8 +75,6 @@
   /** Tickets of urgent requests that wait, and permits of those that run. */
   readonly #urgentWaiting = new Set<string>();
   readonly #urgentRunning = new Set<string>();
-  #tokensPerMs = 0;
-  #holdMs = 0;
 
   constructor(options: {
     clock: Clock;
@@ -107,9 +101,9 @@
     this.#warm = options.warm ?? true;
   }
 
-  /** Tokens that each tenant was served so far. */
-  get served(): ReadonlyMap<string, number> {
-    return this.#served;
+  /** What each tenant has here: slots in use and requests waiting. */
+  get tenants(): ReadonlyMap<string, Presence> {
+    return this.#queue.tenants();
   }
 
   /** The shard's upstreams with what is known of them. */
@@ -151,7 +145,9 @@
     );
     if (pushed.err) return answer({ refusal: pushed.val });
     this.#answers.set(ticket.id, answer);
-    if (this.#queue.urgent(ticket)) this.#urgentWaiting.add(ticket.id);
+    if (this.#queue.urgent(ticket, this.#capacity())) {
+      this.#urgentWaiting.add(ticket.id);
+    }
     this.#observe();
     this.#pump();
   }
@@ -178,7 +174,10 @@
     if (holding === undefined) return;
     const now = this.#clock.now();
     this.#urgentRunning.delete(permit);
-    this.#account(holding, { outcome, tokens, now });
+    this.#queue.ended(holding.demand, {
+      heldMs: now - holding.grantedAt,
+      tokens: outcome === Outcome.Served ? tokens : 0,
+    });
     this.#judge(holding, { outcome, now });
     this.#pump();
   }
@@ -197,6 +196,7 @@
       const suspect = this.#suspected(holding.demand);
       const aloneUntil = suspect ? Infinity : -Infinity;
       this.#permits.add({ ...holding, aloneUntil }, now);
+      this.#queue.started(holding.demand);
       this.#notePeak(holding.upstream);
     }
   }
@@ -223,9 +223,9 @@
     this.#choice.cached(id, events);
   }
 
-  /** Charges a tenant for service by the pool's other shards. */
-  charge(tenant: string, tokens: number): void {
-    this.#queue.charge(tenant, tokens);
+  /** Takes in what the tenants have in the pool's other shards. */
+  setElsewhere(elsewhere: Elsewhere): void {
+    this.#queue.setElsewhere(elsewhere);
   }
 
   /** Ends leases and waits that are over; to be called several times a second. */
@@ -278,10 +278,11 @@
       const free = this.#free();
       if (free.length === 0) return;
       const headroom = this.#headroomSize();
-      const freeSlots = free.reduce((sum, one) => sum + room(one), 0);
+      const capacity = this.#capacity(free);
       let picked: Candidate | undefined;
-      const ticket = this.#queue.take((ticket) => {
-        if (freeSlots <= headroom && !this.#queue.urgent(ticket)) return false;
+      const ticket = this.#queue.take(capacity, (ticket) => {
+        const scarce = capacity.freeSlots <= headroom;
+        if (scarce && !this.#queue.urgent(ticket, capacity)) return false;
         picked = this.#place(ticket, free);
         return picked !== undefined;
       });
@@ -305,6 +306,7 @@
       aloneUntil: this.#aloneUntil(demand, now),
     }, now);
     if (this.#urgentWaiting.has(ticket.id)) this.#urgentRunning.add(permit);
+    this.#queue.started(demand);
     this.#forget(ticket);
     const state = this.#states.get(upstream.id);
     state?.health.granted(now);
@@ -446,22 +448,6 @@
     }
   }
 
-  #account(holding: Holding, options: {
-    outcome: Outcome;
-    tokens: number;
-    now: number;
-  }): void {
-    const { demand, grantedAt } = holding;
-    const { tokens, outcome, now } = options;
-    this.#queue.settle(demand, tokens);
-    const served = this.#served.get(demand.tenant) ?? 0;
-    this.#served.set(demand.tenant, served + tokens);
-    if (outcome !== Outcome.Served || tokens === 0) return;
-    const heldMs = Math.max(1, now - grantedAt);
-    this.#tokensPerMs = mean(this.#tokensPerMs, tokens / heldMs);
-    this.#holdMs = mean(this.#holdMs, heldMs);
-  }
-
   #judge(holding: Holding, options: { outcome: Outcome; now: number }): void {
     const { outcome, now } = options;
     const state = this.#states.get(holding.upstream);
@@ -497,13 +483,11 @@
     state.peak = Math.max(state.peak, this.#permits.inFlight(upstream));
   }
 
-  #capacity(): Capacity {
-    const slots = this.#slots();
+  #capacity(free = this.#free()): Capacity {
     return {
-      slots,
-      freeSlots: this.#free().reduce((sum, one) => sum + room(one), 0),
-      tokensPerSecond: this.#tokensPerMs * slots * 1000,
-      holdMs: this.#holdMs,
+      now: this.#clock.now(),
+      slots: this.#slots(),
+      freeSlots: free.reduce((sum, one) => sum + room(one), 0),
     };
   }
 
@@ -543,10 +527,6 @@
   return demand.minVersion <= (load?.weightVersion ?? 0);
 }
 
-function mean(old: number, value: number): number {
-  return old === 0 ? value : old * MEAN_KEEP + value * (1 - MEAN_KEEP);
-}
-
 function refusalOf(
   reason: Reason,
   message: string,
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -163,8 +163,14 @@
     running: z.number(),
     queued: z.number(),
     slots: z.number(),
-    /** Tokens served so far, by tenant. */
-    served: z.record(z.string(), z.number()),
+    tenants: z.record(
+      z.string(),
+      z.object({
+        weight: z.number().positive(),
+        running: z.number(),
+        waiting: z.number(),
+      }),
+    ),
     upstreams: z.array(z.object({
       id: z.string(),
       running: z.number(),
@@ -174,7 +180,7 @@
   })),
 });
 
-/** A shard's load and what its tenants were served. */
+/** A shard's load, and what each tenant has there. */
 export type Summary = z.infer<typeof summariesBody>["summaries"][number];
 
 /** A refusal after which nothing has run. */
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -21,14 +21,30 @@
   readonly queuedAt: number;
 }
 
-/** What a shard can do, as far as it is known. */
+/** The shard's slots at a moment. */
 export interface Capacity {
-  /** Tokens a second over all slots; 0 until measured. */
-  readonly tokensPerSecond: number;
+  readonly now: number;
+  readonly slots: number;
   readonly freeSlots: number;
+}
+
+/** How one permit was used. */
+export interface Spent {
+  readonly heldMs: number;
+  readonly tokens: number;
+}
+
+/** A tenant's slots in use and requests waiting. */
+export interface Presence {
+  readonly weight: number;
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** The pool's other shards, as far as gossip tells. */
+export interface Elsewhere {
   readonly slots: number;
-  /** Milliseconds that one request holds a slot; 0 until measured. */
-  readonly holdMs: number;
+  readonly tenants: ReadonlyMap<string, Presence>;
 }
 
 /** The waiting requests of a shard. */
@@ -43,19 +59,32 @@
   abstract push(ticket: Ticket, capacity: Capacity): Result<true, Refusal>;
 
   /** Removes and returns the first request in order that `fits`. */
-  abstract take(fits: (ticket: Ticket) => boolean): Ticket | undefined;
+  abstract take(
+    capacity: Capacity,
+    fits: (ticket: Ticket) => boolean,
+  ): Ticket | undefined;
 
   /** Removes a request that no longer waits. */
   abstract remove(id: string): Ticket | undefined;
 
   /** Whether the request may use the slots kept free for urgent work. */
-  abstract urgent(ticket: Ticket): boolean;
+  urgent(_ticket: Ticket, _capacity: Capacity): boolean {
+    return true;
+  }
 
-  /** Replaces the cost charged for a request by what it used. */
-  abstract settle(demand: Demand, tokens: number): void;
+  /** Takes note that a request got a slot. */
+  started(_demand: Demand): void {}
 
-  /** Charges a tenant for what it was served by the pool's other shards. */
-  abstract charge(tenant: string, tokens: number): void;
+  /** Takes note that a request gave its slot back. */
+  ended(_demand: Demand, _spent: Spent): void {}
+
+  /** Takes in what the tenants have in the pool's other shards. */
+  setElsewhere(_elsewhere: Elsewhere): void {}
+
+  /** What each tenant has in this shard. */
+  tenants(): ReadonlyMap<string, Presence> {
+    return new Map();
+  }
 }
 
 /** Serves requests in the order of their arrival. */
@@ -75,7 +104,10 @@
     return Ok(true);
   }
 
-  take(fits: (ticket: Ticket) => boolean): Ticket | undefined {
+  take(
+    _capacity: Capacity,
+    fits: (ticket: Ticket) => boolean,
+  ): Ticket | undefined {
     for (const ticket of this.#tickets.values()) {
       if (!fits(ticket)) continue;
       this.#tickets.delete(ticket.id);
@@ -89,12 +121,4 @@
     this.#tickets.delete(id);
     return ticket;
   }
-
-  urgent(): boolean {
-    return true;
-  }
-
-  settle(): void {}
-
-  charge(): void {}
 }
--- a/src/dispatch/summaries.ts
+++ b/src/dispatch/summaries.ts
@@ -1,12 +1,13 @@
 /**
- * What this daemon knows of all shards' load and service, from its own
- * keepers and from its neighbours.
+ * What this daemon knows of all shards, from its own keepers and from its
+ * neighbours.
  *
  * @module
  */
 
 import type { Clock, GossipSection } from "../kernel/mod.ts";
 import { summariesBody, type Summary } from "./messages.ts";
+import type { Elsewhere, Presence } from "./queue.ts";
 
 /** A summary that didn't change for longer is of a keeper that is gone. */
 const FORGET_MS = 15_000;
@@ -16,27 +17,14 @@
   readonly at: number;
 }
 
-/** Tokens that a tenant was served by another shard of a pool. */
-export interface Service {
-  readonly pool: string;
-  readonly shard: string;
-  readonly tenant: string;
-  readonly tokens: number;
-}
-
 /** The newest summary of each shard's keeper. */
 export class Summaries implements GossipSection {
   readonly #clock: Clock;
   readonly #kept = new Map<string, Kept>();
   readonly #offered = new Map<string, Map<string, number>>();
-  readonly #onService: (service: Service) => void;
 
-  constructor(options: {
-    clock: Clock;
-    onService?: (service: Service) => void;
-  }) {
+  constructor(options: { clock: Clock }) {
     this.#clock = options.clock;
-    this.#onService = options.onService ?? (() => {});
   }
 
   /** Replaces what a keeper of this daemon tells. */
@@ -70,8 +58,6 @@
       const known = this.#kept.get(summary.keeper)?.summary;
       if (known !== undefined && known.seq >= summary.seq) continue;
       this.#kept.set(summary.keeper, { summary, at: this.#clock.now() });
-      // A keeper's first summary tells what it served before we knew it.
-      if (known !== undefined) this.#serve(known, summary);
     }
   }
 
@@ -82,14 +68,6 @@
     }
   }
 
-  #serve(known: Summary, summary: Summary): void {
-    const { pool, shard } = summary;
-    for (const [tenant, total] of Object.entries(summary.served)) {
-      const tokens = total - (known.served[tenant] ?? 0);
-      if (tokens > 0) this.#onService({ pool, shard, tenant, tokens });
-    }
-  }
-
   #forget(): void {
     const now = this.#clock.now();
     for (const [keeper, { at }] of this.#kept) {
@@ -97,3 +75,22 @@
     }
   }
 }
+
+/** What the tenants have in all of these shards together. */
+export function elsewhereOf(
+  shards: readonly Pick<Summary, "slots" | "tenants">[],
+): Elsewhere {
+  const tenants = new Map<string, Presence>();
+  for (const shard of shards) {
+    for (const [tenant, presence] of Object.entries(shard.tenants)) {
+      const known = tenants.get(tenant);
+      tenants.set(tenant, {
+        weight: presence.weight,
+        running: presence.running + (known?.running ?? 0),
+        waiting: presence.waiting + (known?.waiting ?? 0),
+      });
+    }
+  }
+  const slots = shards.reduce((sum, shard) => sum + shard.slots, 0);
+  return { slots, tenants };
+}
