Dispatch: a tenant's use of slots is remembered for some seconds

And the other samples of a group waited a second for the first one's trial.

Change: a tenant's use is the mean of its slots in use and of their recent mean (5 s). The trial of equal requests takes 300 ms.

--- a/src/dispatch/fair_queue.ts
+++ b/src/dispatch/fair_queue.ts
@@ -41,6 +41,9 @@
   [Priority.Batch]: 0,
 };
 
+/** Time over which a tenant's use of slots is remembered. */
+const MEMORY_MS = 5000;
+
 /** Part of a tenant's entitlement that its less urgent classes always get. */
 const GUARANTEED = 0.1;
 
@@ -89,6 +92,9 @@
   running = 0;
   waiting = 0;
   elsewhere: Presence | undefined;
+  /** Recent mean of the slots in use. */
+  #mean = 0;
+  #followedAt = 0;
 
   get present(): boolean {
     const { running = 0, waiting = 0 } = this.elsewhere ?? {};
@@ -100,6 +106,19 @@
     return this.running + (this.elsewhere?.running ?? 0);
   }
 
+  /** Brings the recent mean up to `now`, before slots in use change. */
+  follow(now: number): void {
+    const kept = Math.exp((this.#followedAt - now) / MEMORY_MS);
+    this.#mean = this.#mean * kept + this.total * (1 - kept);
+    this.#followedAt = now;
+  }
+
+  /** Slots in use, half of them as they were lately. */
+  use(now: number): number {
+    this.follow(now);
+    return (this.#mean + this.total) / 2;
+  }
+
   lane(priority: Priority): Lane {
     return this.lanes.get(priority) as Lane;
   }
@@ -176,17 +195,19 @@
     const { priority, tenant, weight } = ticket.demand;
     if (priority !== Priority.Interactive) return false;
     const account = this.#account(tenant, weight);
-    return account.total < this.#entitled(account, capacity);
+    return account.use(capacity.now) < this.#entitled(account, capacity);
   }
 
-  override started({ tenant, weight, priority }: Demand): void {
+  override started({ tenant, weight, priority }: Demand, now: number): void {
     const account = this.#account(tenant, weight);
+    account.follow(now);
     account.running += 1;
     account.lane(priority).running += 1;
   }
 
   override ended({ tenant, weight, priority }: Demand, spent: Spent): void {
     const account = this.#account(tenant, weight);
+    account.follow(spent.now);
     account.running -= 1;
     account.lane(priority).running -= 1;
     if (spent.tokens === 0) return;
@@ -227,7 +248,12 @@
         heads.push({
           account,
           lane,
-          rank: rankOf(account, { priority, index, entitled }),
+          rank: rankOf(account, {
+            priority,
+            index,
+            entitled,
+            now: capacity.now,
+          }),
         });
       }
     }
@@ -307,9 +333,10 @@
   priority: Priority;
   index: number;
   entitled: number;
+  now: number;
 }): readonly number[] {
-  const { priority, index, entitled } = options;
-  const use = account.total / entitled;
+  const { priority, index, entitled, now } = options;
+  const use = account.use(now) / entitled;
   if (use >= 1) return [1, use - LEAD[priority], index];
   return [0, deprived(account, options) ? -1 : index, use];
 }
--- a/src/dispatch/fair_queue_test.ts
+++ b/src/dispatch/fair_queue_test.ts
@@ -19,7 +19,7 @@
 function taken(queue: FairQueue, times: number): string {
   return Array.from({ length: times }, () => {
     const taken = queue.take(at(0), () => true);
-    if (taken !== undefined) queue.started(taken.demand);
+    if (taken !== undefined) queue.started(taken.demand, 0);
     return taken?.demand.tenant ?? "-";
   }).join("");
 }
@@ -56,7 +56,7 @@
   push(queue, 12, { tenant: "a", priority: Priority.Batch });
   const batches = Array.from({ length: 12 }, () => {
     const taken = queue.take(at(0), () => true);
-    if (taken !== undefined) queue.started(taken.demand);
+    if (taken !== undefined) queue.started(taken.demand, 0);
     return taken?.demand.priority === Priority.Batch;
   }).filter((batch) => batch);
   expect(batches.length).toEqual(2);
@@ -74,8 +74,8 @@
 test("what can't end before its deadline is refused at once", () => {
   const queue = new FairQueue();
   const { demand } = ticket({ tenant: "a" });
-  queue.started(demand);
-  queue.ended(demand, { heldMs: 1000, tokens: 100 });
+  queue.started(demand, 0);
+  queue.ended(demand, { now: 0, heldMs: 1000, tokens: 100 });
   push(queue, 30, { tenant: "a" });
   const late = queue.push(ticket({ remainingMs: 2000 }), at(0));
   expect(late.err && late.val.reason).toEqual(Reason.TenantOverShare);
--- a/src/dispatch/keeper.ts
+++ b/src/dispatch/keeper.ts
@@ -29,7 +29,7 @@
  * Equal requests start on one upstream until one of them has run this long,
  * so that a request that crashes what runs it doesn't start everywhere.
  */
-const TRIAL_MS = 1000;
+const TRIAL_MS = 300;
 
 /** Extra time that a suspect runs alone beyond what it ran before. */
 const ALONE_MARGIN_MS = 500;
@@ -175,6 +175,7 @@
     const now = this.#clock.now();
     this.#urgentRunning.delete(permit);
     this.#queue.ended(holding.demand, {
+      now,
       heldMs: now - holding.grantedAt,
       tokens: outcome === Outcome.Served ? tokens : 0,
     });
@@ -196,7 +197,7 @@
       const suspect = this.#suspected(holding.demand);
       const aloneUntil = suspect ? Infinity : -Infinity;
       this.#permits.add({ ...holding, aloneUntil }, now);
-      this.#queue.started(holding.demand);
+      this.#queue.started(holding.demand, now);
       this.#notePeak(holding.upstream);
     }
   }
@@ -306,7 +307,7 @@
       aloneUntil: this.#aloneUntil(demand, now),
     }, now);
     if (this.#urgentWaiting.has(ticket.id)) this.#urgentRunning.add(permit);
-    this.#queue.started(demand);
+    this.#queue.started(demand, now);
     this.#forget(ticket);
     const state = this.#states.get(upstream.id);
     state?.health.granted(now);
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -30,6 +30,8 @@
 
 /** How one permit was used. */
 export interface Spent {
+  /** When it ended. */
+  readonly now: number;
   readonly heldMs: number;
   readonly tokens: number;
 }
@@ -73,7 +75,7 @@
   }
 
   /** Takes note that a request got a slot. */
-  started(_demand: Demand): void {}
+  started(_demand: Demand, _now: number): void {}
 
   /** Takes note that a request gave its slot back. */
   ended(_demand: Demand, _spent: Spent): void {}
