--- a/src/claims/log_test.ts
+++ b/src/claims/log_test.ts
@@ -2,109 +2,15 @@
 import fc from "fast-check";
 import * as O from "fp-ts/Option";
 import { test } from "node:test";
-import { Err, Ok, type Result } from "ts-results";
 import { Clock, ManualClock, Reason, Verdict } from "../kernel/mod.ts";
-import {
-  type Entry,
-  type Failure,
-  Fault,
-  type Grant,
-  KeyValue,
-  type Swap,
-} from "../platform/mod.ts";
+import type { KeyValue } from "../platform/mod.ts";
+import { type Fate, MapKeyValue } from "./fixture.ts";
 import { ClaimLog } from "./log.ts";
 import { type Claim, Ending, Standing } from "./mod.ts";
 import { RecordKind } from "./record.ts";
 
 const SEED = 20261204;
 
-/** How a call of the fake service goes. */
-type Fate = "answered" | "lost before" | "lost after" | "refused" | "late";
-
-/** A key-value service whose calls meet the fates that a test gives. */
-class FakeKeyValue extends KeyValue {
-  readonly entries = new Map<string, Entry>();
-  writes = 0;
-  /** With `false`, swaps write whatever the revision. */
-  comparing = true;
-  fate: () => Fate = () => "answered";
-  turn: () => Promise<unknown> = () => Promise.resolve();
-  #revision = 0;
-
-  get(key: string): Promise<Result<O.Option<Entry>, Failure>> {
-    return this.#call(() => Ok(O.fromNullable(this.entries.get(key))));
-  }
-
-  range(
-    prefix: string,
-    options: { after?: string; limit?: number } = {},
-  ): Promise<Result<readonly Entry[], Failure>> {
-    const { after = "", limit = 1000 } = options;
-    return this.#call(() =>
-      Ok(
-        [...this.entries.values()]
-          .filter(({ key }) => key.startsWith(prefix) && key > after)
-          .sort((a, b) => a.key < b.key ? -1 : 1)
-          .slice(0, limit),
-      )
-    );
-  }
-
-  swap(
-    key: string,
-    options: { value: string; expected: number },
-  ): Promise<Result<Swap, Failure>> {
-    return this.#call((): Result<Swap, Failure> => {
-      const current = this.entries.get(key);
-      const same = (current?.revision ?? 0) === options.expected;
-      if (this.comparing && !same) {
-        return Ok({ applied: false, current: O.fromNullable(current) });
-      }
-      const revision = ++this.#revision;
-      this.writes++;
-      this.entries.set(key, { key, value: options.value, revision });
-      return Ok({ applied: true, revision });
-    });
-  }
-
-  remove(): Promise<Result<Swap, Failure>> {
-    return Promise.resolve(Err(FAILED));
-  }
-
-  grant(): Promise<Result<Grant, Failure>> {
-    return Promise.resolve(Err(FAILED));
-  }
-
-  renew(): Promise<Result<Grant, Failure>> {
-    return Promise.resolve(Err(FAILED));
-  }
-
-  revoke(): Promise<Result<true, Failure>> {
-    return Promise.resolve(Err(FAILED));
-  }
-
-  watch(): Promise<Result<O.Option<Entry>, Failure>> {
-    return Promise.resolve(Err(FAILED));
-  }
-
-  async #call<T>(run: () => Result<T, Failure>): Promise<Result<T, Failure>> {
-    const fate = this.fate();
-    await this.turn();
-    if (fate === "refused") return Err({ ...FAILED, fault: Fault.Refused });
-    if (fate === "lost before") return Err(FAILED);
-    if (fate === "late") {
-      // Takes effect some time after its caller has given up on it.
-      void this.turn().then(run);
-      return Err(FAILED);
-    }
-    const answer = run();
-    await this.turn();
-    return fate === "lost after" ? Err(FAILED) : answer;
-  }
-}
-
-const FAILED: Failure = { fault: Fault.Unknown, message: "No answer" };
-
 let seq = 0;
 
 function claimOf(id: string, fingerprint = "f"): Claim {
@@ -152,7 +58,7 @@
 };
 
 test("an id is granted once, also by another daemon", async () => {
-  const keyValue = new FakeKeyValue();
+  const keyValue = new MapKeyValue();
   const [a, b] = [logOf(keyValue), logOf(keyValue, { author: "b" })];
   expect(await standing(a, claimOf("x"))).toEqual(Standing.Granted);
   expect(await standing(a, claimOf("x"))).toEqual(Standing.Held);
@@ -161,7 +67,7 @@
 });
 
 test("claims that wait together share a write", async () => {
-  const keyValue = new FakeKeyValue();
+  const keyValue = new MapKeyValue();
   const log = logOf(keyValue);
   const ids = Array.from({ length: 50 }, (_, n) => `id-${n}`);
   await Promise.all(ids.map((id) => log.claim(claimOf(id))));
@@ -169,7 +75,7 @@
 });
 
 test("a lost answer is resolved by recognising one's own write", async () => {
-  const keyValue = new FakeKeyValue();
+  const keyValue = new MapKeyValue();
   const clock = new ManualClock();
   const log = logOf(keyValue, { clock });
   const fates: Fate[] = ["answered", "lost after"];
@@ -180,7 +86,7 @@
 });
 
 test("claims of an outage are refused as not run, and granted after it", async () => {
-  const keyValue = new FakeKeyValue();
+  const keyValue = new MapKeyValue();
   const clock = new ManualClock();
   const log = logOf(keyValue, { clock });
   keyValue.fate = () => "lost before";
@@ -192,7 +98,7 @@
 });
 
 test("claims during an outage are not held back", async () => {
-  const keyValue = new FakeKeyValue();
+  const keyValue = new MapKeyValue();
   const clock = new ManualClock();
   const log = logOf(keyValue, { clock });
   keyValue.fate = () => "lost before";
@@ -204,7 +110,7 @@
 });
 
 test("a released claim can be claimed again, by a new attempt only", async () => {
-  const keyValue = new FakeKeyValue();
+  const keyValue = new MapKeyValue();
   const clock = new ManualClock();
   const log = logOf(keyValue, { clock });
   const first = claimOf("x");
@@ -217,7 +123,7 @@
 });
 
 test("an outcome is found through another daemon", async () => {
-  const keyValue = new FakeKeyValue();
+  const keyValue = new MapKeyValue();
   const clock = new ManualClock();
   const log = logOf(keyValue, { clock });
   const claim = claimOf("x");
@@ -230,7 +136,7 @@
 });
 
 test("a ring that is written round still grants once", async () => {
-  const keyValue = new FakeKeyValue();
+  const keyValue = new MapKeyValue();
   const clock = new ManualClock();
   const retentionMs = 100;
   const a = logOf(keyValue, { clock, retentionMs });
@@ -287,7 +193,7 @@
 /** Sends requests through several owners at once; answers with what ran. */
 async function runsOf(plan: Plan): Promise<readonly string[]> {
   const { scheduler, sends, fates } = plan;
-  const keyValue = new FakeKeyValue();
+  const keyValue = new MapKeyValue();
   keyValue.comparing = plan.comparing;
   let call = 0;
   keyValue.fate = () => fates[call++] ?? "answered";
--- /dev/null
+++ b/src/claims/logged_claims_test.ts
@@ -0,0 +1,156 @@
+import { expect } from "earl";
+import * as O from "fp-ts/Option";
+import { test } from "node:test";
+import { Err, Ok, type Result } from "ts-results";
+import {
+  Kernel,
+  type PeerHandler,
+  Reason,
+  Refusal,
+  Verdict,
+} from "../kernel/mod.ts";
+import { type Member, Peers, peersKey } from "../peers/mod.ts";
+import type { Platform } from "../platform/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import { MapKeyValue } from "./fixture.ts";
+import { LoggedClaims } from "./logged_claims.ts";
+import { claimsKey, Ending, type Scope, Standing } from "./mod.ts";
+
+/** What links the daemons of a test. */
+interface Net {
+  readonly vms: string[];
+  readonly handlers: Map<string, Readonly<Record<string, PeerHandler>>>;
+  /** Daemons whose answers are lost. */
+  readonly mute: Set<string>;
+}
+
+class FakePeers extends Peers {
+  readonly self: Member;
+  readonly #net: Net;
+
+  constructor(vm: string, net: Net) {
+    super();
+    this.self = member(vm);
+    this.#net = net;
+  }
+
+  members(): readonly Member[] {
+    return this.#net.vms.map(member);
+  }
+
+  ranked(): readonly Member[] {
+    return this.members();
+  }
+
+  async ask(
+    vm: string,
+    kind: string,
+    body: unknown,
+  ): Promise<Result<unknown, Refusal>> {
+    const handlers = this.#net.handlers.get(vm);
+    if (handlers === undefined) return Err(lost(Verdict.NotRun));
+    const answer = await handlers[kind](body, this.self.vm);
+    if (this.#net.mute.has(vm)) return Err(lost(Verdict.MayHaveRun));
+    return Ok(answer);
+  }
+
+  onChange(): () => void {
+    return () => {};
+  }
+}
+
+function member(vm: string): Member {
+  return {
+    vm,
+    incarnation: vm,
+    address: "",
+    http: "",
+    availabilityZone: "",
+    leaving: false,
+  };
+}
+
+function lost(verdict: Verdict): Refusal {
+  return new Refusal({ verdict, reason: Reason.PeerFailed, message: "Lost" });
+}
+
+/** Runs `body` with the claims of two daemons; the first owns all shards. */
+async function withDaemons(
+  body: (a: LoggedClaims, b: LoggedClaims, net: Net) => Promise<void>,
+): Promise<void> {
+  const net: Net = { vms: ["a", "b"], handlers: new Map(), mute: new Set() };
+  const keyValue = new MapKeyValue();
+  const [a, b] = net.vms.map((vm) => daemon(vm, net, keyValue));
+  try {
+    await body(a, b, net);
+  } finally {
+    await Promise.all([a.stop(), b.stop()]);
+  }
+}
+
+function daemon(vm: string, net: Net, keyValue: MapKeyValue): LoggedClaims {
+  const kernel = new Kernel({
+    settings: { timing: { claimRetentionMs: 60_000 } } as Settings,
+    platform: { keyValue } as unknown as Platform,
+    incarnation: vm,
+    registrations: [
+      { key: peersKey, requires: [], create: () => new FakePeers(vm, net) },
+      {
+        key: claimsKey,
+        requires: [peersKey],
+        create: (kernel) => new LoggedClaims({ kernel }),
+      },
+    ],
+  });
+  const claims = kernel.get(claimsKey) as LoggedClaims;
+  net.handlers.set(vm, claims.props.peerHandlers);
+  return claims;
+}
+
+const SCOPE: Scope = { tenant: "t", route: "r", key: "k" };
+
+const ANSWERED = {
+  ending: Ending.Answered,
+  status: 200,
+  contentType: "text/plain",
+  body: "done",
+  whole: true,
+  digest: "",
+};
+
+async function standing(claims: LoggedClaims) {
+  const claimed = await claims.claim(SCOPE, "f");
+  return claimed.ok ? claimed.val.standing : claimed.val.verdict;
+}
+
+test("a resend through another entry does not run", async () => {
+  await withDaemons(async (a, b) => {
+    const claimed = (await a.claim(SCOPE, "f")).unwrap();
+    expect(await standing(b)).toEqual(Standing.Held);
+    if (claimed.standing !== Standing.Granted) throw new Error("Not granted");
+    a.settle(claimed.claim, ANSWERED);
+    await a.drain();
+    expect(await standing(b)).toEqual(Standing.Ended);
+    expect((await b.find(SCOPE)).unwrap())
+      .toEqual(O.some({ outcome: O.some(ANSWERED) }));
+  });
+});
+
+test("a new owner knows what the dead one granted", async () => {
+  await withDaemons(async (a, b, net) => {
+    expect(await standing(a)).toEqual(Standing.Granted);
+    net.handlers.delete("a");
+    net.vms.shift();
+    expect(await standing(b)).toEqual(Standing.Held);
+  });
+});
+
+test("a claim whose answer was lost is refused, then given back", async () => {
+  await withDaemons(async (a, b, net) => {
+    net.mute.add("a");
+    expect(await standing(b)).toEqual(Verdict.NotRun);
+    net.mute.clear();
+    await a.drain();
+    expect(await standing(b)).toEqual(Standing.Granted);
+  });
+});
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -11,6 +11,7 @@
 import { Agent } from "undici";
 import { configKey } from "../config/mod.ts";
 import { type Dispatch, dispatchKey, Outcome } from "../dispatch/mod.ts";
+import { RetryBudget } from "../dispatch/retry.ts";
 import {
   type Kernel,
   Plugin,
@@ -29,7 +30,6 @@
 import { Once, type Run } from "./once.ts";
 import { forwardedHeaders, readBody, type RequestBody } from "./passage.ts";
 import { Relay, type RelayEnd } from "./relay.ts";
-import { Budget } from "./retry.ts";
 
 const CONNECT_TIMEOUT_MS = 2_000;
 const MAX_CONNECTIONS = 256;
@@ -44,7 +44,7 @@
   readonly #admission: Admission;
   readonly #running: Running;
   readonly #once: Once;
-  readonly #budget: Budget;
+  readonly #budget: RetryBudget;
   readonly #retries;
   readonly #pooled = new Agent({
     connections: MAX_CONNECTIONS,
@@ -57,7 +57,7 @@
     connect: { timeout: CONNECT_TIMEOUT_MS },
   });
 
-  constructor(options: { kernel: Kernel; budget?: Budget }) {
+  constructor(options: { kernel: Kernel; budget?: RetryBudget }) {
     super();
     const { kernel } = options;
     const config = kernel.get(configKey);
@@ -68,7 +68,7 @@
     this.#admission = new Admission({ kernel, config });
     this.#running = new Running({ config });
     this.#once = new Once({ kernel });
-    this.#budget = options.budget ?? new Budget();
+    this.#budget = options.budget ?? new RetryBudget();
     this.#retries = kernel.counter(
       "toucanwind_forward_retries_total",
       "Attempts of forwarded requests that went on elsewhere, by reason",
--- a/src/gateway/resume.ts
+++ b/src/gateway/resume.ts
@@ -13,6 +13,7 @@
   Outcome,
   type Permit,
 } from "../dispatch/mod.ts";
+import { RetryBudget } from "../dispatch/retry.ts";
 import {
   type Kernel,
   Reason,
@@ -28,7 +29,6 @@
   type Generation,
 } from "../platform/mod.ts";
 import { Generator, generatorKey } from "./generate.ts";
-import { Budget } from "./retry.ts";
 
 const MAX_ATTEMPTS = 6;
 
@@ -36,14 +36,14 @@
 export class Generate extends Generator {
   readonly #kernel: Kernel;
   readonly #dispatch: Dispatch;
-  readonly #budget: Budget;
+  readonly #budget: RetryBudget;
   readonly #retries;
 
-  constructor(options: { kernel: Kernel; budget?: Budget }) {
+  constructor(options: { kernel: Kernel; budget?: RetryBudget }) {
     super();
     this.#kernel = options.kernel;
     this.#dispatch = options.kernel.get(dispatchKey);
-    this.#budget = options.budget ?? new Budget();
+    this.#budget = options.budget ?? new RetryBudget();
     this.#retries = this.#kernel.counter(
       "toucanwind_generation_retries_total",
       "Attempts of generations that went on elsewhere, by reason",
