--- a/src/claims/log.ts
+++ b/src/claims/log.ts
@@ -37,6 +37,8 @@
 const LAP_RETENTIONS = 4;
 const WRITE_INTERVAL_MS = 100;
 const WAIT_MS = 1_000;
+/** How long outcomes wait for a claim to share a write with. */
+const LINGER_MS = 500;
 const MAX_BATCH_RECORDS = 1_000;
 const MAX_BATCH_CHARS = 256 * 1024;
 const MAX_QUEUE = 20_000;
@@ -107,6 +109,9 @@
   #pumping = false;
   #lastWriteAt = -Infinity;
   #failingSince = Infinity;
+  #flushing = false;
+  /** Ends the wait of outcomes for a claim. */
+  #wake = new AbortController();
 
   constructor(options: ClaimLogOptions) {
     this.#keyValue = options.keyValue;
@@ -172,14 +177,18 @@
 
   /** Resolves when nothing waits any more, or `signal` aborts. */
   async flushed(signal: AbortSignal): Promise<void> {
+    this.#flushing = true;
+    this.#wake.abort();
     while (this.#pumping && !signal.aborted) {
       await this.#clock.sleep(FLUSH_POLL_MS, signal);
     }
+    this.#flushing = false;
   }
 
   /** Ends the log's task. */
   stop(): void {
     this.#stop.abort();
+    this.#wake.abort();
   }
 
   #add(
@@ -189,6 +198,7 @@
     const size = JSON.stringify(record).length;
     const waiting = { record, size, resolve, abandoned: false };
     this.#queue.push(waiting);
+    if (isClaim(waiting)) this.#wake.abort();
     if (!this.#pumping) void this.#pump();
     return waiting;
   }
@@ -236,12 +246,20 @@
 
   async #step(): Promise<boolean> {
     if (!this.#loaded && !await this.#load()) return false;
+    if (this.#flight === undefined) await this.#linger();
     await this.#pace();
     this.#flight ??= this.#batch();
     if (this.#flight === undefined) return true;
     return await this.#write(this.#flight);
   }
 
+  /** Outcomes alone are not urgent: they share the next claim's write. */
+  #linger(): Promise<void> {
+    if (this.#flushing || this.#queue.some(isClaim)) return Promise.resolve();
+    this.#wake = new AbortController();
+    return this.#clock.sleep(LINGER_MS, this.#wake.signal);
+  }
+
   #pace(): Promise<void> {
     const waitMs = this.#lastWriteAt + this.#writeIntervalMs -
       this.#clock.now();
@@ -443,6 +461,10 @@
   }
 }
 
+function isClaim({ record }: Waiting): boolean {
+  return record.kind === RecordKind.Claimed;
+}
+
 /** The refusal of claims that can't be kept now. */
 export const PLATFORM_DOWN = new Refusal({
   verdict: Verdict.NotRun,
