--- a/src/orders/charge_test.ts
+++ b/src/orders/charge_test.ts
@@ -71,34 +71,36 @@
 interface Weather {
   readonly thereMs: number;
   readonly backMs: number;
+  /** Its caller gives up after `backMs`, perhaps before it takes effect. */
   readonly lost: boolean;
   readonly down: boolean;
 }
 
+const UNANSWERED = Err({ fault: Fault.Unknown, message: "No answer" });
 const FAIR: Weather = { thereMs: 1, backMs: 1, lost: false, down: false };
 
+const LATE: Weather = { thereMs: 30, backMs: 1, lost: true, down: false };
+
 /** One value behind a slow connection that loses answers. */
 class World {
   readonly clock = new ManualClock();
   weather = FAIR;
+  /** Goes before `weather` for the next calls, one each. */
+  next: Weather[] = [];
   #entry: Entry | null = null;
   #revision = 0;
 
   /** Carries a call there and its answer back to the process. */
   call<T>(process: ProcessClock, run: () => T): Promise<Result<T, Failure>> {
-    const { thereMs, backMs, lost, down } = this.weather;
+    const { thereMs, backMs, lost, down } = this.next.shift() ?? this.weather;
     return new Promise((resolve) => {
       const answer = (result: Result<T, Failure>) =>
         process.deliver(() => resolve(result));
-      const timeout = () =>
-        answer(Err({ fault: Fault.Unknown, message: "No answer" }));
-      if (down) {
-        this.clock.after(thereMs, timeout);
-        return;
-      }
+      if (lost || down) this.clock.after(backMs, () => answer(UNANSWERED));
+      if (down) return;
       this.clock.after(thereMs, () => {
         const result = Ok(run());
-        this.clock.after(backMs, () => lost ? timeout() : answer(result));
+        if (!lost) this.clock.after(backMs, () => answer(result));
       });
     });
   }
@@ -327,6 +329,35 @@
   await race.stop();
 });
 
+test("a release that lands late doesn't pass for a renewal", async () => {
+  const world = new World();
+  const process = new ProcessClock(world.clock);
+  const charge = new Charge({
+    keyValue: new FakeKeyValue(world, process),
+    clock: process,
+    name: "test",
+    holder: "a",
+    leaseMs: LEASE_MS,
+    marginMs: MARGIN_MS,
+  });
+  const terms: number[] = [];
+  const hold = () =>
+    charge.hold(new AbortController().signal, ({ term }) => {
+      terms.push(term);
+      // The release, the look after it, the next look, and a renewal that
+      // the release overtakes.
+      world.next = [LATE, LATE, FAIR, { ...FAIR, thereMs: 60 }];
+      return Promise.resolve();
+    });
+  const both = hold().then(hold);
+  for (let t = 0; t < LEASE_MS; t += 1) {
+    world.clock.advance(1);
+    await settle();
+  }
+  await both;
+  expect(terms).toEqual([1, 2]);
+});
+
 const weather = fc.record({
   thereMs: fc.nat({ max: 400 }),
   backMs: fc.nat({ max: 400 }),
