Aborted calls to the platform don't arrive late; few daemons try for a charge

An order aborted at the end of its holder's time could still arrive: the kernel keeps what the network didn't take and sends it when a cut heals. Connections are now reset instead of ended in order. A process that was paused while it connected could send before its overdue timers ran; a new connection is used one timer tick later now. The reset is set by a field of Node's socket; http_test.ts fails where that has no effect.

Each daemon looked at each charge several times a lease: the reads would have grown with the daemons.

--- a/src/orders/charge.ts
+++ b/src/orders/charge.ts
@@ -15,6 +15,7 @@
 import { randomUUID } from "node:crypto";
 import { z } from "zod";
 import { type Clock, logger } from "../kernel/mod.ts";
+import type { Peers } from "../peers/mod.ts";
 import { type Entry, Fault, type KeyValue } from "../platform/mod.ts";
 
 const log = logger("charge");
@@ -22,6 +23,18 @@
 /** Renewals and looks at the holder's value within one lease. */
 const BEATS_PER_LEASE = 4;
 
+/** Daemons that look at a charge which another one holds. */
+const CANDIDATES = 3;
+
+/**
+ * Whether this daemon is one of the few that try for the charge `name`, so
+ * that looks at it don't grow in number with the daemons.
+ */
+export function isCandidate(peers: Peers, name: string): boolean {
+  return peers.ranked(CHARGE_PREFIX + name).slice(0, CANDIDATES)
+    .some(({ vm }) => vm === peers.self.vm);
+}
+
 /** Where the key-value service holds the charges. */
 export const CHARGE_PREFIX = "toucanwind/charge/";
 
@@ -70,6 +83,7 @@
   readonly #holder: string;
   readonly #leaseMs: number;
   readonly #marginMs: number;
+  readonly #candidate: () => boolean;
   /** When own writes were sent that may be the value now, by attempt. */
   #sent: ReadonlyMap<string, number> = new Map();
   #revision = 0;
@@ -84,6 +98,8 @@
     leaseMs: number;
     /** Longest time that an act stays under way once it was aborted. */
     marginMs: number;
+    /** Whether to try for the charge; asked again and again. */
+    candidate?: () => boolean;
   }) {
     if (options.marginMs * 2 > options.leaseMs) {
       throw new RangeError(
@@ -96,6 +112,7 @@
     this.#holder = options.holder;
     this.#leaseMs = options.leaseMs;
     this.#marginMs = options.marginMs;
+    this.#candidate = options.candidate ?? (() => true);
   }
 
   /**
@@ -144,17 +161,15 @@
 
   async #acquire(signal: AbortSignal): Promise<Option<number>> {
     let seen = { revision: -1, at: 0 };
-    while (!signal.aborted) {
+    for (; !signal.aborted; await this.#clock.sleep(this.#beatMs(), signal)) {
+      if (!this.#candidate()) continue;
       const found = await this.#keyValue.get(this.#key());
+      if (found.err || signal.aborted) continue;
       const now = this.#clock.now();
-      if (signal.aborted) break;
-      if (found.ok) {
-        const revision = revisionOf(found.val);
-        if (seen.revision !== revision) seen = { revision, at: now };
-        const term = await this.#take(found.val, now - seen.at);
-        if (term !== undefined) return some(term);
-      }
-      await this.#clock.sleep(this.#beatMs(), signal);
+      const revision = revisionOf(found.val);
+      if (seen.revision !== revision) seen = { revision, at: now };
+      const term = await this.#take(found.val, now - seen.at);
+      if (term !== undefined) return some(term);
     }
     return none;
   }
--- a/src/platform/http_endpoint.ts
+++ b/src/platform/http_endpoint.ts
@@ -6,7 +6,8 @@
  */
 
 import { Err, Ok, type Result } from "ts-results";
-import { errors, Pool } from "undici";
+import type { Socket } from "node:net";
+import { buildConnector, errors, Pool } from "undici";
 import type { ZodType } from "zod";
 import { type Failure, Fault } from "./mod.ts";
 
@@ -82,7 +83,7 @@
     return new Pool(this.#base.origin, {
       connections: this.#connections,
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: abortive(CONNECT_TIMEOUT_MS),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
     });
@@ -97,6 +98,25 @@
   }
 }
 
+/**
+ * Makes connections on which an aborted call doesn't reach the other end
+ * late. What the network didn't take yet is discarded, by a reset instead of
+ * an orderly end. And a process that was paused while it connected runs its
+ * overdue timers, which abort the call, before it sends.
+ */
+function abortive(timeoutMs: number): buildConnector.connector {
+  const connect = buildConnector({ timeout: timeoutMs });
+  return (options, callback) =>
+    connect(options, (...[error, socket]) => {
+      if (error !== null) return callback(error, null);
+      (socket as ResettableSocket).resetAndClosing = true;
+      setTimeout(() => callback(null, socket), 1);
+    });
+}
+
+/** A socket of Node that is reset when it is destroyed. */
+type ResettableSocket = Socket & { resetAndClosing: boolean };
+
 /** A signal that aborts with `outer` or after a time. */
 export class Bound {
   readonly #abort = new AbortController();
--- a/src/platform/http_test.ts
+++ b/src/platform/http_test.ts
@@ -108,6 +108,28 @@
   server.close();
 });
 
+test("an aborted call resets its connection and isn't sent again", async () => {
+  const ends: string[] = [];
+  let calls = 0;
+  const server = await raw((socket) => {
+    socket.on("data", () => calls += 1);
+    socket.on(
+      "error",
+      (error: NodeJS.ErrnoException) => ends.push(error.code ?? ""),
+    );
+    socket.on("end", () => ends.push("end"));
+  });
+  const url = `http://${addressOf(server)}`;
+  const keyValue = new HttpKeyValue({ url, timeoutMs: 50 });
+  const answer = await keyValue.get("k");
+  expect(answer.err && answer.val.fault).toEqual(Fault.Unknown);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  expect([...new Set(ends)]).toEqual(["ECONNRESET"]);
+  expect(calls).toEqual(1);
+  await keyValue.close();
+  server.close();
+});
+
 test("each way of ending early has its own fault", async () => {
   const standIn = await startEngine({ tokenMs: 2 });
   const engine = new HttpEngine();
