--- /dev/null
+++ b/src/dispatch/fair_queue_test.ts
@@ -0,0 +1,92 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { Reason } from "../kernel/mod.ts";
+import { Priority } from "../tables/mod.ts";
+import { FairQueue } from "./fair_queue.ts";
+import { ticket } from "./fixtures_test.ts";
+import type { Demand } from "./mod.ts";
+import type { Capacity } from "./queue.ts";
+
+function at(now: number, slots = 12): Capacity {
+  return { now, slots, freeSlots: 0 };
+}
+
+function push(queue: FairQueue, times: number, part: Partial<Demand>): void {
+  for (let i = 0; i < times; i++) queue.push(ticket(part), at(0));
+}
+
+/** Grants that stay in use, by tenant. */
+function taken(queue: FairQueue, times: number): string {
+  return Array.from({ length: times }, () => {
+    const taken = queue.take(at(0), () => true);
+    if (taken !== undefined) queue.started(taken.demand, 0);
+    return taken?.demand.tenant ?? "-";
+  }).join("");
+}
+
+function count(order: string, tenant: string): number {
+  return [...order].filter((one) => one === tenant).length;
+}
+
+test("tenants are served by weight, whoever came first", () => {
+  const queue = new FairQueue();
+  push(queue, 12, { tenant: "a" });
+  push(queue, 12, { tenant: "b", weight: 2 });
+  expect(count(taken(queue, 12), "b")).toEqual(8);
+});
+
+test("a tenant alone gets everything, and gives it back", () => {
+  const queue = new FairQueue();
+  push(queue, 24, { tenant: "a", priority: Priority.Interactive });
+  expect(taken(queue, 12)).toEqual("a".repeat(12));
+  push(queue, 6, { tenant: "b", priority: Priority.Batch });
+  expect(taken(queue, 6)).toEqual("b".repeat(6));
+});
+
+test("an interactive request goes before a batch of another tenant", () => {
+  const queue = new FairQueue();
+  push(queue, 4, { tenant: "b", priority: Priority.Standard });
+  push(queue, 1, { tenant: "a", priority: Priority.Interactive });
+  expect(taken(queue, 2)).toEqual("ab");
+});
+
+test("a tenant's less urgent work keeps a part of its slots", () => {
+  const queue = new FairQueue();
+  push(queue, 12, { tenant: "a", priority: Priority.Interactive });
+  push(queue, 12, { tenant: "a", priority: Priority.Batch });
+  const batches = Array.from({ length: 12 }, () => {
+    const taken = queue.take(at(0), () => true);
+    if (taken !== undefined) queue.started(taken.demand, 0);
+    return taken?.demand.priority === Priority.Batch;
+  }).filter((batch) => batch);
+  expect(batches.length).toEqual(2);
+});
+
+test("slots in use in other shards count", () => {
+  const queue = new FairQueue();
+  push(queue, 12, { tenant: "a" });
+  push(queue, 12, { tenant: "b" });
+  const presence = { weight: 1, running: 6, waiting: 0 };
+  queue.setElsewhere({ slots: 6, tenants: new Map([["a", presence]]) });
+  expect(count(taken(queue, 12), "b")).toEqual(9);
+});
+
+test("what can't end before its deadline is refused at once", () => {
+  const queue = new FairQueue();
+  const { demand } = ticket({ tenant: "a" });
+  queue.started(demand, 0);
+  queue.ended(demand, { now: 0, heldMs: 1000, tokens: 100 });
+  push(queue, 30, { tenant: "a" });
+  const late = queue.push(ticket({ remainingMs: 2000 }), at(0));
+  expect(late.err && late.val.reason).toEqual(Reason.TenantOverShare);
+  expect(late.err && late.val.retryAfterMs).toEqual(1500);
+  const other = queue.push(ticket({ tenant: "b", remainingMs: 2000 }), at(0));
+  expect(other.ok).toEqual(true);
+});
+
+test("a tenant's waiting requests are bounded", () => {
+  const queue = new FairQueue({ tenantLimit: 1 });
+  queue.push(ticket(), at(0));
+  const second = queue.push(ticket(), at(0));
+  expect(second.err && second.val.reason).toEqual(Reason.TenantOverShare);
+});
--- /dev/null
+++ b/src/dispatch/summaries.ts
@@ -0,0 +1,96 @@
+/**
+ * What this daemon knows of all shards, from its own keepers and from its
+ * neighbours.
+ *
+ * @module
+ */
+
+import type { Clock, GossipSection } from "../kernel/mod.ts";
+import { summariesBody, type Summary } from "./messages.ts";
+import type { Elsewhere, Presence } from "./queue.ts";
+
+/** A summary that didn't change for longer is of a keeper that is gone. */
+const FORGET_MS = 15_000;
+
+interface Kept {
+  readonly summary: Summary;
+  readonly at: number;
+}
+
+/** The newest summary of each shard's keeper. */
+export class Summaries implements GossipSection {
+  readonly #clock: Clock;
+  readonly #kept = new Map<string, Kept>();
+  readonly #offered = new Map<string, Map<string, number>>();
+
+  constructor(options: { clock: Clock }) {
+    this.#clock = options.clock;
+  }
+
+  /** Replaces what a keeper of this daemon tells. */
+  publish(summary: Summary): void {
+    this.#kept.set(summary.keeper, { summary, at: this.#clock.now() });
+  }
+
+  /** The newest summary of a shard. */
+  of(shard: string): Summary | undefined {
+    let newest: Kept | undefined;
+    for (const kept of this.#kept.values()) {
+      if (kept.summary.shard !== shard) continue;
+      if (newest === undefined || kept.at > newest.at) newest = kept;
+    }
+    return newest?.summary;
+  }
+
+  offer(peer: string): unknown {
+    this.#forget();
+    const offered = this.#offered.get(peer) ?? new Map<string, number>();
+    this.#offered.set(peer, offered);
+    const news = [...this.#kept.values()]
+      .map(({ summary }) => summary)
+      .filter(({ keeper, seq }) => (offered.get(keeper) ?? 0) < seq);
+    for (const { keeper, seq } of news) offered.set(keeper, seq);
+    return news.length === 0 ? undefined : { summaries: news };
+  }
+
+  accept(body: unknown): void {
+    for (const summary of summariesBody.parse(body).summaries) {
+      const known = this.#kept.get(summary.keeper)?.summary;
+      if (known !== undefined && known.seq >= summary.seq) continue;
+      this.#kept.set(summary.keeper, { summary, at: this.#clock.now() });
+    }
+  }
+
+  /** Forgets what was offered to peers that are gone. */
+  retain(peers: ReadonlySet<string>): void {
+    for (const peer of this.#offered.keys()) {
+      if (!peers.has(peer)) this.#offered.delete(peer);
+    }
+  }
+
+  #forget(): void {
+    const now = this.#clock.now();
+    for (const [keeper, { at }] of this.#kept) {
+      if (now - at > FORGET_MS) this.#kept.delete(keeper);
+    }
+  }
+}
+
+/** What the tenants have in all of these shards together. */
+export function elsewhereOf(
+  shards: readonly Pick<Summary, "slots" | "tenants">[],
+): Elsewhere {
+  const tenants = new Map<string, Presence>();
+  for (const shard of shards) {
+    for (const [tenant, presence] of Object.entries(shard.tenants)) {
+      const known = tenants.get(tenant);
+      tenants.set(tenant, {
+        weight: presence.weight,
+        running: presence.running + (known?.running ?? 0),
+        waiting: presence.waiting + (known?.waiting ?? 0),
+      });
+    }
+  }
+  const slots = shards.reduce((sum, shard) => sum + shard.slots, 0);
+  return { slots, tenants };
+}
