--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -208,7 +208,7 @@
     this.#started = true;
   }
 
-  override drain(): Promise<void> {
+  override leave(): Promise<void> {
     this.#announceLeaving();
     return Promise.resolve();
   }
--- a/src/usage/reporting.ts
+++ b/src/usage/reporting.ts
@@ -10,7 +10,7 @@
 import { isNone, isSome, none, type Option, some } from "fp-ts/Option";
 import { Err, Ok, type Result } from "ts-results";
 import { type Kernel, logger } from "../kernel/mod.ts";
-import { Charge, type Tenure } from "../orders/charge.ts";
+import { Charge, isCandidate, type Tenure } from "../orders/charge.ts";
 import type { Peers } from "../peers/mod.ts";
 import { type Entry, type Failure, Fault } from "../platform/mod.ts";
 import {
@@ -71,6 +71,7 @@
       holder: `${settings.vm}/${options.kernel.incarnation}`,
       leaseMs: settings.timing.leaseMs,
       marginMs: settings.timing.leaseMs / MARGIN_PER_LEASE,
+      candidate: () => isCandidate(options.peers, "usage"),
     });
     this.#sealedTotal = options.kernel.counter(
       "toucanwind_usage_windows_sealed_total",
