Dispatch: headroom for bursts only; admission by what a class can get

Cause: headroom was sized by how many interactive requests run, up to a quarter of the slots, though a slot comes free every few tens of milliseconds. Less urgent work at twice the capacity waited out its deadline (refusal p99 120 s): admission divided by all the tenant's slots, and the measured time between grants started from the idle system.

Change: headroom is the largest burst of 100 ms (half-life 30 s), at most a tenth of the slots. Half of it is open to requests of tenants below their share and to interactive ones. Admission counts the slots that more urgent classes leave. Shards differ less in size.

Went against us, not kept: headroom open to interactive requests of any tenant.

--- a/experiments/run.ts
+++ b/experiments/run.ts
@@ -32,6 +32,7 @@
       seeds: { type: "string", default: "5" },
       out: { type: "string", default: "" },
       policy: { type: "string", default: "" },
+      load: { type: "string", default: "" },
     },
   });
   const scenario = SCENARIOS[values.scenario];
@@ -43,6 +44,7 @@
   for (const [name, policy] of Object.entries(POLICIES)) {
     if (!name.includes(values.policy)) continue;
     for (const load of scenario.loads) {
+      if (values.load !== "" && load !== Number(values.load)) continue;
       for (const seed of seeds) {
         const figures = run({ scenario, policy, load, seed });
         rows.push({ policy: name, load, seed, figures });
--- a/experiments/token_queue.ts
+++ b/experiments/token_queue.ts
@@ -21,6 +21,7 @@
   Queue,
   type Spent,
   type Ticket,
+  Urgency,
 } from "../src/dispatch/queue.ts";
 
 /** Classes from the most to the least urgent. */
@@ -122,10 +123,10 @@
     return ticket;
   }
 
-  override urgent(ticket: Ticket): boolean {
-    if (ticket.demand.priority !== Priority.Interactive) return false;
+  override urgency(ticket: Ticket): Urgency {
+    if (ticket.demand.priority !== Priority.Interactive) return Urgency.Low;
     const ahead = this.#account(ticket.demand).virtualTime - this.#behind();
-    return ahead <= this.#lead(URGENT_LEAD_S);
+    return ahead <= this.#lead(URGENT_LEAD_S) ? Urgency.Highest : Urgency.High;
   }
 
   override ended(demand: Demand, { tokens, heldMs }: Spent): void {
--- a/src/dispatch/fair_queue.ts
+++ b/src/dispatch/fair_queue.ts
@@ -23,6 +23,7 @@
   Queue,
   type Spent,
   type Ticket,
+  Urgency,
 } from "./queue.ts";
 
 /** Classes from the most to the least urgent. */
@@ -53,8 +54,9 @@
 /** Soonest time at which a refused caller is asked to come back. */
 const MIN_RETRY_AFTER_MS = 100;
 
-/** Part of the old value that a running mean keeps at each new one. */
+/** Parts of the old value that running means keep at each new one. */
 const MEAN_KEEP = 0.95;
+const GAP_KEEP = 0.8;
 
 /** One tenant's waiting requests of one class. */
 class Lane {
@@ -71,7 +73,8 @@
 
   /** Takes note of a grant to a request of this lane. */
   granted(now: number): void {
-    this.#gapMs = mean(this.#gapMs, now - this.#since);
+    const gapMs = now - this.#since;
+    this.#gapMs = this.#gapMs * GAP_KEEP + gapMs * (1 - GAP_KEEP);
     this.#since = now;
   }
 
@@ -191,11 +194,14 @@
     return ticket;
   }
 
-  override urgent(ticket: Ticket, capacity: Capacity): boolean {
+  override urgency(ticket: Ticket, capacity: Capacity): Urgency {
     const { priority, tenant, weight } = ticket.demand;
-    if (priority !== Priority.Interactive) return false;
     const account = this.#account(tenant, weight);
-    return account.use(capacity.now) < this.#entitled(account, capacity);
+    const entitled = this.#entitled(account, capacity);
+    const due = account.use(capacity.now) < entitled;
+    const interactive = priority === Priority.Interactive;
+    if (due && interactive) return Urgency.Highest;
+    return due || interactive ? Urgency.High : Urgency.Low;
   }
 
   override started({ tenant, weight, priority }: Demand, now: number): void {
@@ -303,15 +309,19 @@
   /** Expected wait of one more request, in milliseconds. */
   #waitMs(demand: Demand, account: Account, capacity: Capacity): number {
     const weights = this.#weights() + (account.present ? 0 : account.weight);
-    const slots = account.weight / weights * capacity.slots;
+    const share = account.weight / weights * capacity.slots;
     let workMs = 0;
+    let taken = 0;
     for (const priority of CLASSES) {
-      const { tickets } = account.lane(priority);
+      const { tickets, running } = account.lane(priority);
       workMs += tickets.size * (this.#holdMs.get(priority) ?? 0);
       if (priority === demand.priority) break;
+      taken += running;
     }
+    // More urgent requests keep the slots that they have.
+    const slots = Math.max(1, GUARANTEED * share, share - taken);
     const lane = account.lane(demand.priority);
-    return Math.max(workMs / Math.max(1, slots), lane.waitMs(capacity.now));
+    return Math.max(workMs / slots, lane.waitMs(capacity.now));
   }
 
   #account(tenant: string, weight: number): Account {
--- a/src/dispatch/headroom.ts
+++ b/src/dispatch/headroom.ts
@@ -1,36 +1,41 @@
 /**
  * How many slots of a shard stay free for interactive requests, so that one
- * that comes in a flood of long generations needn't wait for their end.
+ * that comes in a flood of long generations needn't wait for their end. Slots
+ * come free all the time; what must be kept is what arrives between two.
  *
  * @module
  */
 
+/** Arrivals within this time need a free slot each. */
+const BURST_MS = 100;
+
 /** Time in which the remembered peak falls to a half. */
 const HALF_LIFE_MS = 30_000;
 
 /** Largest part of a shard's slots that is kept free. */
-const MAX_SHARE = 0.25;
+const MAX_SHARE = 0.1;
 
-/** Follows how many urgent requests run at once. */
+/** Follows the bursts in which urgent requests come. */
 export class Headroom {
+  #arrivals: readonly number[] = [];
   #peak = 0;
-  #at = 0;
+  #peakAt = 0;
 
-  /** Takes note that `running` urgent requests run or wait at `now`. */
-  observe(running: number, now: number): void {
-    this.#peak = Math.max(this.#decayed(now), running);
-    this.#at = now;
+  /** Takes note that an urgent request arrived at `now`. */
+  arrived(now: number): void {
+    const recent = this.#arrivals.filter((at) => now - at < BURST_MS);
+    this.#arrivals = [...recent, now];
+    this.#peak = Math.max(this.#decayed(now), this.#arrivals.length);
+    this.#peakAt = now;
   }
 
-  /** Slots to keep free while `running` urgent requests run. */
-  size(running: number, options: { slots: number; now: number }): number {
-    const peak = Math.ceil(this.#decayed(options.now));
-    const most = Math.floor(options.slots * MAX_SHARE);
-    return Math.max(0, Math.min(most, peak - running));
+  /** Slots to keep free. */
+  size({ slots, now }: { slots: number; now: number }): number {
+    const most = Math.ceil(slots * MAX_SHARE);
+    return Math.min(most, Math.round(this.#decayed(now)));
   }
 
   #decayed(now: number): number {
-    const peak = this.#peak * 0.5 ** ((now - this.#at) / HALF_LIFE_MS);
-    return peak < 0.1 ? 0 : peak;
+    return this.#peak * 0.5 ** ((now - this.#peakAt) / HALF_LIFE_MS);
   }
 }
--- a/src/dispatch/keeper.ts
+++ b/src/dispatch/keeper.ts
@@ -19,7 +19,14 @@
 import { type Demand, Outcome, type Pressure } from "./mod.ts";
 import { type Holding, Permits } from "./permits.ts";
 import { Quarantine, Suspicion } from "./quarantine.ts";
-import type { Capacity, Elsewhere, Presence, Queue, Ticket } from "./queue.ts";
+import {
+  type Capacity,
+  type Elsewhere,
+  type Presence,
+  type Queue,
+  type Ticket,
+  Urgency,
+} from "./queue.ts";
 import type { Upstream } from "./shards.ts";
 
 /** When to come back to a shard that has no usable upstream. */
@@ -31,6 +38,13 @@
  */
 const TRIAL_MS = 300;
 
+/** Part of the headroom that is closed to requests of each urgency. */
+const RESERVED: Readonly<Record<Urgency, number>> = {
+  [Urgency.Highest]: 0,
+  [Urgency.High]: 0.5,
+  [Urgency.Low]: 1,
+};
+
 /** Extra time that a suspect runs alone beyond what it ran before. */
 const ALONE_MARGIN_MS = 500;
 
@@ -72,9 +86,6 @@
   #states: ReadonlyMap<string, State> = new Map();
   #warm: boolean;
   #count = 0;
-  /** Tickets of urgent requests that wait, and permits of those that run. */
-  readonly #urgentWaiting = new Set<string>();
-  readonly #urgentRunning = new Set<string>();
 
   constructor(options: {
     clock: Clock;
@@ -145,10 +156,9 @@
     );
     if (pushed.err) return answer({ refusal: pushed.val });
     this.#answers.set(ticket.id, answer);
-    if (this.#queue.urgent(ticket, this.#capacity())) {
-      this.#urgentWaiting.add(ticket.id);
+    if (this.#queue.urgency(ticket, this.#capacity()) === Urgency.Highest) {
+      this.#headroom?.arrived(this.#clock.now());
     }
-    this.#observe();
     this.#pump();
   }
 
@@ -173,7 +183,6 @@
     const holding = this.#permits.remove(permit);
     if (holding === undefined) return;
     const now = this.#clock.now();
-    this.#urgentRunning.delete(permit);
     this.#queue.ended(holding.demand, {
       now,
       heldMs: now - holding.grantedAt,
@@ -282,8 +291,9 @@
       const capacity = this.#capacity(free);
       let picked: Candidate | undefined;
       const ticket = this.#queue.take(capacity, (ticket) => {
-        const scarce = capacity.freeSlots <= headroom;
-        if (scarce && !this.#queue.urgent(ticket, capacity)) return false;
+        const { freeSlots } = capacity;
+        const urgency = this.#queue.urgency(ticket, capacity);
+        if (freeSlots <= Math.ceil(RESERVED[urgency] * headroom)) return false;
         picked = this.#place(ticket, free);
         return picked !== undefined;
       });
@@ -306,7 +316,6 @@
       grantedAt: now,
       aloneUntil: this.#aloneUntil(demand, now),
     }, now);
-    if (this.#urgentWaiting.has(ticket.id)) this.#urgentRunning.add(permit);
     this.#queue.started(demand, now);
     this.#forget(ticket);
     const state = this.#states.get(upstream.id);
@@ -443,7 +452,6 @@
 
   /** Drops what a ticket that no longer waits held. */
   #forget(ticket: Ticket): void {
-    this.#urgentWaiting.delete(ticket.id);
     for (const [upstream, id] of this.#reserved) {
       if (id === ticket.id) this.#reserved.delete(upstream);
     }
@@ -501,13 +509,8 @@
     return slots;
   }
 
-  #observe(): void {
-    const urgent = this.#urgentRunning.size + this.#urgentWaiting.size;
-    this.#headroom?.observe(urgent, this.#clock.now());
-  }
-
   #headroomSize(): number {
-    return this.#headroom?.size(this.#urgentRunning.size, {
+    return this.#headroom?.size({
       slots: this.#slots(),
       now: this.#clock.now(),
     }) ?? 0;
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -28,6 +28,16 @@
   readonly freeSlots: number;
 }
 
+/** How urgently a request needs a slot; decides on slots kept free. */
+export enum Urgency {
+  /** It is not interactive, and would run on a lent slot. */
+  Low = "low",
+  /** It is interactive, or its tenant is below what it is entitled to. */
+  High = "high",
+  /** Both. */
+  Highest = "highest",
+}
+
 /** How one permit was used. */
 export interface Spent {
   /** When it ended. */
@@ -69,9 +79,9 @@
   /** Removes a request that no longer waits. */
   abstract remove(id: string): Ticket | undefined;
 
-  /** Whether the request may use the slots kept free for urgent work. */
-  urgent(_ticket: Ticket, _capacity: Capacity): boolean {
-    return true;
+  /** How urgently the request needs a slot. */
+  urgency(_ticket: Ticket, _capacity: Capacity): Urgency {
+    return Urgency.Low;
   }
 
   /** Takes note that a request got a slot. */
--- a/src/dispatch/shards.ts
+++ b/src/dispatch/shards.ts
@@ -13,6 +13,9 @@
 /** Upstreams per shard that the number of shards is chosen for. */
 const SHARD_TARGET = 12;
 
+/** How much larger than the mean a shard may be. */
+const SPREAD = 1.25;
+
 /** An upstream as the platform's list and the pools table describe it. */
 export interface Upstream {
   readonly id: string;
@@ -54,11 +57,15 @@
   const count = upstreams.length <= SHARD_CAPACITY
     ? 1
     : Math.ceil(upstreams.length / SHARD_TARGET);
+  const capacity = Math.min(
+    SHARD_CAPACITY,
+    Math.ceil(upstreams.length / count * SPREAD),
+  );
   const shards: Upstream[][] = Array.from({ length: count }, () => []);
   const ordered = [...upstreams].sort((a, b) => a.id < b.id ? -1 : 1);
   for (const upstream of ordered) {
     const index = rankedIndices(upstream.id, count)
-      .find((index) => shards[index].length < SHARD_CAPACITY);
+      .find((index) => shards[index].length < capacity);
     shards[index ?? 0].push(upstream);
   }
   return shards;
