--- /dev/null
+++ b/src/cli/operation.ts
@@ -0,0 +1,185 @@
+/**
+ * What all commands share: their options, what they reach, how they answer.
+ *
+ * @module
+ */
+
+import { type BaseContext, Command, Option, UsageError } from "clipanion";
+import { isNone, type Option as Maybe } from "fp-ts/Option";
+import { Err, Ok, type Result } from "ts-results";
+import type { Clock } from "../kernel/mod.ts";
+import type { KeyValue } from "../platform/mod.ts";
+import {
+  printProblem,
+  type Problem,
+  type Stamp,
+  type Tables,
+} from "../tables/mod.ts";
+import { Daemons } from "./daemons.ts";
+import { Exit } from "./exit.ts";
+import { Ending, Revisions, type Stored, type Unread } from "./revisions.ts";
+import { readSettings, type Settings } from "./settings.ts";
+
+/** What the commands reach outside of the process. */
+export interface Context extends BaseContext {
+  readonly clock: Clock;
+  /** The platform's key-value service at this URL. */
+  connect(url: string): KeyValue;
+}
+
+/** A command's answer: for the shell, for people and for programs. */
+export interface Answer {
+  readonly exit: Exit;
+  readonly lines: readonly string[];
+  /** What `--json` prints, with the exit code added. */
+  readonly json: Readonly<Record<string, unknown>>;
+}
+
+/** A command that answers in text or, with `--json`, as one JSON value. */
+export abstract class Operation extends Command<Context> {
+  json = Option.Boolean("--json", false, {
+    description: "Answer with one JSON value",
+  });
+
+  /** Does the work of the command. */
+  abstract run(): Promise<Answer>;
+
+  async execute(): Promise<number> {
+    const answer = await this.#answer();
+    const { stdout, stderr } = this.context;
+    if (this.json) {
+      const value = { exit: answer.exit, ...answer.json };
+      stdout.write(`${JSON.stringify(value, null, 2)}\n`);
+    } else {
+      const out = answer.exit === Exit.Done ? stdout : stderr;
+      out.write(answer.lines.map((line) => `${line}\n`).join(""));
+    }
+    return answer.exit;
+  }
+
+  async #answer(): Promise<Answer> {
+    try {
+      return await this.run();
+    } catch (error) {
+      // Thrown before anything was sent: wrong options or settings.
+      if (error instanceof UsageError) return impossible(error.message);
+      throw error;
+    }
+  }
+}
+
+/** A command that reaches the platform or the daemons. */
+export abstract class RemoteOperation extends Operation {
+  platform = Option.String("--platform", {
+    description: "URL of the platform's key-value service",
+  });
+  entry = Option.String("--entry", {
+    description: "URLs of daemons, comma-separated; the first to answer serves",
+  });
+  settings = Option.String("--settings", {
+    description: "TOML file with platform, entries, token and author",
+  });
+  timeoutMs = Option.String("--timeout-ms", "15000", {
+    description: "How long to go on asking a platform that doesn't answer",
+  });
+
+  /** The settings; wrong ones end the command. */
+  protected configured(author?: string): Settings {
+    const settings = readSettings(
+      {
+        platform: this.platform,
+        entry: this.entry,
+        settings: this.settings,
+        author,
+      },
+      this.context.env,
+    );
+    if (settings.err) throw new UsageError(settings.val);
+    return settings.val;
+  }
+
+  /** The chain of configurations in the platform's service. */
+  protected revisions(): Revisions {
+    const { platform } = this.configured();
+    if (platform === "") {
+      throw new UsageError("Set --platform or TOUCANWIND_PLATFORM");
+    }
+    return new Revisions({
+      keyValue: this.context.connect(platform),
+      clock: this.context.clock,
+      patienceMs: wholeNumber("--timeout-ms", this.timeoutMs),
+    });
+  }
+
+  /** The daemons' admin pages. */
+  protected daemons(): Daemons {
+    const { entries, token } = this.configured();
+    return new Daemons({ entries, token, clock: this.context.clock });
+  }
+}
+
+/** The answer where the platform gave no answer of use. */
+export function unread(fault: Unread): Answer {
+  return {
+    exit: Exit.Unknown,
+    lines: [
+      fault.ending === Ending.Damaged
+        ? fault.message
+        : `The platform's service gave no answer: ${fault.message}`,
+      "Nothing was changed",
+    ],
+    json: { outcome: fault.ending, message: fault.message },
+  };
+}
+
+/** The answer where something given to the command is at fault. */
+export function invalid(problems: readonly Problem[]): Answer {
+  return {
+    exit: Exit.Refused,
+    lines: [...problems.map(printProblem), "Nothing was changed"],
+    json: { outcome: Ending.Invalid, problems },
+  };
+}
+
+/** The answer where the command can't be carried out as given. */
+export function impossible(message: string): Answer {
+  return {
+    exit: Exit.Refused,
+    lines: [message, "Nothing was changed"],
+    json: { outcome: Ending.Invalid, message },
+  };
+}
+
+/** The tables of what is stored; none before the first revision. */
+export function tablesOf(
+  stored: Maybe<Stored>,
+): Result<Tables, readonly Problem[]> {
+  return isNone(stored) ? Ok({ routes: [], pools: [] }) : stored.value.tables;
+}
+
+/** The revision of what is stored; 0 before the first. */
+export function revisionOf(stored: Maybe<Stored>): number {
+  return isNone(stored) ? 0 : stored.value.stamp.revision;
+}
+
+/** An option's whole number; anything else ends the command. */
+export function wholeNumber(option: string, text: string): number {
+  const value = Number(text);
+  if (/^\d{1,15}$/.test(text)) return value;
+  throw new UsageError(`${option} must be a whole number, not "${text}"`);
+}
+
+/** A revision on one line. */
+export function printStamp(stamp: Stamp): string {
+  const note = stamp.note === "" ? "" : `  ${stamp.note}`;
+  return `${stamp.revision}  ${stamp.at}  ${stamp.author}${note}`;
+}
+
+/** The stored tables, or the answer that says why there are none. */
+export function readable(stored: Maybe<Stored>): Result<Tables, Answer> {
+  const tables = tablesOf(stored);
+  return tables.ok ? tables : Err({
+    ...invalid(tables.val),
+    exit: Exit.Unknown,
+  });
+}
