--- /dev/null
+++ b/src/orders/ordering.ts
@@ -0,0 +1,216 @@
+/**
+ * Orders upstreams so that what runs comes to what the plan wants.
+ *
+ * @module
+ */
+
+import { isNone, none, type Option, some } from "fp-ts/Option";
+import { type Clock, type Kernel, logger } from "../kernel/mod.ts";
+import { type Config, configKey } from "../config/mod.ts";
+import { type Dispatch, dispatchKey, type Pressure } from "../dispatch/mod.ts";
+import { Fault, type Offer, type Order } from "../platform/mod.ts";
+import { type Pool, Priority, type Tables } from "../tables/mod.ts";
+import type { Tenure } from "./charge.ts";
+import type { Placement, Plan } from "./mod.ts";
+import { ordered, sum } from "./placement.ts";
+
+const log = logger("orders");
+
+/** An order that had no effect is placed anew after this time. */
+const REPEAT_MS = 10_000;
+
+/** The last order on one offer. */
+interface Placed {
+  readonly order: Order;
+  readonly at: number;
+  /** Whether the platform answered; until then the same order is resent. */
+  readonly settled: boolean;
+}
+
+/** One offer and the number of upstreams wanted on it. */
+interface Gap {
+  readonly offer: Offer;
+  readonly wanted: number;
+}
+
+/** Compares offers with the plan and places orders, within one tenure. */
+export class Ordering {
+  readonly #kernel: Kernel;
+  readonly #clock: Clock;
+  readonly #config: Config;
+  readonly #dispatch: Dispatch;
+  readonly #tenure: Tenure;
+  readonly #plan: Plan;
+  readonly #meters: OrderMeters;
+  readonly #placed = new Map<string, Placed>();
+  #count = 0;
+
+  constructor(options: {
+    kernel: Kernel;
+    tenure: Tenure;
+    plan: Plan;
+    meters: OrderMeters;
+  }) {
+    this.#kernel = options.kernel;
+    this.#clock = options.kernel.clock;
+    this.#config = options.kernel.get(configKey);
+    this.#dispatch = options.kernel.get(dispatchKey);
+    this.#tenure = options.tenure;
+    this.#plan = options.plan;
+    this.#meters = options.meters;
+  }
+
+  /** Looks once at all pools; returns when the orders were answered. */
+  async round(): Promise<void> {
+    const configuration = this.#config.current();
+    if (isNone(configuration) || !this.#config.fresh()) return;
+    const offers = await this.#kernel.platform.orders.offers();
+    if (offers.err) {
+      this.#meters.orders.inc({ outcome: `offers_${offers.val.fault}` });
+      return;
+    }
+    this.#meters.observe(offers.val);
+    const { tables } = configuration.value;
+    await Promise.all(
+      tables.pools.map((pool) => this.#pool(pool, tables, offers.val)),
+    );
+  }
+
+  async #pool(
+    pool: Pool,
+    tables: Tables,
+    all: readonly Offer[],
+  ): Promise<void> {
+    const offers = all.filter((offer) => offer.pool === pool.name);
+    if (offers.length === 0) return;
+    const running = sum(offers.map((offer) => offer.running));
+    const wanted = this.#plan.wanted({
+      pool,
+      urgent: urgentRoutes(tables, pool),
+      offers,
+      pressure: known(await this.#dispatch.pressure(pool.name), running),
+      now: this.#clock.now(),
+    });
+    const gaps = offers.map((offer) => gapOf(offer, wanted));
+    for (const gap of this.#due(gaps)) await this.#order(gap);
+  }
+
+  /**
+   * What to order now. Upstreams are given up only when all that take their
+   * place run: a starting one serves nobody.
+   */
+  #due(gaps: readonly Gap[]): readonly Gap[] {
+    const more = gaps.filter(({ offer, wanted }) => wanted > ordered(offer));
+    const fewer = gaps.filter(({ offer, wanted }) => wanted < ordered(offer));
+    const unsettled = gaps.filter((gap) =>
+      this.#placed.get(keyOf(gap.offer))?.settled === false
+    );
+    const waiting = more.length > 0 ||
+      gaps.some(({ offer }) => offer.starting > 0);
+    const due = waiting ? more : fewer;
+    return [...unsettled, ...due.filter((gap) => !unsettled.includes(gap))];
+  }
+
+  async #order(gap: Gap): Promise<void> {
+    const key = keyOf(gap.offer);
+    const last = this.#placed.get(key);
+    const now = this.#clock.now();
+    const same = last?.settled && last.order.count === gap.wanted;
+    if (same && now - last.at < REPEAT_MS) return;
+    const resent = last !== undefined && !last.settled;
+    const order = resent ? last.order : this.#orderOf(gap);
+    const answer = await this.#tenure.act((signal) =>
+      this.#kernel.platform.orders.place(order, signal)
+    );
+    if (isNone(answer)) return;
+    const { value } = answer;
+    const fault = value.err ? value.val.fault : undefined;
+    // An unknown outcome stays open: a newer order could be overtaken by it.
+    const settled = fault !== Fault.Unknown;
+    this.#placed.set(key, { order, at: now, settled });
+    this.#meters.orders.inc({ outcome: fault ?? "placed" });
+    if (fault === undefined) log("ordered", { ...order });
+  }
+
+  #orderOf({ offer, wanted }: Gap): Order {
+    const { term } = this.#tenure;
+    this.#count += 1;
+    return {
+      id: `${term}/${this.#count}`,
+      pool: offer.pool,
+      availabilityZone: offer.availabilityZone,
+      reclaimable: offer.reclaimable,
+      count: wanted,
+      term,
+      holder: this.#kernel.settings.vm,
+    };
+  }
+}
+
+/** Counters and gauges of orders. */
+export class OrderMeters {
+  readonly orders;
+  readonly #upstreams;
+  readonly #price;
+
+  constructor(kernel: Kernel) {
+    this.orders = kernel.counter(
+      "toucanwind_orders_total",
+      "Orders of upstreams by outcome; offers_* are failed looks at the offers",
+      ["outcome"],
+    );
+    this.#upstreams = kernel.gauge(
+      "toucanwind_orders_upstreams",
+      "Upstreams as the platform counts them, at the holder of the charge",
+      ["pool", "kind", "state"],
+    );
+    this.#price = kernel.gauge(
+      "toucanwind_orders_price_per_hour",
+      "Price of the running upstreams for an hour, at the holder",
+      ["pool"],
+    );
+  }
+
+  /** Shows what the platform runs. */
+  observe(offers: readonly Offer[]): void {
+    this.clear();
+    for (const { pool, reclaimable, ...offer } of offers) {
+      const kind = reclaimable ? "reclaimable" : "lasting";
+      this.#upstreams.inc({ pool, kind, state: "running" }, offer.running);
+      this.#upstreams.inc({ pool, kind, state: "starting" }, offer.starting);
+      this.#price.inc({ pool }, offer.running * offer.pricePerHour);
+    }
+  }
+
+  /** Shows nothing: another daemon holds the charge. */
+  clear(): void {
+    this.#upstreams.reset();
+    this.#price.reset();
+  }
+}
+
+function gapOf(offer: Offer, wanted: readonly Placement[]): Gap {
+  const placement = wanted.find((one) =>
+    one.availabilityZone === offer.availabilityZone &&
+    one.reclaimable === offer.reclaimable
+  );
+  return { offer, wanted: placement?.count ?? 0 };
+}
+
+/** A pool that runs upstreams but tells of no slots is not known. */
+function known(pressure: Pressure, running: number): Option<Pressure> {
+  return running > 0 && pressure.slots === 0 ? none : some(pressure);
+}
+
+function urgentRoutes({ routes }: Tables, pool: Pool): boolean {
+  return routes.some((route) =>
+    route.pool === pool.name &&
+    (route.priority === Priority.Interactive ||
+      route.priority === Priority.Standard)
+  );
+}
+
+function keyOf(offer: Offer): string {
+  const { pool, availabilityZone, reclaimable } = offer;
+  return `${pool}/${availabilityZone}/${reclaimable}`;
+}
--- /dev/null
+++ b/src/orders/plan_test.ts
@@ -0,0 +1,225 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { none, some } from "fp-ts/Option";
+import { test } from "node:test";
+import { pool as poolOf } from "../../stand_ins/builders.ts";
+import type { Offer } from "../platform/mod.ts";
+import type { Outlook, Placement, Plan } from "./mod.ts";
+import { place, sum } from "./placement.ts";
+import { PressurePlan, StaticPlan } from "./plan.ts";
+
+const ZONES = ["a", "b", "c", "d"];
+const POOL = poolOf({
+  maxUpstreams: 12,
+  reclaimableShare: 0.5,
+  availabilityZones: ZONES,
+  slots: 10,
+});
+
+function offer(fields: Partial<Offer> = {}): Offer {
+  return {
+    pool: "lm",
+    availabilityZone: "a",
+    reclaimable: false,
+    pricePerHour: 4,
+    running: 0,
+    starting: 0,
+    available: 100,
+    ...fields,
+  };
+}
+
+/** Offers of both kinds in each zone. */
+function offers(): readonly Offer[] {
+  return ZONES.flatMap((availabilityZone) => [
+    offer({ availabilityZone }),
+    offer({ availabilityZone, reclaimable: true, pricePerHour: 1 }),
+  ]);
+}
+
+function outlook(fields: Partial<Outlook> & { busy?: number }): Outlook {
+  const { busy = 0, ...rest } = fields;
+  const pressure = { running: busy, queued: 0, urgent: 0, slots: 100 };
+  return {
+    pool: POOL,
+    urgent: true,
+    offers: offers(),
+    pressure: some(pressure),
+    now: 0,
+    ...rest,
+  };
+}
+
+function total(placements: readonly Placement[]): number {
+  return sum(placements.map(({ count }) => count));
+}
+
+function reclaimable(placements: readonly Placement[]): number {
+  return total(placements.filter(({ reclaimable }) => reclaimable));
+}
+
+/** The offers as they are once the placements run. */
+function running(
+  all: readonly Offer[],
+  placements: readonly Placement[],
+): readonly Offer[] {
+  return all.map((one) => {
+    const placed = placements.find((other) =>
+      other.availabilityZone === one.availabilityZone &&
+      other.reclaimable === one.reclaimable
+    );
+    return { ...one, running: placed?.count ?? 0 };
+  });
+}
+
+/** What a plan wants, each second, for the busy slots `load` gives. */
+function course(plan: Plan, options: {
+  seconds: number;
+  load: (second: number) => number;
+  offersAt?: (second: number, before: readonly Offer[]) => readonly Offer[];
+}): readonly (readonly Placement[])[] {
+  let all = offers();
+  const wanted: (readonly Placement[])[] = [];
+  for (let second = 0; second < options.seconds; second++) {
+    all = options.offersAt?.(second, all) ?? all;
+    const placements = plan.wanted(outlook({
+      busy: options.load(second),
+      offers: all,
+      now: second * 1000,
+    }));
+    wanted.push(placements);
+    all = running(all, placements);
+  }
+  return wanted;
+}
+
+function changes(wanted: readonly (readonly Placement[])[]): number {
+  return wanted.filter((placements, n) =>
+    n > 0 && JSON.stringify(placements) !== JSON.stringify(wanted[n - 1])
+  ).length;
+}
+
+test("the static plan runs the most, and none that can be reclaimed", () => {
+  const wanted = new StaticPlan().wanted(outlook({}));
+  expect(total(wanted)).toEqual(12);
+  expect(reclaimable(wanted)).toEqual(0);
+  const lasting = wanted.filter(({ reclaimable }) => !reclaimable);
+  expect(lasting.map(({ count }) => count)).toEqual([3, 3, 3, 3]);
+});
+
+test("placements keep their bounds and outlive a zone's reclaim", () => {
+  const kind = fc.record({
+    availabilityZone: fc.constantFrom(...ZONES),
+    reclaimable: fc.boolean(),
+    running: fc.nat({ max: 4 }),
+    available: fc.nat({ max: 6 }),
+    pricePerHour: fc.integer({ min: 1, max: 4 }),
+  });
+  const bounds = fc.record({
+    total: fc.nat({ max: 20 }),
+    mostReclaimable: fc.nat({ max: 12 }),
+    fewestLasting: fc.nat({ max: 1 }),
+    mustSurvive: fc.nat({ max: 20 }),
+  });
+  const kinds = fc.uniqueArray(kind, {
+    selector: (one) => `${one.availabilityZone}/${one.reclaimable}`,
+  });
+  fc.assert(
+    fc.property(kinds, bounds, (drawn, bounds) => {
+      const capacities = drawn.map((one) => ({
+        offer: offer(one),
+        most: one.available,
+      }));
+      const placed = place(capacities, bounds);
+      const cheap = placed.filter(({ reclaimable }) => reclaimable);
+      const worst = Math.max(0, ...cheap.map(({ count }) => count));
+      const within = running(capacities.map(({ offer }) => offer), placed)
+        .every(({ running, available }) => running <= available);
+      return within && total(placed) <= bounds.total &&
+        reclaimable(placed) <= bounds.mostReclaimable &&
+        (worst === 0 || total(placed) - worst >= bounds.mustSurvive);
+    }),
+    { seed: 1, numRuns: 500 },
+  );
+});
+
+test("reclaimable upstreams take the pool's share, spread over zones", () => {
+  const [wanted] = course(new PressurePlan(), { seconds: 1, load: () => 60 });
+  expect(total(wanted)).toEqual(8);
+  expect(reclaimable(wanted)).toEqual(6);
+  const perZone = ZONES.map((zone) =>
+    total(wanted.filter(({ availabilityZone }) => availabilityZone === zone))
+  );
+  expect(Math.max(...perZone) <= 3).toEqual(true);
+});
+
+test("what is left after any zone's reclaim runs the urgent work", () => {
+  const [wanted] = course(new PressurePlan({ utilization: 1 }), {
+    seconds: 1,
+    load: () => 120,
+  });
+  expect(total(wanted)).toEqual(12);
+  expect(reclaimable(wanted)).toEqual(0);
+});
+
+test("a load that swings doesn't swing the orders", () => {
+  const wanted = course(new PressurePlan(), {
+    seconds: 600,
+    load: (second) => second % 20 < 10 ? 70 : 20,
+  });
+  expect(changes(wanted.slice(60))).toEqual(0);
+});
+
+test("a short spike starts nothing, unless urgent work waits", () => {
+  const spike = (second: number) => second === 300 ? 100 : 10;
+  const wanted = course(new PressurePlan(), { seconds: 400, load: spike });
+  expect(Math.max(...wanted.slice(200).map(total))).toEqual(2);
+  const urgent = { running: 20, queued: 60, urgent: 60, slots: 20 };
+  const plan = new PressurePlan();
+  plan.wanted(outlook({ busy: 10 }));
+  const now = plan.wanted(outlook({ pressure: some(urgent), now: 1000 }));
+  expect(total(now)).toEqual(10);
+});
+
+test("upstreams are given up once the need was low for long", () => {
+  const wanted = course(new PressurePlan(), {
+    seconds: 400,
+    load: (second) => second < 60 ? 80 : 8,
+  });
+  expect(total(wanted[100])).toEqual(10);
+  expect(total(wanted[399])).toEqual(1);
+  expect(changes(wanted.slice(60)) <= 2).toEqual(true);
+});
+
+test("an unknown pressure changes nothing", () => {
+  const plan = new PressurePlan();
+  const before = plan.wanted(outlook({ busy: 80 }));
+  const later = plan.wanted(outlook({
+    pressure: none,
+    offers: running(offers(), before),
+    now: 1_000_000,
+  }));
+  expect(total(later)).toEqual(total(before));
+});
+
+test("a reclaimed zone is replaced at once and not used again soon", () => {
+  const wanted = course(new PressurePlan(), {
+    seconds: 280,
+    load: () => 60,
+    offersAt: (second, before) =>
+      before.map((one) => {
+        const hit = one.reclaimable && one.availabilityZone === "a";
+        if (!hit) return one;
+        if (second < 100) return one;
+        if (second < 105) return { ...one, available: 0, reclaimInMs: 5000 };
+        return { ...one, running: second === 105 ? 0 : one.running };
+      }),
+  });
+  const inA = (placements: readonly Placement[]) =>
+    reclaimable(placements.filter((one) => one.availabilityZone === "a"));
+  expect(inA(wanted[99]) > 0).toEqual(true);
+  expect(wanted.slice(100).map(inA).every((count) => count === 0))
+    .toEqual(true);
+  expect(wanted.map(total).every((count) => count === 8)).toEqual(true);
+  expect(changes(wanted.slice(10))).toEqual(1);
+});
