--- a/src/cli/commands_test.ts
+++ b/src/cli/commands_test.ts
@@ -106,6 +106,10 @@
   const again = await command("apply", folder, ...resend);
   expect(JSON.parse(again.stdout).outcome).toEqual("accepted");
   expect(JSON.parse(again.stdout).revision).toEqual(2);
+  const asked = await command("outcome", attempt, "--on", "1", ...NO_WAIT);
+  expect(asked.exit).toEqual(Exit.Done);
+  const open = await command("outcome", attempt, "--on", "3", ...NO_WAIT);
+  expect(open.exit).toEqual(Exit.Unknown);
   const other = await command("apply", folderOf(t, withSlots(5)), ...resend);
   expect(other.exit).toEqual(Exit.Refused);
 });
@@ -140,6 +144,17 @@
   expect(forced.exit).toEqual(Exit.Done);
 });
 
+test("a withdrawn key is granted by its hash with --regrant only", async (t) => {
+  const command = commands(new MemoryKeyValue());
+  await command("apply", folderOf(t, tables()), ...NO_WAIT);
+  const { id, sha256 } = tables().routes[0].keys[0];
+  await command("key", "withdraw", id, ...NO_WAIT);
+  const grant = ["key", "grant", "x", "--route", "chat", "--tenant", "one"];
+  const args = [...grant, "--sha256", sha256, ...NO_WAIT];
+  expect((await command(...args)).exit).toEqual(Exit.Refused);
+  expect((await command(...args, "--regrant")).exit).toEqual(Exit.Done);
+});
+
 test("rollback makes a new revision of the old tables", async (t) => {
   const command = commands(new MemoryKeyValue());
   for (const slots of [3, 4, 5]) {
@@ -179,6 +194,37 @@
   }
 });
 
+test("status shows one part of each daemon as a table", async (t) => {
+  const server = fastify();
+  const upstreams = [{ id: "u-1", running: 3 }, { id: "u-20", running: 10 }];
+  server.get("/admin/status", () => ({
+    members: [
+      { vm: "vm-1", parts: { dispatch: { upstreams }, usage: {} } },
+      { vm: "vm-2", parts: null },
+    ],
+  }));
+  await server.listen({ host: "127.0.0.1", port: 0 });
+  t.after(() => server.close());
+  const { port } = server.server.address() as AddressInfo;
+  const env = { TOUCANWIND_ENTRY: `http://127.0.0.1:${port}` };
+  const command = commands(new MemoryKeyValue(), env);
+  const { stdout } = await command("status", "dispatch", "--all");
+  expect(stdout.split("\n")).toEqual([
+    "members:",
+    "  -",
+    "    vm: vm-1",
+    "    dispatch:",
+    "      upstreams:",
+    "        id    running",
+    "        u-1   3",
+    "        u-20  10",
+    "  -",
+    "    vm: vm-2",
+    "    dispatch: null",
+    "",
+  ]);
+});
+
 test("a daemon that can't be asked leaves an edit accepted", async (t) => {
   const env = { TOUCANWIND_ENTRY: "http://127.0.0.1:1" };
   const command = commands(new MemoryKeyValue(), env);
@@ -203,6 +249,7 @@
     const args of [
       ["apply", folder, "--on", "x"],
       ["apply", folder, "--attempt", "a"],
+      ["apply", folder, "--wait-ms", "soon"],
       ["show", "--platform", "nowhere"],
       ["show", "--settings", join(folder, "none.toml")],
       ["show", "--settings", join(folder, "routes.toml")],
@@ -211,4 +258,5 @@
   ) {
     expect((await command(...args)).exit).toEqual(Exit.Refused);
   }
+  expect((await command("history")).stdout).toEqual("");
 });
--- a/src/cli/revisions.ts
+++ b/src/cli/revisions.ts
@@ -6,7 +6,15 @@
  * @module
  */
 
-import { isNone, map, none, type Option, some } from "fp-ts/Option";
+import {
+  isNone,
+  isSome,
+  map,
+  none,
+  type Option,
+  type Some,
+  some,
+} from "fp-ts/Option";
 import { Err, Ok, type Result } from "ts-results";
 import type { Clock } from "../kernel/mod.ts";
 import {
@@ -34,8 +42,11 @@
 export const WITHDRAWN_PREFIX = "toucanwind/withdrawn/";
 
 const REVISION_DIGITS = 16;
-/** Revisions kept before the head. */
-const ARCHIVE_LENGTH = 1_000;
+const MAX_ARCHIVED = 1_000;
+const MIN_ARCHIVED = 20;
+const ARCHIVE_BYTES = 33_554_432;
+/** More than one, so that the archive shrinks when its length does. */
+const PRUNED_PER_EDIT = 3;
 const FIRST_PAUSE_MS = 50;
 const LONGEST_PAUSE_MS = 1_000;
 
@@ -173,17 +184,49 @@
    * called again with the same edit: it takes effect at most once.
    */
   async commit(edit: Edit): Promise<Commit> {
-    const read = await this.head();
-    if (read.err) return read.val;
-    const head = read.val;
-    const newest = isNone(head) ? 0 : head.value.stamp.revision;
-    if (newest !== edit.on) {
-      return await this.#settle({ ...edit, revision: edit.on + 1 }, head);
+    const head = await this.head();
+    if (head.err) return head.val;
+    if (stampRevision(head.val) !== edit.on) {
+      return await this.#settle({ ...edit, revision: edit.on + 1 }, head.val);
+    }
+    if (isSome(head.val)) return await this.#follow(edit, head.val);
+    const revision = await this.#firstRevision();
+    if (revision.err) return revision.val;
+    if (revision.val === 1) return await this.#write(edit, none, 1);
+    // Where there is an archive there is a head, unless it was lost.
+    const again = await this.head();
+    if (again.err) return again.val;
+    return isSome(again.val)
+      ? await this.#settle({ ...edit, revision: 1 }, again.val)
+      : await this.#write(edit, none, revision.val);
+  }
+
+  /** Finds out how an edit ended that was sent earlier, sending nothing. */
+  async outcome(edit: Pick<Edit, "attempt" | "on">): Promise<Commit> {
+    const head = await this.head();
+    if (head.err) return head.val;
+    const { attempt, on } = edit;
+    if (stampRevision(head.val) !== on) {
+      return await this.#settle({ attempt, revision: on + 1 }, head.val);
     }
-    const prepared = await this.#prepare(edit, head);
+    const message = `No edit of revision "${on}" was accepted so far`;
+    return { ending: Ending.Unknown, message };
+  }
+
+  /** Makes the edit the revision after `head`. */
+  async #follow(edit: Edit, head: Some<Stored>): Promise<Commit> {
+    const prepared = await this.#prepare(edit, head.value);
     if (prepared.err) return prepared.val;
+    return await this.#write(edit, head, edit.on + 1);
+  }
+
+  async #write(
+    edit: Edit,
+    head: Option<Stored>,
+    revision: number,
+  ): Promise<Commit> {
     const stamp: Stamp = {
-      revision: prepared.val,
+      revision,
       attempt: edit.attempt,
       author: edit.author,
       note: edit.note,
@@ -197,30 +240,24 @@
     if (!sent.val.applied) {
       return await this.#settleOn(stamp, sent.val.current);
     }
-    await this.#prune(stamp.revision - ARCHIVE_LENGTH);
+    await this.#prune(revision - 1 - archiveLength(text.val));
     return { ending: Ending.Accepted, stamp };
   }
 
-  /** Does what must stand before the swap; gives the next revision. */
-  async #prepare(
-    edit: Edit,
-    head: Option<Stored>,
-  ): Promise<Result<number, Commit>> {
-    if (isNone(head)) return await this.#firstRevision();
-    const { entry, stamp, tables } = head.value;
-    const kept = await this.#keep(archiveKey(stamp.revision), entry.value);
+  /** Archives the head and marks the keys that the edit withdraws. */
+  async #prepare(edit: Edit, head: Stored): Promise<Result<true, Commit>> {
+    const key = archiveKey(head.stamp.revision);
+    const kept = await this.#keep(key, head.entry.value);
     if (kept.err) return kept;
-    if (kept.val !== entry.value) {
-      return Err(damaged(archiveKey(stamp.revision)));
-    }
-    if (tables.err) return Ok(stamp.revision + 1);
+    if (kept.val !== head.entry.value) return Err(damaged(key));
+    if (head.tables.err) return Ok(true);
     const granted = keyHashes(edit.tables);
-    for (const hash of keyHashes(tables.val)) {
+    for (const hash of keyHashes(head.tables.val)) {
       if (granted.has(hash)) continue;
       const mark = await this.#keep(WITHDRAWN_PREFIX + hash, edit.attempt);
       if (mark.err) return mark;
     }
-    return Ok(stamp.revision + 1);
+    return Ok(true);
   }
 
   /**
@@ -340,18 +377,26 @@
     }
   }
 
-  /** Drops a revision that is older than the archive reaches; one try. */
-  async #prune(revision: number): Promise<void> {
-    if (revision < 1) return;
-    const entry = await this.#keyValue.get(archiveKey(revision));
-    if (entry.err || isNone(entry.val)) return;
-    await this.#keyValue.remove(
-      archiveKey(revision),
-      entry.val.value.revision,
-    );
+  /** Drops a few revisions up to `last`; the next edit goes on with it. */
+  async #prune(last: number): Promise<void> {
+    if (last < 1) return;
+    const oldest = await this.#keyValue.range(ARCHIVE_PREFIX, {
+      limit: PRUNED_PER_EDIT,
+    });
+    if (oldest.err) return;
+    const dropped = oldest.val.filter(({ key }) => key <= archiveKey(last));
+    for (const { key, revision } of dropped) {
+      await this.#keyValue.remove(key, revision);
+    }
   }
 }
 
+/** How many revisions of this size are kept before the head. */
+function archiveLength(text: string): number {
+  const fitting = Math.floor(ARCHIVE_BYTES / Buffer.byteLength(text));
+  return Math.max(MIN_ARCHIVED, Math.min(MAX_ARCHIVED, fitting));
+}
+
 /** The hashes of all keys in the tables. */
 export function keyHashes(tables: Tables): ReadonlySet<string> {
   return new Set(
@@ -363,6 +408,10 @@
   return ARCHIVE_PREFIX + String(revision).padStart(REVISION_DIGITS, "0");
 }
 
+function stampRevision(head: Option<Stored>): number {
+  return isNone(head) ? 0 : head.value.stamp.revision;
+}
+
 function revisionIn(entry: Option<Entry>): number {
   return isNone(entry) ? 0 : entry.value.revision;
 }
--- a/src/cli/revisions_test.ts
+++ b/src/cli/revisions_test.ts
@@ -1,9 +1,10 @@
 import { expect } from "earl";
 import fc from "fast-check";
-import { isNone, isSome } from "fp-ts/Option";
+import { isNone, isSome, none } from "fp-ts/Option";
 import { test } from "node:test";
-import { decodeConfiguration, hashKey, type Tables } from "../tables/mod.ts";
+import { hashKey, type Tables } from "../tables/mod.ts";
 import { pool, route } from "../../stand_ins/builders.ts";
+import { checkChain } from "./chain.ts";
 import { Call, InstantClock, MemoryKeyValue, type Plan } from "./fixture.ts";
 import {
   ARCHIVE_PREFIX,
@@ -61,6 +62,21 @@
   expect(isNone((await revisions.at(9)).unwrap())).toEqual(true);
 });
 
+test("the archive drops its oldest revisions when it is full", async () => {
+  const keyValue = new MemoryKeyValue();
+  const secrets = Array.from({ length: 8_000 }, (_, at) => `key-${at}`);
+  const large = tables(1, secrets);
+  for (let on = 0; on < 41; on++) {
+    const { ending } = await revisionsOf(keyValue)
+      .commit({ ...edit(on, `a${on}`), tables: large });
+    expect(ending).toEqual(Ending.Accepted);
+  }
+  const bytes = Buffer.byteLength(keyValue.entries.get(HEAD)?.value ?? "");
+  const kept = (await revisionsOf(keyValue).list(100)).unwrap();
+  expect(kept.length).toEqual(1 + Math.floor(33_554_432 / bytes));
+  expect(kept[0]?.revision).toEqual(41);
+});
+
 for (const call of [Call.AnswerLost, Call.Dropped, Call.Late, Call.NotSent]) {
   test(`an edit is accepted once when its swap is ${call}`, async () => {
     const keyValue = await chain(2);
@@ -128,6 +144,22 @@
   expect(commit.stamp.revision).toEqual(4);
 });
 
+test("the loser of the first edit is told the first winner", async () => {
+  const keyValue = new MemoryKeyValue();
+  const revisions = revisionsOf(keyValue);
+  // Two revisions are made between the loser's look at the head and the rest.
+  const read = keyValue.range.bind(keyValue);
+  keyValue.range = async (prefix, options) => {
+    keyValue.range = read;
+    await revisions.commit(edit(0, "a1"));
+    await revisions.commit(edit(1, "a2"));
+    return await read(prefix, options);
+  };
+  const commit = await revisionsOf(keyValue).commit(edit(0, "late"));
+  if (commit.ending !== Ending.Lost) throw new Error(commit.ending);
+  expect(isSome(commit.winner) && commit.winner.value.attempt).toEqual("a1");
+});
+
 test("a head that today's checks refuse can be replaced", async () => {
   const keyValue = await chain(1);
   const entry = keyValue.entries.get(HEAD);
@@ -165,33 +197,19 @@
   return told;
 }
 
-/** What the chain and what operators were told of it contradict each other in. */
+/** What the chain and what operators were told contradict each other in. */
 function contradictions(
   keyValue: MemoryKeyValue,
   told: readonly Told[],
 ): readonly string[] {
-  // An edit that failed may have archived the head; it is the same text.
-  const texts = [...keyValue.entries.values()]
-    .filter(({ key }) => key === HEAD || key.startsWith(ARCHIVE_PREFIX))
-    .map((entry) => entry.value);
-  const chain = [...new Set(texts)]
-    .map((text) => decodeConfiguration(text).unwrap())
-    .sort((a, b) => a.revision - b.revision);
-  const faults = chain
-    .filter((one, at) => one.revision !== at + 1)
-    .map((one) => `revision ${one.revision} is out of line`);
-  for (const { edit, commit } of told) {
-    const at = chain.find((one) => one.attempt === edit.attempt)?.revision;
-    const { ending } = commit;
-    if (at !== undefined && at !== edit.on + 1) {
-      faults.push(`${edit.attempt} on ${edit.on} became ${at}`);
-    }
-    const stands = at !== undefined;
-    if (ending !== Ending.Unknown && stands !== (ending === Ending.Accepted)) {
-      faults.push(`${edit.attempt} is told ${ending}, stands: ${stands}`);
-    }
-  }
-  return faults;
+  const entries = [...keyValue.entries.values()];
+  const messages = told.map(({ edit, commit }) => ({
+    attempt: edit.attempt,
+    on: edit.on,
+    ending: commit.ending,
+    winner: commit.ending === Ending.Lost ? commit.winner : none,
+  }));
+  return checkChain(entries, messages);
 }
 
 test("under faults, the chain is one and every message true", async () => {
