--- a/proofs/scenario.ts
+++ b/proofs/scenario.ts
@@ -84,6 +84,7 @@
   const cluster = await startCluster({
     daemons: options.daemons ?? 4,
     availabilityZones: ZONES,
+    relayed: true,
     tables: scenarioTables(),
     env: options.env,
     timing: {
@@ -423,8 +424,9 @@
       case Fault.Poison:
         return await this.#poison();
       case Fault.LinksCut:
+        return await this.#cutLinks(this.#daemon(target), forMs);
       case Fault.LinksSilent:
-        return;
+        return this.#cluster.relays.get(this.#daemon(target).id)?.silence();
       case Fault.OperatorRace:
         await Promise.all([1, 2, 3].map(() => this.#edit([])));
         return;
@@ -441,6 +443,13 @@
     return engines[Math.floor(target * engines.length)];
   }
 
+  async #cutLinks(daemon: Daemon, forMs: number): Promise<void> {
+    const relay = this.#cluster.relays.get(daemon.id);
+    relay?.cut();
+    await sleep(forMs);
+    relay?.heal();
+  }
+
   async #kill(daemon: Daemon, forMs: number): Promise<void> {
     await daemon.kill();
     await sleep(forMs);
--- a/stand_ins/cluster.ts
+++ b/stand_ins/cluster.ts
@@ -38,6 +38,7 @@
   startPlatform,
   vm,
 } from "./platform.ts";
+import { Relay } from "./relay.ts";
 import {
   type ServiceOptions,
   type ServiceStandIn,
@@ -62,6 +63,8 @@
   readonly timing?: Readonly<Record<string, number>>;
   /** Options of the engines that orders start. */
   readonly ordered?: EngineOptions;
+  /** Whether daemons reach each other through relays; see `relays`. */
+  readonly relayed?: boolean;
   /** Environment of the daemons besides this process's own. */
   readonly env?: Readonly<Record<string, string>>;
 }
@@ -97,6 +100,8 @@
   readonly engines = new Map<string, EngineStandIn>();
   readonly services = new Map<string, ServiceStandIn>();
   readonly daemons: Daemon[] = [];
+  /** The relay in front of each daemon's peer port, by VM id. */
+  readonly relays = new Map<string, Relay>();
   readonly #options: ClusterOptions;
   #platform?: PlatformStandIn;
   #ordered = 0;
@@ -182,11 +187,12 @@
         timing: this.#options.timing ?? {},
       }),
     });
+    const listed = this.#options.relayed ? await this.#relay(id, peer) : peer;
     this.platform.putVm(vm({
       id,
       role: Role.Entry,
       availabilityZone,
-      address: `127.0.0.1:${peer}`,
+      address: `127.0.0.1:${listed}`,
       http: `127.0.0.1:${http}`,
     }));
     this.daemons.push(daemon);
@@ -228,10 +234,17 @@
     await Promise.all(this.daemons.map((daemon) => daemon.kill()));
     await Promise.all([...this.engines.values()].map((e) => e.close()));
     await Promise.all([...this.services.values()].map((s) => s.close()));
+    await Promise.all([...this.relays.values()].map((r) => r.close()));
     await this.#platform?.close();
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  async #relay(id: string, port: number): Promise<number> {
+    const relay = new Relay({ host: "127.0.0.1", port });
+    this.relays.set(id, relay);
+    return await relay.listen();
+  }
+
   async #engine(
     upstream: UpstreamOptions,
     options: EngineOptions,
