--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -34,6 +34,7 @@
 import { hash, neighbours, rank } from "./rendezvous.ts";
 import { type MemberState, Roster, Status } from "./roster.ts";
 import { Closing, DialFault, FrameKind, Opening, Traffic } from "./traffic.ts";
+import { within } from "./within.ts";
 
 const log = logger("peers");
 
@@ -165,11 +166,8 @@
       return await ready.ask(kind, body, options);
     }
     const deadline = this.#now() + options.timeoutMs;
-    const link = await within(
-      this.#kernel,
-      this.#provenLink(vm),
-      options,
-    );
+    const { clock } = this.#kernel;
+    const link = await within(this.#provenLink(vm), { ...options, clock });
     if (link === undefined) {
       return Err(unreachable(Verdict.NotRun, "The peer can't be reached"));
     }
@@ -208,7 +206,7 @@
     this.#started = true;
   }
 
-  override drain(): Promise<void> {
+  override leave(): Promise<void> {
     this.#announceLeaving();
     return Promise.resolve();
   }
@@ -283,7 +281,8 @@
     signal?: AbortSignal;
   }): Promise<Result<unknown, Refusal>> {
     const run = this.#run(kind, body, this.self.vm);
-    const answer = await within(this.#kernel, run, options);
+    const { clock } = this.#kernel;
+    const answer = await within(run, { ...options, clock });
     if (answer !== undefined) return answer;
     if (options.signal?.aborted) return Err(cancelled(Verdict.MayHaveRun));
     return Err(
@@ -497,7 +496,6 @@
       const now = this.#now();
       this.#noticePause(now);
       this.#tickedAt = now;
-      if (this.#kernel.draining) this.#announceLeaving();
       for (const link of this.#allLinks()) this.#watch(link, now);
       this.#record(this.#roster.expire(SUSPICION_MS, now), "");
     }
@@ -773,24 +771,6 @@
   }
 }
 
-// What `task` yields, or `undefined` once the time is over or it's cancelled.
-async function within<T>(
-  kernel: Kernel,
-  task: Promise<T>,
-  options: { timeoutMs: number; signal?: AbortSignal },
-): Promise<T | undefined> {
-  const done = new AbortController();
-  const signal = options.signal === undefined
-    ? done.signal
-    : AbortSignal.any([done.signal, options.signal]);
-  const over = kernel.clock.sleep(options.timeoutMs, signal);
-  try {
-    return await Promise.race([task, over.then(() => undefined)]);
-  } finally {
-    done.abort();
-  }
-}
-
 function notUnderstood(kind: string): Refusal {
   return new Refusal({
     verdict: Verdict.NotRun,
--- a/src/peers/mesh_test.ts
+++ b/src/peers/mesh_test.ts
@@ -236,7 +236,7 @@
 
 test("a leaving daemon is a member that owns nothing", async (t) => {
   const [a, b] = await daemons(t, 2);
-  await b.mesh.drain();
+  await b.mesh.leave();
   await until(() => a.mesh.ranked("x").length === 1);
   expect(a.mesh.members().length).toEqual(2);
   expect(a.mesh.ranked("x")[0].vm).toEqual("vm-00");
--- a/stand_ins/peers.ts
+++ b/stand_ins/peers.ts
@@ -115,9 +115,10 @@
   }
 
   /** Marks this daemon as leaving, for everybody. */
-  leave(): void {
+  override leave(): Promise<void> {
     this.self = { ...this.self, leaving: true };
     for (const peers of this.#network.joined) peers.notify();
+    return Promise.resolve();
   }
 
   members(): readonly Member[] {
