Orders don't leave a process after its time, also when it was frozen

Timers and abort signals can't help there: they run after the code that stands still.

What remains is the write's own system call.

toucanwindd answers exit code 4 when a plug-in can't be made, too.

--- a/src/bin/toucanwindd.ts
+++ b/src/bin/toucanwindd.ts
@@ -14,6 +14,7 @@
 import { randomUUID } from "node:crypto";
 import { Kernel, logger } from "../kernel/mod.ts";
 import { httpPlatform } from "../platform/http_platform.ts";
+import type { Platform } from "../platform/mod.ts";
 import "../plugins.ts";
 import { loadSettings } from "../settings/load.ts";
 import type { Settings } from "../settings/mod.ts";
@@ -63,14 +64,9 @@
 async function serve(settings: Settings): Promise<number> {
   const platform = httpPlatform(settings);
   const incarnation = randomUUID();
-  const kernel = new Kernel({ settings, platform, incarnation });
   const signalled = signal();
-  try {
-    await kernel.start();
-  } catch (error) {
-    process.stderr.write(`Daemon can't start: ${String(error)}\n`);
-    return Exit.Start;
-  }
+  const kernel = await started({ settings, platform, incarnation });
+  if (kernel === undefined) return Exit.Start;
   log("started", { vm: settings.vm, incarnation });
   await signalled;
   log("draining", { vm: settings.vm });
@@ -83,6 +79,21 @@
   return Exit.Done;
 }
 
+async function started(options: {
+  settings: Settings;
+  platform: Platform;
+  incarnation: string;
+}): Promise<Kernel | undefined> {
+  try {
+    const kernel = new Kernel(options);
+    await kernel.start();
+    return kernel;
+  } catch (error) {
+    process.stderr.write(`Daemon can't start: ${String(error)}\n`);
+    return undefined;
+  }
+}
+
 /** Resolves at the first signal to end; the second one ends the process. */
 function signal(): Promise<void> {
   return new Promise((resolve) => {
--- a/src/orders/charge.ts
+++ b/src/orders/charge.ts
@@ -16,6 +16,7 @@
 import { z } from "zod";
 import { type Clock, logger } from "../kernel/mod.ts";
 import type { Peers } from "../peers/mod.ts";
+import { expireWith } from "../platform/expiry.ts";
 import { type Entry, Fault, type KeyValue } from "../platform/mod.ts";
 
 const log = logger("charge");
@@ -324,6 +325,8 @@
     if (!this.held) return none;
     const abort = new AbortController();
     const end = () => abort.abort();
+    const deadline = this.#deadline;
+    expireWith(abort.signal, () => this.#clock.now() >= deadline);
     const cancel = this.#clock.after(this.#deadline - this.#clock.now(), end);
     this.#cut.signal.addEventListener("abort", end, { once: true });
     this.#acting += 1;
--- /dev/null
+++ b/src/orders/contender_fixture.ts
@@ -0,0 +1,57 @@
+/**
+ * A process that orders as often as it may while it holds a charge:
+ * `node contender_fixture.js PLATFORM_URL NAME LEASE_MS MARGIN_MS`.
+ *
+ * @module
+ */
+
+import { SystemClock } from "../kernel/mod.ts";
+import { HttpKeyValue } from "../platform/http_key_value.ts";
+import { HttpOrderDesk } from "../platform/http_platform.ts";
+import { Charge, type Tenure } from "./charge.ts";
+
+/** Orders under way at once, on as many connections. */
+const LANES = 4;
+
+const [url, name, leaseMs, marginMs] = process.argv.slice(2);
+const clock = new SystemClock();
+const desk = new HttpOrderDesk({ url });
+const charge = new Charge({
+  keyValue: new HttpKeyValue({ url, timeoutMs: 100 }),
+  clock,
+  name: "contended",
+  holder: name,
+  leaseMs: Number(leaseMs),
+  marginMs: Number(marginMs),
+});
+
+async function order(tenure: Tenure): Promise<void> {
+  for (let n = 0; !tenure.signal.aborted; n++) {
+    const order = {
+      id: `${name}/${tenure.term}/${n}`,
+      pool: "lm",
+      availabilityZone: "a",
+      reclaimable: false,
+      count: n,
+      term: tenure.term,
+      holder: name,
+    };
+    await tenure.act((signal) => desk.place(order, signal));
+    await clock.sleep(1, tenure.signal);
+  }
+}
+
+async function contend(): Promise<void> {
+  const lanes = Array.from({ length: LANES });
+  const signal = new AbortController().signal;
+  for (;;) {
+    await charge.hold(signal, async (tenure) => {
+      await Promise.all(lanes.map(() => order(tenure)));
+    });
+  }
+}
+
+contend().catch((error) => {
+  console.error(error);
+  process.exit(1);
+});
--- /dev/null
+++ b/src/orders/fixtures_test.ts
@@ -0,0 +1,164 @@
+/**
+ * Builders for the tests of this folder: a kernel whose other plug-ins are
+ * fixed, on a platform over HTTP.
+ *
+ * @module
+ */
+
+import { none, some } from "fp-ts/Option";
+import { Config, configKey } from "../config/mod.ts";
+import {
+  Dispatch,
+  dispatchKey,
+  type Pressure,
+  type UpstreamStatus,
+} from "../dispatch/mod.ts";
+import { Kernel } from "../kernel/mod.ts";
+import { type Member, Peers, peersKey } from "../peers/mod.ts";
+import { httpPlatform } from "../platform/http_platform.ts";
+import { DEFAULT_TIMING } from "../settings/load.ts";
+import type { Settings } from "../settings/mod.ts";
+import type { Tables } from "../tables/mod.ts";
+import { ordersKey, type Plan } from "./mod.ts";
+import { ChargedOrders } from "./orders.ts";
+
+class FixedPeers extends Peers {
+  readonly self: Member;
+
+  constructor(vm: string) {
+    super();
+    this.self = {
+      vm,
+      incarnation: vm,
+      address: "",
+      http: "",
+      availabilityZone: "a",
+      leaving: false,
+    };
+  }
+
+  members(): readonly Member[] {
+    return [this.self];
+  }
+
+  ranked(): readonly Member[] {
+    return [this.self];
+  }
+
+  ask(): never {
+    throw new Error("Not used");
+  }
+
+  onChange(): () => void {
+    return () => {};
+  }
+}
+
+class FixedConfig extends Config {
+  readonly #tables: Tables;
+
+  constructor(tables: Tables) {
+    super();
+    this.#tables = tables;
+  }
+
+  current() {
+    return some({
+      revision: 1,
+      attempt: "",
+      author: "",
+      note: "",
+      at: "",
+      tables: this.#tables,
+    });
+  }
+
+  ageMs(): number {
+    return 0;
+  }
+
+  fresh(): boolean {
+    return true;
+  }
+
+  authorize(): never {
+    throw new Error("Not used");
+  }
+
+  granted() {
+    return none;
+  }
+
+  onChange(): () => void {
+    return () => {};
+  }
+}
+
+class FixedDispatch extends Dispatch {
+  readonly #pressure: () => Pressure;
+
+  constructor(pressure: () => Pressure) {
+    super();
+    this.#pressure = pressure;
+  }
+
+  acquire(): never {
+    throw new Error("Not used");
+  }
+
+  upstreams(): readonly UpstreamStatus[] {
+    return [];
+  }
+
+  pressure(): Promise<Pressure> {
+    return Promise.resolve(this.#pressure());
+  }
+}
+
+/** A kernel with the orders plug-in on the platform at `url`. */
+export function kernel(options: {
+  vm: string;
+  url: string;
+  tables: Tables;
+  pressure: () => Pressure;
+  plan: () => Plan;
+  leaseMs: number;
+}): Kernel {
+  const { vm, url, tables } = options;
+  const settings: Settings = {
+    vm,
+    availabilityZone: "a",
+    region: "local",
+    http: { host: "127.0.0.1", port: 1 },
+    peer: { host: "127.0.0.1", port: 1 },
+    peerSecret: "",
+    platform: {
+      keyValue: url,
+      directory: url,
+      orders: url,
+      reports: url,
+      weights: url,
+    },
+    dataFolder: "",
+    timing: { ...DEFAULT_TIMING, leaseMs: options.leaseMs, directoryMs: 50 },
+  };
+  return new Kernel({
+    settings,
+    platform: httpPlatform(settings),
+    incarnation: vm,
+    registrations: [
+      { key: peersKey, requires: [], create: () => new FixedPeers(vm) },
+      { key: configKey, requires: [], create: () => new FixedConfig(tables) },
+      {
+        key: dispatchKey,
+        requires: [],
+        create: () => new FixedDispatch(options.pressure),
+      },
+      {
+        key: ordersKey,
+        requires: [],
+        create: (kernel) => new ChargedOrders({ kernel, plan: options.plan }),
+      },
+    ],
+  });
+}
--- a/src/platform/http_endpoint.ts
+++ b/src/platform/http_endpoint.ts
@@ -7,8 +7,10 @@
 
 import { Err, Ok, type Result } from "ts-results";
 import type { Socket } from "node:net";
+import type { Readable } from "node:stream";
 import { buildConnector, errors, Pool } from "undici";
 import type { ZodType } from "zod";
+import { isExpired } from "./expiry.ts";
 import { type Failure, Fault } from "./mod.ts";
 
 const CONNECT_TIMEOUT_MS = 1000;
@@ -61,14 +63,10 @@
     call: Call<T>,
     signal: AbortSignal,
   ): Promise<Result<T, Failure>> {
-    const text = typeof call.body === "string";
     const response = await this.#pool.request({
       method: call.method,
       path: this.#base.pathname.replace(/\/$/, "") + call.path,
-      headers: call.body === undefined ? {} : {
-        "content-type": text ? "application/octet-stream" : "application/json",
-      },
-      body: text ? call.body as string : JSON.stringify(call.body),
+      ...contentOf(call),
       signal,
     });
     const body = await response.body.text();
@@ -98,6 +96,27 @@
   }
 }
 
+/** The headers and the body of a call. */
+function contentOf({ body, signal }: Call<unknown>) {
+  if (body === undefined) return {};
+  const text = typeof body === "string";
+  const content = Buffer.from(text ? body : JSON.stringify(body));
+  return {
+    headers: {
+      "content-type": text ? "application/octet-stream" : "application/json",
+      "content-length": `${content.length}`,
+    },
+    // The library takes async iterables too; its types don't tell.
+    body: signal ? unexpired(content, signal) as unknown as Readable : content,
+  };
+}
+
+/** Gives the content when it is about to be written, if it still may be. */
+async function* unexpired(content: Buffer, signal: AbortSignal) {
+  if (isExpired(signal)) throw new Error("Call expired before it was sent");
+  yield content;
+}
+
 /**
  * Makes connections on which an aborted call doesn't reach the other end
  * late. What the network didn't take yet is discarded, by a reset instead of
