Dispatch: gossip only news; renewals don't wait for each other

Cause: all findings went to every neighbour at each turn. A keeper that did not answer held up the renewals at the others for two of the five seconds that a permit lasts. An upstream that came back got one request at a time until one was served, which may take a minute.

Change: what was offered to a peer is remembered by version. Each keeper's renewal is on its own. A circuit opened by failures to connect closes when a load report is read; one opened by requests that broke or went silent still needs a request that is served.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -44,6 +44,7 @@
   type Pressure,
   type UpstreamStatus,
 } from "./mod.ts";
+import { Offers } from "./offers.ts";
 import { RENEWAL_MS } from "./permits.ts";
 import { type Finding, Quarantine } from "./quarantine.ts";
 import { Summaries } from "./summaries.ts";
@@ -59,6 +60,9 @@
 /** How long findings are gathered before the keepers are told. */
 const FINDINGS_DELAY_MS = 2;
 
+/** Gossip section that carries findings. */
+const FINDINGS_SECTION = "dispatch.findings";
+
 /** Time-out of messages that need a quick answer. */
 const NOTICE_TIMEOUT_MS = 1000;
 
@@ -76,6 +80,7 @@
   readonly #hosting: Hosting;
   readonly #uses: Uses;
   readonly #entry: Entry;
+  readonly #offers = new Offers();
   readonly #abort = new AbortController();
   readonly #refusals: Counter<"reason">;
   readonly #retries: Counter<"reason">;
@@ -140,7 +145,7 @@
       peerHandlers: this.#handlers(),
       gossip: {
         "dispatch.shards": this.#summaries,
-        "dispatch.findings": this.#findingsSection(),
+        [FINDINGS_SECTION]: this.#findingsSection(),
       },
       status: () => this.#status(),
     };
@@ -332,9 +337,9 @@
     this.#uses.setFleet(this.#fleet);
     this.#entry.setFleet(this.#fleet);
     this.#hosting.assign(this.#fleet);
-    this.#summaries.retain(
-      new Set(this.#peers.members().map(({ vm }) => vm)),
-    );
+    const peers = new Set(this.#peers.members().map(({ vm }) => vm));
+    this.#summaries.retain(peers);
+    this.#offers.retain(peers);
   }
 
   #publish(): void {
@@ -362,6 +367,7 @@
     this.#kernel.clock.after(FINDINGS_DELAY_MS, () => {
       const findings = this.#findings;
       this.#findings = [];
+      this.#peers.poke(FINDINGS_SECTION);
       for (const vm of this.#keeperVms()) {
         void this.#peers.ask(vm, Message.Findings, { findings }, {
           timeoutMs: NOTICE_TIMEOUT_MS,
@@ -382,8 +388,12 @@
 
   #findingsSection(): GossipSection {
     return {
-      offer: () => {
-        const findings = this.#quarantine.findings();
+      offer: (peer) => {
+        const all = this.#quarantine.findings();
+        const findings = this.#offers.news(peer, all, {
+          key: ({ fingerprint }) => fingerprint,
+          version: ({ stamp }) => stamp,
+        });
         return findings.length === 0 ? undefined : { findings };
       },
       accept: (body) => {
--- a/src/dispatch/health.ts
+++ b/src/dispatch/health.ts
@@ -30,6 +30,8 @@
   #openings = 0;
   #openUntil = -Infinity;
   #trial = false;
+  /** Whether it was opened by requests that ran, which a report can't mend. */
+  #ran = false;
 
   /** Whether it gets work at `now`. */
   circuit(now: number): Circuit {
@@ -55,21 +57,26 @@
     this.#trial = false;
     if (outcome === Outcome.Cancelled || outcome === Outcome.Refused) return;
     this.#failures += 1;
-    if (this.#failures >= FAILURE_LIMIT) this.#open(now);
+    if (this.#failures < FAILURE_LIMIT) return;
+    this.#ran = outcome !== Outcome.Unreachable;
+    this.#open(now);
   }
 
   /** Takes in whether a load report could be read. */
   probed(ok: boolean, now: number): void {
     this.#probeFailures = ok ? 0 : this.#probeFailures + 1;
     if (this.#probeFailures >= FAILURE_LIMIT) this.#open(now);
+    if (!ok || this.#openings === 0) return;
     // A report that can be read ends the wait, not the need for a trial.
-    if (ok) this.#openUntil = Math.min(this.#openUntil, now);
+    this.#openUntil = Math.min(this.#openUntil, now);
+    if (!this.#ran) this.#close();
   }
 
   #close(): void {
     this.#failures = 0;
     this.#openings = 0;
     this.#trial = false;
+    this.#ran = false;
   }
 
   #open(now: number): void {
--- a/src/dispatch/summaries.ts
+++ b/src/dispatch/summaries.ts
@@ -7,6 +7,7 @@
 
 import type { Clock, GossipSection } from "../kernel/mod.ts";
 import { summariesBody, type Summary } from "./messages.ts";
+import { Offers } from "./offers.ts";
 import type { Elsewhere, Presence } from "./queue.ts";
 
 /** A summary that didn't change for longer is of a keeper that is gone. */
@@ -21,7 +22,7 @@
 export class Summaries implements GossipSection {
   readonly #clock: Clock;
   readonly #kept = new Map<string, Kept>();
-  readonly #offered = new Map<string, Map<string, number>>();
+  readonly #offers = new Offers();
 
   constructor(options: { clock: Clock }) {
     this.#clock = options.clock;
@@ -44,13 +45,12 @@
 
   offer(peer: string): unknown {
     this.#forget();
-    const offered = this.#offered.get(peer) ?? new Map<string, number>();
-    this.#offered.set(peer, offered);
-    const news = [...this.#kept.values()]
-      .map(({ summary }) => summary)
-      .filter(({ keeper, seq }) => (offered.get(keeper) ?? 0) < seq);
-    for (const { keeper, seq } of news) offered.set(keeper, seq);
-    return news.length === 0 ? undefined : { summaries: news };
+    const all = [...this.#kept.values()].map(({ summary }) => summary);
+    const summaries = this.#offers.news(peer, all, {
+      key: ({ keeper }) => keeper,
+      version: ({ seq }) => seq,
+    });
+    return summaries.length === 0 ? undefined : { summaries };
   }
 
   accept(body: unknown): void {
@@ -63,9 +63,7 @@
 
   /** Forgets what was offered to peers that are gone. */
   retain(peers: ReadonlySet<string>): void {
-    for (const peer of this.#offered.keys()) {
-      if (!peers.has(peer)) this.#offered.delete(peer);
-    }
+    this.#offers.retain(peers);
   }
 
   #forget(): void {
--- a/src/dispatch/uses.ts
+++ b/src/dispatch/uses.ts
@@ -13,7 +13,7 @@
 import type { Quarantine } from "./quarantine.ts";
 
 /** Time-out of messages about permits in use. */
-const NOTICE_TIMEOUT_MS = 2000;
+const NOTICE_TIMEOUT_MS = 1000;
 
 /** Attempts to tell a keeper of a permit's end; then its lease ends it. */
 const RELEASE_ATTEMPTS = 3;
@@ -97,19 +97,20 @@
   }
 
   /** Renews all permits in use, with one message to each keeper. */
-  async renew(): Promise<void> {
+  renew(): void {
     const byKeeper = new Map<string, Record<string, string[]>>();
     for (const kept of this.#kept.values()) {
+      const shard = this.#shardOf(kept);
       for (const keeper of this.#keepers(kept)) {
         const shards = byKeeper.get(keeper) ?? {};
-        const shard = this.#shardOf(kept);
-        shards[shard] = [...shards[shard] ?? [], kept.permit];
         byKeeper.set(keeper, shards);
+        (shards[shard] ??= []).push(kept.permit);
       }
     }
-    await Promise.all(
-      [...byKeeper].map(([keeper, shards]) => this.#renewAt(keeper, shards)),
-    );
+    // A keeper that doesn't answer holds up no renewal at another.
+    for (const [keeper, shards] of byKeeper) {
+      void this.#renewAt(keeper, shards);
+    }
   }
 
   async #renewAt(
