--- /dev/null
+++ b/experiments/forward_cost.ts
@@ -0,0 +1,321 @@
+/**
+ * What the gateway costs against a bare fastify-to-undici forwarder: requests
+ * for each second of processor time, and latency added. Upstream, forwarders
+ * and load run in processes of their own.
+ *
+ * Run: node dist/experiments/forward_cost.js > docs/measurements/forward.json
+ *
+ * @module
+ */
+
+import { type ChildProcess, fork } from "node:child_process";
+import { fastify } from "fastify";
+import { readFileSync } from "node:fs";
+import { createServer, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createHistogram } from "node:perf_hooks";
+import { Agent, Pool } from "undici";
+import {
+  type Fixture,
+  KEY,
+  modelRoute,
+  serviceRoute,
+  withGateway,
+} from "../src/gateway/fixture.ts";
+import { HttpEngine } from "../src/platform/http_engine.ts";
+
+const RUN_MS = Number(process.env.RUN_MS ?? 4_000);
+const WARM_MS = 1_000;
+const ROUNDS = 3;
+const TICKS_PER_SECOND = 100;
+const FORGET_MS = 50;
+const TOKENS = 40;
+const TOKEN_MS = 4;
+/** Of a request that measures latency; nothing else runs beside it. */
+const PROBES = 400;
+
+/** What the load asks for. */
+interface Work {
+  readonly name: string;
+  readonly path: string;
+  readonly body: string;
+  readonly connections: number;
+}
+
+const COMPLETION = {
+  model: "appraise-lm",
+  prompt: "p".repeat(1000),
+  max_tokens: TOKENS,
+};
+
+const WORKS: readonly Work[] = [
+  {
+    name: "service",
+    path: "/lots/7",
+    body: "b".repeat(500),
+    connections: 32,
+  },
+  {
+    name: "service streamed",
+    path: "/lots/stream",
+    body: "b".repeat(500),
+    connections: 200,
+  },
+  {
+    name: "completion",
+    path: "/v1/completions",
+    body: JSON.stringify(COMPLETION),
+    connections: 200,
+  },
+  {
+    name: "completion streamed",
+    path: "/v1/completions",
+    body: JSON.stringify({ ...COMPLETION, stream: true }),
+    connections: 200,
+  },
+];
+
+/** An upstream: a service that answers at once or streams, and an engine. */
+async function upstream(): Promise<number> {
+  const server = createServer(async (request, response) => {
+    let body = "";
+    for await (const piece of request) body += piece;
+    if (request.url === "/lots/7") {
+      response.setHeader("content-type", "application/json");
+      response.end(JSON.stringify({ lot: 7, text: "x".repeat(500) }));
+      return;
+    }
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    const id = request.url === "/v1/completions"
+      ? (JSON.parse(body) as { request_id?: string }).request_id ?? ""
+      : "";
+    stream(response, id);
+  });
+  server.keepAliveTimeout = 60_000;
+  return await listen(server);
+}
+
+function stream(response: ServerResponse, id: string) {
+  let n = 0;
+  const timer = setInterval(() => {
+    n++;
+    const last = n === TOKENS;
+    const chunk = {
+      id,
+      text: " word",
+      tokens: 1,
+      weight_version: 3,
+      finish_reason: last ? "length" : "",
+      prompt_tokens: last ? 250 : 0,
+    };
+    response.write(`data: ${JSON.stringify(chunk)}\n\n`);
+    if (!last) return;
+    clearInterval(timer);
+    response.end("data: [DONE]\n\n");
+  }, TOKEN_MS);
+  response.once("close", () => clearInterval(timer));
+}
+
+/** The bare forwarder: no key, no route, no deadline, no record. */
+async function bare(port: number): Promise<number> {
+  const server = fastify();
+  const agent = new Agent({ connections: 256, pipelining: 1 });
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser("*", (_request, _body, done) => done(null));
+  server.all("/*", async (request, reply) => {
+    const { host: _host, connection: _connection, ...headers } =
+      request.headers;
+    const response = await agent.request({
+      origin: `http://127.0.0.1:${port}`,
+      path: request.url,
+      method: request.method as "POST",
+      headers,
+      body: request.raw,
+    });
+    reply.hijack();
+    const { "transfer-encoding": _encoding, ...rest } = response.headers;
+    reply.raw.writeHead(response.statusCode, rest);
+    response.body.pipe(reply.raw);
+  });
+  await server.listen({ host: "127.0.0.1", port: 0 });
+  return (server.server.address() as AddressInfo).port;
+}
+
+/** The gateway, with permits that are granted at once in its own process. */
+function gateway(port: number): Promise<number> {
+  const targets = [{ id: "u1", address: `127.0.0.1:${port}` }];
+  const routes = [serviceRoute(), modelRoute()];
+  const engine = new HttpEngine();
+  return new Promise((resolve) => {
+    void withGateway({ routes, targets, engine }, (fixture) => {
+      resolve(Number(new URL(fixture.url).port));
+      setInterval(() => forget(fixture), FORGET_MS);
+      return new Promise(() => {});
+    });
+  });
+}
+
+/** The fakes keep what they were asked for; the daemon does not. */
+function forget({ dispatch, usage }: Fixture) {
+  dispatch.demands.length = 0;
+  dispatch.released.length = 0;
+  usage.uses.length = 0;
+}
+
+function listen(server: ReturnType<typeof createServer>): Promise<number> {
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () => {
+      resolve((server.address() as AddressInfo).port);
+    });
+  });
+}
+
+/** A process of this experiment and the port it serves. */
+interface Part {
+  readonly child: ChildProcess;
+  readonly port: number;
+}
+
+function start(role: string, ...args: string[]): Promise<Part> {
+  const execArgv = process.env.PROFILE === role
+    ? ["--cpu-prof", "--cpu-prof-dir=/tmp/profiles"]
+    : [];
+  const child = fork(__filename, [role, ...args], { execArgv });
+  return new Promise((resolve) => {
+    child.once("message", (port) => resolve({ child, port: Number(port) }));
+  });
+}
+
+/** Processor time of a process so far, in seconds. */
+function cpuSeconds(pid: number): number {
+  const fields = readFileSync(`/proc/${pid}/stat`, "utf8")
+    .split(") ")[1].split(" ");
+  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
+}
+
+/** Requests for each second of the part's processor time, under full load. */
+async function throughput(part: Part, work: Work): Promise<number> {
+  const pid = part.child.pid as number;
+  const pool = poolOf(part, work.connections);
+  const warm = performance.now() + WARM_MS;
+  await flood(pool, work, () => performance.now() < warm);
+  const before = cpuSeconds(pid);
+  const end = performance.now() + RUN_MS;
+  const count = await flood(pool, work, () => performance.now() < end);
+  const used = cpuSeconds(pid) - before;
+  await pool.close();
+  return Math.round(count / used);
+}
+
+async function flood(
+  pool: Pool,
+  work: Work,
+  going: () => boolean,
+): Promise<number> {
+  let count = 0;
+  const caller = async () => {
+    while (going()) {
+      await send(pool, work);
+      count++;
+    }
+  };
+  await Promise.all(Array.from({ length: work.connections }, caller));
+  return count;
+}
+
+/** Latency of single requests, in milliseconds. */
+async function latency(
+  part: Part,
+  work: Work,
+): Promise<{ p50Ms: number; p99Ms: number }> {
+  const pool = poolOf(part, 1);
+  const times = createHistogram();
+  const probes = work.connections > 100 ? PROBES / 10 : PROBES;
+  for (let n = 0; n < probes; n++) {
+    const at = performance.now();
+    await send(pool, work);
+    times.record(Math.round(1000 * (performance.now() - at)));
+  }
+  await pool.close();
+  const ms = (percentile: number) =>
+    Math.round(times.percentile(percentile)) / 1000;
+  return { p50Ms: ms(50), p99Ms: ms(99) };
+}
+
+function poolOf(part: Part, connections: number): Pool {
+  return new Pool(`http://127.0.0.1:${part.port}`, {
+    connections,
+    pipelining: 1,
+  });
+}
+
+async function send(pool: Pool, work: Work): Promise<void> {
+  const response = await pool.request({
+    method: "POST",
+    path: work.path,
+    headers: { "content-type": "application/json", "x-api-key": KEY },
+    body: work.body,
+  });
+  await response.body.dump({ limit: 1 << 24 });
+  if (response.statusCode !== 200) {
+    throw new Error(`Answer was "${response.statusCode}"`);
+  }
+}
+
+function median(values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)];
+}
+
+async function measure(
+  parts: readonly [Part, Part, Part],
+  work: Work,
+): Promise<unknown> {
+  const [direct, bare, gateway] = parts;
+  const bares: number[] = [];
+  const gateways: number[] = [];
+  for (let round = 0; round < ROUNDS; round++) {
+    bares.push(await throughput(bare, work));
+    gateways.push(await throughput(gateway, work));
+  }
+  return {
+    work: work.name,
+    requestsPerCpuSecond: { bare: bares, gateway: gateways },
+    share: Math.round(100 * median(gateways) / median(bares)) / 100,
+    latency: {
+      direct: await latency(direct, work),
+      bare: await latency(bare, work),
+      gateway: await latency(gateway, work),
+    },
+  };
+}
+
+async function main(): Promise<void> {
+  const parts: Part[] = [];
+  try {
+    parts.push(await start("upstream"));
+    const port = String(parts[0].port);
+    parts.push(await start("bare", port));
+    parts.push(await start("gateway", port));
+    const rows = [];
+    const only = process.env.WORK;
+    for (const work of WORKS) {
+      if (only && work.name !== only) continue;
+      rows.push(await measure(parts as [Part, Part, Part], work));
+    }
+    console.log(JSON.stringify({ runMs: RUN_MS, rows }, null, 2));
+  } finally {
+    for (const { child } of parts) child.disconnect();
+  }
+}
+
+const [role, port] = process.argv.slice(2);
+if (role === undefined) void main();
+else {
+  const roles: Record<string, () => Promise<number>> = {
+    upstream,
+    bare: () => bare(Number(port)),
+    gateway: () => gateway(Number(port)),
+  };
+  process.once("disconnect", () => process.exit(0));
+  void roles[role]().then((port) => process.send?.(port));
+}
--- a/src/gateway/completions.ts
+++ b/src/gateway/completions.ts
@@ -178,7 +178,7 @@
     });
     const run = await this.#once.begin(request, reply, {
       admitted: admitted.val,
-      fingerprint: createHash("sha256").update(raw).digest("base64url"),
+      fingerprint: () => createHash("sha256").update(raw).digest("base64url"),
     });
     if (O.isNone(run)) return reply;
     answer.capture = run.value.capture();
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -354,6 +354,8 @@
     targets?: readonly Target[];
     drainMs?: number;
     silenceMs?: number;
+    /** Takes the place of the fake engine. */
+    engine?: Engine;
   },
   body: (fixture: Fixture) => Promise<void>,
 ): Promise<void> {
@@ -366,7 +368,7 @@
   const claims = new FakeClaims();
   const kernel = new Kernel({
     settings: settings(options),
-    platform: { engine } as unknown as Platform,
+    platform: { engine: options.engine ?? engine } as unknown as Platform,
     incarnation: "test",
     registrations: [
       plugin(configKey, () => config),
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -113,7 +113,7 @@
     });
     const run = await this.#once.begin(request, reply, {
       admitted: admitted.val,
-      fingerprint: exchange.fingerprint,
+      fingerprint: () => exchange.fingerprint,
     });
     if (O.isSome(run)) await this.#relay(exchange, run.value);
     return reply;
@@ -218,7 +218,7 @@
     options: { target: Target; run: Run },
   ): Promise<RelayEnd | undefined> {
     const { target, run } = options;
-    const { request, reply, admitted, body, signal } = exchange;
+    const { request, reply, admitted, body } = exchange;
     const { route } = admitted;
     const { upstreamSilenceMs } = this.#kernel.settings.timing;
     const left = admitted.deadlineAt - this.#kernel.clock.now();
@@ -228,13 +228,14 @@
     const capture = run.capture();
     const relay = new Relay({
       reply,
-      signal,
       capture,
       record: async (status, contentType) => {
         if (capture) run.answered(capture.outcome(status, contentType));
         await this.#record(admitted, status);
       },
     });
+    exchange.relay = relay;
+    if (exchange.signal.aborted) relay.cancel();
     const agent = route.repeatable ? this.#pooled : this.#single;
     try {
       agent.dispatch({
@@ -271,8 +272,11 @@
   readonly admitted: Admitted;
   readonly body: RequestBody;
   verdict = Verdict.NotRun;
+  /** What relays the answer of the attempt under way. */
+  relay: Relay | undefined;
   readonly #abort = new AbortController();
   #refusal: Refusal | undefined;
+  #fingerprint: string | undefined;
 
   constructor(options: {
     request: FastifyRequest;
@@ -300,28 +304,31 @@
 
   /** Equal for a caller's resends. */
   get fingerprint(): string {
-    const { request, admitted, body } = this;
-    return createHash("sha256")
-      .update(JSON.stringify([
-        admitted.caller.tenant,
-        request.method,
-        request.url,
-        request.headers["content-length"] ?? "",
-      ]))
-      .update(body.bytes)
-      .digest("base64url");
+    this.#fingerprint ??= this.#hash();
+    return this.#fingerprint;
   }
 
   /** Ends the exchange from outside, for `refusal`. */
   end(refusal: Refusal) {
     this.#refusal ??= refusal;
     this.#abort.abort();
+    this.relay?.cancel();
   }
 
   /** What ended it from outside, else `other`; with the verdict so far. */
   refusal(other: Refusal): Refusal {
     return (this.#refusal ?? other).following(this.verdict);
   }
+
+  #hash(): string {
+    const { request, admitted, body } = this;
+    const length = request.headers["content-length"] ?? "";
+    const { tenant } = admitted.caller;
+    return createHash("sha256")
+      .update(`${tenant}\n${request.method}\n${request.url}\n${length}\n`)
+      .update(body.bytes)
+      .digest("base64url");
+  }
 }
 
 /** The service route with the longest prefix of the path. */
--- a/src/gateway/once.ts
+++ b/src/gateway/once.ts
@@ -43,7 +43,7 @@
   async begin(
     request: FastifyRequest,
     reply: FastifyReply,
-    options: { admitted: Admitted; fingerprint: string },
+    options: { admitted: Admitted; fingerprint: () => string },
   ): Promise<O.Option<Run>> {
     const { route, caller } = options.admitted;
     const key = request.headers[KEY_HEADER];
@@ -54,7 +54,7 @@
     }
     const claimed = await this.#claims.claim(
       { tenant: caller.tenant, route: route.name, key },
-      options.fingerprint,
+      options.fingerprint(),
     );
     if (claimed.err) {
       this.#gateway.refuse(reply, claimed.val, { route: route.name });
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -123,25 +123,29 @@
   open: () => null,
 };
 
-async function read(
-  raw: IncomingMessage,
-): Promise<Result<Buffer, Refusal>> {
-  const chunks: Uint8Array[] = [];
-  try {
-    for await (const chunk of raw) chunks.push(chunk);
-  } catch {
-    // The caller went away, or was cut for sending too slowly.
-    return Err(
-      new Refusal({
-        verdict: Verdict.NotRun,
-        reason: Reason.Cancelled,
-        message: "The request's body ended early",
-      }),
-    );
-  }
-  return Ok(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks));
+function read(raw: IncomingMessage): Promise<Result<Buffer, Refusal>> {
+  const chunks: Buffer[] = [];
+  return new Promise((resolve) => {
+    raw.on("data", (chunk: Buffer) => chunks.push(chunk));
+    raw.once("end", () => {
+      const [first] = chunks;
+      resolve(Ok(chunks.length === 1 ? first : Buffer.concat(chunks)));
+    });
+    // The caller went away, or was cut for sending too slowly. After the end
+    // of the body this has no effect.
+    raw.once("close", () => resolve(BODY_CUT));
+  });
 }
 
+// Made once, because `Err` records where it was made, which is slow.
+const BODY_CUT = Err(
+  new Refusal({
+    verdict: Verdict.NotRun,
+    reason: Reason.Cancelled,
+    message: "The request's body ended early",
+  }),
+);
+
 /** A body that is sent as it comes, once. */
 class StreamedBody implements RequestBody {
   readonly bytes = new Uint8Array();
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -24,12 +24,11 @@
   /** Resolves to `undefined` once the whole answer is with the caller. */
   readonly ended: Promise<RelayEnd | undefined>;
   readonly #reply: FastifyReply;
-  readonly #signal: AbortSignal;
   readonly #record: (status: number, contentType: string) => Promise<void>;
   readonly #capture: Capture | undefined;
-  readonly #cancel = () => this.#cancelled();
   #resolve!: (end: RelayEnd | undefined) => void;
   #controller: Dispatcher.DispatchController | undefined;
+  #cancelled = false;
   #status = 0;
   #contentType = "";
   /** Bytes still to come; `undefined` when the answer's length isn't told. */
@@ -38,25 +37,21 @@
 
   constructor(options: {
     reply: FastifyReply;
-    signal: AbortSignal;
     /** Runs before the last byte is passed on. */
     record: (status: number, contentType: string) => Promise<void>;
     capture?: Capture;
   }) {
     this.#reply = options.reply;
-    this.#signal = options.signal;
     this.#record = options.record;
     this.#capture = options.capture;
     this.ended = new Promise((resolve) => this.#resolve = resolve);
-    this.#signal.addEventListener("abort", this.#cancel, { once: true });
-    if (this.#signal.aborted) this.#cancelled();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController) {
     // A second start would send the request again: retries are not made here.
     const again = this.#controller !== undefined;
     this.#controller = controller;
-    if (again || this.#signal.aborted) controller.abort(new Error("Cancelled"));
+    if (again || this.#cancelled) controller.abort(new Error("Cancelled"));
   }
 
   onResponseStart(
@@ -64,7 +59,7 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ) {
-    if (status < 200 || this.#signal.aborted) return;
+    if (status < 200 || this.#cancelled) return;
     this.#status = status;
     this.#contentType = String(headers["content-type"] ?? "");
     const length = headers["content-length"];
@@ -91,11 +86,11 @@
   }
 
   async onResponseEnd() {
-    if (this.#signal.aborted) return;
+    if (this.#cancelled) return;
     await this.#record(this.#status, this.#contentType);
-    if (this.#signal.aborted) return;
+    if (this.#cancelled) return;
     this.#reply.raw.end(this.#held);
-    this.#end(undefined);
+    this.#resolve(undefined);
   }
 
   onResponseError(
@@ -107,13 +102,14 @@
 
   /** Ends the attempt for an error of the link. */
   failed(error: Error) {
-    this.#end(this.#endOf(error));
+    this.#resolve(this.#endOf(error));
   }
 
-  /** A request not yet begun is stopped in `onRequestStart`, unsent. */
-  #cancelled() {
+  /** Ends the attempt; one not yet begun is stopped before it is sent. */
+  cancel() {
+    this.#cancelled = true;
     const begun = this.#controller !== undefined;
-    this.#end({
+    this.#resolve({
       reason: Reason.Cancelled,
       outcome: Outcome.Cancelled,
       verdict: begun ? Verdict.MayHaveRun : Verdict.NotRun,
@@ -122,11 +118,6 @@
     this.#controller?.abort(new Error("Cancelled"));
   }
 
-  #end(end: RelayEnd | undefined) {
-    this.#signal.removeEventListener("abort", this.#cancel);
-    this.#resolve(end);
-  }
-
   #endOf(error: Error): RelayEnd {
     if (error instanceof BodyRefused) {
       return {
--- a/src/plugins.ts
+++ b/src/plugins.ts
@@ -8,6 +8,7 @@
 import "./config/follower.ts";
 import "./admin/admin.ts";
 import "./claims/logged_claims.ts";
+import "./claims/outcomes.ts";
 import "./dispatch/dispatcher.ts";
 import "./gateway/http_gateway.ts";
 import "./gateway/completions.ts";
