--- a/proofs/demo.ts
+++ b/proofs/demo.ts
@@ -196,7 +196,7 @@
       route({ keys: [key(CALLER, "one")] }),
       route({
         name: "train",
-        model: "",
+        model: "model",
         kind: Kind.Training,
         priority: Priority.Training,
         tenants: [{ tenant: "trainer", weight: 1 }],
--- a/proofs/scenario.ts
+++ b/proofs/scenario.ts
@@ -620,7 +620,7 @@
       }),
       route({
         name: "train",
-        model: "",
+        model: "model",
         kind: Kind.Training,
         priority: Priority.Training,
         tenants: [{ tenant: "trainer", weight: 1 }],
