--- a/proofs/caller.ts
+++ b/proofs/caller.ts
@@ -28,8 +28,8 @@
   readonly stream: boolean;
   /** Put into the prompt. */
   readonly note?: string;
-  /** Equal for resends of one request. */
-  readonly prompt?: string;
+  /** Equal for resends of one request; drawn by default. */
+  readonly id?: string;
 }
 
 /** Sends requests and records their ends. */
@@ -49,7 +49,7 @@
     options: { badge: Badge; ask: Completion },
   ): Promise<void> {
     const { badge, ask } = options;
-    const id = randomUUID();
+    const id = ask.id ?? randomUUID();
     const prompt = `${requestMarker(id)} [tokens=${ask.tokens}] ` +
       (ask.note ?? "");
     this.#recorder.record("asked", {
@@ -221,14 +221,14 @@
 
 /** Reads a stream's events; one that ends without `[DONE]` was cut. */
 function readStream(text: string): Ending {
-  const events = text.split("\n\n")
-    .filter((event) => event.startsWith("data: "))
-    .map((event) => event.slice("data: ".length));
+  const events = text.split("\n")
+    .filter((line) => line.startsWith("data: "))
+    .map((line) => line.slice("data: ".length));
   if (events.at(-1) !== "[DONE]") {
     const last = events.at(-1) ?? "";
     return last.includes('"error"')
       ? readRefusal(last)
-      : { why: "The stream ended without its end" };
+      : { why: `The stream ended with "${text.slice(-80)}"` };
   }
   const chunks = events.slice(0, -1).map((event) =>
     JSON.parse(event) as { choices: { text: string }[] }
--- a/proofs/scenario.ts
+++ b/proofs/scenario.ts
@@ -518,6 +518,7 @@
       tokens: 20,
       stream: false,
       note: POISON,
+      id: `poison-${randomUUID()}`,
     };
     for (let n = 0; n < 8; n++) {
       await caller.complete(this.#entry(), {
--- a/stand_ins/service.ts
+++ b/stand_ins/service.ts
@@ -15,6 +15,8 @@
   readonly name?: string;
   readonly history?: string;
   readonly sink?: (event: HistoryEvent) => void;
+  /** Slots that it tells of with its load. */
+  readonly slots?: number;
   /** Time from running a request to answering it. */
   readonly delayMs?: number;
 }
@@ -47,6 +49,15 @@
     (_request, body, done) => done(null, body),
   );
   let ran = 0;
+  let running = 0;
+  server.get("/load", () => ({
+    running,
+    queued: 0,
+    slots: options.slots ?? 8,
+    weight_version: 0,
+    adapters: [],
+  }));
+  server.get("/events", () => ({ events: [] }));
   server.all("/*", async (request) => {
     const { method, url, headers } = request;
     const body = typeof request.body === "string" ? request.body : "";
@@ -61,8 +72,10 @@
       rawHeaders,
       run,
     });
+    running += 1;
     await sleep(options.delayMs ?? 0);
-    history.record("answered", { path: url, idempotencyKey, run });
+    running -= 1;
+    history.record("served", { path: url, idempotencyKey, run });
     return { service: name, run, method, path: url, body };
   });
   await server.listen({ host: "127.0.0.1", port: options.port ?? 0 });
