--- a/src/orders/ordering.ts
+++ b/src/orders/ordering.ts
@@ -28,7 +28,7 @@
 }
 
 /** One offer and the number of upstreams wanted on it. */
-interface Gap {
+export interface Gap {
   readonly offer: Offer;
   readonly wanted: number;
 }
@@ -95,20 +95,12 @@
     for (const gap of this.#due(gaps)) await this.#order(gap);
   }
 
-  /**
-   * What to order now. Upstreams are given up only when all that take their
-   * place run: a starting one serves nobody.
-   */
   #due(gaps: readonly Gap[]): readonly Gap[] {
-    const more = gaps.filter(({ offer, wanted }) => wanted > ordered(offer));
-    const fewer = gaps.filter(({ offer, wanted }) => wanted < ordered(offer));
     const unsettled = gaps.filter((gap) =>
       this.#placed.get(keyOf(gap.offer))?.settled === false
     );
-    const waiting = more.length > 0 ||
-      gaps.some(({ offer }) => offer.starting > 0);
-    const due = waiting ? more : fewer;
-    return [...unsettled, ...due.filter((gap) => !unsettled.includes(gap))];
+    const due = dueOf(gaps).filter((gap) => !unsettled.includes(gap));
+    return [...unsettled, ...due];
   }
 
   async #order(gap: Gap): Promise<void> {
@@ -147,6 +139,18 @@
   }
 }
 
+/**
+ * What to order now. Upstreams are given up only when all that take their
+ * place run: a starting one serves nobody.
+ */
+export function dueOf(gaps: readonly Gap[]): readonly Gap[] {
+  const more = gaps.filter(({ offer, wanted }) => wanted > ordered(offer));
+  const fewer = gaps.filter(({ offer, wanted }) => wanted < ordered(offer));
+  const waiting = more.length > 0 ||
+    gaps.some(({ offer }) => offer.starting > 0);
+  return waiting ? more : fewer;
+}
+
 /** Counters and gauges of orders. */
 export class OrderMeters {
   readonly orders;
@@ -189,7 +193,8 @@
   }
 }
 
-function gapOf(offer: Offer, wanted: readonly Placement[]): Gap {
+/** How far an offer is from what the plan wants. */
+export function gapOf(offer: Offer, wanted: readonly Placement[]): Gap {
   const placement = wanted.find((one) =>
     one.availabilityZone === offer.availabilityZone &&
     one.reclaimable === offer.reclaimable
--- a/src/orders/placement.ts
+++ b/src/orders/placement.ts
@@ -18,6 +18,8 @@
 export interface PlacementBounds {
   /** Upstreams wanted in all. */
   readonly total: number;
+  /** Most upstreams, with those beyond `total` that `mustSurvive` asks for. */
+  readonly most: number;
   /** Most reclaimable ones. */
   readonly mostReclaimable: number;
   /** Fewest others. */
@@ -26,27 +28,84 @@
   readonly mustSurvive: number;
 }
 
-/** Places upstreams within the bounds; fewer where the offers end. */
+/** Numbers of reclaimable upstreams that are weighed against each other. */
+const CANDIDATES = 32;
+
+interface Candidate {
+  readonly placements: readonly Placement[];
+  /** What is left after the worst reclaim, as far as it must be. */
+  readonly surviving: number;
+  readonly total: number;
+  readonly price: number;
+}
+
+/**
+ * Places upstreams: first what survives any zone's reclaim, then the number
+ * wanted, then the price. Fewer where the offers end.
+ */
 export function place(
   capacities: readonly Capacity[],
   bounds: PlacementBounds,
 ): readonly Placement[] {
-  const lasting = capacities.filter(({ offer }) => !offer.reclaimable);
   const cheap = capacities.filter(({ offer }) => offer.reclaimable);
-  const { total, fewestLasting, mostReclaimable } = bounds;
-  const most = Math.min(
-    mostReclaimable,
-    total - fewestLasting,
-    sum(cheap.map(({ most }) => most)),
+  const most = Math.max(
+    0,
+    Math.min(
+      bounds.mostReclaimable,
+      bounds.total - bounds.fewestLasting,
+      sum(cheap.map(({ most }) => most)),
+    ),
   );
-  for (let count = Math.max(0, most); count > 0; count--) {
-    const placed = spread(cheap, count);
-    const worst = Math.max(...placed.map(({ count }) => count));
-    const others = spread(lasting, total - count);
-    const all = sum([...placed, ...others].map(({ count }) => count));
-    if (all - worst >= bounds.mustSurvive) return [...others, ...placed];
+  const step = Math.ceil((most + 1) / CANDIDATES);
+  let best = candidate(capacities, { bounds, count: 0 });
+  for (let count = most; count > 0; count -= step) {
+    const other = candidate(capacities, { bounds, count });
+    if (better(other, best)) best = other;
   }
-  return [...spread(lasting, total), ...spread(cheap, 0)];
+  return best.placements;
+}
+
+/** The placement with `count` reclaimable upstreams. */
+function candidate(
+  capacities: readonly Capacity[],
+  { bounds, count }: { bounds: PlacementBounds; count: number },
+): Candidate {
+  const { total, most, mustSurvive } = bounds;
+  const cheap = capacities.filter(({ offer }) => offer.reclaimable);
+  const lasting = capacities.filter(({ offer }) => !offer.reclaimable);
+  const reclaimable = spread(cheap, count);
+  const worst = Math.max(0, ...reclaimable.map(({ count }) => count));
+  const wanted = Math.min(most, Math.max(total, mustSurvive + worst));
+  const placements = [...spread(lasting, wanted - count), ...reclaimable];
+  const all = countOf(placements);
+  return {
+    placements,
+    surviving: Math.min(mustSurvive, all - worst),
+    total: Math.min(total, all),
+    price: priceOf(capacities, placements),
+  };
+}
+
+function better(a: Candidate, b: Candidate): boolean {
+  const ranks = [
+    a.surviving - b.surviving,
+    a.total - b.total,
+    b.price - a.price,
+  ];
+  return (ranks.find((rank) => rank !== 0) ?? 0) > 0;
+}
+
+function priceOf(
+  capacities: readonly Capacity[],
+  placements: readonly Placement[],
+): number {
+  return sum(placements.map(({ availabilityZone, reclaimable, count }) => {
+    const capacity = capacities.find(({ offer }) =>
+      offer.availabilityZone === availabilityZone &&
+      offer.reclaimable === reclaimable
+    );
+    return count * (capacity?.offer.pricePerHour ?? 0);
+  }));
 }
 
 /** Spreads `total` evenly; ties go where upstreams run, then by price. */
@@ -55,29 +114,29 @@
   total: number,
 ): readonly Placement[] {
   const counts = new Map(capacities.map(({ offer }) => [offer, 0]));
-  const countOf = (offer: Offer) => counts.get(offer) ?? 0;
+  const placed = (offer: Offer) => counts.get(offer) ?? 0;
   for (let left = total; left > 0; left--) {
-    const open = capacities.filter(({ offer, most }) => countOf(offer) < most);
+    const open = capacities.filter(({ offer, most }) => placed(offer) < most);
     if (open.length === 0) break;
     const { offer } = open.reduce((best, other) =>
-      before(other.offer, best.offer, countOf) ? other : best
+      before(other.offer, best.offer, placed) ? other : best
     );
-    counts.set(offer, countOf(offer) + 1);
+    counts.set(offer, placed(offer) + 1);
   }
   return capacities.map(({ offer }) => ({
     availabilityZone: offer.availabilityZone,
     reclaimable: offer.reclaimable,
-    count: countOf(offer),
+    count: placed(offer),
   }));
 }
 
 function before(
   a: Offer,
   b: Offer,
-  countOf: (offer: Offer) => number,
+  placed: (offer: Offer) => number,
 ): boolean {
   const ranks = [
-    countOf(a) - countOf(b),
+    placed(a) - placed(b),
     ordered(b) - ordered(a),
     a.pricePerHour - b.pricePerHour,
     a.availabilityZone < b.availabilityZone ? -1 : 1,
@@ -90,6 +149,11 @@
   return offer.running + offer.starting;
 }
 
+/** The number of upstreams in all placements. */
+export function countOf(placements: readonly Placement[]): number {
+  return sum(placements.map(({ count }) => count));
+}
+
 /** The sum of numbers. */
 export function sum(numbers: readonly number[]): number {
   return numbers.reduce((total, number) => total + number, 0);
--- a/src/orders/plan.ts
+++ b/src/orders/plan.ts
@@ -9,7 +9,7 @@
 import type { Offer } from "../platform/mod.ts";
 import type { Pool } from "../tables/mod.ts";
 import { type Outlook, type Placement, Plan } from "./mod.ts";
-import { type Capacity, ordered, place, sum } from "./placement.ts";
+import { type Capacity, countOf, ordered, place, sum } from "./placement.ts";
 
 /** Part of the slots that shall be busy. */
 const UTILIZATION = 0.8;
@@ -29,6 +29,7 @@
     }));
     return place(capacities, {
       total: pool.maxUpstreams,
+      most: pool.maxUpstreams,
       mostReclaimable: 0,
       fewestLasting: pool.maxUpstreams,
       mustSurvive: 0,
@@ -69,12 +70,17 @@
     const capacities = outlook.offers.map((offer) =>
       this.#capacity(course, { offer, outlook })
     );
-    return place(capacities, {
+    const bounds = {
       total,
+      most: pool.maxUpstreams,
       mostReclaimable: Math.floor(pool.maxUpstreams * pool.reclaimableShare),
       fewestLasting: urgent ? 1 : 0,
-      mustSurvive: urgent ? Math.min(total, course.urgent.peak(now)) : 0,
-    });
+      mustSurvive: urgent ? course.urgent.peak(now) : 0,
+    };
+    // Fewer reclaimable ones at once, more only once it holds for long.
+    course.reclaimable.push(now, reclaimableOf(place(capacities, bounds)));
+    const mostReclaimable = course.reclaimable.trough(now);
+    return place(capacities, { ...bounds, mostReclaimable });
   }
 
   #course({ pool, offers, now }: Outlook): Course {
@@ -84,6 +90,8 @@
       total: new Window(this.#downHoldMs),
       urgent: new Window(this.#downHoldMs),
       recent: new Window(this.#upHoldMs),
+      recentUrgent: new Window(this.#upHoldMs),
+      reclaimable: new Window(this.#downHoldMs),
       reclaimedAt: new Map(),
       seen: new Map(),
     };
@@ -107,11 +115,15 @@
       least: Math.max(1, pool.minUpstreams),
       most: pool.maxUpstreams,
     });
+    const urgentNeed = upstreamsFor(running + urgent);
     course.recent.push(now, need);
-    const lasting = urgent > 0 ? need : course.recent.trough(now);
-    const floor = Math.max(1, pool.minUpstreams);
-    course.total.push(now, Math.max(floor, lasting));
-    course.urgent.push(now, upstreamsFor(running + urgent));
+    course.recentUrgent.push(now, urgentNeed);
+    const waits = urgent > 0;
+    course.total.push(now, waits ? need : course.recent.trough(now));
+    course.urgent.push(
+      now,
+      waits ? urgentNeed : course.recentUrgent.trough(now),
+    );
   }
 
   /** Notes reclaims: announced ones, and upstreams that went unasked. */
@@ -148,6 +160,9 @@
   /** Upstreams that urgent work alone may need. */
   readonly urgent: Window;
   readonly recent: Window;
+  readonly recentUrgent: Window;
+  /** Reclaimable upstreams that the bounds allow. */
+  readonly reclaimable: Window;
   readonly reclaimedAt: Map<string, number>;
   /** Upstreams on each offer at the last look. */
   readonly seen: Map<string, number>;
@@ -186,6 +201,10 @@
   return pool.availabilityZones.includes(offer.availabilityZone);
 }
 
+function reclaimableOf(placements: readonly Placement[]): number {
+  return countOf(placements.filter(({ reclaimable }) => reclaimable));
+}
+
 function keyOf(offer: Offer): string {
   return `${offer.availabilityZone}/${offer.reclaimable}`;
 }
