--- a/experiments/operators_day.ts
+++ b/experiments/operators_day.ts
@@ -58,7 +58,7 @@
 
   /** Starts a section. */
   section(title: string, ...prose: readonly string[]): void {
-    this.#lines.push("", `## ${title}`, "", ...prose);
+    this.#lines.push(`## ${title}`, "", ...prose, "");
   }
 
   /** Writes a file of the tables and shows it. */
@@ -71,10 +71,9 @@
   async run(...args: readonly string[]): Promise<string> {
     const { output, exit } = await this.command(args);
     const typed = args.map((arg) => /[^\w./=-]/.test(arg) ? `"${arg}"` : arg);
-    const shown = output.trimEnd().split("\n").filter((line) => line !== "");
     this.#block([
       `$ toucanwind ${typed.join(" ")}`,
-      ...shown,
+      ...output.trimEnd().split("\n"),
       `# exit code ${exit}`,
     ]);
     return output;
@@ -113,6 +112,11 @@
     this.#block(["POST /v1/completions, through each daemon", ...lines]);
   }
 
+  /** Says what happens between the commands. */
+  prose(...lines: readonly string[]): void {
+    this.#lines.push(...lines, "");
+  }
+
   /** Shows lines that no command printed. */
   note(...lines: readonly string[]): void {
     this.#block(lines);
@@ -211,7 +215,7 @@
   day.section("A withdrawal", "The key stops working on every daemon.");
   await day.run("key", "withdraw", "insurer-1");
   await day.call(key);
-  day.note("The files from before would bring it back:");
+  day.prose("The files from before would bring it back:");
   await day.run("apply", "tables", "--on", "4");
 }
 
@@ -234,7 +238,7 @@
   await day.run(
     ...["rollback", "3", "--note", "next auction", "--wait-ms", "1500"],
   );
-  day.note(`${paused.id} goes on (SIGCONT).`);
+  day.prose(`Then ${paused.id} goes on (SIGCONT).`);
   paused.resume();
   await day.run("in-force", "--wait-ms", "6000");
 }
@@ -242,13 +246,12 @@
 async function aPlatformInTrouble(day: Day, cluster: Cluster): Promise<void> {
   day.section(
     "A platform in trouble",
-    "Answers to writes are lost after they took effect:",
-    "",
+    "Answers to two writes are lost after they took effect:",
   );
   const { platform } = cluster;
   platform.inject([{ kind: FaultKind.Lost, operation: "swap", count: 2 }]);
   await day.run("rollback", "5", "--note", "with lost answers");
-  day.note("The key-value service is down:");
+  day.prose("The key-value service is down:");
   platform.inject([{ kind: FaultKind.Outage, operation: "*" }]);
   await day.run("rollback", "3", "--timeout-ms", "1000");
   platform.inject([]);
@@ -293,7 +296,7 @@
     await aLaggard(day, cluster);
     await aPlatformInTrouble(day, cluster);
     await aDrain(day, cluster);
-    day.section("Status");
+    day.section("Status", "Of the daemon that answers first.");
     await day.run("status");
   } finally {
     writeFileSync(path, heading() + day.text);
--- a/src/cli/edit_operation.ts
+++ b/src/cli/edit_operation.ts
@@ -29,6 +29,13 @@
 } from "./operation.ts";
 import { type Commit, Ending, keyHashes, type Stored } from "./revisions.ts";
 
+/** Outcomes after which the stored configuration surely is as before. */
+const UNCHANGED: readonly unknown[] = [
+  Ending.Invalid,
+  Ending.Unreached,
+  Ending.Damaged,
+];
+
 /** A command that adds a revision and waits until it is in force. */
 export abstract class EditOperation extends RemoteOperation {
   note = Option.String("--note", {
@@ -41,6 +48,11 @@
     description: "How long to wait until it is in force; 0 for not at all",
   });
 
+  protected override told(answer: Answer): readonly string[] {
+    const kept = UNCHANGED.includes(answer.json.outcome);
+    return kept ? [...answer.lines, "Nothing was changed"] : answer.lines;
+  }
+
   /** Commits an edit of the stored tables and tells how that went. */
   protected async submit(
     stored: Maybe<Stored>,
--- a/src/cli/operation.ts
+++ b/src/cli/operation.ts
@@ -41,6 +41,11 @@
     description: "Answer with one JSON value",
   });
 
+  /** The answer's lines; commands that edit add what became of the edit. */
+  protected told(answer: Answer): readonly string[] {
+    return answer.lines;
+  }
+
   /** Does the work of the command. */
   abstract run(): Promise<Answer>;
 
@@ -52,7 +57,7 @@
       stdout.write(`${JSON.stringify(value, null, 2)}\n`);
     } else {
       const out = answer.exit === Exit.Done ? stdout : stderr;
-      out.write(answer.lines.map((line) => `${line}\n`).join(""));
+      out.write(this.told(answer).map((line) => `${line}\n`).join(""));
     }
     return answer.exit;
   }
@@ -126,7 +131,6 @@
       fault.ending === Ending.Damaged
         ? fault.message
         : `The platform's service gave no answer: ${fault.message}`,
-      "Nothing was changed",
     ],
     json: { outcome: fault.ending, message: fault.message },
   };
@@ -136,7 +140,7 @@
 export function invalid(problems: readonly Problem[]): Answer {
   return {
     exit: Exit.Refused,
-    lines: [...problems.map(printProblem), "Nothing was changed"],
+    lines: problems.map(printProblem),
     json: { outcome: Ending.Invalid, problems },
   };
 }
@@ -145,7 +149,7 @@
 export function impossible(message: string): Answer {
   return {
     exit: Exit.Refused,
-    lines: [message, "Nothing was changed"],
+    lines: [message],
     json: { outcome: Ending.Invalid, message },
   };
 }
--- a/src/cli/status_commands.ts
+++ b/src/cli/status_commands.ts
@@ -131,6 +131,9 @@
   if (Array.isArray(value)) {
     const rows = flatRows(value);
     if (rows.length > 0) return printRows(rows, indent);
+    if (!value.some(isNested)) {
+      return [indent + value.map(printCell).join(", ")];
+    }
     return value.flatMap((one) => [
       `${indent}-`,
       ...printValue(one, indent + INDENT),
--- a/src/cli/tables_commands.ts
+++ b/src/cli/tables_commands.ts
@@ -63,7 +63,7 @@
     const { routes, pools } = tables.val;
     return Promise.resolve({
       exit: Exit.Done,
-      lines: [`${routes.length} routes and ${pools.length} pools are in order`],
+      lines: [`Routes: ${routes.length}, pools: ${pools.length}, no problems`],
       json: {
         outcome: "valid",
         routes: routes.length,
--- a/src/tables/diff.ts
+++ b/src/tables/diff.ts
@@ -64,7 +64,12 @@
   rows: readonly T[],
   of: (row: T) => Cells,
 ): ReadonlyMap<string, Cells> {
-  return new Map(rows.map((row) => [row.name, of(row)]));
+  return new Map(rows.map((row) => [row.name, filled(of(row))]));
+}
+
+/** A column that is empty counts as absent. */
+function filled(cells: Cells): Cells {
+  return new Map([...cells].filter(([, text]) => text !== ""));
 }
 
 function diffRows(
