Dispatch: a crashing request fells two upstreams over all its resends

Cause: resends through other entries and shards had no test, and equal requests without a common prefix met at different keepers, where neither knew of the other's start.

Change: requests without prefixes go by their fingerprint, so that equal ones meet at one keeper. A resend counts as sent after the failure was told: one that is sent before that can fell one more.

--- a/experiments/systems.ts
+++ b/experiments/systems.ts
@@ -204,7 +204,7 @@
   submit(trip: Trip): void {
     const { timeline } = this.#ground;
     const shard = pickShard(this.#shards, {
-      prefix: trip.request.prefixes.at(-1),
+      key: trip.request.prefixes.at(-1) ?? trip.request.fingerprint,
       load: ({ name }) => this.#summaries.get(name) ?? 0,
       random: () => this.#random.next(),
     });
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -206,7 +206,7 @@
       )
     );
     return pickShard(shards, {
-      prefix: demand.prefixes.at(-1),
+      key: demand.prefixes.at(-1) ?? demand.fingerprint,
       load: (shard) => this.#load(shard),
       random: this.#random,
     });
--- a/src/dispatch/pick.ts
+++ b/src/dispatch/pick.ts
@@ -7,33 +7,31 @@
 import type { Shard } from "./fleet.ts";
 import { hash } from "./shards.ts";
 
-/** Load by which the shard that shares the prompt may exceed another's. */
+/** Load by which the key's shard may exceed the one that is drawn. */
 const AFFINITY_MARGIN = 0.25;
 
 /**
- * The less loaded of two shards. One is drawn, the other falls to the prompt
- * by rendezvous hashing and is preferred while it isn't much fuller.
+ * The less loaded of two shards. One falls to the request's key by rendezvous
+ * hashing and is preferred while it isn't much fuller; the other is drawn.
  */
 export function pickShard(
   shards: readonly Shard[],
   options: {
-    /** The prompt's longest prefix, if it has any. */
-    prefix: string | undefined;
+    /** Equal for requests that should meet at one keeper. */
+    key: string;
     load: (shard: Shard) => number;
     random: () => number;
   },
 ): Shard | undefined {
   if (shards.length <= 1) return shards[0];
-  const { prefix, load, random } = options;
-  const draw = () => shards[Math.floor(random() * shards.length)];
-  const other = draw();
-  const near = prefix === undefined ? draw() : nearest(prefix, shards);
-  const margin = prefix === undefined ? 0 : AFFINITY_MARGIN;
-  return load(near) <= load(other) + margin ? near : other;
+  const { key, load, random } = options;
+  const near = nearest(key, shards);
+  const other = shards[Math.floor(random() * shards.length)];
+  return load(near) <= load(other) + AFFINITY_MARGIN ? near : other;
 }
 
-function nearest(prefix: string, shards: readonly Shard[]): Shard {
-  const score = ({ name }: Shard) => hash(`${prefix}@${name}`);
+function nearest(key: string, shards: readonly Shard[]): Shard {
+  const score = ({ name }: Shard) => hash(`${key}@${name}`);
   return shards.reduce((best, shard) =>
     score(shard) > score(best) ? shard : best
   );
