--- a/src/gateway/completions.ts
+++ b/src/gateway/completions.ts
@@ -167,7 +167,8 @@
     const admitted = this.#admission.admit(request, routeOf(ask.val.model));
     if (admitted.err) return this.#gateway.refuse(reply, admitted.val);
     const { route, key } = admitted.val;
-    const bad = check(raw, { route, key });
+    const { prompt } = ask.val;
+    const bad = check(raw, { route, key, prompt });
     if (O.isSome(bad)) {
       return this.#gateway.refuse(reply, bad.value, { route: route.name });
     }
@@ -274,6 +275,7 @@
   readonly #versions = new Set<number>();
   readonly #created: number;
   #text = "";
+  #lastFrame: Frame | undefined;
 
   constructor(
     reply: FastifyReply,
@@ -306,7 +308,7 @@
       return;
     }
     this.#begin();
-    const piece = event(this.#piece(chunk.text, null));
+    const piece = this.#frame().piece(chunk.text);
     this.capture?.add(Buffer.from(piece));
     const room = this.reply.raw.write(piece);
     if (!room) await drained(this.reply.raw, this.signal);
@@ -362,6 +364,16 @@
     });
   }
 
+  /** What is around a piece's text; the same until the versions change. */
+  #frame(): Frame {
+    const versions = this.#versions.size;
+    if (this.#lastFrame?.versions !== versions) {
+      const sample = event(this.#piece("", null));
+      this.#lastFrame = new Frame(sample, { versions });
+    }
+    return this.#lastFrame;
+  }
+
   #head() {
     const { chat, stream, model } = this.ask;
     const suffix = stream ? ".chunk" : "";
@@ -407,6 +419,26 @@
   }
 }
 
+/** An event cut open where its text goes, so that it's serialized once. */
+class Frame {
+  readonly versions: number;
+  readonly #before: string;
+  readonly #after: string;
+
+  /** Opens `sample`, whose last empty string is the text's place. */
+  constructor(sample: string, options: { versions: number }) {
+    this.versions = options.versions;
+    const place = sample.lastIndexOf('""');
+    this.#before = sample.slice(0, place);
+    this.#after = sample.slice(place + '""'.length);
+  }
+
+  /** The event with this text. */
+  piece(text: string): string {
+    return this.#before + JSON.stringify(text) + this.#after;
+  }
+}
+
 function event(data: unknown): string {
   return `data: ${JSON.stringify(data)}\n\n`;
 }
@@ -486,11 +518,13 @@
 /** What the route's bounds or the key rule out in the body. */
 function check(
   raw: string,
-  options: { route: Route; key: O.Option<string> },
+  options: { route: Route; key: O.Option<string>; prompt: string },
 ): O.Option<Refusal> {
-  const { route, key } = options;
+  const { route, key, prompt } = options;
   if (Buffer.byteLength(raw) > route.maxBodyBytes) return O.some(TOO_LARGE);
-  if (O.isSome(key) && key.value !== "" && raw.includes(key.value)) {
+  if (O.isNone(key) || key.value === "") return O.none;
+  // Escapes can hide a key in the body that stands plain in the prompt.
+  if (raw.includes(key.value) || prompt.includes(key.value)) {
     return O.some(badRequest("The key may not stand in the body"));
   }
   return O.none;
--- a/src/gateway/completions_test.ts
+++ b/src/gateway/completions_test.ts
@@ -255,6 +255,11 @@
       .toEqual(401);
     expect(await status({ prompt: "x".repeat(5000) })).toEqual(413);
     expect(await status({ prompt: `my key is ${KEY}` })).toEqual(400);
+    const headers = { "x-api-key": KEY };
+    const body = '{"model":"appraise-lm","prompt":"\\u0073k-secret-1"}';
+    const url = `${fixture.url}/v1/completions`;
+    const hidden = await fetch(url, { method: "POST", headers, body });
+    expect(hidden.status).toEqual(400);
     expect(await status({}, { path: `/v1/completions?k=${KEY}` }))
       .toEqual(400);
     expect(await status({}, { headers: { "x-other": KEY } })).toEqual(400);
--- a/src/gateway/http_gateway.ts
+++ b/src/gateway/http_gateway.ts
@@ -47,7 +47,13 @@
   #lastRequestAt = 0;
   #refusing = false;
 
-  constructor(options: { kernel: Kernel }) {
+  constructor(options: {
+    kernel: Kernel;
+    /** Time to receive a request's headers. */
+    headersTimeoutMs?: number;
+    /** Time to receive a whole request. */
+    requestTimeoutMs?: number;
+  }) {
     super();
     this.#kernel = options.kernel;
     this.#refusals = this.#kernel.counter(
@@ -58,14 +64,14 @@
     this.server = fastify({
       logger: false,
       bodyLimit: MAX_BODY_BYTES,
-      requestTimeout: REQUEST_TIMEOUT_MS,
+      requestTimeout: options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
       keepAliveTimeout: KEEP_ALIVE_MS,
       routerOptions: { maxParamLength: 512 },
       exposeHeadRoutes: false,
       return503OnClosing: false,
       http: {
         maxHeaderSize: MAX_HEADER_BYTES,
-        headersTimeout: HEADERS_TIMEOUT_MS,
+        headersTimeout: options.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
         connectionsCheckingInterval: TIMEOUT_CHECK_MS,
       },
     });
