Claims: an end counts before it is written; three daemons tested

Cause: a released claim was still told as held for up to half a second, until its release shared a write. Releases and outcomes that wait in the queue now count for claims behind them: the log gets them in that order.

Tests run three daemons, a service and the platform's stand-in: resends through other entries, lost answers with a killed entry, an outage.

--- a/experiments/forward_cost.ts
+++ b/experiments/forward_cost.ts
@@ -14,6 +14,7 @@
 import { createServer, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { createHistogram } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
 import { Agent, Pool } from "undici";
 import {
   type Fixture,
@@ -22,6 +23,10 @@
   serviceRoute,
   withGateway,
 } from "../src/gateway/fixture.ts";
+import type { Pool as PoolLine } from "../src/tables/mod.ts";
+import * as builders from "../stand_ins/builders.ts";
+import { type Cluster, startCluster } from "../stand_ins/cluster.ts";
+import { vm } from "../stand_ins/platform.ts";
 import { HttpEngine } from "../src/platform/http_engine.ts";
 
 const RUN_MS = Number(process.env.RUN_MS ?? 4_000);
@@ -29,6 +34,7 @@
 const ROUNDS = 3;
 const TICKS_PER_SECOND = 100;
 const FORGET_MS = 50;
+const SETTLE_MS = 2_000;
 const TOKENS = 40;
 const TOKEN_MS = 4;
 /** Of a request that measures latency; nothing else runs beside it. */
@@ -78,6 +84,7 @@
 /** An upstream: a service that answers at once or streams, and an engine. */
 async function upstream(): Promise<number> {
   const server = createServer(async (request, response) => {
+    if (request.method === "GET") return response.writeHead(404).end();
     let body = "";
     for await (const piece of request) body += piece;
     if (request.url === "/lots/7") {
@@ -170,10 +177,12 @@
   });
 }
 
-/** A process of this experiment and the port it serves. */
+/** What serves the load: a port, and the processes that do the work. */
 interface Part {
-  readonly child: ChildProcess;
+  readonly name: string;
   readonly port: number;
+  readonly pids: readonly number[];
+  readonly child?: ChildProcess;
 }
 
 function start(role: string, ...args: string[]): Promise<Part> {
@@ -182,12 +191,47 @@
     : [];
   const child = fork(__filename, [role, ...args], { execArgv });
   return new Promise((resolve) => {
-    child.once("message", (port) => resolve({ child, port: Number(port) }));
+    child.once("message", (port) => {
+      const pids = [child.pid as number];
+      resolve({ name: role, child, pids, port: Number(port) });
+    });
   });
 }
 
-/** Processor time of a process so far, in seconds. */
-function cpuSeconds(pid: number): number {
+/** Three daemons; the load comes to the upstreams' keeper or to another. */
+async function startDaemons(
+  port: number,
+): Promise<{ cluster: Cluster; parts: readonly Part[] }> {
+  const pools = [pool("appraise", "appraise-lm"), pool("lots", "")];
+  const keys = [builders.key(KEY, "authority")];
+  const routes = [serviceRoute({ keys }), modelRoute({ keys })];
+  const cluster = await startCluster({ tables: { routes, pools } });
+  const address = `127.0.0.1:${port}`;
+  for (const { name } of pools) {
+    cluster.platform.putVm(vm({ id: `${name}-1`, pool: name, address }));
+  }
+  const pids = cluster.daemons.map(({ pid }) => pid);
+  await sleep(SETTLE_MS);
+  const partOf = (keeps: boolean): Part => {
+    const daemon = cluster.daemons.find((daemon) =>
+      daemon.log().includes("shard=shard/lots/0") === keeps
+    );
+    const name = keeps ? "daemon that keeps" : "daemon that asks";
+    return { name, port: Number(new URL(daemon?.url ?? "").port), pids };
+  };
+  return { cluster, parts: [partOf(true), partOf(false)] };
+}
+
+function pool(name: string, model: string): PoolLine {
+  return builders.pool({ name, model, slots: 1000 });
+}
+
+/** Processor time of processes so far, in seconds. */
+function cpuSeconds(pids: readonly number[]): number {
+  return pids.reduce((sum, pid) => sum + cpuSecondsOf(pid), 0);
+}
+
+function cpuSecondsOf(pid: number): number {
   const fields = readFileSync(`/proc/${pid}/stat`, "utf8")
     .split(") ")[1].split(" ");
   return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
@@ -195,14 +239,13 @@
 
 /** Requests for each second of the part's processor time, under full load. */
 async function throughput(part: Part, work: Work): Promise<number> {
-  const pid = part.child.pid as number;
   const pool = poolOf(part, work.connections);
   const warm = performance.now() + WARM_MS;
   await flood(pool, work, () => performance.now() < warm);
-  const before = cpuSeconds(pid);
+  const before = cpuSeconds(part.pids);
   const end = performance.now() + RUN_MS;
   const count = await flood(pool, work, () => performance.now() < end);
-  const used = cpuSeconds(pid) - before;
+  const used = cpuSeconds(part.pids) - before;
   await pool.close();
   return Math.round(count / used);
 }
@@ -267,44 +310,43 @@
 }
 
 async function measure(
-  parts: readonly [Part, Part, Part],
+  parts: readonly Part[],
   work: Work,
 ): Promise<unknown> {
-  const [direct, bare, gateway] = parts;
-  const bares: number[] = [];
-  const gateways: number[] = [];
+  const rates = new Map<string, number[]>(parts.map(({ name }) => [name, []]));
+  const latencies: Record<string, unknown> = {};
   for (let round = 0; round < ROUNDS; round++) {
-    bares.push(await throughput(bare, work));
-    gateways.push(await throughput(gateway, work));
+    for (const part of parts.slice(1)) {
+      rates.get(part.name)?.push(await throughput(part, work));
+    }
   }
-  return {
-    work: work.name,
-    requestsPerCpuSecond: { bare: bares, gateway: gateways },
-    share: Math.round(100 * median(gateways) / median(bares)) / 100,
-    latency: {
-      direct: await latency(direct, work),
-      bare: await latency(bare, work),
-      gateway: await latency(gateway, work),
-    },
-  };
+  for (const part of parts) latencies[part.name] = await latency(part, work);
+  const bare = median(rates.get("bare") ?? []);
+  const rows = parts.slice(1).map(({ name }) => {
+    const each = rates.get(name) ?? [];
+    const share = Math.round(100 * median(each) / bare) / 100;
+    return { name, requestsPerCpuSecond: each, shareOfBare: share };
+  });
+  return { work: work.name, rows, latencies };
 }
 
 async function main(): Promise<void> {
-  const parts: Part[] = [];
+  const upstream = await start("upstream");
+  const { port } = upstream;
+  const bare = await start("bare", String(port));
+  const gateway = await start("gateway", String(port));
+  const { cluster, parts } = await startDaemons(port);
   try {
-    parts.push(await start("upstream"));
-    const port = String(parts[0].port);
-    parts.push(await start("bare", port));
-    parts.push(await start("gateway", port));
     const rows = [];
     const only = process.env.WORK;
     for (const work of WORKS) {
       if (only && work.name !== only) continue;
-      rows.push(await measure(parts as [Part, Part, Part], work));
+      rows.push(await measure([upstream, bare, gateway, ...parts], work));
     }
     console.log(JSON.stringify({ runMs: RUN_MS, rows }, null, 2));
   } finally {
-    for (const { child } of parts) child.disconnect();
+    await cluster.stop();
+    for (const { child } of [upstream, bare, gateway]) child?.disconnect();
   }
 }
 
--- /dev/null
+++ b/src/claims/cluster_test.ts
@@ -0,0 +1,148 @@
+import { expect } from "earl";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Verdict } from "../kernel/mod.ts";
+import { Kind } from "../tables/mod.ts";
+import { key, pool, route, tables } from "../../stand_ins/builders.ts";
+import { type Cluster, startCluster } from "../../stand_ins/cluster.ts";
+import { FaultKind } from "../../stand_ins/faults.ts";
+import { vm } from "../../stand_ins/platform.ts";
+
+const SECRET = "insurer-secret-of-the-test";
+const SEED = 20261204;
+
+const TABLES = tables({
+  routes: [route({
+    name: "releases",
+    kind: Kind.Service,
+    path: "/releases",
+    model: "",
+    pool: "services",
+    repeatable: false,
+    keys: [key(SECRET, "one")],
+    deadlineMs: 5_000,
+  })],
+  pools: [pool({ name: "services", model: "" })],
+});
+
+/** A service that tells no load; `ran` has the keys of what it ran. */
+async function listen(ran: string[]): Promise<Server> {
+  const server = createServer((request, response) => {
+    request.resume();
+    if (request.url === "/releases/1") {
+      ran.push(String(request.headers["idempotency-key"]));
+      response.end(`run ${ran.length}`);
+    } else response.writeHead(404).end();
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  return server;
+}
+
+/** Runs `body` against three daemons and a service. */
+async function withCluster(
+  body: (cluster: Cluster, ran: readonly string[]) => Promise<void>,
+): Promise<void> {
+  const ran: string[] = [];
+  const service = await listen(ran);
+  const { port } = service.address() as AddressInfo;
+  const cluster = await startCluster({ tables: TABLES });
+  try {
+    cluster.platform.putVm(
+      vm({ id: "s1", pool: "services", address: `127.0.0.1:${port}` }),
+    );
+    await until(async () => (await post(cluster, "warm")).status === 200);
+    await body(cluster, ran);
+  } finally {
+    await cluster.stop();
+    service.closeAllConnections();
+    await new Promise((resolve) => service.close(resolve));
+  }
+}
+
+async function until(done: () => Promise<boolean>): Promise<void> {
+  for (let n = 0; n < 100; n++) {
+    if (await done()) return;
+    await sleep(50);
+  }
+  throw new Error("It took too long");
+}
+
+/** Posts under an idempotency key through the entry with this number. */
+async function post(
+  cluster: Cluster,
+  id: string,
+  entry = 0,
+): Promise<{ status: number; text: string }> {
+  const headers = { "x-api-key": SECRET, "idempotency-key": id };
+  const response = await fetch(`${cluster.daemons[entry].url}/releases/1`, {
+    method: "POST",
+    headers,
+    body: "release",
+  });
+  return { status: response.status, text: await response.text() };
+}
+
+function twice(ids: readonly string[]): readonly string[] {
+  return ids.filter((id, n) => ids.indexOf(id) !== n);
+}
+
+test("a resend through any entry gets the first answer", async () => {
+  await withCluster(async (cluster, ran) => {
+    const first = await post(cluster, "a", 0);
+    expect(first.status).toEqual(200);
+    for (const entry of [1, 2, 0]) {
+      expect(await post(cluster, "a", entry)).toEqual(first);
+    }
+    expect(ran.filter((id) => id === "a").length)
+      .toEqual(1);
+  });
+});
+
+test("nothing runs twice under lost answers and a killed entry", async () => {
+  await withCluster(async (cluster, ran) => {
+    cluster.platform.inject([{
+      kind: FaultKind.Lost,
+      operation: "swap",
+      probability: 0.3,
+      seed: SEED,
+    }]);
+    const refused: string[] = [];
+    const caller = async (id: string, first: number) => {
+      for (let n = 0; n < 6; n++) {
+        const entry = (first + n) % 3;
+        const answer = await post(cluster, id, entry).catch(() => undefined);
+        if (answer?.status === 200) return;
+        if (answer?.text.includes(Verdict.NotRun)) refused.push(id);
+        await sleep(150);
+      }
+    };
+    const callers = Array.from(
+      { length: 60 },
+      (_, n) => caller(`id-${n % 20}`, n),
+    );
+    await sleep(200);
+    await cluster.daemons[2].kill();
+    await Promise.all(callers);
+    expect(twice(ran)).toEqual([]);
+    expect(ran.length > 15).toEqual(true);
+  });
+});
+
+test("an outage refuses as not run at once, and what it refuses", async () => {
+  await withCluster(async (cluster, ran) => {
+    cluster.platform.inject([{ kind: FaultKind.Outage, operation: "*" }]);
+    const at = performance.now();
+    const answer = await post(cluster, "b");
+    expect(answer.status).toEqual(503);
+    expect(answer.text.includes(Verdict.NotRun)).toEqual(true);
+    expect(performance.now() - at < 2_500).toEqual(true);
+    expect(ran.includes("b")).toEqual(false);
+    cluster.platform.inject([]);
+    await until(async () => (await post(cluster, "b")).status === 200);
+    expect(twice(ran)).toEqual([]);
+  });
+});
--- a/src/claims/log.ts
+++ b/src/claims/log.ts
@@ -100,6 +100,8 @@
   /** Revisions of the slots as last seen; absent for a free slot. */
   readonly #revisions = new Map<number, number>();
   readonly #stop = new AbortController();
+  /** Releases and outcomes that aren't in the log yet, by attempt. */
+  readonly #ends = new Map<string, ClaimRecord>();
   #queue: Waiting[] = [];
   #flight: Flight | undefined;
   #loaded = false;
@@ -165,14 +167,22 @@
 
   /** Appends a record without waiting for it. */
   append(record: ClaimRecord): void {
-    if (this.#queue.length < MAX_QUEUE) this.#add(record);
+    if (this.#queue.length >= MAX_QUEUE) return;
+    this.#ends.set(record.claim.attempt, record);
+    this.#add(record);
   }
 
   /** What is known of an id, other daemons' writes included. */
   async find(id: string): Promise<Result<O.Option<Found>, Refusal>> {
     if (!await this.#read()) return Err(PLATFORM_DOWN);
     const holder = this.#holders.get(id);
-    return Ok(O.map(({ outcome }: Holder) => ({ outcome }))(holder));
+    return Ok(O.map((holder: Holder) => this.#found(holder))(holder));
+  }
+
+  #found({ claim, outcome }: Holder): Found {
+    const end = this.#ends.get(claim.attempt);
+    const settled = end?.kind === RecordKind.Settled;
+    return { outcome: settled ? O.some(end.outcome) : outcome };
   }
 
   /** Resolves when nothing waits any more, or `signal` aborts. */
@@ -353,6 +363,10 @@
   #landed(flight: Flight, revision: number): boolean {
     this.#flight = undefined;
     this.#take(flight.segment, revision);
+    for (const { record } of flight.waiting) {
+      const { attempt } = record.claim;
+      if (this.#ends.get(attempt) === record) this.#ends.delete(attempt);
+    }
     for (const waiting of flight.waiting) this.#tell(waiting);
     this.#holders.prune(this.#clock.now() - this.#retentionMs);
     return true;
@@ -431,17 +445,26 @@
     return true;
   }
 
-  /** Where an attempt stands by the log; `undefined` if nobody holds the id. */
+  /**
+   * Where an attempt stands by the log, and by the ends that this daemon is
+   * about to write; `undefined` if the id is free or about to be freed.
+   */
   #standing(claim: Claim): Claimed | undefined {
     const holder = this.#holders.get(claim.id);
     if (O.isNone(holder)) return undefined;
     const { claim: held, outcome } = holder.value;
+    const end = this.#ends.get(held.attempt);
+    // The release is ahead of this claim in the queue, and so in the log.
+    if (end?.kind === RecordKind.Released) return undefined;
     if (held.fingerprint !== claim.fingerprint) {
       return { standing: Standing.Mismatch };
     }
     if (O.isSome(outcome)) {
       return { standing: Standing.Ended, outcome: outcome.value };
     }
+    if (end?.kind === RecordKind.Settled) {
+      return { standing: Standing.Ended, outcome: end.outcome };
+    }
     return held.attempt === claim.attempt
       ? { standing: Standing.Granted, claim }
       : { standing: Standing.Held };
--- a/src/claims/log_test.ts
+++ b/src/claims/log_test.ts
@@ -124,6 +124,25 @@
   expect(await standing(other, first)).toEqual(Standing.Held);
 });
 
+test("an end counts before it is written", async () => {
+  const keyValue = new MapKeyValue();
+  const clock = new ManualClock();
+  const log = logOf(keyValue, { clock });
+  const first = claimOf("x");
+  await log.claim(first);
+  log.append({ kind: RecordKind.Released, claim: first });
+  const second = claimOf("x");
+  expect(await during(clock, standing(log, second)))
+    .toEqual(Standing.Granted);
+  log.append({
+    kind: RecordKind.Settled,
+    claim: second,
+    outcome: ANSWERED,
+  });
+  expect(await standing(log, claimOf("x"))).toEqual(Standing.Ended);
+  expect(keyValue.writes).toEqual(2);
+});
+
 test("an outcome is found through another daemon", async () => {
   const keyValue = new MapKeyValue();
   const clock = new ManualClock();
