Checker: a run counts against the send that was refused

A request sent again under the same marker has several sends. A refusal 'not run' speaks of its own send, so runs from that send up to the next one count against it; before, a run of an earlier send did, which the refusal never denied. Every send has its own span, so no run of a refused send escapes.

--- a/proofs/requests.ts
+++ b/proofs/requests.ts
@@ -6,6 +6,7 @@
 
 import {
   type Event,
+  groupBy,
   type History,
   Promised,
   select,
@@ -107,10 +108,13 @@
 /** A request that was refused as not run has not run. */
 export function notRun(history: History): readonly Violation[] {
   const runs = runsById(history);
+  const asks = groupBy(select(history, "asked"), ({ id }) => id);
   return select(history, "refused").flatMap((refused) => {
     if (refused.verdict !== "not run") return [];
-    const ran = runs.get(refused.id);
-    if (ran === undefined) return [];
+    const { from, to } = spanOf(refused, asks.get(refused.id) ?? []);
+    const ran = (runs.get(refused.id) ?? [])
+      .filter(({ t }) => t >= from && t < to);
+    if (ran.length === 0) return [];
     return [{
       promise: Promised.NotRun,
       message: `Request ${refused.id} ran and was refused as not run`,
@@ -119,6 +123,19 @@
   });
 }
 
+/** From when to when a run counts as one of the refused ask of a request. */
+function spanOf(
+  refused: Event<"refused">,
+  asks: readonly Event<"asked">[],
+): { from: number; to: number } {
+  const before = asks.filter(({ t }) => t <= refused.t);
+  const after = asks.filter(({ t }) => t > refused.t);
+  return {
+    from: before.at(-1)?.t ?? -Infinity,
+    to: after[0]?.t ?? Infinity,
+  };
+}
+
 /** A request with an idempotency key runs at most once. */
 export function atMostOnce(history: History): readonly Violation[] {
   const runs = new Map<string, Event<"ran">[]>();
