Measure how fast an accepted revision is in force everywhere

A test holds the number of calls that an edit costs the platform.

More than eight daemons and partitions: not run.

--- /dev/null
+++ b/experiments/configuration_spread.ts
@@ -0,0 +1,99 @@
+/**
+ * How long an accepted revision takes to be in force on every daemon:
+ * `node dist/experiments/configuration_spread.js [daemons] [edits]`, without
+ * faults and with lost and cut calls to the platform.
+ *
+ * @module
+ */
+
+import { isSome } from "fp-ts/Option";
+import { build, type Histogram } from "hdr-histogram-js";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Daemons } from "../src/cli/daemons.ts";
+import { Ending, Revisions } from "../src/cli/mod.ts";
+import { SystemClock } from "../src/kernel/mod.ts";
+import { HttpKeyValue } from "../src/platform/http_key_value.ts";
+import { pool, tables } from "../stand_ins/builders.ts";
+import { type Cluster, startCluster } from "../stand_ins/cluster.ts";
+import { FaultKind, type Injection } from "../stand_ins/faults.ts";
+
+const POLL_MS = 5;
+const PAUSE_MS = 200;
+const LIMIT_MS = 20_000;
+const MAX_SLOTS = 4_000;
+
+const FAULTS: Readonly<Record<string, readonly Injection[]>> = {
+  "without faults": [],
+  "20 % of answers lost, 20 % of calls cut": [
+    { kind: FaultKind.Lost, operation: "*", probability: 0.2, seed: 1 },
+    { kind: FaultKind.Outage, operation: "*", probability: 0.2, seed: 2 },
+  ],
+  "every call 500 ms late": [
+    { kind: FaultKind.Delay, operation: "*", delayMs: 500 },
+  ],
+};
+
+/** Makes one edit; gives the time from its acceptance to everywhere. */
+async function spread(
+  cluster: Cluster,
+  nth: number,
+): Promise<number | undefined> {
+  const clock = new SystemClock();
+  const keyValue = new HttpKeyValue({ url: cluster.platform.url });
+  const revisions = new Revisions({ keyValue, clock });
+  const head = await revisions.head();
+  if (head.err) return undefined;
+  const commit = await revisions.commit({
+    on: isSome(head.val) ? head.val.value.stamp.revision : 0,
+    tables: tables({ pools: [pool({ slots: 1 + nth % MAX_SLOTS })] }),
+    attempt: `spread-${nth}-${clock.wall()}`,
+    author: "spread",
+    note: "",
+  });
+  if (commit.ending !== Ending.Accepted) return undefined;
+  const start = clock.now();
+  const [first] = cluster.daemons;
+  const daemons = new Daemons({ entries: [first.url], clock });
+  while (clock.now() - start < LIMIT_MS) {
+    const arrival = await daemons.arrival(commit.stamp.revision, 0);
+    if (arrival.inForce) return clock.now() - start;
+    await sleep(POLL_MS);
+  }
+  return LIMIT_MS;
+}
+
+function printed(histogram: Histogram): string {
+  const at = (percentile: number) =>
+    histogram.getValueAtPercentile(percentile).toFixed(0);
+  return `median ${at(50)} ms, 90 % ${at(90)} ms, 99 % ${at(99)} ms, ` +
+    `longest ${histogram.maxValue.toFixed(0)} ms`;
+}
+
+async function main(daemons: number, edits: number): Promise<void> {
+  const cluster = await startCluster({ daemons, tables: tables() });
+  try {
+    for (const [name, faults] of Object.entries(FAULTS)) {
+      cluster.platform.inject(faults);
+      const histogram = build();
+      let unanswered = 0;
+      for (let nth = 0; nth < edits; nth++) {
+        const ms = await spread(cluster, nth);
+        if (ms === undefined) unanswered++;
+        else histogram.recordValue(Math.round(ms));
+        await sleep(PAUSE_MS);
+      }
+      console.log(
+        `${daemons} daemons, ${name}: ${histogram.totalCount} edits, ` +
+          `${printed(histogram)}; ${unanswered} without an answer`,
+      );
+    }
+  } finally {
+    await cluster.stop();
+  }
+}
+
+const [daemons = "8", edits = "60"] = process.argv.slice(2);
+main(Number(daemons), Number(edits)).catch((error) => {
+  console.error(error);
+  process.exitCode = 1;
+});
--- a/src/cli/commands_test.ts
+++ b/src/cli/commands_test.ts
@@ -166,6 +166,24 @@
   expect(JSON.parse(shown.stdout).tables).toEqual(withSlots(3));
 });
 
+test("an edit costs the platform four calls, a changed key one more", async (t) => {
+  const keyValue = new MemoryKeyValue();
+  const command = commands(keyValue);
+  await command("apply", folderOf(t, withSlots(3)), ...NO_WAIT);
+  const calls: string[] = [];
+  keyValue.plan = (operation) => {
+    calls.push(operation);
+    return Call.Answered;
+  };
+  await command("apply", folderOf(t, withSlots(4)), ...NO_WAIT);
+  expect(calls).toEqual(["get", "get", "swap", "swap"]);
+  await command(
+    ...["key", "grant", "k2", "--route", "chat", "--tenant", "one"],
+    ...NO_WAIT,
+  );
+  expect(calls.slice(4)).toEqual(["get", "get", "get", "swap", "swap"]);
+});
+
 test("two edits of keys at once both stand", async (t) => {
   const keyValue = new MemoryKeyValue();
   const command = commands(keyValue);
