--- a/experiments/operators_day.ts
+++ b/experiments/operators_day.ts
@@ -297,6 +297,8 @@
     await aPlatformInTrouble(day, cluster);
     await aDrain(day, cluster);
     day.section("Status", "Of the daemon that answers first.");
+    await day.run("status", "upstreams");
+    await day.run("status", "tenants", "--all");
     await day.run("status");
   } finally {
     writeFileSync(path, heading() + day.text);
--- a/src/admin/admin.ts
+++ b/src/admin/admin.ts
@@ -10,6 +10,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
 import { configKey } from "../config/mod.ts";
+import { dispatchKey, type UpstreamStatus } from "../dispatch/mod.ts";
 import { gatewayKey } from "../gateway/mod.ts";
 import {
   type Kernel,
@@ -22,6 +23,7 @@
 } from "../kernel/mod.ts";
 import { type Member, peersKey } from "../peers/mod.ts";
 import { Role, Standing } from "../platform/mod.ts";
+import type { Priority, Tables } from "../tables/mod.ts";
 import { admit } from "./admission.ts";
 import {
   Admin,
@@ -53,6 +55,17 @@
 
 type Query = z.infer<typeof query>;
 
+/** A tenant on a route, as the status page shows it. */
+interface Contract {
+  readonly tenant: string;
+  readonly route: string;
+  readonly pool: string;
+  readonly priority: Priority;
+  readonly weight: number;
+  /** Number of keys. */
+  readonly keys: number;
+}
+
 /** A member's revision, remembered; it only grows within an incarnation. */
 interface Known {
   readonly incarnation: string;
@@ -96,8 +109,13 @@
 
   status(part?: string): Status {
     const { settings, incarnation, draining, plugins } = this.#kernel;
-    const shown = plugins.filter(([name, plugin]) =>
-      plugin.props.status !== undefined && (part ?? name) === name
+    const parts = [
+      ["upstreams", () => this.#upstreams()] as const,
+      ["tenants", () => this.#tenants()] as const,
+      ...plugins.map(([name, plugin]) => [name, plugin.props.status] as const),
+    ];
+    const shown = parts.filter(([name, status]) =>
+      status !== undefined && (part ?? name) === name
     );
     return {
       vm: settings.vm,
@@ -106,7 +124,7 @@
       draining,
       revision: this.#revision,
       parts: Object.fromEntries(
-        shown.map(([name, plugin]) => [name, bounded(plugin.props.status)]),
+        shown.map(([name, status]) => [name, bounded(status)]),
       ),
     };
   }
@@ -145,9 +163,38 @@
     return this.#kernel.get(peersKey);
   }
 
+  get #current() {
+    return this.#kernel.get(configKey).current();
+  }
+
   get #revision(): number {
-    const current = this.#kernel.get(configKey).current();
-    return isNone(current) ? 0 : current.value.revision;
+    return isNone(this.#current) ? 0 : this.#current.value.revision;
+  }
+
+  get #tables(): Tables {
+    return isNone(this.#current)
+      ? { routes: [], pools: [] }
+      : this.#current.value.tables;
+  }
+
+  /** The upstreams of all pools, as this daemon knows them. */
+  #upstreams(): readonly UpstreamStatus[] {
+    const dispatch = this.#kernel.get(dispatchKey);
+    return this.#tables.pools.flatMap((pool) => dispatch.upstreams(pool.name));
+  }
+
+  /** Who may call what, without any key. */
+  #tenants(): readonly Contract[] {
+    return this.#tables.routes.flatMap((route) =>
+      route.tenants.map(({ tenant, weight }) => ({
+        tenant,
+        route: route.name,
+        pool: route.pool,
+        priority: route.priority,
+        weight,
+        keys: route.keys.filter((key) => key.tenant === tenant).length,
+      }))
+    );
   }
 
   #ownRevision(): z.infer<typeof revisionAnswer> {
@@ -277,6 +324,6 @@
 
 register({
   key: adminKey,
-  requires: [gatewayKey, peersKey, configKey],
+  requires: [gatewayKey, peersKey, configKey, dispatchKey],
   create: (kernel) => new AdminPages({ kernel }),
 });
--- a/src/admin/admin_test.ts
+++ b/src/admin/admin_test.ts
@@ -64,6 +64,8 @@
   });
   const { parts } = (await server.inject("/admin/status")).json();
   expect(parts).toEqual({
+    upstreams: [],
+    tenants: [],
     well: { running: 3 },
     large: { tooLarge: true },
     broken: { failed: true },
@@ -72,6 +74,22 @@
   expect(Object.keys(one.parts)).toEqual(["well"]);
 });
 
+test("status lists upstreams and tenants, but no key", async () => {
+  const { server } = await startAdmin({ members: ["a"], revision: 1 });
+  const answer = await server.inject("/admin/status");
+  const { upstreams, tenants } = answer.json().parts;
+  expect(upstreams[0].id).toEqual("lm-1");
+  expect(tenants).toEqual([{
+    tenant: "one",
+    route: "chat",
+    pool: "lm",
+    priority: "interactive",
+    weight: 1,
+    keys: 1,
+  }]);
+  expect(answer.body.includes("sha256")).toEqual(false);
+});
+
 test("status of all shows a silent or garbled member as null", async () => {
   const { server, peers } = await startAdmin({ members: ["a", "b", "c"] });
   peers.answers = { a: `{"vm":"a","parts":{}}`, b: "{" };
--- a/src/admin/fixture.ts
+++ b/src/admin/fixture.ts
@@ -8,6 +8,13 @@
 import { none, type Option, some } from "fp-ts/Option";
 import { Err, Ok, type Result } from "ts-results";
 import { type Caller, Config, configKey } from "../config/mod.ts";
+import {
+  Dispatch,
+  dispatchKey,
+  type Permit,
+  type Pressure,
+  type UpstreamStatus,
+} from "../dispatch/mod.ts";
 import { Gateway, gatewayKey } from "../gateway/mod.ts";
 import {
   Kernel,
@@ -29,6 +36,7 @@
 } from "../platform/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import type { Configuration, Key } from "../tables/mod.ts";
+import { tables } from "../../stand_ins/builders.ts";
 import { vm } from "../../stand_ins/platform.ts";
 import { AdminPages } from "./admin.ts";
 import { adminKey } from "./mod.ts";
@@ -52,9 +60,14 @@
   }
 
   current(): Option<Configuration> {
-    return this.#revision === 0
-      ? none
-      : some({ revision: this.#revision } as Configuration);
+    return this.#revision === 0 ? none : some({
+      revision: this.#revision,
+      attempt: "",
+      author: "",
+      note: "",
+      at: "",
+      tables: tables(),
+    });
   }
 
   ageMs(): number {
@@ -126,6 +139,30 @@
   }
 }
 
+class FakeDispatch extends Dispatch {
+  acquire(): Promise<Result<Permit, Refusal>> {
+    throw new RangeError("The admin pages run no request");
+  }
+
+  upstreams(pool: string): readonly UpstreamStatus[] {
+    return [{
+      id: `${pool}-1`,
+      pool,
+      availabilityZone: "a",
+      keeper: "a",
+      running: 2,
+      queued: 1,
+      weightVersion: 3,
+      reclaimable: false,
+      leaving: false,
+    }];
+  }
+
+  pressure(): Promise<Pressure> {
+    return Promise.resolve({ running: 0, queued: 0, urgent: 0, slots: 0 });
+  }
+}
+
 class FakeDirectory extends Directory {
   readonly #vms: readonly string[] | undefined;
 
@@ -169,6 +206,7 @@
   const fakes = [
     { key: gatewayKey, create: () => gateway },
     { key: peersKey, create: () => peers },
+    { key: dispatchKey, create: () => new FakeDispatch() },
     { key: configKey, create: () => new FakeConfig(options.revision ?? 0) },
     ...Object.entries(options.parts ?? {}).map(([name, status]) => ({
       key: new PluginKey(name),
