--- a/proofs/scenario.ts
+++ b/proofs/scenario.ts
@@ -518,6 +518,7 @@
       tokens: 20,
       stream: false,
       note: POISON,
+      id: `poison-${randomUUID()}`,
     };
     for (let n = 0; n < 8; n++) {
       await caller.complete(this.#entry(), {
@@ -620,7 +621,7 @@
       }),
       route({
         name: "train",
-        model: "",
+        model: "model",
         kind: Kind.Training,
         priority: Priority.Training,
         tenants: [{ tenant: "trainer", weight: 1 }],
