Usage: sealing collects books summed up, copies only of daemons that don't answer

Measured over one window of 1,000 to 64,000 uses a daemon: a whole book was 92.9 bytes an entry, sent by its daemon and by both of its backups; at 410 daemons, 19 requests a second and one-minute windows that is 130 MB to the holder for a window.

--- /dev/null
+++ b/experiments/usage_cost.ts
@@ -0,0 +1,90 @@
+/**
+ * What usage costs by the number of uses in a window: memory and processor
+ * time of a book, bytes of a copy to a peer, bytes and time of sealing.
+ * `node --expose-gc dist/experiments/usage_cost.js [FILE]`
+ *
+ * @module
+ */
+
+import { encode } from "cbor-x";
+import { writeFileSync } from "node:fs";
+import { Book, type BookSummary } from "../src/usage/book.ts";
+import { seal } from "../src/usage/seal.ts";
+
+const SIZES = [1_000, 4_000, 16_000, 64_000];
+const DAEMONS = [8, 32, 128, 410];
+const TENANTS = 24;
+const ROUTES = 3;
+
+function main(): void {
+  const books = SIZES.map(bookCost);
+  const seals = DAEMONS.map(sealCost);
+  console.table(books);
+  console.table(seals);
+  const file = process.argv[2];
+  if (file) writeFileSync(file, JSON.stringify({ books, seals }, null, 1));
+}
+
+/** One daemon's book of `entries` uses. */
+function bookCost(entries: number) {
+  globalThis.gc?.();
+  const heap = process.memoryUsage().heapUsed;
+  const since = performance.now();
+  const book = filled("run", entries);
+  const addMs = performance.now() - since;
+  globalThis.gc?.();
+  const bytes = process.memoryUsage().heapUsed - heap;
+  return {
+    entries,
+    addUsPerEntry: round(1_000 * addMs / entries),
+    heapBytesPerEntry: Math.round(bytes / entries),
+    copyBytesPerEntry: round(encode(book.after(0)).length / entries),
+    wholeBookBytes: encode(book.after(0)).length,
+    summaryBytes: encode(book.summary).length,
+  };
+}
+
+/** The seal of a window from the books of `daemons`. */
+function sealCost(daemons: number) {
+  const copies: BookSummary[] = [];
+  for (let n = 0; n < daemons; n++) {
+    copies.push(filled(`incarnation-of-daemon-${n}`, 1_000).summary);
+  }
+  const collectBytes = copies
+    .reduce((sum, copy) => sum + encode(copy).length, 0);
+  const since = performance.now();
+  const made = seal(copies, {
+    window: 0,
+    holder: "entry-1",
+    term: 1,
+    attempt: "attempt",
+    sealedShared: new Set(),
+  });
+  const sealMs = performance.now() - since;
+  return {
+    daemons,
+    collectBytes,
+    sealMs: round(sealMs),
+    sealBytes: JSON.stringify(made).length,
+  };
+}
+
+function filled(incarnation: string, entries: number): Book {
+  const book = new Book({ incarnation, window: 0 });
+  for (let n = 0; n < entries; n++) {
+    book.add({
+      id: "",
+      tenant: `tenant-${n % TENANTS}`,
+      route: `route-${n % ROUTES}`,
+      promptTokens: 200 + n % 100,
+      outputTokens: 250 + n % 50,
+    }, 0);
+  }
+  return book;
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+main();
--- a/src/usage/book.ts
+++ b/src/usage/book.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import type { ReportLine } from "../platform/mod.ts";
 import type { Use } from "./mod.ts";
 
 /** A use with its place in the book. */
@@ -23,10 +24,28 @@
   readonly window: number;
 }
 
+/** What a tenant's uses of one route come to. */
+export interface TenantLine extends ReportLine {
+  readonly tenant: string;
+}
+
+/**
+ * A book as it goes into a seal: its uses summed up, but for those that
+ * another daemon may have recorded too.
+ */
+export interface BookSummary extends BookId {
+  /** Number of the last entry that is summed up. */
+  readonly seq: number;
+  readonly lines: readonly TenantLine[];
+  readonly shared: readonly BookEntry[];
+}
+
 /** The entries of one daemon's run in one window. */
 export class Book {
   readonly id: BookId;
   readonly #entries: BookEntry[] = [];
+  readonly #shared: BookEntry[] = [];
+  readonly #lines = new Map<string, TenantLine>();
 
   constructor(options: BookId) {
     this.id = { incarnation: options.incarnation, window: options.window };
@@ -40,7 +59,7 @@
   /** Writes a use down and returns its number. */
   add(use: Use, lateFrom: number): number {
     const seq = this.seq + 1;
-    this.#entries.push({ seq, use, lateFrom });
+    this.#append({ seq, use, lateFrom });
     return seq;
   }
 
@@ -50,7 +69,7 @@
    */
   merge(entries: readonly BookEntry[]): number {
     for (const entry of entries) {
-      if (entry.seq === this.seq + 1) this.#entries.push(entry);
+      if (entry.seq === this.seq + 1) this.#append(entry);
     }
     return this.seq;
   }
@@ -59,6 +78,55 @@
   after(seq: number): readonly BookEntry[] {
     return this.#entries.slice(seq);
   }
+
+  /** The book summed up. */
+  get summary(): BookSummary {
+    return {
+      ...this.id,
+      seq: this.seq,
+      lines: [...this.#lines.values()],
+      shared: [...this.#shared],
+    };
+  }
+
+  #append(entry: BookEntry): void {
+    this.#entries.push(entry);
+    if (entry.use.shared === true) this.#shared.push(entry);
+    else addEntry(this.#lines, entry);
+  }
+}
+
+/** Adds an entry to the line of its tenant, route and window. */
+export function addEntry(
+  lines: Map<string, TenantLine>,
+  { use, lateFrom }: BookEntry,
+): void {
+  addLine(lines, {
+    tenant: use.tenant,
+    route: use.route,
+    lateFrom: lateFrom === 0 ? "" : new Date(lateFrom).toISOString(),
+    requests: use.requests ?? 1,
+    promptTokens: use.promptTokens,
+    outputTokens: use.outputTokens,
+  });
+}
+
+/** Adds a line to the one of its tenant, route and window. */
+export function addLine(
+  lines: Map<string, TenantLine>,
+  line: TenantLine,
+): void {
+  const key = `${line.tenant}\n${line.route}\n${line.lateFrom}`;
+  const known = lines.get(key);
+  lines.set(
+    key,
+    known === undefined ? line : {
+      ...known,
+      requests: known.requests + line.requests,
+      promptTokens: known.promptTokens + line.promptTokens,
+      outputTokens: known.outputTokens + line.outputTokens,
+    },
+  );
 }
 
 /** Books by run and window. */
@@ -75,11 +143,6 @@
     return book;
   }
 
-  /** The book, if it is there. */
-  find(id: BookId): Book | undefined {
-    return this.#books.get(shelfKey(id));
-  }
-
   /** Takes a book away. */
   remove(id: BookId): void {
     this.#books.delete(shelfKey(id));
--- a/src/usage/ledger.ts
+++ b/src/usage/ledger.ts
@@ -7,10 +7,16 @@
 
 import { type Kernel, logger, type Props, register } from "../kernel/mod.ts";
 import { type Member, type Peers, peersKey } from "../peers/mod.ts";
-import { Book, type BookEntry, type BookId, Shelf } from "./book.ts";
+import {
+  type Book,
+  type BookEntry,
+  type BookId,
+  type BookSummary,
+  Shelf,
+} from "./book.ts";
 import { Usage, usageKey, type Use } from "./mod.ts";
 import { Reporting } from "./reporting.ts";
-import { type BookCopy, type Sealed, windowOf } from "./seal.ts";
+import { type Sealed, windowOf } from "./seal.ts";
 
 const log = logger("usage");
 
@@ -31,6 +37,14 @@
   readonly entries: readonly BookEntry[];
 }
 
+/** Which books the holder of the charge asks for. */
+export interface Collect {
+  /** Start of the last window asked for. */
+  readonly upTo: number;
+  /** Runs whose daemons did not answer; their copies are asked for. */
+  readonly copiesOf?: readonly string[];
+}
+
 /** A backup and how far it holds each of this daemon's books. */
 interface Copy {
   seq: number;
@@ -77,7 +91,7 @@
       peerHandlers: {
         "usage.replicate": (body) => this.#onReplicate(body as Replicate),
         "usage.collect": (body) =>
-          Promise.resolve(this.#collect((body as { upTo: number }).upTo)),
+          Promise.resolve(this.#collect(body as Collect)),
         "usage.sealed": (body) => this.#onSealed(body as Sealed),
       },
       status: () => ({
@@ -111,7 +125,9 @@
 
   async #write(use: Use, lateFrom: number): Promise<void> {
     const book = this.#openBook();
-    const seq = book.add(use, lateFrom);
+    // The id matters only where two daemons may record the use.
+    const kept = use.shared === true ? use : { ...use, id: "" };
+    const seq = book.add(kept, lateFrom);
     this.#recorded.inc();
     const copied = new Promise<void>((done) => {
       this.#waiters.push({ book, seq, done });
@@ -186,11 +202,20 @@
     return Promise.resolve(this.#copies.open(body.id).merge(body.entries));
   }
 
-  /** Copies of all books of windows up to and including `upTo`. */
-  #collect(upTo: number): readonly BookCopy[] {
-    return [...this.#own.books, ...this.#copies.books]
+  /**
+   * Books of windows up to `upTo`: this daemon's own and its copies of runs
+   * that have ended, or, where `copiesOf` names runs, its copies of those.
+   */
+  #collect({ upTo, copiesOf }: Collect): readonly BookSummary[] {
+    const copies = this.#copies.books.filter(({ id }) =>
+      copiesOf === undefined
+        ? !this.#alive(id.incarnation)
+        : copiesOf.includes(id.incarnation)
+    );
+    const own = copiesOf === undefined ? this.#own.books : [];
+    return [...own, ...copies]
       .filter((book) => book.id.window <= upTo)
-      .map((book) => ({ ...book.id, entries: book.after(0) }));
+      .map((book) => book.summary);
   }
 
   /** Entries that a seal left out go into the open window as late ones. */
--- a/src/usage/reporting.ts
+++ b/src/usage/reporting.ts
@@ -13,13 +13,9 @@
 import { Charge, isCandidate, type Tenure } from "../orders/charge.ts";
 import type { Peers } from "../peers/mod.ts";
 import { type Entry, type Failure, Fault } from "../platform/mod.ts";
-import {
-  type BookCopy,
-  type Seal,
-  seal,
-  type Sealed,
-  windowOf,
-} from "./seal.ts";
+import type { BookSummary } from "./book.ts";
+import type { Collect } from "./ledger.ts";
+import { type Seal, seal, type Sealed, windowOf } from "./seal.ts";
 
 const log = logger("usage");
 
@@ -44,6 +40,12 @@
   readonly sent: number;
 }
 
+/** A book with the daemon that told it. */
+interface Collected {
+  readonly vm: string;
+  readonly copy: BookSummary;
+}
+
 /** Seals windows and sends their reports while this daemon holds the charge. */
 export class Reporting {
   readonly #kernel: Kernel;
@@ -287,25 +289,42 @@
     });
   }
 
-  async #collect(
-    upTo: number,
-  ): Promise<readonly { vm: string; copy: BookCopy }[]> {
+  /**
+   * All books of windows up to `upTo`. The copies of a daemon that does not
+   * answer are asked for in a second round, so that books which their own
+   * daemons tell do not come three times.
+   */
+  async #collect(upTo: number): Promise<readonly Collected[]> {
+    const members = this.#peers.members();
     const answers = await Promise.all(
-      this.#peers.members().map(async ({ vm }) => {
-        const answer = await this.#peers.ask(vm, "usage.collect", { upTo }, {
-          timeoutMs: COLLECT_TIMEOUT_MS,
-        });
-        if (answer.err) return [];
-        const copies = answer.val as readonly BookCopy[];
-        return copies.map((copy) => ({ vm, copy }));
-      }),
+      members.map(({ vm }) => this.#ask(vm, { upTo })),
+    );
+    const silent = members.filter((_, n) => answers[n] === undefined)
+      .map(({ incarnation }) => incarnation);
+    const first = answers.flatMap((answer) => answer ?? []);
+    if (silent.length === 0) return first;
+    const copies = await Promise.all(
+      members.filter((_, n) => answers[n] !== undefined)
+        .map(({ vm }) => this.#ask(vm, { upTo, copiesOf: silent })),
     );
-    return answers.flat();
+    return [...first, ...copies.flatMap((answer) => answer ?? [])];
+  }
+
+  async #ask(
+    vm: string,
+    collect: Collect,
+  ): Promise<readonly Collected[] | undefined> {
+    const answer = await this.#peers.ask(vm, "usage.collect", collect, {
+      timeoutMs: COLLECT_TIMEOUT_MS,
+    });
+    if (answer.err) return undefined;
+    const books = answer.val as readonly BookSummary[];
+    return books.map((copy) => ({ vm, copy }));
   }
 
   /** Tells daemons that still have books of windows that were sealed. */
   async #tellMissed(
-    copies: readonly { vm: string; copy: BookCopy }[],
+    copies: readonly Collected[],
     window: number,
   ): Promise<void> {
     const missed = copies.filter(({ copy }) => copy.window < window);
--- a/src/usage/seal.ts
+++ b/src/usage/seal.ts
@@ -6,13 +6,14 @@
  * @module
  */
 
-import type { Report, ReportLine } from "../platform/mod.ts";
-import type { BookEntry, BookId } from "./book.ts";
-
-/** A copy of a book as collected for sealing. */
-export interface BookCopy extends BookId {
-  readonly entries: readonly BookEntry[];
-}
+import type { Report } from "../platform/mod.ts";
+import {
+  addEntry,
+  addLine,
+  type BookEntry,
+  type BookSummary,
+  type TenantLine,
+} from "./book.ts";
 
 /** Which window was sealed, and how far each book went into it. */
 export interface Sealed {
@@ -41,22 +42,20 @@
 
 /** The longest copy of each book. */
 export function longestCopies(
-  copies: readonly BookCopy[],
-): readonly BookCopy[] {
-  const longest = new Map<string, BookCopy>();
+  copies: readonly BookSummary[],
+): readonly BookSummary[] {
+  const longest = new Map<string, BookSummary>();
   for (const copy of copies) {
     const key = `${copy.incarnation}/${copy.window}`;
     const known = longest.get(key);
-    if (known === undefined || copy.entries.length > known.entries.length) {
-      longest.set(key, copy);
-    }
+    if (known === undefined || copy.seq > known.seq) longest.set(key, copy);
   }
   return [...longest.values()];
 }
 
 /** Makes a window's seal from all copies of its books. */
 export function seal(
-  copies: readonly BookCopy[],
+  copies: readonly BookSummary[],
   options: {
     window: number;
     holder: string;
@@ -69,19 +68,20 @@
   const { sealedShared, ...author } = options;
   const books = longestCopies(copies)
     .filter((copy) => copy.window === options.window);
-  const entries = withoutRepeats(
-    books.flatMap((book) => book.entries),
+  const shared = withoutRepeats(
+    books.flatMap((book) => book.shared),
     sealedShared,
   );
+  const lines = new Map<string, TenantLine>();
+  for (const line of books.flatMap((book) => book.lines)) addLine(lines, line);
+  for (const entry of shared) addEntry(lines, entry);
   return {
     ...author,
     included: Object.fromEntries(
-      books.map((book) => [book.incarnation, book.entries.length]),
+      books.map((book) => [book.incarnation, book.seq]),
     ),
-    shared: entries
-      .filter(({ use }) => use.shared === true)
-      .map(({ use }) => use.id),
-    reports: reportTexts(entries, author),
+    shared: shared.map(({ use }) => use.id),
+    reports: reportTexts(lines, author),
   };
 }
 
@@ -91,7 +91,6 @@
 ): readonly BookEntry[] {
   const seen = new Set(sealed);
   return entries.filter(({ use }) => {
-    if (use.shared !== true) return true;
     if (seen.has(use.id)) return false;
     seen.add(use.id);
     return true;
@@ -99,44 +98,21 @@
 }
 
 function reportTexts(
-  entries: readonly BookEntry[],
+  lines: ReadonlyMap<string, TenantLine>,
   author: { window: number; holder: string; term: number },
 ): Readonly<Record<string, string>> {
-  const tenants = [...new Set(entries.map(({ use }) => use.tenant))].sort();
+  const sorted = [...lines].sort(([a], [b]) => a < b ? -1 : 1)
+    .map(([, line]) => line);
+  const tenants = [...new Set(sorted.map(({ tenant }) => tenant))];
   return Object.fromEntries(tenants.map((tenant) => {
-    const own = entries.filter(({ use }) => use.tenant === tenant);
     const report: Report = {
       tenant,
       window: new Date(author.window).toISOString(),
       holder: author.holder,
       term: author.term,
-      lines: reportLines(own),
+      lines: sorted.filter((line) => line.tenant === tenant)
+        .map(({ tenant: _tenant, ...line }) => line),
     };
     return [tenant, JSON.stringify(report)];
   }));
 }
-
-function reportLines(entries: readonly BookEntry[]): readonly ReportLine[] {
-  const lines = new Map<string, ReportLine>();
-  for (const { use, lateFrom } of entries) {
-    const late = lateFrom === 0 ? "" : new Date(lateFrom).toISOString();
-    const key = `${use.route}\n${late}`;
-    lines.set(key, addUse(lines.get(key) ?? emptyLine(use.route, late), use));
-  }
-  return [...lines.entries()]
-    .sort(([a], [b]) => a < b ? -1 : 1)
-    .map(([, line]) => line);
-}
-
-function emptyLine(route: string, lateFrom: string): ReportLine {
-  return { route, lateFrom, requests: 0, promptTokens: 0, outputTokens: 0 };
-}
-
-function addUse(line: ReportLine, use: BookEntry["use"]): ReportLine {
-  return {
-    ...line,
-    requests: line.requests + (use.requests ?? 1),
-    promptTokens: line.promptTokens + use.promptTokens,
-    outputTokens: line.outputTokens + use.outputTokens,
-  };
-}
--- a/src/usage/seal_test.ts
+++ b/src/usage/seal_test.ts
@@ -2,9 +2,9 @@
 import fc from "fast-check";
 import { test } from "node:test";
 import type { Report } from "../platform/mod.ts";
-import { Book, type BookEntry } from "./book.ts";
+import { Book, type BookEntry, type BookSummary } from "./book.ts";
 import type { Use } from "./mod.ts";
-import { type BookCopy, longestCopies, seal } from "./seal.ts";
+import { longestCopies, seal } from "./seal.ts";
 
 function use(fields: Partial<Use> = {}): Use {
   return {
@@ -17,12 +17,16 @@
   };
 }
 
-function copy(incarnation: string, ...uses: Use[]): BookCopy {
-  const entries = uses.map((use, i) => ({ seq: i + 1, use, lateFrom: 0 }));
-  return { incarnation, window: 0, entries };
+function copy(incarnation: string, ...uses: Use[]): BookSummary {
+  const book = new Book({ incarnation, window: 0 });
+  for (const use of uses) book.add(use, 0);
+  return book.summary;
 }
 
-function sealed(copies: readonly BookCopy[], shared: readonly string[] = []) {
+function sealed(
+  copies: readonly BookSummary[],
+  shared: readonly string[] = [],
+) {
   return seal(copies, {
     window: 0,
     holder: "a",
@@ -59,9 +63,9 @@
 });
 
 test("late use stands under the window that it is from", () => {
-  const late = { seq: 1, use: use(), lateFrom: 60_000 };
-  const text = sealed([{ incarnation: "a", window: 0, entries: [late] }])
-    .reports.one;
+  const book = new Book({ incarnation: "a", window: 0 });
+  book.add(use(), 60_000);
+  const text = sealed([book.summary]).reports.one;
   const { lines } = JSON.parse(text) as Report;
   expect(lines.map(({ lateFrom }) => lateFrom))
     .toEqual(["1970-01-01T00:01:00.000Z"]);
