Dispatch: two crashing requests at a time don't clear each other

Cause: upstreams of one zone that fall within two seconds count as a zone that went away, and everybody who ran there was cleared, also who had been convicted. Ruled out: lost findings between daemons (all four held the same stamp). Change: a conviction stands. The checker now counts by request and not over all of them, so that it can be run with several.

--- a/proofs/platform.ts
+++ b/proofs/platform.ts
@@ -153,24 +153,22 @@
   history: History,
   options: { marker: string; bound: number },
 ): readonly Violation[] {
-  const downs = select(history, "down");
-  const crashed = downs.filter((down) =>
-    select(history, "crashed").some((run) =>
-      run.at === down.at && Math.abs(run.t - down.t) < 5 &&
-      promptOf(history, run).includes(options.marker)
-    )
-  );
-  if (crashed.length <= options.bound) return [];
-  return [{
-    promise: Promised.Quarantine,
-    message: `One request took down ${crashed.length} upstreams`,
-    events: crashed,
-  }];
-}
-
-function promptOf(history: History, run: Event<"crashed">): string {
-  const received = select(history, "received").find((event) =>
-    event.id === run.id && event.at === run.at
+  const prompts = new Map(
+    select(history, "received").map(({ at, id, prompt }) =>
+      [`${at} ${id}`, prompt] as const
+    ),
   );
-  return received?.prompt ?? "";
+  const falls = select(history, "crashed").flatMap((run) => {
+    const prompt = prompts.get(`${run.at} ${run.id}`) ?? "";
+    return prompt.includes(options.marker) ? [{ run, prompt }] : [];
+  });
+  return [...groupBy(falls, ({ prompt }) => prompt)].flatMap(([, list]) => {
+    const fallen = groupBy(list, ({ run }) => run.at);
+    if (fallen.size <= options.bound) return [];
+    return [{
+      promise: Promised.Quarantine,
+      message: `One request took down ${fallen.size} upstreams`,
+      events: list.map(({ run }) => run),
+    }];
+  });
 }
--- a/src/dispatch/crashes.ts
+++ b/src/dispatch/crashes.ts
@@ -11,7 +11,7 @@
 
 import type { Holding } from "./permits.ts";
 import { Outcome } from "./mod.ts";
-import type { Quarantine } from "./quarantine.ts";
+import { type Quarantine, Suspicion } from "./quarantine.ts";
 import type { Upstream } from "./shards.ts";
 
 /** Breaks further apart than this are not of one crash. */
@@ -162,6 +162,10 @@
     );
     if (others.length === 0) return;
     for (const fingerprint of [...others, fall].flatMap(named)) {
+      // Who crashed one upstream among others and another alone is no victim
+      // of a zone: two such requests at a time look like one, too.
+      const suspicion = this.#quarantine.suspicion(fingerprint);
+      if (suspicion === Suspicion.Quarantined) continue;
       this.#quarantine.clear(fingerprint);
     }
   }
