Peers: a starting daemon owns nothing; own changes go over every link

Cause: other daemons ranked one that had linked but whose plug-ins had not started; and what a daemon said of itself before it knew its neighbours was told to nobody until the digests were compared, about a second later, which the test of the list caught once daemons announce that they are open. Change: a daemon counts as leaving until the kernel opens it. Its own changes go over all its links. Gossip sections may have a forget, called for each new link, since what an earlier one took may be lost (kernel contract, optional). Suspicion 600 ms and handshake 400 ms, tick 100 ms again: the test of SIGSTOP, out within 3 s at a bound on silence of 1.5 s, had failed once at 700, 500, 200. Ruled out as a test over sockets: a healed partition, since daemons learn each other's own addresses around the relays; it's tested on rosters.

--- /dev/null
+++ b/experiments/gossip_interest.ts
@@ -0,0 +1,199 @@
+/**
+ * Bytes a second that the summaries of all shards cost each daemon at the
+ * size of the target: passed on to everybody over every link, over a tree to
+ * everybody, and over trees cut back to the daemons that use a shard's pool.
+ *
+ * A count over the real graph of neighbours and the real encoding, not a run.
+ *
+ * Run: node dist/experiments/gossip_interest.js > FILE
+ *
+ * @module
+ */
+
+import type { Summary } from "../src/dispatch/messages.ts";
+import { codec } from "../src/peers/frame.ts";
+import { hash, neighbours, rank } from "../src/peers/rendezvous.ts";
+
+const DAEMONS = 410;
+const UPSTREAMS = 850;
+const UPSTREAMS_PER_SHARD = 16;
+const POOLS = 12;
+const TENANTS = 8;
+const SHARDS = Math.ceil(UPSTREAMS / UPSTREAMS_PER_SHARD);
+/** Time between two summaries of a shard, as dispatch has it. */
+const PUBLISH_MS = SHARDS * 100;
+/** Pools whose requests reach a daemon, besides those it keeps shards of. */
+const POOLS_USED = [1, 3, 6, 12];
+
+interface Shard {
+  readonly name: string;
+  readonly pool: string;
+  readonly keeper: string;
+  readonly bytes: number;
+}
+
+/** Bytes sent and received by one daemon in a second. */
+interface Load {
+  readonly mean: number;
+  readonly worst: number;
+}
+
+const vms = Array.from({ length: DAEMONS }, (_, index) => ({
+  vm: `entry-${index}`,
+}));
+
+const near = new Map(
+  vms.map(({ vm }) =>
+    [vm, [...neighbours(vm, vms.map((it) => it.vm))]] as const
+  ),
+);
+
+function makeShards(
+  options: { listUpstreams: boolean },
+): readonly Shard[] {
+  return Array.from({ length: SHARDS }, (_, index) => {
+    const pool = `pool-${index % POOLS}`;
+    const name = `shard/${pool}/${Math.floor(index / POOLS)}`;
+    const keeper = rank(vms, name)[0].vm;
+    const summary = makeSummary(name, pool, keeper);
+    const told = options.listUpstreams
+      ? summary
+      : { ...summary, upstreams: [] };
+    return { name, pool, keeper, bytes: codec.encode(told).length };
+  });
+}
+
+function makeSummary(shard: string, pool: string, vm: string): Summary {
+  const tenants = Array.from(
+    { length: TENANTS },
+    (_, index) =>
+      [`tenant-${index}`, { weight: 4, running: 17, waiting: 5 }] as const,
+  );
+  const upstreams = Array.from({ length: UPSTREAMS_PER_SHARD }, (_, index) => ({
+    id: `${pool}-sampler-${index}`,
+    running: 24,
+    queued: 3,
+    weightVersion: 1234,
+  }));
+  return {
+    shard,
+    pool,
+    keeper: `${vm}/3f2b6c1e-55aa-4b0e-9a57-0c3d1e2f4a5b`,
+    seq: 123456,
+    running: 384,
+    queued: 40,
+    slots: 512,
+    tenants: Object.fromEntries(tenants),
+    upstreams,
+  };
+}
+
+/** Each daemon's parent on the shortest paths from `root`. */
+function tree(root: string): ReadonlyMap<string, string> {
+  const parents = new Map<string, string>();
+  const queue = [root];
+  for (const vm of queue) {
+    for (const next of near.get(vm)!) {
+      if (next === root || parents.has(next)) continue;
+      parents.set(next, vm);
+      queue.push(next);
+    }
+  }
+  return parents;
+}
+
+// Everybody passes a summary on to all neighbours but the one it came from.
+function flood(shards: readonly Shard[]): Load {
+  const bytes = new Map<string, number>();
+  for (const shard of shards) {
+    const parents = tree(shard.keeper);
+    for (const [vm, others] of near) {
+      for (const other of others) {
+        if (other !== parents.get(vm)) add(bytes, vm, other, shard.bytes);
+      }
+    }
+  }
+  return load(bytes);
+}
+
+// Only the links on the way to somebody who wants the shard carry it.
+function filtered(
+  shards: readonly Shard[],
+  wants: (vm: string, shard: Shard) => boolean,
+): Load {
+  const bytes = new Map<string, number>();
+  for (const shard of shards) {
+    const parents = tree(shard.keeper);
+    const carrying = new Set<string>();
+    for (const { vm } of vms) {
+      if (!wants(vm, shard)) continue;
+      let at = vm;
+      while (at !== shard.keeper && !carrying.has(at)) {
+        carrying.add(at);
+        at = parents.get(at)!;
+      }
+    }
+    for (const vm of carrying) add(bytes, parents.get(vm)!, vm, shard.bytes);
+  }
+  return load(bytes);
+}
+
+function add(
+  bytes: Map<string, number>,
+  from: string,
+  to: string,
+  count: number,
+): void {
+  for (const vm of [from, to]) bytes.set(vm, (bytes.get(vm) ?? 0) + count);
+}
+
+function load(bytes: ReadonlyMap<string, number>): Load {
+  const rates = vms.map(({ vm }) => (bytes.get(vm) ?? 0) * 1000 / PUBLISH_MS);
+  const sum = rates.reduce((total, rate) => total + rate, 0);
+  return {
+    mean: Math.round(sum / rates.length),
+    worst: Math.round(Math.max(...rates)),
+  };
+}
+
+function measure(options: { listUpstreams: boolean }) {
+  const shards = makeShards(options);
+  const keeps = new Set(shards.map((it) => `${it.keeper} ${it.pool}`));
+  const pools = Array.from(
+    { length: POOLS },
+    (_, index) => ({ vm: `pool-${index}` }),
+  );
+  const uses = (vm: string, pool: string, used: number) =>
+    rank(pools, `${hash(vm)}`).slice(0, used).some((it) => it.vm === pool);
+  const treeByInterest = POOLS_USED.map((used) => ({
+    poolsUsed: used,
+    bytesPerSecond: filtered(
+      shards,
+      (vm, { pool }) => keeps.has(`${vm} ${pool}`) || uses(vm, pool, used),
+    ),
+  }));
+  return {
+    ...options,
+    bytesPerSummary: shards[0].bytes,
+    everyLink: flood(shards),
+    treeToAll: filtered(shards, () => true),
+    treeByInterest,
+  };
+}
+
+function main(): void {
+  const report = {
+    daemons: DAEMONS,
+    upstreams: UPSTREAMS,
+    shards: SHARDS,
+    pools: POOLS,
+    publishMs: PUBLISH_MS,
+    summaries: [
+      measure({ listUpstreams: true }),
+      measure({ listUpstreams: false }),
+    ],
+  };
+  console.log(JSON.stringify(report, null, 2));
+}
+
+main();
--- /dev/null
+++ b/experiments/member_state.ts
@@ -0,0 +1,86 @@
+/**
+ * What the knowledge of the members costs one daemon at the size of the
+ * target: memory, and the time of what depends on their number.
+ *
+ * Run: node --expose-gc dist/experiments/member_state.js > FILE
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { codec } from "../src/peers/frame.ts";
+import type { Member } from "../src/peers/mod.ts";
+import { neighbours, rank } from "../src/peers/rendezvous.ts";
+import { type MemberState, Roster, Status } from "../src/peers/roster.ts";
+
+const SIZES = [8, 64, 410];
+const REPEATS = 300;
+/** Rosters whose memory is averaged. */
+const ROSTERS = 50;
+
+function member(index: number): Member {
+  return {
+    vm: `tt-south-entry-${index}`,
+    incarnation: randomUUID(),
+    address: `10.1.${index >> 8}.${index & 255}:7100`,
+    http: `10.1.${index >> 8}.${index & 255}:8080`,
+    availabilityZone: `tt-south-${index % 5}`,
+    leaving: false,
+  };
+}
+
+function states(count: number): readonly MemberState[] {
+  return Array.from({ length: count }, (_, index) => ({
+    member: member(index),
+    counter: 3,
+    status: Status.Alive,
+  }));
+}
+
+/** The median time of `task` in microseconds. */
+function time(task: (repeat: number) => void): number {
+  const times = Array.from({ length: REPEATS }, (_, repeat) => {
+    const from = performance.now();
+    task(repeat);
+    return performance.now() - from;
+  }).sort((a, b) => a - b);
+  return Math.round(1000 * times[REPEATS / 2]);
+}
+
+function heapBytes(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+function makeRoster(wire: Buffer): Roster {
+  const roster = new Roster({ self: member(100_000), now: 0 });
+  roster.merge(codec.decode(wire), 0);
+  roster.live();
+  return roster;
+}
+
+function measure(members: number) {
+  // What comes off the wire shares nothing with what is already there.
+  const wire = codec.encode(states(members));
+  makeRoster(wire);
+  const before = heapBytes();
+  const rosters = Array.from({ length: ROSTERS }, () => makeRoster(wire));
+  const heap = Math.round((heapBytes() - before) / ROSTERS);
+  const roster = rosters[0];
+  const live = roster.live();
+  const vms = live.map(({ vm }) => vm);
+  return {
+    members,
+    heapBytes: heap,
+    heapBytesPerMember: Math.round(heap / members),
+    wireBytes: wire.length,
+    rankMicros: time((repeat) => rank(live, `shard/pool/${repeat}`)),
+    neighboursMicros: time(() => neighbours(vms[0], vms)),
+    digestMicros: time(() => {
+      roster.announce(roster.self.member, 0);
+      roster.digest();
+    }),
+  };
+}
+
+console.log(JSON.stringify(SIZES.map(measure), null, 2));
--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -106,6 +106,7 @@
     gossip: {
       [SECTION]: {
         offer: (peer) => this.#offer(peer),
+        forget: (peer) => this.#told.delete(peer),
         accept: (body, peer) => this.#accept(newsSchema.parse(body), peer),
       },
     },
--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -26,6 +26,8 @@
 export interface GossipSection {
   /** What to tell `peer` now, or `undefined` when it has it all already. */
   offer(peer: string): unknown;
+  /** There is a new link: `peer` may lack what it was offered before. */
+  forget?(peer: string): void;
   /** Takes in what `peer` offered. Must ignore anything older than is known. */
   accept(body: unknown, peer: string): void;
 }
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -38,13 +38,13 @@
 
 const log = logger("peers");
 
-const TICK_MS = 200;
+const TICK_MS = 100;
 /** Longest time for a connection and its handshake. */
-const DIAL_TIMEOUT_MS = 500;
+const DIAL_TIMEOUT_MS = 400;
 /** Wait between attempts to reach a lost neighbour. */
 const REDIAL_MS = 250;
 /** Time that a suspect has to refute. */
-const SUSPICION_MS = 700;
+const SUSPICION_MS = 600;
 /** A link unused for so long is closed. */
 const IDLE_MS = 60_000;
 /** Turns of gossip missed before a proof of life is asked for. */
@@ -211,8 +211,13 @@
     this.#started = true;
   }
 
+  override open(): Promise<void> {
+    this.#announce(false);
+    return Promise.resolve();
+  }
+
   override leave(): Promise<void> {
-    this.#announceLeaving();
+    this.#announce(true);
     return Promise.resolve();
   }
 
@@ -245,7 +250,8 @@
       address: `${settings.peer.host}:${port}`,
       http: `${settings.http.host}:${settings.http.port}`,
       availabilityZone: settings.availabilityZone,
-      leaving: false,
+      // Owns nothing before all plug-ins can serve what is owned.
+      leaving: true,
     };
     return new Roster({ self, now: this.#now() });
   }
@@ -374,6 +380,8 @@
   async #tend(link: Link): Promise<void> {
     const { vm } = link.peer;
     if (this.#stopping.signal.aborted) return link.close(Closing.Stopping);
+    // What an earlier link took may not have arrived.
+    for (const section of this.#sections.values()) section.forget?.(vm);
     this.#links.set(vm, [...this.#links.get(vm) ?? [], link]);
     link.send({ kind: FrameKind.Sync, digests: this.#roster.digests() });
     this.#gossipTo(link);
@@ -602,10 +610,10 @@
 
   // Members
 
-  #announceLeaving(): void {
-    if (this.self.leaving) return;
-    const leaving = { ...this.self, leaving: true };
-    this.#record([this.#roster.announce(leaving, this.#now())], "");
+  #announce(leaving: boolean): void {
+    if (this.self.leaving === leaving) return;
+    const self = { ...this.self, leaving };
+    this.#record([this.#roster.announce(self, this.#now())], "");
     this.#flush();
   }
 
@@ -665,12 +673,18 @@
     const changes = [...this.#spreading.values()];
     this.#spreading.clear();
     if (changes.length === 0) return;
-    for (const vm of this.#keeping.keys()) {
+    for (const link of this.#allLinks()) {
+      const { vm } = link.peer;
+      if (this.#linkTo(vm) !== link) continue;
+      const near = this.#keeping.has(vm);
+      // Whoever is linked hears of this daemon itself, neighbour or not: one
+      // that has just started doesn't know its neighbours yet.
       const states = changes
-        .filter((change) => change.from !== vm)
-        .map((change) => change.state);
-      if (states.length === 0) continue;
-      this.#linkTo(vm)?.send({ kind: FrameKind.Members, states });
+        .filter(({ state, from }) =>
+          from !== vm && (near || state.member.vm === this.self.vm)
+        )
+        .map(({ state }) => state);
+      if (states.length > 0) link.send({ kind: FrameKind.Members, states });
     }
   }
 
--- a/src/peers/mesh_test.ts
+++ b/src/peers/mesh_test.ts
@@ -4,13 +4,8 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type PeerHandler, Reason, Refusal, Verdict } from "../kernel/mod.ts";
-import {
-  entry,
-  forkMesh,
-  type List,
-  Relay,
-  startMesh,
-} from "../../stand_ins/mesh.ts";
+import { entry, forkMesh, type List, startMesh } from "../../stand_ins/mesh.ts";
+import { Relay } from "../../stand_ins/relay.ts";
 import { codec, frame, MAX_FRAME_BYTES } from "./frame.ts";
 import { shakeHands, Side, sign } from "./handshake.ts";
 import { Inlet } from "./link.ts";
@@ -51,15 +46,16 @@
   return all;
 }
 
-async function relay(t: TestContext) {
-  const it = new Relay();
-  const port = await it.open();
-  t.after(() => it.close());
-  const front = (target: number) => {
-    it.to(target);
-    return port;
+/** Puts a relay in front of a daemon's port. */
+function relay(t: TestContext) {
+  const relays: Relay[] = [];
+  const front = async (port: number) => {
+    const it = new Relay({ host: "127.0.0.1", port });
+    relays.push(it);
+    t.after(() => it.close());
+    return await it.listen();
   };
-  return { relay: it, front };
+  return { relays, front };
 }
 
 async function socketTo(t: TestContext, port: number): Promise<Socket> {
@@ -95,6 +91,10 @@
     "vm-01",
     "vm-02",
   ]);
+  // Who has just opened takes a moment to be ranked everywhere.
+  for (const it of [a, b]) {
+    await until(() => it.mesh.ranked("x").length === 3, 300);
+  }
   expect(a.mesh.ranked("x")).toEqual(b.mesh.ranked("x"));
 });
 
@@ -188,7 +188,7 @@
 
 test("a silent link is replaced and its peer stays a member", async (t) => {
   const list: List = [];
-  const { relay: middle, front } = await relay(t);
+  const { relays, front } = relay(t);
   const b = await daemon(t, "vm-b", { list, front });
   const a = await daemon(t, "vm-a", { list });
   await until(sees(a, 2));
@@ -196,20 +196,18 @@
   a.mesh.onChange(() => {
     if (a.mesh.members().length < 2) lost++;
   });
-  const before = middle.accepted;
-  middle.forget();
-  await until(() => middle.accepted > before);
+  relays[0].silence();
+  const closed = "toucanwind_peer_links_closed_total";
+  while (await a.counted(closed, "silent") === 0) await sleep(10);
   const answer = await a.mesh.ask("vm-b", "none", 0, { timeoutMs: 1000 });
   expect((answer.val as Refusal).reason).toEqual(Reason.PeerFailed);
   expect(lost).toEqual(0);
   expect(sees(b, 2)()).toEqual(true);
-  const closed = "toucanwind_peer_links_closed_total";
-  expect(await a.counted(closed, "silent") >= 1).toEqual(true);
 });
 
 test("a cut between two does not make either dead", async (t) => {
   const list: List = [];
-  const { relay: middle, front } = await relay(t);
+  const { relays, front } = relay(t);
   const z = await daemon(t, "vm-z", { list, front });
   const a = await daemon(t, "vm-a", { list });
   await until(sees(a, 2));
@@ -227,7 +225,7 @@
       if (it.mesh.members().length < 3) lost++;
     });
   }
-  middle.cut();
+  relays[0].cut();
   await sleep(2500);
   expect(lost).toEqual(0);
   const changes = "toucanwind_peer_member_changes_total";
@@ -242,6 +240,30 @@
   expect(a.mesh.ranked("x")[0].vm).toEqual("vm-00");
 });
 
+test("a starting daemon owns nothing until it opens", async (t) => {
+  const list: List = [];
+  const a = await daemon(t, "vm-a", { list });
+  const b = await daemon(t, "vm-b", { list, starting: true });
+  await until(sees(a, 2));
+  expect(a.mesh.ranked("x").length).toEqual(1);
+  await b.mesh.open();
+  await until(() => a.mesh.ranked("x").length === 2, 300);
+});
+
+test("a new link gets again what an earlier one took", async (t) => {
+  const list: List = [];
+  const forgotten: string[] = [];
+  const section = {
+    offer: () => undefined,
+    accept: () => {},
+    forget: (peer: string) => void forgotten.push(peer),
+  };
+  const a = await daemon(t, "vm-a", { list, gossip: { section } });
+  await daemon(t, "vm-b", { list });
+  await until(sees(a, 2));
+  expect(forgotten.includes("vm-b")).toEqual(true);
+});
+
 test("a stopped daemon is gone at once", async (t) => {
   const [a, b] = await daemons(t, 2);
   await b.mesh.stop();
--- a/src/peers/mod.ts
+++ b/src/peers/mod.ts
@@ -16,7 +16,7 @@
   /** Host and port for callers. */
   readonly http: string;
   readonly availabilityZone: string;
-  /** Whether it is shutting down: owns nothing new. */
+  /** Whether it is starting or shutting down: owns nothing new. */
   readonly leaving: boolean;
 }
 
--- a/src/peers/roster_test.ts
+++ b/src/peers/roster_test.ts
@@ -69,6 +69,34 @@
   expect(live(it)).toEqual(["vm-a"]);
 });
 
+test("after a partition no side loses its own members", () => {
+  const sides = [["vm-a", "vm-b"], ["vm-x", "vm-y"]];
+  const all = sides.flat().map((vm) => {
+    const it = new Roster({ self: member(vm), now: 0 });
+    it.merge(sides.flat().map((vm) => state(vm, 1)), 0);
+    for (const other of sides.find((side) => !side.includes(vm))!) {
+      it.suspect(other, 1);
+    }
+    it.expire(100, 200);
+    return it;
+  });
+  const [a, b, x] = all;
+  // One link heals first; its news then reaches everybody twice.
+  a.merge(x.states(), 300);
+  x.merge(a.states(), 300);
+  for (let round = 0; round < 2; round++) {
+    for (const from of all) {
+      for (const to of all) {
+        to.merge(from.states(), 310);
+        expect(live(a).includes("vm-b")).toEqual(true);
+        expect(live(b).includes("vm-a")).toEqual(true);
+      }
+    }
+  }
+  for (const it of all) expect(it.expire(100, 1000)).toEqual([]);
+  for (const it of all) expect(it.live().length).toEqual(4);
+});
+
 test("rosters that heard the same, in any order, agree", () => {
   const states = fc.array(
     fc.record({
--- a/stand_ins/mesh.ts
+++ b/stand_ins/mesh.ts
@@ -5,13 +5,6 @@
  */
 
 import { type ChildProcess, fork } from "node:child_process";
-import {
-  type AddressInfo,
-  connect,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
 import { Ok } from "ts-results";
 import {
   type GossipSection,
@@ -60,8 +53,10 @@
   secret?: string;
   incarnation?: string;
   peerSilenceMs?: number;
+  /** Whether the other plug-ins have not started yet. */
+  starting?: boolean;
   /** The port to list in place of the daemon's own. */
-  front?: (port: number) => number;
+  front?: (port: number) => Promise<number>;
 }) {
   const { vm, list = [], handlers, gossip } = options;
   const extra = new Extra({ peerHandlers: handlers, gossip });
@@ -89,8 +84,9 @@
   });
   const mesh = kernel.get(peersKey) as Mesh;
   await mesh.start();
+  if (!options.starting) await mesh.open();
   const port = Number(mesh.self.address.split(":")[1]);
-  list.push(entry(vm, options.front?.(port) ?? port));
+  list.push(entry(vm, await options.front?.(port) ?? port));
   /** The sum of a counter, over the label values that equal `label`. */
   const counted = async (name: string, label?: string) => {
     const { values } = await kernel.metrics.getSingleMetric(name)!.get();
@@ -133,64 +129,3 @@
 if (childOptions !== undefined && require.main === module) {
   void runChild(JSON.parse(childOptions));
 }
-
-/** Forwards connections, until told to swallow or to refuse them. */
-export class Relay {
-  readonly #server: Server;
-  readonly #pairs = new Set<readonly [Socket, Socket]>();
-  #target = 0;
-  refusing = false;
-  accepted = 0;
-
-  constructor() {
-    this.#server = createServer((near) => this.#accept(near));
-  }
-
-  /** Listens; returns the port. */
-  async open(): Promise<number> {
-    await new Promise<void>((done) => this.#server.listen(0, done));
-    return (this.#server.address() as AddressInfo).port;
-  }
-
-  /** Names the port to forward to. */
-  to(target: number): void {
-    this.#target = target;
-  }
-
-  /** Loses track of the connections there are; new ones work. */
-  forget(): void {
-    for (const [near, far] of this.#pairs) {
-      near.unpipe();
-      far.unpipe();
-      near.resume();
-      far.resume();
-    }
-  }
-
-  /** Lets nothing through from now on. */
-  cut(): void {
-    this.refusing = true;
-    for (const [near, far] of this.#pairs) {
-      near.destroy();
-      far.destroy();
-    }
-  }
-
-  /** Ends all. */
-  close(): void {
-    this.cut();
-    this.#server.close();
-  }
-
-  #accept(near: Socket): void {
-    near.on("error", () => {});
-    if (this.refusing) return void near.destroy();
-    this.accepted++;
-    const far = connect(this.#target, "127.0.0.1");
-    far.on("error", () => {});
-    near.pipe(far).pipe(near);
-    near.on("close", () => far.destroy());
-    far.on("close", () => near.destroy());
-    this.#pairs.add([near, far]);
-  }
-}
