--- a/experiments/idle_cost.ts
+++ b/experiments/idle_cost.ts
@@ -17,13 +17,11 @@
   type Daemon,
   startCluster,
 } from "../stand_ins/cluster.ts";
+import { startDaemons } from "./daemons.ts";
 
 const DEFAULT_SIZES = "4,8,16,32,64";
 const SETTLE_MS = 10_000;
 const SAMPLE_MS = 20_000;
-/** Daemons started at once. */
-const BATCH = 8;
-const START_ATTEMPTS = 5;
 /** Ticks a second of the processor times that the system tells. */
 const TICKS_PER_SECOND = 100;
 const PAGE_BYTES = 4096;
@@ -92,10 +90,7 @@
     env: { DEBUG: "" },
   });
   try {
-    for (let started = 0; started < members; started += BATCH) {
-      const batch = Math.min(BATCH, members - started);
-      await startBatch(cluster, started, batch);
-    }
+    await startDaemons(cluster, members);
     await sleep(SETTLE_MS);
     const before = await readAll(cluster);
     const from = performance.now();
@@ -108,27 +103,6 @@
   }
 }
 
-async function startBatch(
-  cluster: Cluster,
-  from: number,
-  count: number,
-): Promise<void> {
-  for (let i = from; i < from + count; i++) await cluster.addDaemon(`vm-${i}`);
-  await Promise.all(cluster.daemons.slice(from).map(started));
-}
-
-// A port chosen for a daemon may be taken by a connection before it listens.
-async function started(daemon: Daemon): Promise<void> {
-  for (let attempt = 1;; attempt++) {
-    try {
-      return await daemon.ready();
-    } catch (error) {
-      if (attempt === START_ATTEMPTS || daemon.pid !== 0) throw error;
-      daemon.start();
-    }
-  }
-}
-
 function readAll(cluster: Cluster): Promise<readonly Reading[]> {
   return Promise.all(cluster.daemons.map(read));
 }
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -64,6 +64,8 @@
 /** First wait before a daemon that refuted is accused again; doubles. */
 const ACCUSE_AGAIN_MS = 5000;
 const MAX_ACCUSE_AGAIN_MS = 60_000;
+/** Most connections from peers, proven or not. */
+const MAX_CONNECTIONS = 4096;
 /** Most names whose ranking is kept. */
 const MAX_RANKINGS = 20_000;
 /** Longest that the start waits for first contact. */
@@ -319,6 +321,7 @@
 
   async #listen(listener: Listener): Promise<void> {
     const server = createServer((socket) => void this.#accept(socket));
+    server.maxConnections = MAX_CONNECTIONS;
     this.#server = server;
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
@@ -654,9 +657,7 @@
       this.#spreading.set(state.member.vm, { state, from });
       const status = Status[state.status].toLowerCase();
       this.#traffic.changed(status);
-      if (state.status !== Status.Alive) {
-        log("member", { vm: state.member.vm, status });
-      }
+      log("member", { vm: state.member.vm, status });
     }
     this.#noticeMembers();
   }
@@ -665,6 +666,11 @@
     if (this.#roster.generation === this.#generation) return;
     this.#generation = this.#roster.generation;
     this.#rankings.clear();
+    for (const known of [this.#accusations, this.#unlike]) {
+      for (const vm of known.keys()) {
+        if (this.#roster.get(vm) === undefined) known.delete(vm);
+      }
+    }
     this.#chooseNeighbours();
     for (const listener of this.#listeners) listener();
   }
