Name daemons that are listed but no members as such

A daemon that is silent for longer than peer_silence_ms is dropped as a member; gone on, it is a member again only some seconds later, and until then nobody can ask it. The command line told such a daemon as "no answer".

How soon a daemon becomes a member again is not changed.

--- a/src/cli/commands_test.ts
+++ b/src/cli/commands_test.ts
@@ -207,7 +207,9 @@
   const { exit, stderr } = await command("apply", folderOf(t, tables()));
   expect(exit).toEqual(Exit.Lagging);
   expect(stderr.includes("vm-1")).toEqual(false);
-  for (const line of ["vm-2: has 0", "vm-3: no answer", "vm-9: no answer"]) {
+  for (
+    const line of ["vm-2: has 0", "vm-3: no answer", "vm-9: listed as live"]
+  ) {
     expect(stderr.includes(line)).toEqual(true);
   }
 });
--- a/src/cli/daemons.ts
+++ b/src/cli/daemons.ts
@@ -32,6 +32,8 @@
   readonly vm: string;
   /** `null` if the daemon did not answer. */
   readonly revision: number | null;
+  /** Whether it is no member, though the platform lists it as live. */
+  readonly missing: boolean;
 }
 
 /** Whether a revision came into force in time. */
@@ -148,9 +150,9 @@
   }
   const behind = answer.val.members
     .filter((member) => member.revision === null || member.revision < revision)
-    .map(({ vm, revision }) => ({ vm, revision }));
+    .map(({ vm, revision }) => ({ vm, revision, missing: false }));
   const missing = (answer.val.missing ?? [])
-    .map((vm) => ({ vm, revision: null }));
+    .map((vm) => ({ vm, revision: null, missing: true }));
   const laggards = [...behind, ...missing];
   return {
     inForce: laggards.length === 0,
--- a/src/cli/edit_operation.ts
+++ b/src/cli/edit_operation.ts
@@ -15,7 +15,7 @@
   type Stamp,
   type Tables,
 } from "../tables/mod.ts";
-import type { Arrival } from "./daemons.ts";
+import type { Arrival, Laggard } from "./daemons.ts";
 import { Exit } from "./exit.ts";
 import {
   type Answer,
@@ -170,12 +170,16 @@
   return [
     `Revision ${revision} is not in force everywhere after ${waitedMs} ms; ` +
     `${daemons} have it, these don't:`,
-    ...laggards.map(({ vm, revision }) =>
-      `  ${vm}: ${revision === null ? "no answer" : `has ${revision}`}`
-    ),
+    ...laggards.map((laggard) => `  ${laggard.vm}: ${stateOf(laggard)}`),
   ];
 }
 
+function stateOf(laggard: Laggard): string {
+  if (laggard.missing) return "listed as live, but no member";
+  const { revision } = laggard;
+  return revision === null ? "no answer" : `has ${revision}`;
+}
+
 function refused(submission: Submission): Answer {
   const { commit, attempt, on } = submission;
   switch (commit.ending) {
