--- a/src/tables/configuration.ts
+++ b/src/tables/configuration.ts
@@ -10,7 +10,7 @@
 import { File, type Problem } from "./problem.ts";
 import { configurationRow, stampRow } from "./schema.ts";
 import type { Configuration } from "./tables.ts";
-import { canonical } from "./toml.ts";
+import { canonical } from "./print.ts";
 
 /** Most bytes of a stored configuration; the service holds no more. */
 export const MAX_CONFIGURATION_BYTES = 1_000_000;
--- a/src/tables/diff.ts
+++ b/src/tables/diff.ts
@@ -6,7 +6,7 @@
 
 import { File } from "./problem.ts";
 import type { Pool, Route, Tables } from "./tables.ts";
-import { canonical } from "./toml.ts";
+import { canonical } from "./print.ts";
 
 /** What happened to a row or to one of its columns. */
 export enum Changed {
--- a/src/tables/mod.ts
+++ b/src/tables/mod.ts
@@ -14,7 +14,8 @@
 } from "./configuration.ts";
 export { checkTables } from "./check.ts";
 export { type Change, Changed, diffTables, printChange } from "./diff.ts";
-export { canonical, parseTables, printTables, sameTables } from "./toml.ts";
+export { parseTables } from "./parse.ts";
+export { canonical, printTables, sameTables } from "./print.ts";
 export { hashKey, newSecret } from "./secret.ts";
 export { File, printProblem, type Problem } from "./problem.ts";
 export {
--- a/src/tables/toml.ts
+++ b/src/tables/parse.ts
@@ -1,28 +1,18 @@
 /**
- * The tables as two TOML files. Rows are named tables, so a name can't stand
- * twice; printing is canonical, so equal tables give equal files.
+ * Reads the tables from two TOML files. Rows are named tables, so a name can't
+ * stand twice.
  *
  * @module
  */
 
-import * as RA from "fp-ts/ReadonlyArray";
-import { contramap, type Ord } from "fp-ts/Ord";
-import * as S from "fp-ts/string";
 import { parse, TomlError } from "smol-toml";
 import { Err, Ok, type Result } from "ts-results";
 import type { z } from "zod";
 import { checkTables } from "./check.ts";
+import { canonical } from "./print.ts";
 import { File, type Problem } from "./problem.ts";
 import { poolRow, routeRow } from "./schema.ts";
-import {
-  type Key,
-  Kind,
-  type Pool,
-  Priority,
-  type Route,
-  type Share,
-  type Tables,
-} from "./tables.ts";
+import { Kind, Priority, type Tables } from "./tables.ts";
 
 type Row = Readonly<Record<string, unknown>>;
 
@@ -112,45 +102,6 @@
   return problems.length > 0 ? Err(problems) : Ok(tables);
 }
 
-/** Both files as text; parsing them gives the canonical tables again. */
-export function printTables(
-  tables: Tables,
-): { readonly routes: string; readonly pools: string } {
-  const { routes, pools } = canonical(tables);
-  return {
-    routes: routes.map(printRoute).join("\n"),
-    pools: pools.map(printPool).join("\n"),
-  };
-}
-
-/** The tables with their rows and lists in order of name. */
-export function canonical(tables: Tables): Tables {
-  return {
-    routes: RA.sort(byName)(tables.routes.map((route) => ({
-      ...route,
-      tenants: RA.sort(byTenant)(route.tenants),
-      keys: RA.sort(byId)(route.keys),
-    }))),
-    pools: RA.sort(byName)(tables.pools.map((pool) => ({
-      ...pool,
-      availabilityZones: RA.sort(S.Ord)(pool.availabilityZones),
-    }))),
-  };
-}
-
-/** Whether two tables differ in nothing but order. */
-export function sameTables(a: Tables, b: Tables): boolean {
-  const left = printTables(a);
-  const right = printTables(b);
-  return left.routes === right.routes && left.pools === right.pools;
-}
-
-const byName: Ord<{ readonly name: string }> = contramap(
-  (row: { readonly name: string }) => row.name,
-)(S.Ord);
-const byTenant: Ord<Share> = contramap((share: Share) => share.tenant)(S.Ord);
-const byId: Ord<Key> = contramap((key: Key) => key.id)(S.Ord);
-
 interface Reading<T> {
   readonly rows: readonly T[];
   readonly problems: readonly Problem[];
@@ -348,49 +299,3 @@
 function redacted(text: string): string {
   return text.replace(SECRET, "tw_...");
 }
-
-// Every printed string matches one of the schema's patterns, none of which
-// admits a character that TOML would have escaped.
-
-function printRoute(route: Route): string {
-  const lines = [
-    `[routes.${route.name}]`,
-    `kind = "${route.kind}"`,
-    ...(route.model === "" ? [] : [`model = "${route.model}"`]),
-    ...(route.path === "" ? [] : [`path = "${route.path}"`]),
-    `pool = "${route.pool}"`,
-    `priority = "${route.priority}"`,
-    `open = ${route.open}`,
-    `repeatable = ${route.repeatable}`,
-    `deadline_ms = ${route.deadlineMs}`,
-    `max_body_bytes = ${route.maxBodyBytes}`,
-    `staleness_bound = ${route.stalenessBound}`,
-  ];
-  if (route.tenants.length > 0) lines.push("", "[routes.NAME.tenants]");
-  lines.push(
-    ...route.tenants.map((share) => `${share.tenant} = ${share.weight}`),
-  );
-  if (route.keys.length > 0) lines.push("", "[routes.NAME.keys]");
-  lines.push(
-    ...route.keys.map((key) =>
-      `${key.id} = { tenant = "${key.tenant}", sha256 = "${key.sha256}" }`
-    ),
-  );
-  return lines.join("\n").replaceAll("routes.NAME", `routes.${route.name}`) +
-    "\n";
-}
-
-function printPool(pool: Pool): string {
-  const zones = pool.availabilityZones.map((zone) => `"${zone}"`);
-  const lines = [
-    `[pools.${pool.name}]`,
-    ...(pool.model === "" ? [] : [`model = "${pool.model}"`]),
-    `min_upstreams = ${pool.minUpstreams}`,
-    `max_upstreams = ${pool.maxUpstreams}`,
-    `reclaimable_share = ${pool.reclaimableShare}`,
-    `availability_zones = [${zones.join(", ")}]`,
-    `slots = ${pool.slots}`,
-    `fenced = ${pool.fenced}`,
-  ];
-  return lines.join("\n") + "\n";
-}
