Show that the check of the chain rejects what it should

Change: src/cli/chain_test.ts seeds a gap, a fork, a doubled edit, a wrong winner and a returned key.

--- /dev/null
+++ b/src/cli/chain_test.ts
@@ -0,0 +1,63 @@
+import { expect } from "earl";
+import { some } from "fp-ts/Option";
+import { test } from "node:test";
+import { key, route, tables } from "../../stand_ins/builders.ts";
+import type { Entry } from "../platform/mod.ts";
+import type { Configuration } from "../tables/mod.ts";
+import { checkChain, returnedKeys } from "./chain.ts";
+import { ARCHIVE_PREFIX, Ending } from "./revisions.ts";
+
+function revision(
+  number: number,
+  fields: Partial<Configuration> = {},
+): Configuration {
+  return {
+    revision: number,
+    attempt: `a${number}`,
+    author: "",
+    note: "",
+    at: "2026-12-04T00:00:00.000Z",
+    tables: tables(),
+    ...fields,
+  };
+}
+
+function stored(...chain: readonly Configuration[]): readonly Entry[] {
+  return chain.map((one, at) => ({
+    key: `${ARCHIVE_PREFIX}${at}`,
+    value: JSON.stringify(one),
+    revision: at + 1,
+  }));
+}
+
+test("a gap, a doubled edit and two edits of one revision are found", () => {
+  const good = stored(revision(1), revision(2));
+  expect(checkChain(good, [])).toEqual([]);
+  const gap = stored(revision(1), revision(3));
+  expect(checkChain(gap, []).length).toEqual(1);
+  const doubled = stored(revision(1), revision(2, { attempt: "a1" }));
+  expect(checkChain(doubled, []).length).toEqual(1);
+  const forked = stored(revision(1), revision(2), revision(2, { note: "x" }));
+  expect(checkChain(forked, []).length).toBeGreaterThanOrEqual(1);
+});
+
+test("a wrong winner is found", () => {
+  const chain = stored(revision(1), revision(2), revision(3));
+  const told = (winner: Configuration) => [{
+    attempt: "mine",
+    on: 1,
+    ending: Ending.Lost,
+    winner: some(winner),
+  }];
+  expect(checkChain(chain, told(revision(2)))).toEqual([]);
+  expect(checkChain(chain, told(revision(3))).length).toEqual(1);
+});
+
+test("a withdrawn key that comes back is found", () => {
+  const held = tables();
+  const without = tables({ routes: [route({ keys: [key("k2", "one")] })] });
+  const kept = stored(revision(1), revision(2, { tables: without }));
+  expect(returnedKeys(kept)).toEqual([]);
+  const back = revision(3, { tables: held });
+  expect(returnedKeys([...kept, ...stored(back)]).length).toEqual(1);
+});
