--- a/src/tables/tables_test.ts
+++ b/src/tables/tables_test.ts
@@ -1,5 +1,7 @@
 import { expect } from "earl";
 import fc from "fast-check";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
 import { test } from "node:test";
 import {
   canonical,
@@ -196,6 +198,17 @@
   ]);
 });
 
+test("the example of the operators' page is in order", () => {
+  const page = join(__dirname, "../../../docs/operators/tables.md");
+  const lines = readFileSync(page, "utf8").split("\n")
+    .filter((line) => line.startsWith("    "))
+    .map((line) => line.trim());
+  const text = lines.join("\n");
+  const [before, after] = text.split("# routes.toml");
+  expect(problems(after, before)).toEqual([]);
+  expect(parseTables(after, before).unwrap().routes.length).toEqual(3);
+});
+
 test("a key pasted in place of its hash is not repeated", () => {
   const found = problems(routes.replace(hashKey("secret"), "tw_aBc123"));
   expect(found.length).toEqual(1);
