--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -24,6 +24,7 @@
 import { type Demand, Outcome, type Permit } from "./mod.ts";
 import { type Quarantine, Suspicion } from "./quarantine.ts";
 import { pickShard } from "./pick.ts";
+import { thinned } from "./prefixes.ts";
 import type { Summaries } from "./summaries.ts";
 import type { Uses } from "./uses.ts";
 
@@ -155,7 +156,7 @@
       shard: shard.name,
       ticket,
       availabilityZone: this.#peers.self.availabilityZone,
-      demand,
+      demand: { ...demand, prefixes: thinned(demand.prefixes) },
       findings: finding === undefined ? [] : [finding],
       insist,
     }, { timeoutMs: demand.remainingMs + ANSWER_MARGIN_MS, signal });
--- a/src/dispatch/hosting.ts
+++ b/src/dispatch/hosting.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { createHash } from "node:crypto";
 import { type Kernel, type Log, logger } from "../kernel/mod.ts";
 import type { Member, Peers } from "../peers/mod.ts";
 import { Fault, type Target } from "../platform/mod.ts";
@@ -156,7 +157,7 @@
       id,
       keeper: new Keeper({
         clock: this.#kernel.clock,
-        prefix: `${id}.`,
+        prefix: `${shortened(id)}.`,
         quarantine: this.#quarantine,
         headroom: new Headroom(),
         warm: false,
@@ -295,6 +296,11 @@
   }
 }
 
+/** Eight characters that tell keepers apart; permits' ids travel often. */
+function shortened(id: string): string {
+  return createHash("sha256").update(id).digest("base64url").slice(0, 8);
+}
+
 function reported({ upstream, inFlight, foreign, load }: Candidate) {
   return {
     id: upstream.id,
--- a/src/dispatch/prefixes.ts
+++ b/src/dispatch/prefixes.ts
@@ -16,6 +16,21 @@
 /** Trust won back with each event that follows its predecessor. */
 const RECOVERY = 0.02;
 
+/** Blocks up to which one in 1, 2, 4 and 8 is kept by `thinned`. */
+const THINNING = [8, 16, 32, Infinity] as const;
+
+/**
+ * Fewer of a prompt's prefixes, the later the sparser, for messages. Which
+ * ones are kept depends on their place only, so that prompts that begin alike
+ * keep the same ones.
+ */
+export function thinned(prefixes: readonly string[]): readonly string[] {
+  return prefixes.filter((_, index) => {
+    const step = 2 ** THINNING.findIndex((end) => index < end);
+    return (index + 1) % step === 0;
+  });
+}
+
 /** A bounded model of one upstream's prefix memory. */
 export class Prefixes {
   /** Prefixes, the least recently used first. */
--- a/src/dispatch/prefixes_test.ts
+++ b/src/dispatch/prefixes_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { test } from "node:test";
-import { Prefixes } from "./prefixes.ts";
+import { Prefixes, thinned } from "./prefixes.ts";
 
 test("the overlap is the leading part that is held", () => {
   const prefixes = new Prefixes();
@@ -17,3 +17,11 @@
   expect(prefixes.trust).toBeLessThan(0.7);
   expect(prefixes.overlap(["b"])).toEqual(prefixes.trust);
 });
+
+test("prompts that begin alike keep the same prefixes", () => {
+  const blocks = Array.from({ length: 64 }, (_, index) => `${index + 1}`);
+  const long = thinned(blocks);
+  const short = thinned(blocks.slice(0, 20));
+  expect(long.length).toEqual(20);
+  expect(long.slice(0, short.length)).toEqual([...short]);
+});
