Dispatch: quarantine outlives a daemon's restart

Neighbours took the killed daemon, which came back under the same VM id, for one that had been told already, so it kept its old shard without knowing what was quarantined.

A keeper that takes a shard over is told all findings together with the permits in use, before it grants anything.

--- a/src/dispatch/crash_test.ts
+++ b/src/dispatch/crash_test.ts
@@ -90,3 +90,21 @@
     expect(third.err && third.val.reason).toEqual(Reason.Quarantined);
     expect(fallen.size).toEqual(2);
   }));
+
+test("a daemon that starts anew knows what is quarantined", () =>
+  cluster(async (made, [one]) => {
+    for (let resend = 0; resend < 2; resend++) {
+      const permit = await granted(one, { fingerprint: "bad" });
+      crash(made, permit.target.id, [permit]);
+      await pause(0);
+    }
+    const fresh = made.add("e4");
+    await made.nodes.get("e4")?.start();
+    for (const index of [0, 1, 2, 3]) {
+      const keeper = made.keeperOf(`shard/lm/${index}`);
+      for (const id of ["e2", "e3"]) if (keeper === id) made.lose(id);
+    }
+    await pause(50);
+    const given = await fresh.acquire(demand({ fingerprint: "bad" }), idle);
+    expect(given.err && given.val.reason).toEqual(Reason.Quarantined);
+  }));
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -80,7 +80,7 @@
   readonly #hosting: Hosting;
   readonly #uses: Uses;
   readonly #entry: Entry;
-  readonly #offers = new Offers();
+  readonly #offers: Offers;
   readonly #abort = new AbortController();
   readonly #refusals: Counter<"reason">;
   readonly #retries: Counter<"reason">;
@@ -98,7 +98,9 @@
     this.#peers = kernel.get(peersKey);
     this.#config = kernel.get(configKey);
     this.#quarantine = new Quarantine({ clock: kernel.clock });
-    this.#summaries = new Summaries({ clock: kernel.clock });
+    const heard = { clock: kernel.clock, peers: this.#peers };
+    this.#summaries = new Summaries(heard);
+    this.#offers = new Offers(heard);
     const shared = {
       kernel,
       clock: kernel.clock,
@@ -264,7 +266,11 @@
       },
       [Message.Holdings]: (body) => {
         const { shard } = shardBody.parse(body);
-        return answer({ shard, holdings: this.#uses.held(shard) });
+        return answer({
+          shard,
+          holdings: this.#uses.held(shard),
+          findings: this.#quarantine.findings(),
+        });
       },
       [Message.Pressure]: (body) => {
         const { shard } = shardBody.parse(body);
@@ -337,9 +343,6 @@
     this.#uses.setFleet(this.#fleet);
     this.#entry.setFleet(this.#fleet);
     this.#hosting.assign(this.#fleet);
-    const peers = new Set(this.#peers.members().map(({ vm }) => vm));
-    this.#summaries.retain(peers);
-    this.#offers.retain(peers);
   }
 
   #publish(): void {
--- a/src/dispatch/hosting.ts
+++ b/src/dispatch/hosting.ts
@@ -13,7 +13,7 @@
 import type { Fleet, Shard } from "./fleet.ts";
 import { Headroom } from "./headroom.ts";
 import { Keeper } from "./keeper.ts";
-import { type Held, holdingsBody, Message } from "./messages.ts";
+import { type Held, holdingsAnswer, Message } from "./messages.ts";
 import type { Quarantine } from "./quarantine.ts";
 import type { Elsewhere } from "./queue.ts";
 import { elsewhereOf, type Summaries } from "./summaries.ts";
@@ -218,8 +218,11 @@
     );
     // A daemon that doesn't answer tells with its next renewal.
     if (answer.err) return;
-    const parsed = holdingsBody.safeParse(answer.val);
-    if (parsed.success) this.adopt(host.shard, member.vm, parsed.data.holdings);
+    const parsed = holdingsAnswer.safeParse(answer.val);
+    if (!parsed.success) return;
+    const { holdings, findings } = parsed.data;
+    for (const finding of findings) this.#quarantine.merge(finding);
+    this.adopt(host.shard, member.vm, holdings);
   }
 
   /** Takes over permits that `entry` holds. */
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -22,7 +22,7 @@
   Renew = "dispatch.renew",
   /** Tells a keeper of permits that it doesn't know. */
   Adopt = "dispatch.adopt",
-  /** Asks a daemon which permits of a shard it holds. */
+  /** Asks a daemon which permits of a shard it holds, and its findings. */
   Holdings = "dispatch.holdings",
   /** Asks a keeper how busy its shard is. */
   Pressure = "dispatch.pressure",
@@ -131,12 +131,17 @@
   demand,
 });
 
-/** Body of `Message.Adopt` and answer to `Message.Holdings`. */
+/** Body of `Message.Adopt`. */
 export const holdingsBody = z.object({
   shard: z.string(),
   holdings: z.array(held),
 });
 
+/** Answer to `Message.Holdings`: all that a new keeper has to know. */
+export const holdingsAnswer = holdingsBody.extend({
+  findings: z.array(finding),
+});
+
 /** A permit as its holder tells of it. */
 export type Held = z.infer<typeof held>;
 
--- a/src/dispatch/summaries.ts
+++ b/src/dispatch/summaries.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Clock, GossipSection } from "../kernel/mod.ts";
+import type { Peers } from "../peers/mod.ts";
 import { summariesBody, type Summary } from "./messages.ts";
 import { Offers } from "./offers.ts";
 import type { Elsewhere, Presence } from "./queue.ts";
@@ -22,10 +23,11 @@
 export class Summaries implements GossipSection {
   readonly #clock: Clock;
   readonly #kept = new Map<string, Kept>();
-  readonly #offers = new Offers();
+  readonly #offers: Offers;
 
-  constructor(options: { clock: Clock }) {
+  constructor(options: { clock: Clock; peers: Peers }) {
     this.#clock = options.clock;
+    this.#offers = new Offers(options);
   }
 
   /** Replaces what a keeper of this daemon tells. */
@@ -61,11 +63,6 @@
     }
   }
 
-  /** Forgets what was offered to peers that are gone. */
-  retain(peers: ReadonlySet<string>): void {
-    this.#offers.retain(peers);
-  }
-
   #forget(): void {
     const now = this.#clock.now();
     for (const [keeper, { at }] of this.#kept) {
