--- a/experiments/forward_cost.ts
+++ b/experiments/forward_cost.ts
@@ -33,6 +33,8 @@
 const WARM_MS = 1_000;
 const ROUNDS = 3;
 const TICKS_PER_SECOND = 100;
+/** Where processor profiles go, as with `PROFILE=gateway`. */
+const PROFILES = ".runs/profiles";
 const FORGET_MS = 50;
 const SETTLE_MS = 2_000;
 const TOKENS = 40;
@@ -187,7 +189,7 @@
 
 function start(role: string, ...args: string[]): Promise<Part> {
   const execArgv = process.env.PROFILE === role
-    ? ["--cpu-prof", "--cpu-prof-dir=/tmp/profiles"]
+    ? ["--cpu-prof", `--cpu-prof-dir=${PROFILES}`]
     : [];
   const child = fork(__filename, [role, ...args], { execArgv });
   return new Promise((resolve) => {
@@ -345,6 +347,7 @@
     }
     console.log(JSON.stringify({ runMs: RUN_MS, rows }, null, 2));
   } finally {
+    await Promise.all(cluster.daemons.map((daemon) => daemon.terminate()));
     await cluster.stop();
     for (const { child } of [upstream, bare, gateway]) child?.disconnect();
   }
--- a/src/gateway/resume.ts
+++ b/src/gateway/resume.ts
@@ -147,7 +147,8 @@
       const final = once && end.verdict === Verdict.MayHaveRun;
       return final ? { ...end, retried: false } : end;
     } finally {
-      abort.abort();
+      // A stream that came to its finish has nothing left to cancel.
+      if (outcome !== Outcome.Served) abort.abort();
       bound.signal.removeEventListener("abort", stop);
       permit.leaving.removeEventListener("abort", move);
       permit.release(outcome, progress.tokens - before);
