Steps: counts kept as samples change

Cause: starting or settling a sample walked over the whole step (next sample, mean length, staleness), so a step's cost grew with the square of its samples. Ruled out: the copies of slots (the same number at each size). Change: a board keeps samples by stage and group; staleness is looked at where it can change.

--- a/src/steps/step.ts
+++ b/src/steps/step.ts
@@ -14,20 +14,11 @@
 import type { Generation } from "../platform/mod.ts";
 import { blocksOf } from "../platform/prefixes.ts";
 import type { Priority } from "../tables/mod.ts";
+import { Board, type Slot, Stage } from "./board.ts";
 import { Bitmap } from "./cursor.ts";
 import { EMPTY_SAMPLE, extend, oldestVersion, type Sample } from "./sample.ts";
-import { type GroupRecord, LongestFirst, type Sequence } from "./sequence.ts";
-import { type Position, positions, type Spec, stepName } from "./spec.ts";
-
-/** Where one sample of a step stands. */
-export enum Stage {
-  Pending = "pending",
-  Running = "running",
-  /** Whole, and not known to have reached the trainer. */
-  Whole = "whole",
-  /** In the trainer's hands, as its cursor says. */
-  Held = "held",
-}
+import { LongestFirst, type Sequence } from "./sequence.ts";
+import { type Position, type Spec, stepName } from "./spec.ts";
 
 /** A whole sample with its place in the step. */
 export interface Delivery extends Position {
@@ -69,13 +60,6 @@
   readonly waste: Waste;
 }
 
-interface Slot extends Position {
-  readonly number: number;
-  readonly stage: Stage;
-  readonly sample: Sample;
-  readonly run?: AbortController;
-}
-
 const MIN_BACKOFF_MS = 100;
 
 /** A step that this daemon owns. */
@@ -88,7 +72,7 @@
   readonly #sequence: Sequence;
   readonly #concurrency: () => number;
   readonly #refused: (refusal: Refusal) => void;
-  #slots: Slot[];
+  readonly #board: Board;
   #held: Bitmap;
   #version: number;
   #running = 0;
@@ -123,11 +107,11 @@
     this.#held = options.held ?? new Bitmap();
     this.#version = options.version ?? options.spec.version;
     this.touchedAt = options.clock.now();
-    this.#slots = initialSlots(
-      options.spec,
-      this.#held,
-      new Map(options.samples ?? []),
-    );
+    this.#board = new Board({
+      spec: options.spec,
+      held: this.#held,
+      samples: new Map(options.samples ?? []),
+    });
   }
 
   /** Starts as many samples as may run now. */
@@ -144,18 +128,19 @@
   /** Takes in what the trainer holds and which version it trains on. */
   acknowledge(held: Bitmap, version: number): void {
     this.touchedAt = this.#clock.now();
+    const newer = version > this.#version;
     this.#version = Math.max(this.#version, version);
     this.#held = held;
-    for (const slot of this.#slots) {
+    for (const slot of this.#board.slots) {
       const holds = held.has(slot.number);
       if (slot.stage !== Stage.Held && holds) this.#hold(slot);
       // The cursor is the truth: a trainer restored from an older checkpoint
       // no longer holds what an earlier cursor named.
       if (slot.stage === Stage.Held && !holds) {
-        this.#update(slot.number, { stage: Stage.Pending });
+        this.#board.update(slot.number, { stage: Stage.Pending });
       }
     }
-    this.#dropStale();
+    if (newer) { for (const slot of this.#board.slots) this.#dropStale(slot); }
     this.fill();
   }
 
@@ -167,8 +152,7 @@
   ready(limits: { max: number; maxBytes: number }): readonly Delivery[] {
     const ready: Delivery[] = [];
     let bytes = 0;
-    for (const { number, group, index, sample, stage } of this.#slots) {
-      if (stage !== Stage.Whole) continue;
+    for (const { number, group, index, sample } of this.#board.whole()) {
       bytes += sample.text.length;
       if (ready.length > 0 && bytes > limits.maxBytes) break;
       ready.push({ number, group, index, sample });
@@ -179,7 +163,7 @@
 
   /** Whether the trainer holds every sample. */
   get complete(): boolean {
-    return this.#slots.every((slot) => slot.stage === Stage.Held);
+    return this.#board.count(Stage.Held) === this.#board.size;
   }
 
   /** Whether this owner has ended its work on the step. */
@@ -189,14 +173,12 @@
 
   /** How far the step is. */
   get progress(): Progress {
-    const count = (stage: Stage) =>
-      this.#slots.filter((slot) => slot.stage === stage).length;
     return {
-      total: this.#slots.length,
-      held: count(Stage.Held),
-      whole: count(Stage.Whole),
-      running: count(Stage.Running),
-      pending: count(Stage.Pending),
+      total: this.#board.size,
+      held: this.#board.count(Stage.Held),
+      whole: this.#board.count(Stage.Whole),
+      running: this.#board.count(Stage.Running),
+      pending: this.#board.count(Stage.Pending),
       waste: this.#waste,
     };
   }
@@ -213,13 +195,13 @@
   /** Ends all runs; what was generated so far stays in the state. */
   stop(): void {
     this.#stopped = true;
-    for (const slot of this.#slots) slot.run?.abort();
+    for (const slot of this.#board.slots) slot.run?.abort();
     this.#wake();
   }
 
   /** What a successor needs to go on without generating anything again. */
   get state(): StepState {
-    const samples = this.#slots
+    const samples = this.#board.slots
       .filter((slot) => slot.stage !== Stage.Held && slot.sample.tokens > 0)
       .map((slot) => [slot.number, slot.sample] as const);
     return {
@@ -231,27 +213,22 @@
   }
 
   #nextSlot(): Slot | undefined {
-    const started = this.#slots.find((slot) =>
-      slot.stage === Stage.Pending && slot.sample.tokens > 0
-    );
-    if (started !== undefined) return started;
-    const records = groupRecords(this.#slots);
+    const begun = this.#board.begun();
+    if (begun !== undefined) return begun;
+    const records = this.#board.records();
     if (records.length === 0) return undefined;
-    const group = this.#sequence.next(records).group;
-    return this.#slots.find((slot) =>
-      slot.stage === Stage.Pending && slot.group === group
-    );
+    return this.#board.pending(this.#sequence.next(records).group);
   }
 
   async #produce(slot: Slot): Promise<void> {
     if (slot.sample.tokens >= this.spec.maxTokens) {
       const sample = { ...slot.sample, finishReason: "length" };
-      this.#update(slot.number, { stage: Stage.Whole, sample });
+      this.#board.update(slot.number, { stage: Stage.Whole, sample });
       return this.#wake();
     }
     const run = new AbortController();
     this.#running++;
-    this.#update(slot.number, { stage: Stage.Running, run });
+    this.#board.update(slot.number, { stage: Stage.Running, run });
     const failure = await this.#generate(slot, run.signal);
     this.#running--;
     this.#settle(slot.number, run, failure);
@@ -269,8 +246,8 @@
     for await (const item of chunks) {
       if (item.err) return item.val;
       if (signal.aborted) return undefined;
-      const sample = extend(this.#slots[slot.number].sample, item.val);
-      this.#update(slot.number, { sample });
+      const sample = extend(this.#board.slot(slot.number).sample, item.val);
+      this.#board.update(slot.number, { sample });
     }
     return undefined;
   }
@@ -280,16 +257,16 @@
     run: AbortController,
     failure: Refusal | undefined,
   ): void {
-    const slot = this.#slots[number];
+    const slot = this.#board.slot(number);
     if (slot.run !== run) return;
     const whole = slot.sample.finishReason !== "";
-    this.#update(number, {
+    this.#board.update(number, {
       stage: whole ? Stage.Whole : Stage.Pending,
       run: undefined,
     });
     if (whole) this.#failures = 0;
     else if (failure !== undefined) this.#backOff(failure);
-    this.#dropStale();
+    this.#dropStale(this.#board.slot(number));
   }
 
   /** One refusal pauses the whole step: its samples ask for the same thing. */
@@ -338,14 +315,11 @@
   }
 
   #expectedOutput(): number {
-    const whole = this.#slots.filter((slot) => slot.stage === Stage.Whole);
-    if (whole.length === 0) return Math.ceil(this.spec.maxTokens / 2);
-    const tokens = whole.reduce((sum, slot) => sum + slot.sample.tokens, 0);
-    return Math.ceil(tokens / whole.length);
+    return Math.ceil(this.#board.meanTokens() ?? this.spec.maxTokens / 2);
   }
 
   #hold(slot: Slot): void {
-    this.#update(slot.number, {
+    this.#board.update(slot.number, {
       stage: Stage.Held,
       sample: EMPTY_SAMPLE,
       run: undefined,
@@ -353,81 +327,24 @@
     slot.run?.abort();
   }
 
-  /** Throws away what the trainer could no longer take. */
-  #dropStale(): void {
+  /** Throws a sample away that the trainer could no longer take. */
+  #dropStale(slot: Slot): void {
+    if (slot.stage === Stage.Held) return;
     const oldest = this.#version - this.spec.stalenessBound;
-    for (const slot of this.#slots) {
-      if (slot.stage === Stage.Held) continue;
-      if (oldestVersion(slot.sample) >= oldest) continue;
-      this.#waste = {
-        staleSamples: this.#waste.staleSamples + 1,
-        staleTokens: this.#waste.staleTokens + slot.sample.tokens,
-      };
-      this.#update(slot.number, {
-        stage: Stage.Pending,
-        sample: EMPTY_SAMPLE,
-        run: undefined,
-      });
-      slot.run?.abort();
-    }
-  }
-
-  #update(number: number, change: Partial<Slot>): void {
-    this.#slots[number] = { ...this.#slots[number], ...change };
+    if (oldestVersion(slot.sample) >= oldest) return;
+    this.#waste = {
+      staleSamples: this.#waste.staleSamples + 1,
+      staleTokens: this.#waste.staleTokens + slot.sample.tokens,
+    };
+    this.#board.update(slot.number, {
+      stage: Stage.Pending,
+      sample: EMPTY_SAMPLE,
+      run: undefined,
+    });
+    slot.run?.abort();
   }
 
   #wake(): void {
     for (const waiter of this.#waiters) waiter();
   }
 }
-
-function initialSlots(
-  spec: Spec,
-  held: Bitmap,
-  samples: ReadonlyMap<number, Sample>,
-): Slot[] {
-  return positions(spec).map((position, number) => {
-    const sample = samples.get(number) ?? EMPTY_SAMPLE;
-    const whole = sample.finishReason !== "";
-    const stage = held.has(number)
-      ? Stage.Held
-      : whole
-      ? Stage.Whole
-      : Stage.Pending;
-    return { ...position, number, stage, sample };
-  });
-}
-
-function groupRecords(slots: readonly Slot[]): readonly GroupRecord[] {
-  const records = new Map<number, GroupRecord>();
-  for (const slot of slots) {
-    const record = records.get(slot.group) ?? emptyRecord(slot.group);
-    records.set(slot.group, addSlot(record, slot));
-  }
-  return [...records.values()].filter((record) => record.pending > 0);
-}
-
-function emptyRecord(group: number): GroupRecord {
-  return { group, pending: 0, whole: 0, wholeTokens: 0, longestRunning: 0 };
-}
-
-function addSlot(record: GroupRecord, slot: Slot): GroupRecord {
-  const { tokens } = slot.sample;
-  switch (slot.stage) {
-    case Stage.Pending:
-      return { ...record, pending: record.pending + 1 };
-    case Stage.Running:
-      return {
-        ...record,
-        longestRunning: Math.max(record.longestRunning, tokens, 1),
-      };
-    case Stage.Whole:
-      return {
-        ...record,
-        whole: record.whole + 1,
-        wholeTokens: record.wholeTokens + tokens,
-      };
-    case Stage.Held:
-      return record;
-  }
-}
