Stand-ins: clusters of two processes draw ports from different ranges

Supposed cause, not shown by a log: a port that was free when one cluster looked was taken by the other before the daemon listened. Ranges by process, below the ports that systems draw for clients, rule that out.

--- a/stand_ins/cluster.ts
+++ b/stand_ins/cluster.ts
@@ -16,7 +16,7 @@
   rmSync,
   writeFileSync,
 } from "node:fs";
-import { type AddressInfo, createServer, type Server } from "node:net";
+import { createServer, type Server } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -383,18 +383,39 @@
 process.on("SIGTERM", () => process.exit(1));
 process.on("SIGINT", () => process.exit(1));
 
-/** Ports that were free a moment ago. */
+/** First of the ports that daemons get, below those that systems draw. */
+const FIRST_PORT = 10_000;
+/** Ports of one process, and processes that have ports of their own. */
+const PORTS_EACH = 200;
+const PORT_RANGES = 100;
+
+let drawn = 0;
+
+/**
+ * Ports that were free a moment ago. Clusters of two processes draw from
+ * different ranges, so that neither takes what the other is about to use.
+ */
 export async function freePorts(count: number): Promise<readonly number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  await Promise.all(servers.map((server) => {
-    server.listen(0, "127.0.0.1");
-    return once(server, "listening");
-  }));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map(closed));
+  const first = FIRST_PORT + (process.pid % PORT_RANGES) * PORTS_EACH;
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = first + drawn++ % PORTS_EACH;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
 
+async function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  server.listen(port, "127.0.0.1");
+  const free = await Promise.race([
+    once(server, "listening").then(() => true),
+    once(server, "error").then(() => false),
+  ]);
+  if (free) await closed(server);
+  return free;
+}
+
 function closed(server: Server): Promise<unknown> {
   const close = once(server, "close");
   server.close();
