Weight swaps: no round waits for a silent engine; three waves

A round waited for each engine it asked, so one silent engine held up all pools for a second each time. Engines are now asked beside the rounds, and only from when their swap may be done, going by recent ones.

--- a/src/orders/charge.ts
+++ b/src/orders/charge.ts
@@ -13,6 +13,7 @@
 
 import { isNone, none, type Option, some } from "fp-ts/Option";
 import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import { z } from "zod";
 import { type Clock, logger } from "../kernel/mod.ts";
 import type { Peers } from "../peers/mod.ts";
@@ -301,6 +302,8 @@
     this.#clock = options.clock;
     this.#outer = options.signal;
     this.#deadline = options.deadline;
+    // Each act under way listens.
+    setMaxListeners(0, this.#cut.signal);
     this.#outer.addEventListener("abort", this.#end, { once: true });
     if (this.#outer.aborted) this.end();
     else this.extend(options.deadline);
--- a/src/orders/orders.ts
+++ b/src/orders/orders.ts
@@ -109,6 +109,7 @@
       this.#repeat(tenure, { everyMs: ORDER_MS, run: () => ordering.round() }),
       this.#repeat(tenure, { everyMs: SWAP_MS, run: () => swapping.round() }),
     ]);
+    await swapping.end();
     this.#tenure = undefined;
     this.#held.set(0);
     this.#orderMeters.clear();
--- a/src/orders/orders_test.ts
+++ b/src/orders/orders_test.ts
@@ -143,7 +143,7 @@
   await bench.stop();
 });
 
-test("new weights reach all upstreams, a third of them at once", async () => {
+test("new weights reach all upstreams, a part of them at once", async () => {
   const bench = new Bench({ upstreams: 6 });
   await bench.start();
   await bench.daemon("one");
--- a/src/orders/swapping.ts
+++ b/src/orders/swapping.ts
@@ -30,6 +30,8 @@
   readonly #meters: SwapMeters;
   readonly #pools = new Map<string, Swaps>();
   readonly #told = new Map<string, { version: number; at: number }>();
+  /** Calls to engines that weren't answered yet, by upstream. */
+  readonly #asked = new Map<string, Promise<unknown>>();
   #latest: ReadonlyMap<string, number> = new Map();
   #vms: readonly Vm[] = [];
   #askedAt = -Infinity;
@@ -53,11 +55,16 @@
     const tables = toUndefined(this.#config.current())?.tables;
     if (tables === undefined || !this.#config.fresh()) return;
     const pools = tables.pools.filter(({ model }) => model !== "");
-    await Promise.all([this.#ask(pools), this.#list()]);
-    await Promise.all(pools.map((pool) => this.#pool(pool)));
+    await Promise.all([this.#look(pools), this.#list()]);
+    for (const pool of pools) this.#pool(pool);
   }
 
-  async #ask(pools: readonly Pool[]): Promise<void> {
+  /** Waits for the engines that were asked something. */
+  async end(): Promise<void> {
+    await Promise.all(this.#asked.values());
+  }
+
+  async #look(pools: readonly Pool[]): Promise<void> {
     const now = this.#clock.now();
     if (now - this.#askedAt < LATEST_MS) return;
     this.#askedAt = now;
@@ -89,7 +96,7 @@
     this.#vms = vms.val;
   }
 
-  async #pool(pool: Pool): Promise<void> {
+  #pool(pool: Pool): void {
     const latest = this.#latest.get(pool.model) ?? 0;
     if (latest === 0) return;
     const swaps = this.#pools.get(pool.name) ?? new Swaps();
@@ -98,17 +105,35 @@
       vm.role === Role.Upstream && vm.pool === pool.name &&
       vm.standing === Standing.Live
     );
-    const pending = vms.filter(({ id }) => swaps.pending.includes(id));
-    await Promise.all(pending.map((vm) => this.#tell(vm)));
     this.#settle(swaps, { pool, upstreams: this.#versions(pool, vms) });
     const due = swaps.due(this.#versions(pool, vms), {
       latest,
       now: this.#clock.now(),
     });
-    const chosen = vms.filter(({ id }) => due.includes(id));
-    await Promise.all(
-      chosen.map((vm) => this.#swap(swaps, { vm, pool, version: latest })),
-    );
+    const awaited = new Set(swaps.awaited(this.#clock.now()));
+    for (const vm of vms) {
+      if (awaited.has(vm.id)) this.#ask(vm, () => this.#tell(vm));
+      if (!due.includes(vm.id) || this.#asked.has(vm.id)) continue;
+      const swap = { vm, pool, version: latest };
+      swaps.started(vm.id, { version: latest, now: this.#clock.now() });
+      this.#ask(vm, () => this.#swap(swaps, swap));
+    }
+  }
+
+  /** Asks something of an engine, unless it didn't answer to the last yet. */
+  #ask({ id }: Vm, ask: () => Promise<unknown>): void {
+    if (this.#asked.has(id)) return;
+    const answered = ask()
+      .catch((error) => this.#fail(error))
+      .finally(() => this.#asked.delete(id));
+    this.#asked.set(id, answered);
+  }
+
+  // Not a call's failure, which is a value: a fault of this daemon. The swap
+  // gets overdue and is tried again.
+  #fail(error: unknown): void {
+    this.#meters.swaps.inc({ outcome: "internal" });
+    log("failed", { error: String(error) });
   }
 
   #settle(
@@ -130,7 +155,7 @@
     // What the keeper told lags: the engine itself says if it is behind.
     const current = await this.#tell(vm);
     if (current === undefined) return swaps.failed(vm.id, this.#clock.now());
-    if (current >= version) return;
+    if (current >= version) return swaps.forget(vm.id);
     const { model } = pool;
     const { term } = this.#tenure;
     const answer = await this.#tenure.act((signal) =>
@@ -141,16 +166,14 @@
         signal,
       })
     );
-    if (isNone(answer)) return;
-    const now = this.#clock.now();
+    if (isNone(answer)) return swaps.forget(vm.id);
     const { value } = answer;
     this.#meters.swaps.inc({
       outcome: value.err ? `order_${value.val.fault}` : "ordered",
     });
     // Without an answer the engine may load it: what it tells next decides.
     const started = value.ok || value.val.fault === Fault.Unknown;
-    if (started) swaps.started(vm.id, { version, now });
-    else swaps.failed(vm.id, now);
+    if (!started) swaps.failed(vm.id, this.#clock.now());
   }
 
   /** Asks an engine for its version. */
--- a/src/orders/swaps.ts
+++ b/src/orders/swaps.ts
@@ -6,13 +6,15 @@
  */
 
 /** Part of a pool's upstreams that load weights at once. */
-const FRACTION = 1 / 3;
+const FRACTION = 0.35;
 /** Bounds on the time after which a swap counts as failed. */
 const MIN_TIMEOUT_MS = 5000;
 const FIRST_TIMEOUT_MS = 30_000;
 const MAX_TIMEOUT_MS = 120_000;
 /** A swap may take this many times the longest recent one. */
 const TIMEOUT_FACTOR = 3;
+/** An engine is asked after this part of the shortest recent swap. */
+const AWAIT_FACTOR = 0.8;
 const RECENT_SWAPS = 16;
 const MIN_RETRY_MS = 500;
 const MAX_RETRY_MS = 30_000;
@@ -56,6 +58,16 @@
     return [...this.#pending.keys()];
   }
 
+  /** Upstreams whose swap may be done by now, going by recent ones. */
+  awaited(now: number): readonly string[] {
+    const soonestMs = this.#durations.length === 0
+      ? 0
+      : Math.min(...this.#durations) * AWAIT_FACTOR;
+    return [...this.#pending]
+      .filter(([, { at }]) => now - at >= soonestMs)
+      .map(([id]) => id);
+  }
+
   /** Ends swaps that are done or overdue; answers with their ends. */
   settle(
     upstreams: readonly Versioned[],
@@ -97,6 +109,11 @@
     this.#pending = new Map([...this.#pending, [id, { version, at: now }]]);
   }
 
+  /** Notes that a swap wasn't needed, or wasn't ordered. */
+  forget(id: string): void {
+    this.#pending = without(this.#pending, id);
+  }
+
   /** Notes that a swap failed, or couldn't be ordered. */
   failed(id: string, now: number): void {
     const failures = (this.#retries.get(id)?.failures ?? 0) + 1;
--- a/src/orders/swaps_test.ts
+++ b/src/orders/swaps_test.ts
@@ -18,7 +18,7 @@
   return due;
 }
 
-test("a third of a pool swaps at once, the furthest behind first", () => {
+test("a part of a pool swaps at once, the furthest behind first", () => {
   const swaps = new Swaps();
   const all = upstreams(2, 1, 2, 2, 1, 2);
   expect(start(swaps, all, { latest: 3, now: 0 })).toEqual(["u1", "u4"]);
@@ -67,6 +67,16 @@
   expect(tries).toEqual([0, 500, 1500, 3500, 7500, 15_500]);
 });
 
+test("an engine is asked when its swap may be done", () => {
+  const swaps = new Swaps();
+  start(swaps, upstreams(1, 1), { latest: 2, now: 0 });
+  expect(swaps.awaited(0)).toEqual(["u0"]);
+  swaps.settle(upstreams(2, 1), 1000);
+  start(swaps, upstreams(2, 1), { latest: 2, now: 1000 });
+  expect(swaps.awaited(1799)).toEqual([]);
+  expect(swaps.awaited(1800)).toEqual(["u1"]);
+});
+
 test("an upstream that is gone ends its swap", () => {
   const swaps = new Swaps();
   start(swaps, upstreams(1, 1), { latest: 2, now: 0 });
--- a/src/platform/http_engine.ts
+++ b/src/platform/http_engine.ts
@@ -33,7 +33,7 @@
 /** An unused connection is closed after this time. */
 const IDLE_TIMEOUT_MS = 4000;
 /** Connections to an upstream that wasn't used for this time are dropped. */
-const FORGET_MS = 60_000;
+const FORGET_MS = 15_000;
 const MAX_EVENT_CHARS = 1 << 20;
 
 const load = z.object({
@@ -59,6 +59,7 @@
   readonly #silenceMs: number;
   readonly #clock: Clock;
   readonly #upstreams = new Map<string, Upstream>();
+  #forgotAt = -Infinity;
 
   constructor(options: { silenceMs?: number; clock?: Clock } = {}) {
     super();
@@ -174,14 +175,13 @@
     const known = this.#upstreams.get(address);
     const upstream = known ?? new Upstream(address);
     upstream.usedAt = now;
-    if (known === undefined) {
-      this.#forget(now);
-      this.#upstreams.set(address, upstream);
-    }
+    if (known === undefined) this.#upstreams.set(address, upstream);
+    if (now - this.#forgotAt > FORGET_MS) this.#forget(now);
     return upstream;
   }
 
   #forget(now: number): void {
+    this.#forgotAt = now;
     for (const [address, upstream] of this.#upstreams) {
       if (now - upstream.usedAt < FORGET_MS) continue;
       this.#upstreams.delete(address);
@@ -195,18 +195,19 @@
   usedAt = 0;
   readonly endpoint: Endpoint;
   readonly #origin: string;
-  #pool: Pool;
+  /** Made with the first generation: many daemons only read loads. */
+  #pool: Pool | undefined;
 
   constructor(address: string) {
     this.#origin = `http://${address}`;
     this.endpoint = new Endpoint({ url: this.#origin });
-    this.#pool = this.#connect();
   }
 
   send(
     generation: Generation,
     signal: AbortSignal,
   ): Promise<Dispatcher.ResponseData> {
+    this.#pool ??= this.#connect();
     return this.#pool.request({
       method: "POST",
       path: "/v1/completions",
@@ -229,18 +230,18 @@
   /** New requests get new connections; running ones end on theirs. */
   renew(): void {
     const old = this.#pool;
-    this.#pool = this.#connect();
-    old.close().catch(() => old.destroy());
+    this.#pool = undefined;
+    old?.close().catch(() => old.destroy());
   }
 
   /** Closes once running requests ended. */
   close(): void {
-    this.#pool.close().catch(() => this.#pool.destroy());
+    this.renew();
     this.endpoint.close().catch(() => {});
   }
 
   async destroy(): Promise<void> {
-    await Promise.all([this.#pool.destroy(), this.endpoint.close()]);
+    await Promise.all([this.#pool?.destroy(), this.endpoint.close()]);
   }
 
   // Streams are bounded by `Stream`, not by the library's own timers.
