--- a/src/claims/log.ts
+++ b/src/claims/log.ts
@@ -105,6 +105,7 @@
   #queue: Waiting[] = [];
   #flight: Flight | undefined;
   #loaded = false;
+  #loading: Promise<boolean> | undefined;
   /** The number that the next segment gets. */
   #next = 1;
   #seq = 0;
@@ -172,6 +173,13 @@
     this.#add(record);
   }
 
+  /** Reads the log ahead of the first claim. */
+  async prepare(): Promise<void> {
+    if (this.#loaded) return;
+    // What fails here is tried again, and told, by the first claim.
+    await this.#load().catch(() => false);
+  }
+
   /** What is known of an id, other daemons' writes included. */
   async find(id: string): Promise<Result<O.Option<Found>, Refusal>> {
     if (!await this.#read()) return Err(PLATFORM_DOWN);
@@ -405,8 +413,13 @@
     }
   }
 
-  /** Reads the whole ring. */
-  async #load(): Promise<boolean> {
+  /** Reads the whole ring; whoever asks meanwhile shares the reading. */
+  #load(): Promise<boolean> {
+    this.#loading ??= this.#readRing().finally(() => this.#loading = undefined);
+    return this.#loading;
+  }
+
+  async #readRing(): Promise<boolean> {
     const found = new Map<number, { segment: Segment; revision: number }>();
     let after = "";
     for (;;) {
--- a/src/claims/logged_claims.ts
+++ b/src/claims/logged_claims.ts
@@ -131,7 +131,7 @@
   }
 
   override start(): Promise<void> {
-    this.#removeListener = this.#peers.onChange(() => this.#dropLost());
+    this.#removeListener = this.#peers.onChange(() => this.#reassign());
     return Promise.resolve();
   }
 
@@ -282,11 +282,15 @@
     return made;
   }
 
-  /** Forgets shards that others own now, once nothing of them waits here. */
-  #dropLost() {
+  /** Forgets what others own now, and reads what this daemon has won. */
+  #reassign() {
     const { vm } = this.#peers.self;
-    for (const [shard, { idle }] of this.#logs) {
-      if (idle && this.#ownerOf(shard) !== vm) this.#logs.delete(shard);
+    const settled = this.#peers.settled();
+    for (let shard = 0; shard < SHARDS; shard++) {
+      const owned = this.#ownerOf(shard) === vm;
+      const known = this.#logs.get(shard);
+      if (owned && settled) void this.#log(shard).prepare();
+      else if (!owned && known?.idle) this.#logs.delete(shard);
     }
   }
 }
--- a/src/gateway/completions_test.ts
+++ b/src/gateway/completions_test.ts
@@ -114,9 +114,7 @@
     engine.scripts = [
       async function* (generation, signal) {
         yield Ok(chunk(generation, "one "));
-        const { leaving } = dispatch;
-        dispatch.leaving = new AbortController();
-        leaving.abort();
+        dispatch.leaving.abort();
         expect(signal.aborted).toEqual(true);
         yield* failing(EngineFault.Cancelled)(generation, signal);
       },
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -172,6 +172,7 @@
   refusal: Refusal | undefined;
   readonly demands: Demand[] = [];
   readonly released: { target: string; outcome: Outcome }[] = [];
+  /** Of the permit that was granted last. */
   leaving = new AbortController();
 
   acquire(demand: Demand): Promise<Result<Permit, Refusal>> {
@@ -180,6 +181,7 @@
     const target = this.targets
       .find(({ id }) => !demand.exclude.includes(id));
     if (target === undefined) return Promise.resolve(Err(NO_UPSTREAM));
+    this.leaving = new AbortController();
     const { signal } = this.leaving;
     const release = (outcome: Outcome) => {
       this.released.push({ target: target.id, outcome });
