Bench: load and measurement of running daemons

Open-loop load by seeded Poisson arrivals, steps through the trainers' client, latency histograms, refusals by reason and verdict, goodput by tenant and window, idle time of trainers, compare and plot. A closed loop was ruled out: it slows down with the system and hides what callers wait; times count from when a request was due.

--- /dev/null
+++ b/src/bench/arrivals.ts
@@ -0,0 +1,70 @@
+/**
+ * When a caller's requests are sent and what they say. Both depend on the
+ * seed and the plan only, so that two runs send the same load.
+ *
+ * @module
+ */
+
+import type { Burst, CallerPlan } from "./plan.ts";
+import { Random } from "./random.ts";
+
+/** A request of the schedule. */
+export interface Arrival {
+  /** Time after the start of the run. */
+  readonly atMs: number;
+  readonly prompt: string;
+  readonly seed: number;
+}
+
+const MAX_SEED = 2 ** 31;
+
+/**
+ * The requests of a caller: a Poisson process whose rate changes with the
+ * bursts, drawn at the highest rate and thinned.
+ */
+export function* arrivals(
+  plan: CallerPlan,
+  seed: number,
+  options: { seconds: number },
+): Generator<Arrival, void, void> {
+  const random = new Random({ seed });
+  const factors = plan.bursts.map(({ factor }) => factor);
+  const highest = Math.max(1, ...factors);
+  const meanMs = 1000 / (plan.ratePerS * highest);
+  const endMs = options.seconds * 1000;
+  let atMs = random.exponential(meanMs);
+  for (let n = 0; atMs < endMs; n++) {
+    const kept = random.next() * highest < factorAt(plan.bursts, atMs);
+    if (kept) yield { atMs, ...content(plan, random, `${seed}/${n}`) };
+    atMs += random.exponential(meanMs);
+  }
+}
+
+/** What the rate is multiplied by at a time of the run. */
+export function factorAt(bursts: readonly Burst[], atMs: number): number {
+  const burst = bursts.find(({ fromS, toS }) =>
+    fromS * 1000 <= atMs && atMs < toS * 1000
+  );
+  return burst?.factor ?? 1;
+}
+
+function content(
+  plan: CallerPlan,
+  random: Random,
+  name: string,
+): Omit<Arrival, "atMs"> {
+  const prefix = `${plan.name} ${random.below(plan.prefixes)}`;
+  const shared = filled(prefix, plan.sharedChars);
+  const own = filled(name, plan.promptChars - shared.length);
+  return {
+    prompt: `${plan.instruction}${shared}${own}`,
+    seed: random.below(MAX_SEED),
+  };
+}
+
+/** `chars` characters that tell `name` over and over. */
+export function filled(name: string, chars: number): string {
+  const length = Math.max(0, chars);
+  return `${name} `.repeat(Math.ceil(length / (name.length + 1)))
+    .slice(0, length);
+}
--- /dev/null
+++ b/src/bench/compare.ts
@@ -0,0 +1,86 @@
+/**
+ * Two result files side by side, and one as a chart.
+ *
+ * @module
+ */
+
+import type { Report, TenantReport, TrainerReport } from "./report.ts";
+
+/** A figure of two runs. */
+export interface Difference {
+  readonly figure: string;
+  readonly a: number;
+  readonly b: number;
+}
+
+/** The headline figures of a run, by name. */
+export function figures(report: Report): ReadonlyMap<string, number> {
+  const callers = report.callers.flatMap((caller) => {
+    const figure = (name: string, value: number) =>
+      [`${caller.name} ${name}`, value] as const;
+    return [
+      figure("sent", caller.sent),
+      figure("answered", caller.answered),
+      figure("first token p50 ms", caller.firstToken.p50),
+      figure("first token p99 ms", caller.firstToken.p99),
+      figure("whole answer p50 ms", caller.wholeAnswer.p50),
+      figure("whole answer p99 ms", caller.wholeAnswer.p99),
+      figure("refusal p99 ms", caller.refusal.p99),
+      ...caller.refusals.map(({ reason, verdict, count }) =>
+        figure(`refused ${reason} (${verdict})`, count)
+      ),
+    ];
+  });
+  const tenants = report.tenants.map((tenant) =>
+    [`tenant ${tenant.tenant} tokens`, tokensOf(tenant)] as const
+  );
+  const trainers = report.trainers.flatMap((trainer) => [
+    [`trainer ${trainer.name} steps`, wholeSteps(trainer).length] as const,
+    [`trainer ${trainer.name} idle ms per step`, meanIdle(trainer)] as const,
+  ]);
+  return new Map([...callers, ...tenants, ...trainers]);
+}
+
+/** Each figure that either run has; what a run lacks counts as 0. */
+export function differences(a: Report, b: Report): readonly Difference[] {
+  const [left, right] = [figures(a), figures(b)];
+  const names = [...new Set([...left.keys(), ...right.keys()])];
+  return names.map((figure) => ({
+    figure,
+    a: left.get(figure) ?? 0,
+    b: right.get(figure) ?? 0,
+  }));
+}
+
+/** The differences as a table of text. */
+export function printDifferences(rows: readonly Difference[]): string {
+  const width = Math.max(6, ...rows.map(({ figure }) => figure.length));
+  const line = (cells: readonly string[]) =>
+    cells.map((cell, at) => at === 0 ? cell.padEnd(width) : cell.padStart(12))
+      .join(" ");
+  const body = rows.map(({ figure, a, b }) =>
+    line([figure, String(a), String(b), change(a, b)])
+  );
+  return [line(["figure", "A", "B", "change"]), ...body, ""].join("\n");
+}
+
+function change(a: number, b: number): string {
+  if (a === b) return "0.0 %";
+  if (a === 0) return "new";
+  const percent = (100 * (b - a) / a).toFixed(1);
+  return `${b > a ? "+" : ""}${percent} %`;
+}
+
+function tokensOf(tenant: TenantReport): number {
+  return tenant.windows.reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
+function wholeSteps(trainer: TrainerReport) {
+  return trainer.steps.filter(({ whole }) => whole);
+}
+
+function meanIdle(trainer: TrainerReport): number {
+  const steps = wholeSteps(trainer);
+  const total = steps.reduce((sum, { idleMs }) => sum + idleMs, 0);
+  return steps.length === 0 ? 0 : Math.round(total / steps.length);
+}
--- /dev/null
+++ b/src/bench/load.ts
@@ -0,0 +1,157 @@
+/**
+ * Open-loop load of one caller: requests go out at their times whether or not
+ * earlier ones were answered. Times count from when a request was due, so a
+ * late send is not hidden.
+ *
+ * @module
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import { Agent, request } from "undici";
+import { type Arrival, arrivals } from "./arrivals.ts";
+import type { CallerPlan } from "./plan.ts";
+import type { CallerTally, Timing } from "./report.ts";
+
+const CONNECTIONS = 1024;
+const REQUEST_TIMEOUT_MS = 60_000;
+
+/** Sends a caller's requests and tallies what comes back. */
+export class Load {
+  readonly #entries: readonly string[];
+  readonly #plan: CallerPlan;
+  readonly #tally: CallerTally;
+  readonly #sendLag: Timing;
+  readonly #agent = new Agent({ connections: CONNECTIONS, pipelining: 1 });
+  readonly #pending = new Set<Promise<void>>();
+  #next = 0;
+
+  constructor(options: {
+    entries: readonly string[];
+    plan: CallerPlan;
+    tally: CallerTally;
+    sendLag: Timing;
+  }) {
+    this.#plan = options.plan;
+    this.#tally = options.tally;
+    this.#sendLag = options.sendLag;
+    const { entry } = options.plan;
+    this.#entries = entry === undefined
+      ? options.entries
+      : [options.entries[entry % options.entries.length]];
+  }
+
+  /** Resolves when all requests have ended. */
+  async run(seed: number, options: { seconds: number }): Promise<void> {
+    const start = performance.now();
+    for (const arrival of arrivals(this.#plan, seed, options)) {
+      const aheadMs = start + arrival.atMs - performance.now();
+      if (aheadMs > 0) await sleep(aheadMs);
+      this.#sendLag.add(performance.now() - start - arrival.atMs);
+      this.#track(this.#send(arrival, start));
+    }
+    await Promise.all(this.#pending);
+    await this.#agent.destroy();
+  }
+
+  #track(task: Promise<void>): void {
+    const tracked = task.finally(() => this.#pending.delete(tracked));
+    this.#pending.add(tracked);
+  }
+
+  async #send(arrival: Arrival, start: number): Promise<void> {
+    const due = start + arrival.atMs;
+    this.#tally.sent();
+    try {
+      const response = await this.#request(arrival);
+      const onFirst = () => this.#tally.began(performance.now() - due);
+      const { stream } = this.#plan;
+      const answer = stream && response.statusCode === 200
+        ? await readStream(response.body, onFirst)
+        : readWhole(response.statusCode, await response.body.text());
+      const now = performance.now();
+      if ("tokens" in answer) {
+        const end = { endMs: now - start, tokens: answer.tokens };
+        this.#tally.answered(now - due, end);
+      } else this.#tally.refused(now - due, answer);
+    } catch {
+      const why = { reason: "connection_lost", verdict: "unknown" };
+      this.#tally.refused(performance.now() - due, why);
+    }
+  }
+
+  #request({ prompt, seed }: Arrival) {
+    const { key, model, outputTokens, stream } = this.#plan;
+    const entry = this.#entries[this.#next++ % this.#entries.length];
+    const authorization = key === "" ? {} : { authorization: `Bearer ${key}` };
+    return request(`${entry}/v1/completions`, {
+      method: "POST",
+      headers: { "content-type": "application/json", ...authorization },
+      body: JSON.stringify({
+        model,
+        prompt,
+        seed,
+        max_tokens: outputTokens,
+        stream,
+        ...stream && { stream_options: { include_usage: true } },
+      }),
+      dispatcher: this.#agent,
+      signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+    });
+  }
+}
+
+/** How a request ended. */
+export type Answer =
+  | { readonly tokens: number }
+  | { readonly reason: string; readonly verdict: string };
+
+interface Event {
+  readonly choices?: readonly { readonly text?: string }[];
+  readonly usage?: { readonly completion_tokens: number } | null;
+  readonly error?: { readonly reason: string; readonly verdict: string };
+}
+
+const CUT: Answer = { reason: "cut", verdict: "unknown" };
+
+/** Reads an answer that is not streamed. */
+export function readWhole(status: number, text: string): Answer {
+  const { error, usage } = parseEvent(text);
+  if (error) return { reason: error.reason, verdict: error.verdict };
+  if (status !== 200) return { reason: `http_${status}`, verdict: "unknown" };
+  return usage ? { tokens: usage.completion_tokens } : CUT;
+}
+
+/** Reads server-sent events up to `[DONE]`; without it, the answer was cut. */
+export async function readStream(
+  body: AsyncIterable<Uint8Array>,
+  onFirst: () => void,
+): Promise<Answer> {
+  const decoder = new TextDecoder();
+  let rest = "";
+  let began = false;
+  let tokens = 0;
+  for await (const part of body) {
+    const lines = (rest + decoder.decode(part, { stream: true })).split("\n");
+    rest = lines.pop() ?? "";
+    for (const line of lines) {
+      if (!line.startsWith("data: ")) continue;
+      const data = line.slice("data: ".length);
+      if (data === "[DONE]") return { tokens };
+      const { choices, usage, error } = parseEvent(data);
+      if (error) return { reason: error.reason, verdict: error.verdict };
+      if (usage) tokens = usage.completion_tokens;
+      if (began || !choices?.[0]?.text) continue;
+      began = true;
+      onFirst();
+    }
+  }
+  return CUT;
+}
+
+function parseEvent(text: string): Event {
+  try {
+    return JSON.parse(text) as Event;
+  } catch {
+    return {};
+  }
+}
--- /dev/null
+++ b/src/bench/plot.ts
@@ -0,0 +1,65 @@
+/**
+ * A chart of a run: each tenant's goodput by window, as SVG.
+ *
+ * @module
+ */
+
+import type { Report } from "./report.ts";
+
+const WIDTH = 640;
+const HEIGHT = 320;
+const MARGIN = 56;
+const COLOURS = ["#1b6ca8", "#c0392b", "#2e8b57", "#8e44ad", "#d68910"];
+
+/** Goodput in tokens per second, a line for each tenant. */
+export function plotGoodput(report: Report): string {
+  const perS = report.tenants.map(({ tenant, windows }) => ({
+    tenant,
+    values: windows.map(({ tokens }) => tokens * 1000 / report.windowMs),
+  }));
+  const highest = Math.max(1, ...perS.flatMap(({ values }) => values));
+  const lines = perS.map(({ tenant, values }, at) => {
+    const colour = COLOURS[at % COLOURS.length];
+    const points = values.map((value, n) =>
+      `${x(n, values.length)},${y(value / highest)}`
+    );
+    const label = text(WIDTH - MARGIN + 4, MARGIN + 16 * at, tenant);
+    return `<polyline fill="none" stroke="${colour}" stroke-width="2" ` +
+      `points="${points.join(" ")}"/><g fill="${colour}">${label}</g>`;
+  });
+  const scale = [0, 0.5, 1].map((part) =>
+    text(4, y(part), (part * highest).toFixed(0))
+  );
+  const seconds = text(WIDTH / 2, HEIGHT - 12, `0 to ${report.seconds} s`);
+  const title = text(MARGIN, 20, "Tokens of whole answers per second");
+  return [
+    `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" ` +
+    `height="${HEIGHT}" font-family="sans-serif" font-size="12">`,
+    `<path fill="none" stroke="#888" d="M${MARGIN},${MARGIN / 2}V${y(0)}` +
+    `H${WIDTH - MARGIN}"/>`,
+    title,
+    seconds,
+    ...scale,
+    ...lines,
+    "</svg>",
+    "",
+  ].join("\n");
+}
+
+function x(n: number, count: number): string {
+  const span = WIDTH - 2 * MARGIN;
+  return (MARGIN + span * n / Math.max(1, count - 1)).toFixed(1);
+}
+
+function y(part: number): string {
+  const span = HEIGHT - 1.5 * MARGIN;
+  return (HEIGHT - MARGIN - span * part).toFixed(1);
+}
+
+function text(left: number, top: number | string, words: string): string {
+  return `<text x="${left}" y="${top}">${escaped(words)}</text>`;
+}
+
+function escaped(words: string): string {
+  return words.replaceAll("&", "&amp;").replaceAll("<", "&lt;");
+}
--- /dev/null
+++ b/src/bench/training.ts
@@ -0,0 +1,111 @@
+/**
+ * A trainer of the bench: one step after the other through the product's own
+ * client, with the time in which it had nothing to train on.
+ *
+ * @module
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import { Trainer, type TrainerSample } from "../steps/mod.ts";
+import type { TrainerStep } from "../steps/trainer.ts";
+import { filled } from "./arrivals.ts";
+import type { TrainerPlan } from "./plan.ts";
+import type { StepReport, TrainerReport } from "./report.ts";
+
+/** Runs a trainer's steps and reports on them. */
+export class Training {
+  readonly #plan: TrainerPlan;
+  readonly #version: () => number;
+  readonly #trainer: Trainer;
+  readonly #retries: Record<string, number> = {};
+  readonly #staleness: Record<string, number> = {};
+  readonly #steps: StepReport[] = [];
+
+  constructor(options: {
+    entries: readonly string[];
+    plan: TrainerPlan;
+    /** The version to name; the plan's by default. */
+    version?: () => number;
+  }) {
+    this.#plan = options.plan;
+    this.#version = options.version ?? (() => options.plan.version);
+    this.#trainer = new Trainer({
+      entries: options.entries,
+      route: options.plan.route,
+      key: options.plan.key,
+      version: this.#version,
+      onRetry: (why) => this.#retries[why] = (this.#retries[why] ?? 0) + 1,
+    });
+  }
+
+  /** Runs steps until `seconds` have passed; the last one may stay partial. */
+  async run(seed: number, options: { seconds: number }): Promise<void> {
+    const signal = AbortSignal.timeout(options.seconds * 1000);
+    for (let n = 0; !signal.aborted; n++) {
+      await this.#run(stepOf(this.#plan, { seed, n }), signal);
+    }
+    await this.#trainer.close();
+  }
+
+  /** The trainer's part of the result. */
+  get report(): TrainerReport {
+    return {
+      name: this.#plan.name,
+      steps: this.#steps,
+      staleness: this.#staleness,
+      retries: this.#retries,
+    };
+  }
+
+  async #run(step: TrainerStep, signal: AbortSignal): Promise<void> {
+    const start = performance.now();
+    let waitingSince = start;
+    let idleMs = 0;
+    let samples: readonly TrainerSample[] = [];
+    let whole = false;
+    for await (const batch of this.#trainer.run(step, signal)) {
+      idleMs += performance.now() - waitingSince;
+      samples = [...samples, ...batch.samples];
+      whole = batch.done;
+      for (const sample of batch.samples) this.#note(sample, batch.version);
+      const workMs = this.#plan.trainMs * batch.samples.length;
+      if (workMs > 0) await sleep(workMs);
+      waitingSince = performance.now();
+    }
+    if (!whole) idleMs += performance.now() - waitingSince;
+    this.#steps.push({
+      totalMs: Math.round(performance.now() - start),
+      idleMs: Math.round(idleMs),
+      samples: samples.length,
+      tokens: samples.reduce((sum, { tokens }) => sum + tokens, 0),
+      whole,
+    });
+  }
+
+  #note(sample: TrainerSample, version: number): void {
+    const oldest = sample.versions.map((span) => span.version);
+    const age = version - Math.min(version, ...oldest);
+    this.#staleness[age] = (this.#staleness[age] ?? 0) + 1;
+  }
+}
+
+/** The step number `n` of a trainer. */
+export function stepOf(
+  plan: TrainerPlan,
+  options: { seed: number; n: number },
+): TrainerStep {
+  const { seed, n } = options;
+  const groups = Array.from({ length: plan.groups }, (_, group) => {
+    const instruction = plan.instructions[group % plan.instructions.length];
+    const text = filled(`${plan.name} ${seed}/${n}/${group}`, plan.promptChars);
+    return { prompt: `${instruction}${text}`, samples: plan.samples };
+  });
+  return {
+    // A new run must not meet the steps that an earlier one left.
+    step: `${plan.name}-${seed}-${process.pid}-${Date.now()}-${n}`,
+    groups,
+    max_tokens: plan.maxTokens,
+    seed: seed * 1_000 + n,
+    staleness_bound: plan.stalenessBound,
+  };
+}
--- /dev/null
+++ b/src/bin/toucanwind_bench.ts
@@ -0,0 +1,113 @@
+#!/usr/bin/env node
+/**
+ * The bench: `toucanwind-bench run`, `compare` and `plot`.
+ *
+ * Exit codes: 0 when done, 1 for an internal error, 2 for a bad command line
+ * or plan.
+ *
+ * @module
+ */
+
+import { Builtins, Cli, Command, Option } from "clipanion";
+import { readFileSync, writeFileSync } from "node:fs";
+import {
+  differences,
+  parsePlan,
+  plotGoodput,
+  printDifferences,
+  type Report,
+  runBench,
+} from "../bench/mod.ts";
+
+enum Exit {
+  Done = 0,
+  Usage = 2,
+}
+
+class Run extends Command {
+  static override paths = [["run"]];
+  static override usage = Command.Usage({
+    description: "Sends the load of a plan and writes what it measured",
+  });
+
+  entries = Option.String("--entries", {
+    required: true,
+    description: "Base URLs of entries, by comma",
+  });
+  plan = Option.String("--plan", {
+    required: true,
+    description: "The plan, TOML",
+  });
+  seed = Option.String("--seed", "1", { description: "Seed of all draws" });
+  seconds = Option.String("--seconds", "60", { description: "Length of load" });
+  out = Option.String("--out", {
+    required: true,
+    description: "The result file",
+  });
+
+  async execute(): Promise<number> {
+    const plan = parsePlan(readFileSync(this.plan, "utf8"));
+    const seed = Number(this.seed);
+    const seconds = Number(this.seconds);
+    if (plan.err) return this.#usage(plan.val);
+    if (!Number.isInteger(seed)) return this.#usage(`Bad seed "${this.seed}"`);
+    if (!(seconds > 0)) return this.#usage(`Bad seconds "${this.seconds}"`);
+    const entries = this.entries.split(",").filter((entry) => entry !== "");
+    const report = await runBench(plan.val, entries, { seed, seconds });
+    writeFileSync(this.out, JSON.stringify(report, null, 1) + "\n");
+    return Exit.Done;
+  }
+
+  #usage(problem: string): number {
+    this.context.stderr.write(`${problem}\n`);
+    return Exit.Usage;
+  }
+}
+
+class Compare extends Command {
+  static override paths = [["compare"]];
+  static override usage = Command.Usage({
+    description: "Prints the figures of two result files and their change",
+  });
+
+  a = Option.String();
+  b = Option.String();
+
+  execute(): Promise<number> {
+    const rows = differences(readReport(this.a), readReport(this.b));
+    this.context.stdout.write(printDifferences(rows));
+    return Promise.resolve(Exit.Done);
+  }
+}
+
+class Plot extends Command {
+  static override paths = [["plot"]];
+  static override usage = Command.Usage({
+    description: "Draws goodput by tenant over time",
+  });
+
+  file = Option.String();
+  svg = Option.String("--svg", {
+    required: true,
+    description: "The SVG file to write",
+  });
+
+  execute(): Promise<number> {
+    writeFileSync(this.svg, plotGoodput(readReport(this.file)));
+    return Promise.resolve(Exit.Done);
+  }
+}
+
+function readReport(file: string): Report {
+  return JSON.parse(readFileSync(file, "utf8")) as Report;
+}
+
+const cli = new Cli({ binaryName: "toucanwind-bench" });
+cli.register(Builtins.HelpCommand);
+cli.register(Run);
+cli.register(Compare);
+cli.register(Plot);
+
+cli.run(process.argv.slice(2), Cli.defaultContext).then((code) => {
+  process.exitCode = code;
+});
