Engines are asked for the pool's model, with one scale of priorities

Cause: the gateway passed on the model name of the route, steps that of the pool, so two routes of different priority to one pool could not both be served by engines that know one name; and steps sent priority 0, below their class. Test first: the engine was asked for the route's name. Now it is asked for the pool's, and steps use the same scale of priorities as callers.

--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -22,6 +22,8 @@
   /** The key as presented; never leaves this daemon. */
   readonly key: O.Option<string>;
   readonly weight: number;
+  /** What the route's pool serves; routes may name it otherwise. */
+  readonly model: string;
   /** On the monotonic clock. */
   readonly deadlineAt: number;
 }
@@ -55,6 +57,8 @@
     if (repeatsKey(request, key)) return Err(KEY_REPEATED);
     const length = Number(request.headers["content-length"] ?? 0);
     if (length > route.maxBodyBytes) return Err(TOO_LARGE);
+    const pool = configuration.value.tables.pools
+      .find(({ name }) => name === route.pool);
     const share = route.tenants
       .find(({ tenant }) => tenant === caller.val.tenant);
     return Ok({
@@ -63,6 +67,7 @@
       caller: caller.val,
       key,
       weight: share?.weight ?? 1,
+      model: pool?.model ?? "",
       deadlineAt: this.#kernel.clock.now() + allowedMs(request, route),
     });
   }
--- a/src/gateway/completions.ts
+++ b/src/gateway/completions.ts
@@ -24,7 +24,7 @@
 } from "../kernel/mod.ts";
 import type { Chunk, Generation } from "../platform/mod.ts";
 import { blocksOf } from "../platform/prefixes.ts";
-import { Kind, Priority, type Route } from "../tables/mod.ts";
+import { Kind, type Route } from "../tables/mod.ts";
 import { type Usage, usageKey } from "../usage/mod.ts";
 import {
   Admission,
@@ -34,6 +34,7 @@
   WITHDRAWN,
 } from "./admission.ts";
 import {
+  ENGINE_PRIORITY,
   type Gateway,
   gatewayKey,
   type Generator,
@@ -48,14 +49,6 @@
 const JSON_TYPE = "application/json; charset=utf-8";
 const MAX_SEED = 2 ** 31;
 
-/** What an engine is told of a route's priority; higher runs first. */
-const ENGINE_PRIORITY: Readonly<Record<Priority, number>> = {
-  [Priority.Interactive]: 3,
-  [Priority.Standard]: 2,
-  [Priority.Training]: 1,
-  [Priority.Batch]: 0,
-};
-
 /** Options that would change the answer and are not offered. */
 const NOT_OFFERED = {
   n: z.literal(1).nullish(),
@@ -533,7 +526,7 @@
 function generationOf({ ask, admitted }: Answer): Generation {
   return {
     id: admitted.id,
-    model: ask.model,
+    model: admitted.model,
     prompt: ask.prompt,
     resume: "",
     maxTokens: ask.maxTokens,
--- a/src/gateway/completions_test.ts
+++ b/src/gateway/completions_test.ts
@@ -62,6 +62,14 @@
   });
 });
 
+test("an engine is asked for its pool's model, whatever the route's", async () => {
+  await withGateway({}, async (fixture) => {
+    await told(ask(fixture));
+    expect(fixture.engine.generations.map(({ model }) => model))
+      .toEqual(["model"]);
+  });
+});
+
 test("a chat takes its key from x-api-key too", async () => {
   await withGateway({}, async (fixture) => {
     const headers = { authorization: "", "x-api-key": KEY };
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -62,6 +62,7 @@
 import { HttpGateway } from "./http_gateway.ts";
 import { gatewayKey, generatorKey } from "./mod.ts";
 import { Generate } from "./resume.ts";
+import { pool } from "../../stand_ins/builders.ts";
 
 /** A model route, with what a test changes. */
 export function modelRoute(changes: Partial<Route> = {}): Route {
@@ -161,7 +162,7 @@
       author: "",
       note: "",
       at: "",
-      tables: { routes: this.#routes, pools: [] },
+      tables: { routes: this.#routes, pools: [pool({ name: "appraise" })] },
     };
   }
 }
--- a/src/gateway/generate.ts
+++ b/src/gateway/generate.ts
@@ -8,6 +8,7 @@
 import { Plugin, PluginKey, type Refusal } from "../kernel/mod.ts";
 import type { Chunk, Generation } from "../platform/mod.ts";
 import type { Demand } from "../dispatch/mod.ts";
+import { Priority } from "../tables/mod.ts";
 
 /** Runs generations; used for callers' requests and for samples. */
 export abstract class Generator extends Plugin {
@@ -27,3 +28,11 @@
 
 /** The key of the generator plug-in. */
 export const generatorKey = new PluginKey<Generator>("generator");
+
+/** What an engine is told of a route's priority; higher runs first. */
+export const ENGINE_PRIORITY: Readonly<Record<Priority, number>> = {
+  [Priority.Interactive]: 3,
+  [Priority.Standard]: 2,
+  [Priority.Training]: 1,
+  [Priority.Batch]: 0,
+};
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -7,7 +7,7 @@
 import type { FastifyInstance, FastifyReply } from "fastify";
 import { Plugin, PluginKey, type Refusal } from "../kernel/mod.ts";
 
-export { Generator, generatorKey } from "./generate.ts";
+export { ENGINE_PRIORITY, Generator, generatorKey } from "./generate.ts";
 export { type RefusalBody, refusalBody, statusOf } from "./refusal.ts";
 
 /** The HTTP server; plug-ins add their routes in their `start`. */
--- a/src/steps/step.ts
+++ b/src/steps/step.ts
@@ -10,7 +10,7 @@
 import { randomUUID } from "node:crypto";
 import type { Clock, Refusal } from "../kernel/mod.ts";
 import type { Demand } from "../dispatch/mod.ts";
-import type { Generator } from "../gateway/generate.ts";
+import { ENGINE_PRIORITY, type Generator } from "../gateway/generate.ts";
 import type { Generation } from "../platform/mod.ts";
 import { blocksOf } from "../platform/prefixes.ts";
 import type { Priority } from "../tables/mod.ts";
@@ -292,7 +292,7 @@
       maxTokens: this.spec.maxTokens - slot.sample.tokens,
       temperature: this.spec.temperature,
       seed: this.spec.seed + slot.number,
-      priority: 0,
+      priority: ENGINE_PRIORITY[this.terms.priority],
     };
   }
 
