--- a/proofs/checkers_test.ts
+++ b/proofs/checkers_test.ts
@@ -13,6 +13,7 @@
 } from "./platform.ts";
 import {
   atMostOnce,
+  gracefulShutdown,
   keySecrecy,
   notRun,
   ownKey,
@@ -142,6 +143,13 @@
   expect(wholeAnswer([asked(1, { id: "a" }), cut]).length).toEqual(1);
 });
 
+test("graceful shutdown: a cut and a refused request are found", () => {
+  const cut = at(1, "cut", { id: "a", why: "reset", clean: false });
+  const refused = at(2, "refused", { id: "b", reason: "draining" });
+  const unrelated = at(3, "refused", { id: "c", reason: "no_key" });
+  expect(gracefulShutdown([cut, refused, unrelated]).length).toEqual(2);
+});
+
 test("not run: a run of a refused request is found", () => {
   const refused = at(3, "refused", { id: "a", verdict: "not run" });
   const ran = at(2, "ran", { path: "/x/[req:a]", idempotencyKey: "" });
--- a/proofs/requests.ts
+++ b/proofs/requests.ts
@@ -155,17 +155,26 @@
   );
 }
 
+/** What has nothing to do with a restart. */
+const UNRELATED = new Set([
+  "tenant_over_share",
+  "key_withdrawn",
+  "unknown_key",
+  "no_key",
+]);
+
 /** Nothing fails or is cut; meant for runs with graceful restarts only. */
 export function gracefulShutdown(history: History): readonly Violation[] {
   const bad = [
     ...select(history, "cut"),
-    ...select(history, "refused").filter(({ reason }) =>
-      reason !== "tenant_over_share" && reason !== "key_withdrawn"
-    ),
+    ...select(history, "lost"),
+    ...select(history, "refused")
+      .filter(({ reason }) => !UNRELATED.has(reason)),
   ];
   return bad.map((event) => ({
     promise: Promised.GracefulShutdown,
-    message: `Request ${event.id} failed in a graceful restart`,
+    message: `Request ${event.id} failed in a graceful restart: ` +
+      ("why" in event ? event.why : event.reason),
     events: [event],
   }));
 }
--- a/proofs/scenario.ts
+++ b/proofs/scenario.ts
@@ -75,6 +75,8 @@
 const OBSERVE_MS = 300;
 /** How long the trainers' last steps may take after load and faults. */
 const SETTLE_MS = 25_000;
+/** How late the balancer sees that a daemon is not ready any more. */
+const BALANCER_LAG_MS = 500;
 const WINDOW_MS = 2_000;
 const GRACE_MS = 1_000;
 const MODEL = "model";
@@ -125,6 +127,8 @@
   readonly #end = new AbortController();
   readonly #badges: readonly Badge[];
   readonly #tasks = new Set<Promise<unknown>>();
+  /** Daemons that the balancer knows to be away. */
+  readonly #away = new Set<Daemon>();
   #version = 1;
 
   constructor(cluster: Cluster, options: ScenarioOptions) {
@@ -180,7 +184,9 @@
 
   #entry(): string {
     const { daemons } = this.#cluster;
-    const running = daemons.filter((daemon) => daemon.pid !== 0);
+    const running = daemons.filter((daemon) =>
+      daemon.pid !== 0 && !this.#away.has(daemon)
+    );
     const all = running.length > 0 ? running : daemons;
     return all[Math.floor(this.#random.next() * all.length)].url;
   }
@@ -459,9 +465,13 @@
 
   async #restart(daemon: Daemon): Promise<void> {
     if (daemon.pid === 0) return;
-    await daemon.terminate();
+    const ended = daemon.terminate();
+    await sleep(BALANCER_LAG_MS);
+    this.#away.add(daemon);
+    await ended;
     daemon.start();
     await daemon.ready().catch(() => {});
+    this.#away.delete(daemon);
   }
 
   async #platformFault(kind: FaultKind, forMs: number): Promise<void> {
--- a/proofs/scenario_test.ts
+++ b/proofs/scenario_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { test } from "node:test";
+import { gracefulShutdown } from "./requests.ts";
 import { runScenario } from "./scenario.ts";
 import { drawSchedule, Fault } from "./schedule.ts";
 import { verify } from "./verify.ts";
@@ -61,6 +62,24 @@
   expect(await broken({ seed: 5, faults, count: 4, pairs: true })).toEqual([]);
 });
 
+test("a rolling restart of all entries fails and cuts nothing", async () => {
+  const injections = [0, 1, 2, 3].map((n) => ({
+    fault: Fault.RestartEntry,
+    atMs: 500 + 4_000 * n,
+    forMs: 0,
+    target: (n + 0.5) / 4,
+  }));
+  const outcome = await runScenario({ seed: 7, runMs: 18_000, injections });
+  // Before the first answer, no upstream was there yet.
+  const { history } = outcome;
+  const first = history.findIndex(({ kind }) => kind === "answered");
+  const broken = [
+    ...verify(outcome),
+    ...gracefulShutdown(history.slice(first)),
+  ];
+  expect(broken.map(({ message }) => message)).toEqual([]);
+});
+
 test("one poisonous request takes down two upstreams at most", async () => {
   expect(await broken({ seed: 6, faults: [Fault.Poison], count: 1 }))
     .toEqual([]);
