--- a/src/orders/contender_fixture.ts
+++ b/src/orders/contender_fixture.ts
@@ -8,6 +8,7 @@
 import { SystemClock } from "../kernel/mod.ts";
 import { HttpKeyValue } from "../platform/http_key_value.ts";
 import { HttpOrderDesk } from "../platform/http_platform.ts";
+import type { Order } from "../platform/mod.ts";
 import { Charge, type Tenure } from "./charge.ts";
 
 /** Orders under way at once, on as many connections. */
@@ -36,7 +37,10 @@
       term: tenure.term,
       holder: name,
     };
-    await tenure.act((signal) => desk.place(order, signal));
+    await tenure.act((signal) => {
+      const checkedAt = performance.timeOrigin + performance.now();
+      return desk.place({ ...order, checkedAt } as Order, signal);
+    });
     await clock.sleep(1, tenure.signal);
   }
 }
