Checker: leaving counts from when the list can say so

The bound is from the list's saying so; a platform that does not answer says nothing. The checker now counts from the failure's end where one covers the leaving, and is as strict everywhere else.

--- a/proofs/checkers_test.ts
+++ b/proofs/checkers_test.ts
@@ -196,6 +196,18 @@
   expect(leavingUpstream([left, work], 5000)).toEqual([]);
 });
 
+test("leaving upstream: time counts from the end of an outage", () => {
+  const vms = [vm({ id: "e", standing: Standing.Leaving })];
+  const fault = (t: number, phase: "begin" | "end") =>
+    at(t, "fault", { fault: "platform outage", phase });
+  const left = at(1000, "vms", { vms });
+  const outage = [fault(900, "begin"), left, fault(3000, "end")];
+  const work = (t: number) =>
+    at(t, "received", { at: "e", id: "x", prompt: "" });
+  expect(leavingUpstream([...outage, work(5500)], 3000)).toEqual([]);
+  expect(leavingUpstream([...outage, work(6500)], 3000).length).toEqual(1);
+});
+
 test("configuration: a reverted and a late revision are found", () => {
   const options = { boundMs: 6000, daemons: ["d"] };
   const seen = (t: number, revision: number) =>
