--- /dev/null
+++ b/src/peers/handlers.ts
@@ -0,0 +1,73 @@
+/**
+ * The requests from peers that plug-ins answer.
+ *
+ * @module
+ */
+
+import { Err, Ok, type Result } from "ts-results";
+import { type PeerHandler, Reason, Refusal, Verdict } from "../kernel/mod.ts";
+import type { Link } from "./link.ts";
+import { FrameKind } from "./traffic.ts";
+
+/** The handlers of all plug-ins, by the kind of request. */
+export class Handlers {
+  readonly #handlers = new Map<string, PeerHandler>();
+
+  /** Adds a handler; a kind has one only. */
+  add(kind: string, handler: PeerHandler): void {
+    if (this.#handlers.has(kind)) {
+      throw new RangeError(`Peer handler "${kind}" is there twice`);
+    }
+    this.#handlers.set(kind, handler);
+  }
+
+  /** Runs the handler of a request. */
+  async run(
+    kind: string,
+    body: unknown,
+    from: string,
+  ): Promise<Result<unknown, Refusal>> {
+    const handler = this.#handlers.get(kind);
+    if (handler === undefined) return Err(notUnderstood(kind));
+    try {
+      return Ok(await handler(body, from));
+    } catch (error) {
+      return Err(error instanceof Refusal ? error : failed(error));
+    }
+  }
+
+  /** Runs the handler of a request that came over a link, and answers it. */
+  async answer(
+    link: Link,
+    request: { id: number; name: string; body: unknown },
+  ): Promise<void> {
+    const { id, name, body } = request;
+    const answer = await this.run(name, body, link.peer.vm);
+    try {
+      if (answer.ok) {
+        link.send({ kind: FrameKind.Answer, id, body: answer.val });
+        return;
+      }
+      link.send({ kind: FrameKind.Refuse, id, refusal: { ...answer.val } });
+    } catch (error) {
+      // The handler ran, but its answer can't be encoded.
+      link.send({ kind: FrameKind.Refuse, id, refusal: { ...failed(error) } });
+    }
+  }
+}
+
+function notUnderstood(kind: string): Refusal {
+  return new Refusal({
+    verdict: Verdict.NotRun,
+    reason: Reason.PeerFailed,
+    message: `The peer does not know requests of kind "${kind}"`,
+  });
+}
+
+function failed(error: unknown): Refusal {
+  return new Refusal({
+    verdict: Verdict.MayHaveRun,
+    reason: Reason.PeerFailed,
+    message: error instanceof Error ? error.message : String(error),
+  });
+}
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -6,41 +6,30 @@
  * @module
  */
 
-import { setImmediate } from "node:timers/promises";
-import { connect, createServer, type Server, type Socket } from "node:net";
-import { Err, Ok, type Result } from "ts-results";
+import { Err, type Result } from "ts-results";
 import { z } from "zod";
 import {
-  type GossipSection,
   type Kernel,
   logger,
-  type PeerHandler,
-  Reason,
-  Refusal,
+  type Props,
+  type Refusal,
   register,
   Verdict,
 } from "../kernel/mod.ts";
 import { Role, type Vm } from "../platform/mod.ts";
-import type { Listener } from "../settings/mod.ts";
-import { Side } from "./handshake.ts";
-import {
-  cancelled,
-  Link,
-  type Message,
-  openLink,
-  unreachable,
-} from "./link.ts";
+import { Gossip } from "./gossip.ts";
+import { Handlers } from "./handlers.ts";
+import { cancelled, type Link, type Message, unreachable } from "./link.ts";
+import { Links } from "./links.ts";
 import { type Member, Peers, peersKey } from "./mod.ts";
 import { hash, neighbours, rank } from "./rendezvous.ts";
 import { type MemberState, Roster, Status } from "./roster.ts";
-import { Closing, DialFault, FrameKind, Opening, Traffic } from "./traffic.ts";
+import { Closing, FrameKind, Opening, Traffic } from "./traffic.ts";
 import { within } from "./within.ts";
 
 const log = logger("peers");
 
 const TICK_MS = 100;
-/** Longest time for a connection and its handshake. */
-const DIAL_TIMEOUT_MS = 400;
 /** Wait between attempts to reach a lost neighbour. */
 const REDIAL_MS = 250;
 /** Time that a suspect has to refute. */
@@ -49,8 +38,6 @@
 const IDLE_MS = 60_000;
 /** Turns of gossip missed before a proof of life is asked for. */
 const PING_TURNS = 1.5;
-/** Part of a turn after which gossip that was sent early counts as the turn. */
-const EARLY_TURN = 0.7;
 /** Wait that lets changes of members leave in one message. */
 const SPREAD_MS = 10;
 /** How often daemons that are listed or dead are tried. */
@@ -64,8 +51,6 @@
 /** First wait before a daemon that refuted is accused again; doubles. */
 const ACCUSE_AGAIN_MS = 5000;
 const MAX_ACCUSE_AGAIN_MS = 60_000;
-/** Most connections from peers, proven or not. */
-const MAX_CONNECTIONS = 4096;
 /** Most names whose ranking is kept. */
 const MAX_RANKINGS = 20_000;
 /** Longest that the start waits for first contact. */
@@ -109,22 +94,18 @@
   };
   readonly #kernel: Kernel;
   readonly #traffic: Traffic;
-  readonly #handlers = new Map<string, PeerHandler>();
-  readonly #sections = new Map<string, GossipSection>();
-  readonly #links = new Map<string, readonly Link[]>();
-  readonly #dials = new Map<string, Promise<Result<Link, Refusal>>>();
+  readonly #links: Links;
+  readonly #gossip: Gossip;
+  readonly #handlers = new Handlers();
   readonly #keeping = new Map<string, AbortController>();
   readonly #accusations = new Map<string, Accusation>();
   readonly #unlike = new Map<string, number>();
   readonly #listeners = new Set<() => void>();
   readonly #rankings = new Map<string, readonly Member[]>();
-  readonly #sockets = new Set<Socket>();
   readonly #stopping = new AbortController();
-  readonly #poked = new Set<string>();
   readonly #spreading = new Map<string, Change>();
   #listed: ReadonlyMap<string, Vm> = new Map();
   #roster: Roster;
-  #server: Server | undefined;
   #generation = 0;
   #tickedAt = 0;
   #settled = false;
@@ -135,6 +116,18 @@
     this.#kernel = kernel;
     this.#traffic = new Traffic(kernel);
     this.#roster = this.#makeRoster(kernel.settings.peer.port);
+    const digest = () => this.#roster.digest();
+    const use = {
+      addressOf: (vm: string) => this.#addressOf(vm),
+      attend: (link: Link) => this.#attend(link),
+      digest,
+    };
+    this.#links = new Links({ kernel, traffic: this.#traffic, use });
+    this.#gossip = new Gossip({
+      neighbours: () => this.#neighbourLinks(),
+      digest,
+      now: () => this.#now(),
+    });
     const members = kernel.gauge(
       "toucanwind_peer_members",
       "Daemons thought alive, this one included",
@@ -168,13 +161,11 @@
   }): Promise<Result<unknown, Refusal>> {
     if (options.signal?.aborted) return Err(cancelled(Verdict.NotRun));
     if (vm === this.self.vm) return await this.#askSelf(kind, body, options);
-    const ready = this.#linkTo(vm);
-    if (ready !== undefined && this.#heardLately(ready)) {
-      return await ready.ask(kind, body, options);
-    }
+    const ready = this.#links.lately(vm);
+    if (ready !== undefined) return await ready.ask(kind, body, options);
     const deadline = this.#now() + options.timeoutMs;
     const { clock } = this.#kernel;
-    const link = await within(this.#provenLink(vm), { ...options, clock });
+    const link = await within(this.#links.proven(vm), { ...options, clock });
     if (link === undefined) {
       return Err(unreachable(Verdict.NotRun, "The peer can't be reached"));
     }
@@ -191,9 +182,7 @@
   }
 
   override poke(section: string): void {
-    const first = this.#poked.size === 0;
-    this.#poked.add(section);
-    if (first) void this.#gossipPoked();
+    this.#gossip.poke(section);
   }
 
   override settled(): boolean {
@@ -203,10 +192,11 @@
 
   override async start(): Promise<void> {
     for (const [, plugin] of this.#kernel.plugins) this.#serve(plugin.props);
-    await this.#listen(this.#kernel.settings.peer);
+    const port = await this.#links.listen(this.#kernel.settings.peer);
+    this.#roster = this.#makeRoster(port);
     this.#tickedAt = this.#now();
     void this.#tick();
-    void this.#gossip();
+    void this.#takeTurns();
     const contact = this.#seekFirst();
     void contact.then(() => this.#seek());
     await Promise.race([contact, this.#sleep(FIRST_CONTACT_MS)]);
@@ -228,8 +218,7 @@
     this.#flush();
     this.#stopping.abort();
     for (const keep of this.#keeping.values()) keep.abort();
-    for (const link of this.#allLinks()) link.close(Closing.Stopping);
-    await this.#closeServer();
+    await this.#links.stop();
   }
 
   get #timing() {
@@ -258,34 +247,14 @@
     return new Roster({ self, now: this.#now() });
   }
 
-  // Requests from peers
+  // Requests
 
-  #serve(props: {
-    readonly peerHandlers?: Readonly<Record<string, PeerHandler>>;
-    readonly gossip?: Readonly<Record<string, GossipSection>>;
-  }): void {
+  #serve(props: Props): void {
     for (const [kind, handler] of Object.entries(props.peerHandlers ?? {})) {
-      if (this.#handlers.has(kind)) {
-        throw new RangeError(`Peer handler "${kind}" is there twice`);
-      }
-      this.#handlers.set(kind, handler);
+      this.#handlers.add(kind, handler);
     }
     for (const [name, section] of Object.entries(props.gossip ?? {})) {
-      this.#sections.set(name, section);
-    }
-  }
-
-  async #run(
-    kind: string,
-    body: unknown,
-    from: string,
-  ): Promise<Result<unknown, Refusal>> {
-    const handler = this.#handlers.get(kind);
-    if (handler === undefined) return Err(notUnderstood(kind));
-    try {
-      return Ok(await handler(body, from));
-    } catch (error) {
-      return Err(error instanceof Refusal ? error : failed(error));
+      this.#gossip.add(name, section);
     }
   }
 
@@ -293,7 +262,7 @@
     timeoutMs: number;
     signal?: AbortSignal;
   }): Promise<Result<unknown, Refusal>> {
-    const run = this.#run(kind, body, this.self.vm);
+    const run = this.#handlers.run(kind, body, this.self.vm);
     const { clock } = this.#kernel;
     const answer = await within(run, { ...options, clock });
     if (answer !== undefined) return answer;
@@ -303,95 +272,20 @@
     );
   }
 
-  async #answer(link: Link, id: number, name: string, body: unknown) {
-    const answer = await this.#run(name, body, link.peer.vm);
-    try {
-      if (answer.ok) {
-        link.send({ kind: FrameKind.Answer, id, body: answer.val });
-        return;
-      }
-      link.send({ kind: FrameKind.Refuse, id, refusal: { ...answer.val } });
-    } catch (error) {
-      // The handler ran, but its answer can't be encoded.
-      link.send({ kind: FrameKind.Refuse, id, refusal: { ...failed(error) } });
-    }
-  }
-
   // Links
 
-  async #listen(listener: Listener): Promise<void> {
-    const server = createServer((socket) => void this.#accept(socket));
-    server.maxConnections = MAX_CONNECTIONS;
-    this.#server = server;
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(listener.port, listener.host, resolve);
-    });
-    const address = server.address();
-    if (address === null || typeof address === "string") return;
-    this.#roster = this.#makeRoster(address.port);
-  }
-
-  async #closeServer(): Promise<void> {
-    const server = this.#server;
-    if (server === undefined) return;
-    const closed = new Promise<void>((resolve) =>
-      server.close(() => resolve())
-    );
-    const cancel = this.#kernel.clock.after(DIAL_TIMEOUT_MS, () => {
-      for (const socket of this.#sockets) socket.destroy();
-    });
-    await closed;
-    cancel();
-  }
-
-  async #accept(socket: Socket): Promise<void> {
-    try {
-      await this.#open(socket, { opening: Opening.Inbound });
-    } catch {
-      // Whoever it was did not prove itself and nothing ran.
-      this.#traffic.dialFailed(DialFault.Handshake);
-    }
+  // Uses a link until it ends.
+  async #attend(link: Link): Promise<void> {
+    link.send({ kind: FrameKind.Sync, digests: this.#roster.digests() });
+    this.#gossip.greet(link);
+    await link.run((message) => this.#receive(link, message));
   }
 
-  async #open(socket: Socket, options: {
-    opening: Opening;
-    expected?: string;
-  }): Promise<Link> {
-    const { settings, incarnation, clock } = this.#kernel;
-    const { opening, expected } = options;
-    this.#sockets.add(socket);
-    socket.setNoDelay(true);
-    socket.on("error", () => {});
-    socket.on("close", () => this.#sockets.delete(socket));
-    const link = await openLink(socket, {
-      side: opening === Opening.Inbound ? Side.Acceptor : Side.Dialler,
-      secret: settings.peerSecret,
-      vm: settings.vm,
-      incarnation,
-      expected,
-      timeoutMs: DIAL_TIMEOUT_MS,
-      clock,
-      traffic: this.#traffic,
+  #neighbourLinks(): readonly Link[] {
+    return [...this.#keeping.keys()].flatMap((vm) => {
+      const link = this.#links.to(vm);
+      return link === undefined ? [] : [link];
     });
-    this.#traffic.opened(opening);
-    void this.#tend(link);
-    return link;
-  }
-
-  // The task of one link, from its handshake to its end.
-  async #tend(link: Link): Promise<void> {
-    const { vm } = link.peer;
-    if (this.#stopping.signal.aborted) return link.close(Closing.Stopping);
-    // What an earlier link took may not have arrived.
-    for (const section of this.#sections.values()) section.forget?.(vm);
-    this.#links.set(vm, [...this.#links.get(vm) ?? [], link]);
-    link.send({ kind: FrameKind.Sync, digests: this.#roster.digests() });
-    this.#gossipTo(link);
-    await link.run((message) => this.#receive(link, message));
-    const rest = (this.#links.get(vm) ?? []).filter((it) => it !== link);
-    if (rest.length > 0) this.#links.set(vm, rest);
-    else this.#links.delete(vm);
   }
 
   #receive(link: Link, message: Message): void {
@@ -406,7 +300,7 @@
         break;
       case FrameKind.Ask:
         link.usedAt = this.#now();
-        void this.#answer(link, message.id, message.name, message.body);
+        void this.#handlers.answer(link, message);
         break;
       case FrameKind.Sync:
         this.#sync(link, message.digests);
@@ -417,104 +311,30 @@
       case FrameKind.Gossip:
         link.watcherHeardAt = this.#now();
         this.#compare(link, message.digest);
-        this.#hearGossip(link, message.sections);
+        this.#gossip.hear(link.peer.vm, message.sections);
         break;
     }
   }
 
-  #allLinks(): readonly Link[] {
-    return [...this.#links.values()].flat();
-  }
-
-  // Both ends pick the same of two links: the one from the lesser VM id.
-  #linkTo(vm: string): Link | undefined {
-    const preferred = this.self.vm < vm ? Side.Dialler : Side.Acceptor;
-    const links = (this.#links.get(vm) ?? []).filter((link) => link.open);
-    return links.findLast((link) => link.side === preferred) ?? links.at(-1);
-  }
-
-  // A link that was heard lately; one that wasn't is proven or replaced.
-  async #provenLink(vm: string): Promise<Result<Link, Refusal>> {
-    const link = this.#linkTo(vm);
-    if (link === undefined) return await this.#connect(vm, Opening.Request);
-    if (this.#heardLately(link)) return Ok(link);
-    const digest = this.#roster.digest();
-    if (await link.prove(DIAL_TIMEOUT_MS, digest)) return Ok(link);
-    link.close(Closing.Silent);
-    return await this.#connect(vm, Opening.Request);
-  }
-
-  #heardLately(link: Link): boolean {
-    return this.#now() - link.heardAt <= 2 * this.#timing.heartbeatMs;
-  }
-
-  async #connect(
-    vm: string,
-    opening: Opening,
-  ): Promise<Result<Link, Refusal>> {
-    const link = this.#linkTo(vm);
-    if (link !== undefined) return Ok(link);
-    const under = this.#dials.get(vm);
-    if (under !== undefined) return await under;
-    const dial = this.#dial(vm, opening);
-    this.#dials.set(vm, dial);
-    try {
-      return await dial;
-    } finally {
-      this.#dials.delete(vm);
-    }
-  }
+  // Time
 
-  async #dial(vm: string, opening: Opening): Promise<Result<Link, Refusal>> {
-    const address = this.#listed.get(vm)?.address ??
-      this.#roster.get(vm)?.member.address;
-    if (address === undefined || this.#stopping.signal.aborted) {
-      return Err(unreachable(Verdict.NotRun, `Peer "${vm}" is not known`));
-    }
-    try {
-      const socket = await this.#connectTo(address);
-      return Ok(await this.#open(socket, { opening, expected: vm }));
-    } catch (error) {
-      // No request is sent before the handshake is over.
-      const fault = error instanceof DialError
-        ? error.fault
-        : DialFault.Handshake;
-      this.#traffic.dialFailed(fault);
-      return Err(unreachable(Verdict.NotRun, "The peer can't be reached"));
+  async #takeTurns(): Promise<void> {
+    const { heartbeatMs } = this.#timing;
+    // Daemons started together don't gossip in step.
+    await this.#sleep(hash(this.#kernel.incarnation) % heartbeatMs);
+    while (!this.#stopping.signal.aborted) {
+      this.#gossip.turn(heartbeatMs);
+      await this.#sleep(heartbeatMs);
     }
   }
 
-  #connectTo(address: string): Promise<Socket> {
-    const colon = address.lastIndexOf(":");
-    const socket = connect({
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
-    });
-    return new Promise((resolve, reject) => {
-      const cancel = this.#kernel.clock.after(DIAL_TIMEOUT_MS, () => {
-        socket.destroy();
-        reject(new DialError(DialFault.TimedOut));
-      });
-      socket.once("connect", () => {
-        cancel();
-        resolve(socket);
-      });
-      socket.on("error", () => {
-        cancel();
-        reject(new DialError(DialFault.Unreachable));
-      });
-    });
-  }
-
-  // Time
-
   async #tick(): Promise<void> {
     while (!this.#stopping.signal.aborted) {
       await this.#sleep(TICK_MS);
       const now = this.#now();
       this.#noticePause(now);
       this.#tickedAt = now;
-      for (const link of this.#allLinks()) this.#watch(link, now);
+      for (const link of this.#links.all()) this.#watch(link, now);
       this.#record(this.#roster.expire(SUSPICION_MS, now), "");
     }
   }
@@ -524,19 +344,19 @@
     const pauseMs = now - this.#tickedAt;
     if (pauseMs < this.#timing.heartbeatMs) return;
     this.#roster.postpone(now);
-    for (const link of this.#allLinks()) link.watchedAt = now;
+    for (const link of this.#links.all()) link.watchedAt = now;
     if (pauseMs <= this.#timing.peerSilenceMs) return;
     log("woke", { pauseMs: Math.round(pauseMs) });
     this.#traffic.woke();
     this.#settled = false;
-    for (const link of this.#allLinks()) link.close(Closing.Away);
+    for (const link of this.#links.all()) link.close(Closing.Away);
     void this.#seekFirst();
   }
 
   #watch(link: Link, now: number): void {
     const { vm } = link.peer;
     const { heartbeatMs, peerSilenceMs } = this.#timing;
-    const watched = this.#keeping.has(vm) && this.#linkTo(vm) === link;
+    const watched = this.#keeping.has(vm) && this.#links.to(vm) === link;
     if (watched && !link.watched) link.watchedAt = now;
     link.watched = watched;
     if (link.silenceMs(now) > peerSilenceMs) return link.close(Closing.Silent);
@@ -578,7 +398,7 @@
       signal.addEventListener("abort", () => resolve(), { once: true })
     );
     while (!signal.aborted) {
-      const link = await this.#connect(vm, Opening.Neighbour);
+      const link = await this.#links.connect(vm, Opening.Neighbour);
       if (signal.aborted) return;
       if (link.ok) {
         const openedAt = this.#now();
@@ -679,9 +499,9 @@
     const changes = [...this.#spreading.values()];
     this.#spreading.clear();
     if (changes.length === 0) return;
-    for (const link of this.#allLinks()) {
+    for (const link of this.#links.all()) {
       const { vm } = link.peer;
-      if (this.#linkTo(vm) !== link) continue;
+      if (this.#links.to(vm) !== link) continue;
       const near = this.#keeping.has(vm);
       // Whoever is linked hears of this daemon itself, neighbour or not: one
       // that has just started doesn't know its neighbours yet.
@@ -714,7 +534,7 @@
       this.#kernel.incarnation,
     );
     const dials = others.slice(0, SEEKERS).map(({ vm }) =>
-      this.#connect(vm, Opening.Candidate)
+      this.#links.connect(vm, Opening.Candidate)
     );
     const links = await Promise.all(dials);
     if (links.every((link) => link.err)) this.#settled = true;
@@ -730,7 +550,9 @@
       }
       const chance = SEEKERS / this.members().length;
       for (const vm of this.#absent()) {
-        if (Math.random() < chance) void this.#connect(vm, Opening.Candidate);
+        if (Math.random() < chance) {
+          void this.#links.connect(vm, Opening.Candidate);
+        }
       }
     }
   }
@@ -742,6 +564,11 @@
     return this.#timing.directoryMs * growth;
   }
 
+  #addressOf(vm: string): string | undefined {
+    return this.#listed.get(vm)?.address ??
+      this.#roster.get(vm)?.member.address;
+  }
+
   // Listed or dead daemons that may be there again.
   #absent(): string[] {
     const dead = this.#roster.states()
@@ -752,94 +579,6 @@
     );
     return [...dead, ...unknown];
   }
-
-  // Gossip
-
-  async #gossip(): Promise<void> {
-    const { heartbeatMs } = this.#timing;
-    // Daemons started together don't gossip in step.
-    await this.#sleep(hash(this.#kernel.incarnation) % heartbeatMs);
-    while (!this.#stopping.signal.aborted) {
-      const dueAt = this.#now() - EARLY_TURN * heartbeatMs;
-      for (const link of this.#neighbourLinks()) {
-        if (link.gossipedAt <= dueAt) this.#gossipTo(link);
-      }
-      await this.#sleep(heartbeatMs);
-    }
-  }
-
-  async #gossipPoked(): Promise<void> {
-    await setImmediate();
-    const poked = [...this.#poked];
-    this.#poked.clear();
-    for (const link of this.#neighbourLinks()) {
-      const news = this.#offers(link, poked);
-      if (Object.keys(news).length === 0) continue;
-      // The frame is sent anyway: what else is new goes with it.
-      this.#gossipTo(link, news);
-    }
-  }
-
-  #neighbourLinks(): readonly Link[] {
-    return [...this.#keeping.keys()].flatMap((vm) => {
-      const link = this.#linkTo(vm);
-      return link === undefined ? [] : [link];
-    });
-  }
-
-  #offers(link: Link, names: Iterable<string>): Record<string, unknown> {
-    const offers: Record<string, unknown> = {};
-    for (const name of names) {
-      const body = this.#sections.get(name)?.offer(link.peer.vm);
-      if (body !== undefined) offers[name] = body;
-    }
-    return offers;
-  }
-
-  // A neighbour's turn: everything that is new to it, and a proof of life.
-  #gossipTo(link: Link, news: Readonly<Record<string, unknown>> = {}): void {
-    const rest = [...this.#sections.keys()].filter((name) => !(name in news));
-    const sections = { ...news, ...this.#offers(link, rest) };
-    link.gossipedAt = this.#now();
-    const digest = this.#roster.digest();
-    link.send({ kind: FrameKind.Gossip, digest, sections });
-  }
-
-  #hearGossip(link: Link, sections: Readonly<Record<string, unknown>>): void {
-    for (const [name, body] of Object.entries(sections)) {
-      try {
-        this.#sections.get(name)?.accept(body, link.peer.vm);
-      } catch (error) {
-        // What a peer offers can't harm more than its own section.
-        log("gossip_failed", { section: name, error: String(error) });
-      }
-    }
-  }
-}
-
-class DialError extends Error {
-  readonly fault: DialFault;
-
-  constructor(fault: DialFault) {
-    super(fault);
-    this.fault = fault;
-  }
-}
-
-function notUnderstood(kind: string): Refusal {
-  return new Refusal({
-    verdict: Verdict.NotRun,
-    reason: Reason.PeerFailed,
-    message: `The peer does not know requests of kind "${kind}"`,
-  });
-}
-
-function failed(error: unknown): Refusal {
-  return new Refusal({
-    verdict: Verdict.MayHaveRun,
-    reason: Reason.PeerFailed,
-    message: error instanceof Error ? error.message : String(error),
-  });
 }
 
 register({
