Peers: use does not excuse a silent link; buffered requests of a pause

Cause: each request on an idle link started the count of silence anew, so a neighbour's link that lost track of its connection lasted while requests timed out on it. And what lay in a buffer during a pause could be acted on before the pause was noticed. Change: only links that nobody watches start the count with their first request; frames read after a pause longer than the bound on silence are dropped with their link. The test of SIGSTOP sends a request into the pause and checks that it never runs; it also passes without the new check, since the timer comes first there: the check covers the other order, which no test here forces.

--- a/experiments/daemons.ts
+++ b/experiments/daemons.ts
@@ -8,30 +8,37 @@
 
 /** Daemons started at once. */
 const BATCH = 8;
-const ATTEMPTS = 5;
+/** Daemons added for each that is wanted, at most. */
+const MAX_ADDED = 2;
 
 /** Starts `count` daemons, some at a time; all are ready when it resolves. */
 export async function startDaemons(
   cluster: Cluster,
   count: number,
-): Promise<void> {
-  for (let from = 0; from < count; from += BATCH) {
-    const batch = Math.min(BATCH, count - from);
-    for (let i = from; i < from + batch; i++) {
-      await cluster.addDaemon(`vm-${i}`);
+): Promise<readonly Daemon[]> {
+  const running: Daemon[] = [];
+  let added = 0;
+  while (running.length < count) {
+    const batch = Math.min(BATCH, count - running.length);
+    const daemons: Daemon[] = [];
+    for (let i = 0; i < batch; i++) {
+      daemons.push(await cluster.addDaemon(`vm-${added++}`));
     }
-    await Promise.all(cluster.daemons.slice(from).map(started));
+    const ready = await Promise.all(daemons.map(started));
+    running.push(...daemons.filter((_, index) => ready[index]));
+    if (added > MAX_ADDED * count) throw new Error("Daemons don't start");
   }
+  return running;
 }
 
-// A port chosen for a daemon may be taken by a connection before it listens.
-async function started(daemon: Daemon): Promise<void> {
-  for (let attempt = 1;; attempt++) {
-    try {
-      return await daemon.ready();
-    } catch (error) {
-      if (attempt === ATTEMPTS || daemon.pid !== 0) throw error;
-      daemon.start();
-    }
+// A port chosen for a daemon may be taken by a connection before it listens;
+// another daemon is started then.
+async function started(daemon: Daemon): Promise<boolean> {
+  try {
+    await daemon.ready();
+    return true;
+  } catch (error) {
+    if (daemon.pid !== 0) throw error;
+    return false;
   }
 }
--- a/experiments/idle_cost.ts
+++ b/experiments/idle_cost.ts
@@ -12,11 +12,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { FULL_MESH_MEMBERS } from "../src/peers/rendezvous.ts";
 import { tables } from "../stand_ins/builders.ts";
-import {
-  type Cluster,
-  type Daemon,
-  startCluster,
-} from "../stand_ins/cluster.ts";
+import { type Daemon, startCluster } from "../stand_ins/cluster.ts";
 import { startDaemons } from "./daemons.ts";
 
 const DEFAULT_SIZES = "4,8,16,32,64";
@@ -90,12 +86,12 @@
     env: { DEBUG: "" },
   });
   try {
-    await startDaemons(cluster, members);
+    const daemons = await startDaemons(cluster, members);
     await sleep(SETTLE_MS);
-    const before = await readAll(cluster);
+    const before = await Promise.all(daemons.map(read));
     const from = performance.now();
     await sleep(SAMPLE_MS);
-    const after = await readAll(cluster);
+    const after = await Promise.all(daemons.map(read));
     const seconds = (performance.now() - from) / 1000;
     return summary(before, after, seconds);
   } finally {
@@ -103,10 +99,6 @@
   }
 }
 
-function readAll(cluster: Cluster): Promise<readonly Reading[]> {
-  return Promise.all(cluster.daemons.map(read));
-}
-
 async function read(daemon: Daemon): Promise<Reading> {
   const answer = await fetch(`${daemon.url}/metrics`);
   const samples = parse(await answer.text());
--- a/experiments/spread_time.ts
+++ b/experiments/spread_time.ts
@@ -49,12 +49,12 @@
     env: { DEBUG: "toucanwind:config,toucanwind:peers" },
   });
   try {
-    await startDaemons(cluster, daemons);
+    const started = await startDaemons(cluster, daemons);
     await sleep(SETTLE_MS);
-    const edits = await edit(cluster);
-    const killed = await lose(cluster, "SIGKILL");
-    const paused = await lose(cluster, "SIGSTOP");
-    const returned = await lose(cluster, "SIGCONT");
+    const edits = await edit(cluster, started);
+    const killed = await lose(started, "SIGKILL");
+    const paused = await lose(started, "SIGSTOP");
+    const returned = await lose(started, "SIGCONT");
     console.log(
       JSON.stringify({ daemons, edits, killed, paused, returned }, null, 2),
     );
@@ -63,7 +63,10 @@
   }
 }
 
-async function edit(cluster: Cluster): Promise<Times> {
+async function edit(
+  cluster: Cluster,
+  daemons: readonly Daemon[],
+): Promise<Times> {
   const edits: { revision: number; at: number }[] = [];
   for (let i = 0; i < EDITS; i++) {
     const { revision } = await cluster.configure(tables());
@@ -71,7 +74,7 @@
     await sleep(EDIT_PAUSE_MS);
   }
   await sleep(SETTLE_MS);
-  const logs = cluster.daemons.map(read);
+  const logs = daemons.map(read);
   return summary(
     edits.flatMap(({ revision, at }) =>
       logs.map((log) =>
@@ -82,13 +85,13 @@
 }
 
 async function lose(
-  cluster: Cluster,
+  daemons: readonly Daemon[],
   signal: "SIGKILL" | "SIGSTOP" | "SIGCONT",
 ): Promise<Times> {
   // The killed come first, then the paused, which are those that wake.
   const from = signal === "SIGKILL" ? 0 : LOSSES;
-  const victims = cluster.daemons.slice(from, from + LOSSES);
-  const others = cluster.daemons.slice(2 * LOSSES);
+  const victims = daemons.slice(from, from + LOSSES);
+  const others = daemons.slice(2 * LOSSES);
   const status = signal === "SIGCONT" ? "alive" : "dead";
   const times: number[] = [];
   for (const victim of victims) {
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -182,7 +182,9 @@
     const { timeoutMs, signal } = options;
     const id = ++this.#asked;
     this.usedAt = this.#clock.now();
-    if (this.#pending.size === 0) this.watchedAt = this.usedAt;
+    // A link that is watched anyway isn't given more time by being used.
+    const idle = !this.watched && this.#pending.size === 0;
+    if (idle) this.watchedAt = this.usedAt;
     if (signal?.aborted) {
       return Promise.resolve(Err(cancelled(Verdict.NotRun)));
     }
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -186,8 +186,7 @@
   }
 
   override settled(): boolean {
-    const pause = this.#now() - this.#tickedAt;
-    return this.#settled && pause <= this.#timing.peerSilenceMs;
+    return this.#settled && !this.#pausedLong();
   }
 
   override async start(): Promise<void> {
@@ -289,6 +288,9 @@
   }
 
   #receive(link: Link, message: Message): void {
+    // What lay in a buffer while this daemon was paused is not acted on: its
+    // sender has given up on it.
+    if (this.#pausedLong()) return this.#noticePause(this.#now());
     switch (message.kind) {
       case FrameKind.Ping:
         link.watcherHeardAt = this.#now();
@@ -333,15 +335,19 @@
       await this.#sleep(TICK_MS);
       const now = this.#now();
       this.#noticePause(now);
-      this.#tickedAt = now;
       for (const link of this.#links.all()) this.#watch(link, now);
       this.#record(this.#roster.expire(SUSPICION_MS, now), "");
     }
   }
 
+  #pausedLong(): boolean {
+    return this.#now() - this.#tickedAt > this.#timing.peerSilenceMs;
+  }
+
   // After a pause, silence is this daemon's own and accuses nobody.
   #noticePause(now: number): void {
     const pauseMs = now - this.#tickedAt;
+    this.#tickedAt = now;
     if (pauseMs < this.#timing.heartbeatMs) return;
     this.#roster.postpone(now);
     for (const link of this.#links.all()) link.watchedAt = now;
--- a/src/peers/mesh_test.ts
+++ b/src/peers/mesh_test.ts
@@ -175,14 +175,20 @@
     t.after(() => child.kill("SIGKILL"));
     for (const it of others) await until(sees(it, 3));
     child.kill(signal);
+    const buffered = others[0].mesh.ask("vm-z", "count", 0, {
+      timeoutMs: 1000,
+    });
     for (const it of others) {
       expect(await until(sees(it, 2)) < 3000).toEqual(true);
     }
     if (signal === "SIGKILL") return;
+    const refusal = (await buffered).val as Refusal;
+    expect(refusal.verdict).toEqual(Verdict.MayHaveRun);
     const said = new Promise((done) => child.once("message", done));
     child.kill("SIGCONT");
     for (const it of others) await until(sees(it, 3));
-    expect(await said).toEqual({ wakes: 1, settled: true, members: 3 });
+    const report = { wakes: 1, settled: true, ran: 0, members: 3 };
+    expect(await said).toEqual(report);
   });
 }
 
@@ -205,6 +211,21 @@
   expect(sees(b, 2)()).toEqual(true);
 });
 
+test("requests without answers don't keep a silent link", async (t) => {
+  const list: List = [];
+  const { relays, front } = relay(t);
+  await daemon(t, "vm-b", { list, front });
+  const a = await daemon(t, "vm-a", { list });
+  await until(sees(a, 2));
+  relays[0].silence();
+  const closed = "toucanwind_peer_links_closed_total";
+  const from = performance.now();
+  while (await a.counted(closed, "silent") === 0) {
+    await a.mesh.ask("vm-b", "none", 0, { timeoutMs: 20 });
+    expect(performance.now() - from < 3000).toEqual(true);
+  }
+});
+
 test("a cut between two does not make either dead", async (t) => {
   const list: List = [];
   const { relays, front } = relay(t);
--- a/stand_ins/mesh.ts
+++ b/stand_ins/mesh.ts
@@ -103,7 +103,10 @@
 /** A child left alone ends by itself after so long. */
 const CHILD_LIFE_MS = 60_000;
 
-/** Starts a mesh in a process of its own; it reports when it wakes. */
+/**
+ * Starts a mesh in a process of its own, which answers `count`. It reports when
+ * it wakes.
+ */
 export function forkMesh(
   options: { vm: string; list: List },
 ): ChildProcess {
@@ -115,13 +118,18 @@
 async function runChild(options: { vm: string; list: List }): Promise<void> {
   setTimeout(() => process.exit(0), CHILD_LIFE_MS).unref();
   process.on("disconnect", () => process.exit(0));
-  const { mesh, counted } = await startMesh(options);
+  let ran = 0;
+  const count = () => Promise.resolve(ran++);
+  const { mesh, counted } = await startMesh({
+    ...options,
+    handlers: { count },
+  });
   const report = setInterval(async () => {
     const wakes = await counted("toucanwind_peer_wakes_total");
     const settled = mesh.settled();
     if (wakes === 0 || !settled) return;
     clearInterval(report);
-    process.send?.({ wakes, settled, members: mesh.members().length });
+    process.send?.({ wakes, settled, ran, members: mesh.members().length });
   }, 50);
 }
 
