--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -62,6 +62,7 @@
 import { HttpGateway } from "./http_gateway.ts";
 import { gatewayKey, generatorKey } from "./mod.ts";
 import { Generate } from "./resume.ts";
+import { pool } from "../../stand_ins/builders.ts";
 
 /** A model route, with what a test changes. */
 export function modelRoute(changes: Partial<Route> = {}): Route {
@@ -161,7 +162,7 @@
       author: "",
       note: "",
       at: "",
-      tables: { routes: this.#routes, pools: [] },
+      tables: { routes: this.#routes, pools: [pool({ name: "appraise" })] },
     };
   }
 }
@@ -172,6 +173,7 @@
   refusal: Refusal | undefined;
   readonly demands: Demand[] = [];
   readonly released: { target: string; outcome: Outcome }[] = [];
+  /** Of the permit that was granted last. */
   leaving = new AbortController();
 
   acquire(demand: Demand): Promise<Result<Permit, Refusal>> {
@@ -180,6 +182,7 @@
     const target = this.targets
       .find(({ id }) => !demand.exclude.includes(id));
     if (target === undefined) return Promise.resolve(Err(NO_UPSTREAM));
+    this.leaving = new AbortController();
     const { signal } = this.leaving;
     const release = (outcome: Outcome) => {
       this.released.push({ target: target.id, outcome });
