Dispatch: two requests that crash upstreams at once are both blamed

Two upstreams of one availability zone that fell together passed for a reclaimed zone, so nobody was blamed. And a crash that nobody told of, because the entry died with it, left no suspect.

Change: a zone counts as reclaimed only if its upstreams can be reclaimed and none that can is left standing. What runs on an upstream where nothing listens any more is suspected at once. Where three and all of a shard are gone, the keeper is cut off. The test of a zone that goes away now says that its upstreams are reclaimable, as the platform's list does; one beside it requires blame where they are not.

--- a/experiments/systems.ts
+++ b/experiments/systems.ts
@@ -7,6 +7,7 @@
 
 import { Reason } from "../src/kernel/mod.ts";
 import type { Load } from "../src/platform/mod.ts";
+import { Reach } from "../src/dispatch/crashes.ts";
 import type { Choice } from "../src/dispatch/choice.ts";
 import type { Shard } from "../src/dispatch/fleet.ts";
 import type { Headroom } from "../src/dispatch/headroom.ts";
@@ -290,7 +291,7 @@
   #read(engine: EngineModel, seqs: Map<string, number>): void {
     const { timeline } = this.#ground;
     const keeper = this.#keeperOf(engine.id);
-    if (engine.dead) return keeper?.probed(engine.id, false);
+    if (engine.dead) return keeper?.probed(engine.id, Reach.Gone);
     const load = engine.load();
     const seq = seqs.get(engine.id) ?? 0;
     const events = engine.events(seq);
@@ -300,7 +301,7 @@
     );
     timeline.after(
       REPORT_LAG_MS,
-      () => keeper?.probed(engine.id, !engine.dead, load),
+      () => keeper?.probed(engine.id, Reach.Alive, load),
     );
     timeline.after(EVENT_LAG_MS, () => keeper?.cached(engine.id, events));
   }
--- a/src/dispatch/crashes.ts
+++ b/src/dispatch/crashes.ts
@@ -1,6 +1,6 @@
 /**
  * Tells an upstream's crash from the break of one connection, and a crash
- * that a request caused from an availability zone that went away.
+ * that a request caused from an availability zone that was reclaimed.
  *
  * A break opens an episode. It ends as a crash when the upstream's load can't
  * be read or every request that ran there broke, and as a mere break when
@@ -14,12 +14,24 @@
 import type { Quarantine } from "./quarantine.ts";
 import type { Upstream } from "./shards.ts";
 
+/** What an attempt to read an upstream's load showed. */
+export enum Reach {
+  Alive = "alive",
+  /** No answer came in time. */
+  Silent = "silent",
+  /** Nothing listens there. */
+  Gone = "gone",
+}
+
 /** Breaks further apart than this are not of one crash. */
 const EPISODE_MS = 2000;
 
 /** Upstreams of a zone that fall within this time fell with the zone. */
 const ZONE_MS = 2000;
 
+/** Fewest upstreams that tell a cut link from upstreams that fell. */
+const CUT_OFF = 3;
+
 interface Episode {
   readonly upstream: Upstream;
   readonly startedAt: number;
@@ -42,11 +54,17 @@
   /** Upstreams that fell and have not answered since. */
   readonly #down = new Set<string>();
   #falls: readonly Fall[] = [];
+  #upstreams: readonly Upstream[] = [];
 
   constructor(options: { quarantine: Quarantine }) {
     this.#quarantine = options.quarantine;
   }
 
+  /** Takes in the shard's upstreams. */
+  setUpstreams(upstreams: readonly Upstream[]): void {
+    this.#upstreams = upstreams;
+  }
+
   /** Takes in how a request ended; `running` are those still there. */
   ended(holding: Holding, options: {
     outcome: Outcome;
@@ -66,12 +84,18 @@
     if (all && episode.broken.size > 1) this.#crashed(episode, now);
   }
 
-  /** Takes in whether an upstream's load could be read. */
-  probed(upstream: Upstream, ok: boolean, now: number): void {
+  /** Takes in what a read of the load showed; `running` are permits in use. */
+  probed(upstream: Upstream, options: {
+    reach: Reach;
+    running: readonly Holding[];
+    now: number;
+  }): void {
+    const { reach, running: holdings, now } = options;
     const episode = this.#episode(upstream.id, now);
-    if (!ok) {
-      if (episode !== undefined) this.#crashed(episode, now);
-      else this.#fell({ upstream, at: now, fingerprints: [] });
+    if (reach === Reach.Silent && episode === undefined) return;
+    if (reach !== Reach.Alive) {
+      // Whoever held a permit may have died with the upstream and told nothing.
+      this.#crashed(episode ?? begun(upstream, { holdings, now }), now);
       return;
     }
     this.#down.delete(upstream.id);
@@ -102,13 +126,8 @@
       upstream: upstream.id,
       ranMs: now - holding.grantedAt,
     });
-    const episode = this.#episode(upstream.id, now) ?? {
-      upstream,
-      startedAt: now,
-      holdings: [holding, ...running],
-      broken: new Set<string>(),
-      ended: new Set<string>(),
-    };
+    const episode = this.#episode(upstream.id, now) ??
+      begun(upstream, { holdings: [holding, ...running], now });
     episode.broken.add(holding.permit);
     this.#episodes.set(upstream.id, episode);
   }
@@ -124,6 +143,7 @@
 
   #crashed(episode: Episode, now: number): void {
     this.#episodes.delete(episode.upstream.id);
+    if (episode.upstream.leaving) return;
     const fingerprints = episode.holdings
       .map(({ demand }) => demand.fingerprint);
     for (const { demand, grantedAt } of episode.holdings) {
@@ -145,7 +165,7 @@
     }
   }
 
-  /** Notes a crash; if its zone went away, nobody is blamed. */
+  /** Notes a crash; if its zone was reclaimed, nobody is blamed. */
   #fell(fall: Fall): void {
     if (this.#down.has(fall.upstream.id)) return;
     this.#down.add(fall.upstream.id);
@@ -153,18 +173,51 @@
       fall.at - at <= ZONE_MS && upstream.id !== fall.upstream.id
     );
     this.#falls = [...recent, fall];
-    const zone = this.#falls.filter(({ upstream }) =>
-      upstream.availabilityZone === fall.upstream.availabilityZone
-    );
-    const others = zone.filter((other) =>
-      other !== fall &&
-      !other.fingerprints.some((name) => fall.fingerprints.includes(name))
-    );
-    if (others.length === 0) return;
-    for (const fingerprint of [...others, fall].flatMap(named)) {
+    const fallen = this.#falls.filter((other) => alike(other, fall));
+    if (!this.#reclaimed(fall, fallen)) return;
+    for (const fingerprint of fallen.flatMap(named)) {
       this.#quarantine.clear(fingerprint);
     }
   }
+
+  /** Whether a zone was reclaimed, or this daemon is cut off from them all. */
+  #reclaimed(fall: Fall, fallen: readonly Fall[]): boolean {
+    const { upstream, fingerprints } = fall;
+    const standing = this.#upstreams
+      .filter(({ id, leaving }) => !leaving && !this.#down.has(id));
+    const cutOff = standing.length === 0 && this.#falls.length >= CUT_OFF;
+    if (cutOff) return true;
+    if (!upstream.reclaimable || fallen.length < 2) return false;
+    // Upstreams that one request felled have that request in common.
+    const unrelated = fallen.some((other) =>
+      other !== fall &&
+      !other.fingerprints.some((name) => fingerprints.includes(name))
+    );
+    return unrelated &&
+      !standing.some((other) =>
+        other.reclaimable &&
+        other.availabilityZone === upstream.availabilityZone
+      );
+  }
+}
+
+function alike(a: Fall, b: Fall): boolean {
+  return a.upstream.reclaimable === b.upstream.reclaimable &&
+    a.upstream.availabilityZone === b.upstream.availabilityZone;
+}
+
+/** An episode with all that ran on the upstream when it began. */
+function begun(upstream: Upstream, options: {
+  holdings: readonly Holding[];
+  now: number;
+}): Episode {
+  return {
+    upstream,
+    startedAt: options.now,
+    holdings: options.holdings,
+    broken: new Set(),
+    ended: new Set(),
+  };
 }
 
 function named(fall: Fall): readonly string[] {
--- a/src/dispatch/hosting.ts
+++ b/src/dispatch/hosting.ts
@@ -8,8 +8,15 @@
 import { createHash } from "node:crypto";
 import { type Kernel, type Log, logger } from "../kernel/mod.ts";
 import type { Member, Peers } from "../peers/mod.ts";
-import { Fault, type Target } from "../platform/mod.ts";
+import {
+  type Failure,
+  Fault,
+  type Load,
+  type Target,
+} from "../platform/mod.ts";
+import type { Result } from "ts-results";
 import type { Candidate } from "./choice.ts";
+import { Reach } from "./crashes.ts";
 import type { Fleet, Shard } from "./fleet.ts";
 import { Headroom } from "./headroom.ts";
 import { Keeper } from "./keeper.ts";
@@ -264,11 +271,8 @@
     const answer = await this.#bounded(
       this.#kernel.platform.engine.load(targetOf(upstream)),
     );
-    // A plain service that refuses to tell its load is there all the same.
-    const alive = answer !== undefined &&
-      (answer.ok || answer.val.fault === Fault.Refused);
     const load = answer?.ok ? answer.val : undefined;
-    this.#hosts.get(shard)?.keeper.probed(id, alive, load);
+    this.#hosts.get(shard)?.keeper.probed(id, reachOf(answer), load);
     return answer?.ok === true;
   }
 
@@ -313,6 +317,21 @@
   };
 }
 
+/** What the answer to a load read, or its absence, shows. */
+function reachOf(answer: Result<Load, Failure> | undefined): Reach {
+  if (answer === undefined) return Reach.Silent;
+  if (answer.ok) return Reach.Alive;
+  switch (answer.val.fault) {
+    // A plain service that refuses to tell its load is there all the same.
+    case Fault.Refused:
+      return Reach.Alive;
+    case Fault.NotSent:
+      return Reach.Gone;
+    case Fault.Unknown:
+      return Reach.Silent;
+  }
+}
+
 function targetOf({ id, address }: Upstream): Target {
   return { id, address };
 }
--- a/src/dispatch/keeper.ts
+++ b/src/dispatch/keeper.ts
@@ -12,7 +12,7 @@
 import { Priority } from "../tables/mod.ts";
 import { AffineChoice } from "./affine_choice.ts";
 import type { Candidate, Choice } from "./choice.ts";
-import { Crashes } from "./crashes.ts";
+import { Crashes, Reach } from "./crashes.ts";
 import { FairQueue } from "./fair_queue.ts";
 import { Headroom } from "./headroom.ts";
 import { Health } from "./health.ts";
@@ -145,6 +145,7 @@
       if (!states.has(id)) this.#choice.forget(id);
     }
     this.#states = states;
+    this.#crashes.setUpstreams(upstreams);
     this.#pump();
   }
 
@@ -217,13 +218,14 @@
     this.#pump();
   }
 
-  /** Takes in whether an upstream answered for its load, and what it told. */
-  probed(id: string, alive: boolean, load?: Load): void {
+  /** Takes in what a read of an upstream's load showed. */
+  probed(id: string, reach: Reach, load?: Load): void {
     const state = this.#states.get(id);
     if (state === undefined) return;
     const now = this.#clock.now();
-    state.health.probed(alive, now);
-    this.#crashes.probed(state.upstream, alive, now);
+    state.health.probed(reach === Reach.Alive, now);
+    const running = this.#permits.on(id);
+    this.#crashes.probed(state.upstream, { reach, running, now });
     if (load !== undefined) this.#report(state, load);
     this.#pump();
   }
--- a/src/dispatch/keeper_test.ts
+++ b/src/dispatch/keeper_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { ManualClock, Reason } from "../kernel/mod.ts";
 import { Priority } from "../tables/mod.ts";
+import { Reach } from "./crashes.ts";
 import { load, ticket, upstream } from "./fixtures_test.ts";
 import { Headroom } from "./headroom.ts";
 import { type Answer, Keeper } from "./keeper.ts";
@@ -56,17 +57,17 @@
 
 test("what the report tells beyond our permits takes slots", () => {
   const { keeper, ask } = shard([upstream()]);
-  keeper.probed("up-1", true, load({ running: 2 }));
-  keeper.probed("up-1", true, load({ running: 2 }));
+  keeper.probed("up-1", Reach.Alive, load({ running: 2 }));
+  keeper.probed("up-1", Reach.Alive, load({ running: 2 }));
   expect(place(ask())).toEqual("");
 });
 
 test("a request waits for the weight version that it needs", () => {
   const { keeper, ask } = shard([upstream()]);
   const wait = ask({ minVersion: 2 });
-  keeper.probed("up-1", true, load({ weightVersion: 1 }));
+  keeper.probed("up-1", Reach.Alive, load({ weightVersion: 1 }));
   expect(place(wait)).toEqual("");
-  keeper.probed("up-1", true, load({ weightVersion: 2 }));
+  keeper.probed("up-1", Reach.Alive, load({ weightVersion: 2 }));
   expect(place(wait)).toEqual("up-1");
 });
 
@@ -85,9 +86,9 @@
     upstream({ id: "up-2", availabilityZone: "zone-2" }),
   ]);
   const first = ask({ fingerprint: "bad" });
-  keeper.probed(place(first), true, load());
+  keeper.probed(place(first), Reach.Alive, load());
   keeper.release(permit(first), Outcome.Broken, 0);
-  keeper.probed("up-1", false);
+  keeper.probed("up-1", Reach.Gone);
   expect(quarantine.suspicion("bad")).toEqual(Suspicion.Suspect);
   const again = ask({ fingerprint: "bad", exclude: ["up-1"] });
   expect(place(again)).toEqual("up-2");
@@ -133,22 +134,40 @@
   const first = ask({ fingerprint: "unlucky" });
   ask();
   keeper.release(permit(first), Outcome.Broken, 0);
-  keeper.probed("up-1", true, load());
+  keeper.probed("up-1", Reach.Alive, load());
   expect(quarantine.suspicion("unlucky")).toEqual(Suspicion.None);
 });
 
-test("an availability zone that goes away blames nobody", () => {
+/** Two upstreams fall, each with a request of its own. */
+function fallTogether(reclaimable: boolean) {
   const { keeper, ask, quarantine } = shard([
-    upstream({ id: "up-1", slots: 1 }),
-    upstream({ id: "up-2", slots: 1 }),
+    upstream({ id: "up-1", slots: 1, reclaimable }),
+    upstream({ id: "up-2", slots: 1, reclaimable }),
+    upstream({ id: "up-3", availabilityZone: "zone-2", reclaimable }),
   ]);
-  const waits = ["x", "y"].map((fingerprint) => ask({ fingerprint }));
+  const waits = ["x", "y"].map((fingerprint) =>
+    ask({ fingerprint, exclude: ["up-3"] })
+  );
   for (const wait of waits) {
     keeper.release(permit(wait), Outcome.Broken, 0);
-    keeper.probed(place(wait), false);
+    keeper.probed(place(wait), Reach.Gone);
   }
-  expect(quarantine.suspicion("x")).toEqual(Suspicion.None);
-  expect(quarantine.suspicion("y")).toEqual(Suspicion.None);
+  return ["x", "y"].map((fingerprint) => quarantine.suspicion(fingerprint));
+}
+
+test("an availability zone that is reclaimed blames nobody", () => {
+  expect(fallTogether(true)).toEqual([Suspicion.None, Suspicion.None]);
+});
+
+test("two requests that crash upstreams at once are not taken for it", () => {
+  expect(fallTogether(false)).toEqual([Suspicion.Suspect, Suspicion.Suspect]);
+});
+
+test("what ran on an upstream that is gone is suspected, told or not", () => {
+  const { keeper, ask, quarantine } = shard([upstream()]);
+  ask({ fingerprint: "untold" });
+  keeper.probed("up-1", Reach.Gone);
+  expect(quarantine.suspicion("untold")).toEqual(Suspicion.Suspect);
 });
 
 test("failures to connect open the circuit until a report is read", () => {
@@ -158,6 +177,6 @@
   }
   const wait = ask();
   expect(place(wait)).toEqual("");
-  keeper.probed("up-1", true, load({ slots: 8 }));
+  keeper.probed("up-1", Reach.Alive, load({ slots: 8 }));
   expect(place(wait)).toEqual("up-1");
 });
