--- a/src/dispatch/crashes.ts
+++ b/src/dispatch/crashes.ts
@@ -11,7 +11,7 @@
 
 import type { Holding } from "./permits.ts";
 import { Outcome } from "./mod.ts";
-import type { Quarantine } from "./quarantine.ts";
+import { type Quarantine, Suspicion } from "./quarantine.ts";
 import type { Upstream } from "./shards.ts";
 
 /** What an attempt to read an upstream's load showed. */
@@ -176,6 +176,10 @@
     const fallen = this.#falls.filter((other) => alike(other, fall));
     if (!this.#reclaimed(fall, fallen)) return;
     for (const fingerprint of fallen.flatMap(named)) {
+      // Who crashed one upstream among others and another alone is no victim
+      // of a zone: two such requests at a time look like one, too.
+      const suspicion = this.#quarantine.suspicion(fingerprint);
+      if (suspicion === Suspicion.Quarantined) continue;
       this.#quarantine.clear(fingerprint);
     }
   }
