Dispatch: the entry convicts what broke alone, before it asks again

Reports of ended permits go to a keeper one message at a time, so on a busy machine a retry can overtake the report that the request crashed an upstream alone.

Change: the entry itself convicts a request that was a suspect when it got its permit and still is when its upstream breaks. The new test fails without the change.

--- a/src/dispatch/crash_test.ts
+++ b/src/dispatch/crash_test.ts
@@ -91,6 +91,17 @@
     expect(fallen.size).toEqual(2);
   }));
 
+test("a retry that overtakes the report of a crash is refused", () =>
+  cluster(async (made, [one]) => {
+    const first = await granted(one, { fingerprint: "bad" });
+    crash(made, first.target.id, [first]);
+    const second = await granted(one, { fingerprint: "bad", attempt: 1 });
+    made.vms = made.vms.filter(({ id }) => id !== second.target.id);
+    second.release(Outcome.Broken, 0);
+    const third = await one.acquire(demand({ fingerprint: "bad" }), idle);
+    expect(third.err && third.val.reason).toEqual(Reason.Quarantined);
+  }));
+
 test("a daemon that starts anew knows what is quarantined", () =>
   cluster(async (made, [one]) => {
     for (let resend = 0; resend < 2; resend++) {
--- a/src/dispatch/uses.ts
+++ b/src/dispatch/uses.ts
@@ -10,7 +10,7 @@
 import type { Fleet } from "./fleet.ts";
 import { type End, type Held, Message, renewAnswer } from "./messages.ts";
 import { type Demand, Outcome, type Permit } from "./mod.ts";
-import type { Quarantine } from "./quarantine.ts";
+import { type Quarantine, Suspicion } from "./quarantine.ts";
 
 /** Time-out of messages about permits in use. */
 const NOTICE_TIMEOUT_MS = 1000;
@@ -35,6 +35,8 @@
 
 interface Kept extends Use {
   readonly grantedAt: number;
+  /** Whether it was a suspect when it got the permit, so that it ran alone. */
+  readonly alone: boolean;
   readonly leaving: AbortController;
 }
 
@@ -79,6 +81,7 @@
     this.#kept.set(use.permit, {
       ...use,
       leaving,
+      alone: this.#suspected(use.demand),
       grantedAt: this.#clock.now(),
     });
     if (this.#fleet.upstream(use.upstream)?.leaving) leaving.abort();
@@ -142,21 +145,30 @@
     const kept = this.#kept.get(permit);
     if (kept === undefined) return;
     this.#kept.delete(permit);
-    this.#suspect(kept, outcome);
+    this.#blame(kept, outcome);
     const end = { shard: this.#shardOf(kept), permit, outcome, tokens };
     for (const keeper of this.#keepers(kept)) this.#tell(keeper, end);
   }
 
-  /** Suspects a request at once, before it may go to another keeper. */
-  #suspect(kept: Kept, outcome: Outcome): void {
+  /** Blames a request at once, before it may go to another keeper. */
+  #blame(kept: Kept, outcome: Outcome): void {
     if (outcome !== Outcome.Broken) return;
-    if (this.#fleet.upstream(kept.upstream)?.leaving) return;
-    this.#quarantine.suspect(kept.demand.fingerprint, {
-      upstream: kept.upstream,
-      ranMs: this.#clock.now() - kept.grantedAt,
+    const { upstream, demand, alone, grantedAt } = kept;
+    if (this.#fleet.upstream(upstream)?.leaving) return;
+    if (alone && this.#suspected(demand)) {
+      this.#quarantine.convict(demand.fingerprint, upstream);
+      return;
+    }
+    this.#quarantine.suspect(demand.fingerprint, {
+      upstream,
+      ranMs: this.#clock.now() - grantedAt,
     });
   }
 
+  #suspected({ fingerprint }: Demand): boolean {
+    return this.#quarantine.suspicion(fingerprint) === Suspicion.Suspect;
+  }
+
   /** Queues an end for a keeper; one message at a time carries them all. */
   #tell(keeper: string, end: End): void {
     const waiting = this.#ends.get(keeper);
