Gateway: going on from kept text spends no retry budget

The budget is there so that retries multiply no work; an attempt that goes on from the text so far multiplies none. Attempts that generated nothing spend the budget as before.

Tests: answers without a body, a caller that reads slowly.

--- a/src/gateway/completions_test.ts
+++ b/src/gateway/completions_test.ts
@@ -167,6 +167,19 @@
   });
 });
 
+test("going on from text that was kept spends no retry budget", async () => {
+  await withGateway({}, async (fixture) => {
+    for (let n = 0; n < 5; n++) {
+      fixture.engine.scripts = [
+        failing(EngineFault.Broken, "one "),
+        words("two"),
+      ];
+      const answer = await told(ask(fixture, { max_tokens: 10 }));
+      expect(answer.choices?.[0].text).toEqual("one two");
+    }
+  });
+});
+
 test("a refusal says when to come back, and is counted", async () => {
   await withGateway({}, async (fixture) => {
     fixture.dispatch.refusal = new Refusal({
--- a/src/gateway/forward_test.ts
+++ b/src/gateway/forward_test.ts
@@ -189,6 +189,49 @@
   });
 });
 
+test("answers without a body are passed on", async () => {
+  const bare = (request: IncomingMessage, response: ServerResponse) => {
+    const status = request.url === "/lots/none" ? 204 : 304;
+    if (request.method === "HEAD") response.setHeader("content-length", "9");
+    response.writeHead(request.method === "HEAD" ? 200 : status).end();
+  };
+  await withService(bare, async (upstream) => {
+    const routes = [serviceRoute()];
+    const options = { routes, targets: targets(upstream.address) };
+    await withGateway(options, async (fixture) => {
+      const head = await call(fixture, { method: "HEAD" });
+      expect([head.status, head.headers.get("content-length")])
+        .toEqual([200, "9"]);
+      const none = await call(fixture, { path: "/lots/none" });
+      expect(none.status).toEqual(204);
+      expect((await call(fixture)).status).toEqual(304);
+      expect(fixture.usage.uses.length).toEqual(3);
+    });
+  });
+});
+
+test("a caller that reads slowly gets the whole answer", async () => {
+  const large = Buffer.alloc(8_000_000, "x");
+  const back = (_request: IncomingMessage, response: ServerResponse) => {
+    response.end(large);
+  };
+  await withService(back, async (upstream) => {
+    const routes = [serviceRoute()];
+    const options = { routes, targets: targets(upstream.address) };
+    await withGateway(options, async (fixture) => {
+      const response = await call(fixture);
+      let bytes = 0;
+      for await (const chunk of response.body ?? []) {
+        if (bytes < 500_000) {
+          await new Promise((resolve) => setTimeout(resolve, 10));
+        }
+        bytes += (chunk as Uint8Array).length;
+      }
+      expect(bytes).toEqual(8_000_000);
+    });
+  });
+});
+
 test("a silent upstream is given up on", async () => {
   const routes = [serviceRoute({ deadlineMs: 300, repeatable: false })];
   await withPort(() => {}, async (address) => {
--- a/src/gateway/resume.ts
+++ b/src/gateway/resume.ts
@@ -145,7 +145,9 @@
       outcome = end.outcome;
       progress.ran(end.verdict);
       const final = once && end.verdict === Verdict.MayHaveRun;
-      return final ? { ...end, retried: false } : end;
+      // What was generated is kept, so going on multiplies no work.
+      const free = end.free || progress.tokens > before;
+      return { ...end, free, retried: end.retried && !final };
     } finally {
       // A stream that came to its finish has nothing left to cancel.
       if (outcome !== Outcome.Served) abort.abort();
