Claims: rings of one size, whatever the retention

Cause: the number of slots followed from the retention. Daemons with other settings, as during a rolling change, looked for one segment in two places, and both granted a key. The new test grants it twice when the two logs are given the sizes that followed before (40 and 262144).

A ring has 32,768 slots now, and the pace of writes follows from the retention: 220 ms with the default hour. A lap takes twice the retention, not four times: two daemons write to one shard for seconds only.

--- a/src/claims/log.ts
+++ b/src/claims/log.ts
@@ -7,7 +7,7 @@
  * clock or lease is part of that argument.
  *
  * A lap takes at least `LAP_RETENTIONS` times the retention, because writes
- * are paced; it is what keeps a segment long enough.
+ * are paced by the retention; that keeps each segment long enough.
  *
  * @module
  */
@@ -32,9 +32,13 @@
 const KEY_PREFIX = "toucanwind/claims/";
 const SLOT_DIGITS = 6;
 const PAGE = 500;
-const MAX_SLOTS = 262_144;
+/**
+ * Slots of a ring. The same in all daemons, whatever their settings and
+ * version: it says where a segment is.
+ */
+const SLOTS = 32_768;
 /** Lets that many daemons write to one shard before a lap gets too short. */
-const LAP_RETENTIONS = 4;
+const LAP_RETENTIONS = 2;
 const WRITE_INTERVAL_MS = 100;
 const WAIT_MS = 1_000;
 /** How long outcomes wait for a claim to share a write with. */
@@ -56,8 +60,8 @@
   /** Makes the names of writes unique over all daemons. */
   readonly author: string;
   readonly retentionMs: number;
-  /** Least time between the beginnings of two writes. */
-  readonly writeIntervalMs?: number;
+  /** Slots of the ring; differs from the default only in tests. */
+  readonly slots?: number;
   /** Longest time that a claim waits for the platform. */
   readonly waitMs?: number;
   /** Told of each write as it is sent, with its number of records. */
@@ -122,10 +126,12 @@
     this.#shard = options.shard;
     this.#author = options.author;
     this.#retentionMs = options.retentionMs;
+    this.#slots = options.slots ?? SLOTS;
     const lapMs = LAP_RETENTIONS * options.retentionMs;
-    const interval = options.writeIntervalMs ?? WRITE_INTERVAL_MS;
-    this.#writeIntervalMs = Math.max(interval, lapMs / MAX_SLOTS);
-    this.#slots = Math.ceil(lapMs / Math.max(1, this.#writeIntervalMs));
+    this.#writeIntervalMs = Math.max(
+      WRITE_INTERVAL_MS,
+      lapMs / this.#slots,
+    );
     this.#waitMs = options.waitMs ??
       Math.max(WAIT_MS, 2 * this.#writeIntervalMs);
     this.#onWrite = options.onWrite ?? (() => {});
--- a/src/claims/log_test.ts
+++ b/src/claims/log_test.ts
@@ -21,7 +21,12 @@
 
 function logOf(
   keyValue: KeyValue,
-  options: { clock?: Clock; author?: string; retentionMs?: number } = {},
+  options: {
+    clock?: Clock;
+    author?: string;
+    retentionMs?: number;
+    slots?: number;
+  } = {},
 ) {
   return new ClaimLog({
     keyValue,
@@ -29,6 +34,7 @@
     shard: 1,
     author: options.author ?? "a",
     retentionMs: options.retentionMs ?? 1000,
+    slots: options.slots,
   });
 }
 
@@ -159,20 +165,34 @@
 test("a ring that is written round still grants once", async () => {
   const keyValue = new MapKeyValue();
   const clock = new ManualClock();
-  const retentionMs = 100;
-  const a = logOf(keyValue, { clock, retentionMs });
+  const ring = { clock, retentionMs: 100, slots: 4 };
+  const a = logOf(keyValue, ring);
   for (let n = 0; n < 11; n++) {
     const claimed = during(clock, standing(a, claimOf(`id-${n}`)));
     expect(await claimed).toEqual(Standing.Granted);
   }
   expect(keyValue.entries.size).toEqual(4);
-  const b = logOf(keyValue, { clock, author: "b", retentionMs });
+  const b = logOf(keyValue, { ...ring, author: "b" });
   expect(await standing(b, claimOf("id-10"))).toEqual(Standing.Held);
   expect(await standing(b, claimOf("fresh"))).toEqual(Standing.Granted);
   const late = during(clock, standing(a, claimOf("fresh")));
   expect(await late).toEqual(Standing.Held);
 });
 
+test("daemons with other retention settings share a log", async () => {
+  const keyValue = new MapKeyValue();
+  const clock = new ManualClock();
+  const a = logOf(keyValue, { clock, retentionMs: 1_000 });
+  for (let n = 0; n < 45; n++) {
+    await during(clock, a.claim(claimOf(`id-${n}`)));
+  }
+  const b = logOf(keyValue, { clock, author: "b", retentionMs: 9_999_000 });
+  const first = during(clock, standing(b, claimOf("fresh")));
+  expect(await first).toEqual(Standing.Granted);
+  const again = during(clock, standing(a, claimOf("fresh")));
+  expect(await again).toEqual(Standing.Held);
+});
+
 /** Time passes only as the scheduler lets timers run, in any order. */
 class ScheduledClock extends Clock {
   readonly #scheduler: fc.Scheduler;
