--- a/src/bench/training.ts
+++ b/src/bench/training.ts
@@ -20,6 +20,7 @@
   readonly #retries: Record<string, number> = {};
   readonly #staleness: Record<string, number> = {};
   readonly #steps: StepReport[] = [];
+  #end?: AbortSignal;
 
   constructor(options: {
     entries: readonly string[];
@@ -34,13 +35,14 @@
       route: options.plan.route,
       key: options.plan.key,
       version: this.#version,
-      onRetry: (why) => this.#retries[why] = (this.#retries[why] ?? 0) + 1,
+      onRetry: (why) => this.#noteRetry(why),
     });
   }
 
   /** Runs steps until `seconds` have passed; the last one may stay partial. */
   async run(seed: number, options: { seconds: number }): Promise<void> {
     const signal = AbortSignal.timeout(options.seconds * 1000);
+    this.#end = signal;
     for (let n = 0; !signal.aborted; n++) {
       await this.#run(stepOf(this.#plan, { seed, n }), signal);
     }
@@ -82,6 +84,12 @@
     });
   }
 
+  /** The end of the run breaks the last pull, which is no retry. */
+  #noteRetry(why: string): void {
+    if (this.#end?.aborted) return;
+    this.#retries[why] = (this.#retries[why] ?? 0) + 1;
+  }
+
   #note(sample: TrainerSample, version: number): void {
     const oldest = sample.versions.map((span) => span.version);
     const age = version - Math.min(version, ...oldest);
