Claims: go on when the owner is dead or answers are lost

Cause: with a third of the service's answers lost and an entry killed, the test of three daemons failed in 2 of 16 runs on a busy machine, as fewer than 16 of 20 requests had run. Nothing had run twice. Two faults: asks that reached nobody were repeated at the dead owner until its death was noticed, and a write whose answer was lost was sent again only after the pace of 220 ms and a pause of 100 ms, doubled each time, so that claims behind it met their bound of 1 s.

Asks and ends that reached nobody go to the next ranked daemon. A write is sent again after 20 ms, then doubled; the pace holds for new writes.

The bound of 16 was wrong besides: what the killed entry had claimed stays claimed, rightly, and that can be more than four ids. In its place each of the 20 ids must come to an answer, or to "may have run", once the faults end.

--- a/src/claims/cluster_test.ts
+++ b/src/claims/cluster_test.ts
@@ -102,6 +102,19 @@
   });
 });
 
+/** Waits until an id has its answer, or is known to be of a dead entry. */
+async function decided(
+  cluster: Cluster,
+  ran: readonly string[],
+  id: string,
+): Promise<void> {
+  await until(async () => {
+    const { status, text } = await post(cluster, id);
+    if (status === 200) return ran.includes(id);
+    return status === 409 && text.includes(Verdict.MayHaveRun);
+  });
+}
+
 test("nothing runs twice under lost answers and a killed entry", async () => {
   await withCluster(async (cluster, ran) => {
     cluster.platform.inject([{
@@ -110,13 +123,11 @@
       probability: 0.3,
       seed: SEED,
     }]);
-    const refused: string[] = [];
     const caller = async (id: string, first: number) => {
       for (let n = 0; n < 6; n++) {
         const entry = (first + n) % 3;
         const answer = await post(cluster, id, entry).catch(() => undefined);
         if (answer?.status === 200) return;
-        if (answer?.text.includes(Verdict.NotRun)) refused.push(id);
         await sleep(150);
       }
     };
@@ -127,8 +138,9 @@
     await sleep(200);
     await cluster.daemons[2].kill();
     await Promise.all(callers);
+    cluster.platform.inject([]);
+    for (let n = 0; n < 20; n++) await decided(cluster, ran, `id-${n}`);
     expect(twice(ran)).toEqual([]);
-    expect(ran.length > 15).toEqual(true);
   });
 });
 
--- a/src/claims/log.ts
+++ b/src/claims/log.ts
@@ -46,7 +46,7 @@
 const MAX_BATCH_RECORDS = 1_000;
 const MAX_BATCH_CHARS = 256 * 1024;
 const MAX_QUEUE = 20_000;
-const RETRY_MS = 100;
+const RETRY_MS = 20;
 const MAX_RETRY_MS = 1_000;
 /** Claims that come while writes have failed for longer are not tried. */
 const DOWN_AFTER_MS = 300;
@@ -270,9 +270,11 @@
 
   async #step(): Promise<boolean> {
     if (!this.#loaded && !await this.#load()) return false;
-    if (this.#flight === undefined) await this.#linger();
-    await this.#pace();
-    this.#flight ??= this.#batch();
+    if (this.#flight === undefined) {
+      await this.#linger();
+      await this.#pace();
+      this.#flight = this.#batch();
+    }
     if (this.#flight === undefined) return true;
     return await this.#write(this.#flight);
   }
--- a/src/claims/logged_claims.ts
+++ b/src/claims/logged_claims.ts
@@ -199,7 +199,7 @@
     return Ok(told);
   }
 
-  /** Asks the owner; asks again only where no daemon got the question. */
+  /** Asks the owner, then others, as long as nobody got the question. */
   async #ask(
     kind: string,
     body: { readonly shard: number; readonly [field: string]: unknown },
@@ -207,7 +207,7 @@
     let answer: Result<unknown, Refusal> = Err(UNANSWERED);
     for (let n = 0; n < ASK_TRIES && !this.#stop.signal.aborted; n++) {
       if (n > 0) await this.#kernel.clock.sleep(RETRY_MS, this.#stop.signal);
-      const owner = this.#ownerOf(body.shard);
+      const owner = this.#ownerOf(body.shard, n);
       if (owner === undefined) continue;
       const options = { timeoutMs: ASK_TIMEOUT_MS, signal: this.#stop.signal };
       answer = await this.#peers.ask(owner, kind, body, options);
@@ -228,7 +228,7 @@
     const options = { timeoutMs: TELL_TIMEOUT_MS, signal: this.#stop.signal };
     for (let n = 0; n < TELL_TRIES && !this.#stop.signal.aborted; n++) {
       if (n > 0) await this.#kernel.clock.sleep(RETRY_MS, this.#stop.signal);
-      const owner = this.#ownerOf(shard);
+      const owner = this.#ownerOf(shard, n);
       if (owner === undefined) continue;
       const answer = await this.#peers
         .ask(owner, "claims.append", { shard, record }, options);
@@ -237,8 +237,13 @@
     log("untold", { shard, kind: record.kind });
   }
 
-  #ownerOf(shard: number): string | undefined {
-    return this.#peers.ranked(`claims/${shard}`)[0]?.vm;
+  /**
+   * The owner of a shard, or after `failed` tries one of its successors: a dead
+   * owner is ranked first until its death is noticed, and any daemon may serve.
+   */
+  #ownerOf(shard: number, failed = 0): string | undefined {
+    const ranked = this.#peers.ranked(`claims/${shard}`);
+    return ranked[failed % ranked.length]?.vm;
   }
 
   async #onClaim(body: unknown): Promise<unknown> {
--- a/src/claims/logged_claims_test.ts
+++ b/src/claims/logged_claims_test.ts
@@ -145,6 +145,14 @@
   });
 });
 
+test("claims go on before the owner's death is noticed", async () => {
+  await withDaemons(async (_a, b, net) => {
+    net.handlers.delete("a");
+    expect(await standing(b)).toEqual(Standing.Granted);
+    expect(await standing(b)).toEqual(Standing.Held);
+  });
+});
+
 test("a claim whose answer was lost is refused, then given back", async () => {
   await withDaemons(async (a, b, net) => {
     net.mute.add("a");
