--- a/proofs/checkers_test.ts
+++ b/proofs/checkers_test.ts
@@ -13,6 +13,7 @@
 } from "./platform.ts";
 import {
   atMostOnce,
+  gracefulShutdown,
   keySecrecy,
   notRun,
   ownKey,
@@ -142,6 +143,13 @@
   expect(wholeAnswer([asked(1, { id: "a" }), cut]).length).toEqual(1);
 });
 
+test("graceful shutdown: a cut and a refused request are found", () => {
+  const cut = at(1, "cut", { id: "a", why: "reset", clean: false });
+  const refused = at(2, "refused", { id: "b", reason: "draining" });
+  const unrelated = at(3, "refused", { id: "c", reason: "no_key" });
+  expect(gracefulShutdown([cut, refused, unrelated]).length).toEqual(2);
+});
+
 test("not run: a run of a refused request is found", () => {
   const refused = at(3, "refused", { id: "a", verdict: "not run" });
   const ran = at(2, "ran", { path: "/x/[req:a]", idempotencyKey: "" });
@@ -188,6 +196,18 @@
   expect(leavingUpstream([left, work], 5000)).toEqual([]);
 });
 
+test("leaving upstream: time counts from the end of an outage", () => {
+  const vms = [vm({ id: "e", standing: Standing.Leaving })];
+  const fault = (t: number, phase: "begin" | "end") =>
+    at(t, "fault", { fault: "platform outage", phase });
+  const left = at(1000, "vms", { vms });
+  const outage = [fault(900, "begin"), left, fault(3000, "end")];
+  const work = (t: number) =>
+    at(t, "received", { at: "e", id: "x", prompt: "" });
+  expect(leavingUpstream([...outage, work(5500)], 3000)).toEqual([]);
+  expect(leavingUpstream([...outage, work(6500)], 3000).length).toEqual(1);
+});
+
 test("configuration: a reverted and a late revision are found", () => {
   const options = { boundMs: 6000, daemons: ["d"] };
   const seen = (t: number, revision: number) =>
