Steps: samples are picked late and with regard to the next weights

Cause: a step put as many samples in the pool's queue as it has slots and a half again, so most were picked before any length was known; and long samples were begun that could only go stale. Change: at most a quarter of the samples served, or 8, wait for a slot; groups too long to end before they are stale go after the others. Ruled out: racing a straggler against another draw, which skews lengths.

--- /dev/null
+++ b/experiments/step_policies.ts
@@ -0,0 +1,367 @@
+/**
+ * Orders in which a step's samples start, on the product's own `Step` over a
+ * model of a pool: slots shared by several trainers, heavy-tailed lengths by
+ * group, weights swapped in the middle of steps.
+ * `node dist/experiments/step_policies.js FILE [POLICY;POLICY] [BOUND...]`
+ *
+ * @module
+ */
+
+import { writeFileSync } from "node:fs";
+import { Ok, type Result } from "ts-results";
+import type { Demand } from "../src/dispatch/mod.ts";
+import { Generator } from "../src/gateway/generate.ts";
+import { ManualClock, type Refusal } from "../src/kernel/mod.ts";
+import type { Chunk, Generation } from "../src/platform/mod.ts";
+import {
+  Bitmap,
+  ListedOrder,
+  LongestFirst,
+  Sequence,
+  type Spec,
+  Step,
+} from "../src/steps/mod.ts";
+import type { GroupRecord } from "../src/steps/sequence.ts";
+import { Priority } from "../src/tables/mod.ts";
+import { Random } from "./random.ts";
+
+const SEEDS = [1, 2, 3, 4, 5, 6];
+const TRAINERS = 3;
+const STEPS = 3;
+const GROUPS = 64;
+const SAMPLES = 8;
+const SLOTS = 96;
+/** Of the pool's slots, what a step may have running and queued. */
+const QUEUED_PER_SLOT = 1.5;
+const TICK_MS = 1_000;
+const TOKENS_PER_TICK = 50;
+const MAX_TOKENS = 8_000;
+const PUBLISH_MS = 60_000;
+const SWAP_MS = 3_000;
+const STALENESS_BOUNDS = [2, 4];
+/** Trainer's own work on a sample. */
+const WORK_MS = 350;
+const PULL = { max: 256, maxBytes: 512 * 1024 };
+
+/** Starts a sample of each group in turn. */
+class RoundRobin extends Sequence {
+  #last = -1;
+
+  next(groups: readonly GroupRecord[]): GroupRecord {
+    const next = groups.find(({ group }) => group > this.#last) ?? groups[0];
+    this.#last = next.group;
+    return next;
+  }
+}
+
+/** How a step picks its next sample, and how many it picks ahead. */
+interface Policy {
+  readonly sequence: () => Sequence;
+  readonly lookahead?: number;
+}
+
+const POLICIES: Readonly<Record<string, Policy>> = {
+  "listed, far ahead": {
+    sequence: () => new ListedOrder(),
+    lookahead: Infinity,
+  },
+  "round robin, far ahead": {
+    sequence: () => new RoundRobin(),
+    lookahead: Infinity,
+  },
+  "longest first, far ahead": {
+    sequence: () => new LongestFirst(),
+    lookahead: Infinity,
+  },
+  "round robin": { sequence: () => new RoundRobin() },
+  "longest first": { sequence: () => new LongestFirst() },
+};
+
+/** Lengths of a step's samples: alike in a group, few of them very long. */
+function lengthsOf(seed: number): readonly number[] {
+  const random = new Random({ seed });
+  return Array.from({ length: GROUPS }, () => {
+    const straggles = random.next() < 0.03;
+    const median = random.lognormal(straggles ? 3_500 : 400, 0.6);
+    return Array.from({ length: SAMPLES }, () => {
+      const length = Math.ceil(random.lognormal(median, 0.35));
+      return Math.min(MAX_TOKENS, Math.max(10, length));
+    });
+  }).flat();
+}
+
+/** A generation that waits for a slot or has one. */
+class Run {
+  readonly generation: Generation;
+  readonly tenant: string;
+  readonly signal: AbortSignal;
+  readonly end: number;
+  made: number;
+  #items: Chunk[] = [];
+  #wake = () => {};
+
+  constructor(options: {
+    generation: Generation;
+    tenant: string;
+    signal: AbortSignal;
+    end: number;
+  }) {
+    this.generation = options.generation;
+    this.tenant = options.tenant;
+    this.signal = options.signal;
+    this.end = options.end;
+    this.made = options.generation.resume.length;
+    options.signal.addEventListener("abort", () => this.#wake());
+  }
+
+  decode(weightVersion: number): number {
+    const tokens = Math.min(TOKENS_PER_TICK, this.end - this.made);
+    this.made += tokens;
+    this.#items.push({
+      id: this.generation.id,
+      text: "x".repeat(tokens),
+      tokens,
+      weightVersion,
+      finishReason: this.made >= this.end ? "stop" : "",
+      promptTokens: 1,
+    });
+    this.#wake();
+    return tokens;
+  }
+
+  async next(): Promise<Chunk | undefined> {
+    while (this.#items.length === 0 && !this.signal.aborted) {
+      await new Promise<void>((resolve) => this.#wake = resolve);
+    }
+    return this.signal.aborted ? undefined : this.#items.shift();
+  }
+
+  get over(): boolean {
+    return this.signal.aborted || this.made >= this.end;
+  }
+}
+
+/** Slots of engines; a free one goes to the trainer that has the fewest. */
+class Engines extends Generator {
+  readonly lengths = new Map<number, number>();
+  generated = 0;
+  #queue: Run[] = [];
+  #batch: Run[] = [];
+
+  override async *run(
+    demand: Demand,
+    generation: Generation,
+    signal: AbortSignal,
+  ): AsyncGenerator<Result<Chunk, Refusal>, void, void> {
+    const end = this.lengths.get(generation.seed) ?? 1;
+    const run = new Run({ generation, tenant: demand.tenant, signal, end });
+    this.#queue.push(run);
+    for (;;) {
+      const chunk = await run.next();
+      if (chunk === undefined) return;
+      yield Ok(chunk);
+      if (chunk.finishReason !== "") return;
+    }
+  }
+
+  /** One tick; engines that swap weights make no tokens. */
+  tick(version: number, swapping: boolean): void {
+    this.#queue = this.#queue.filter(({ over }) => !over);
+    this.#batch = this.#batch.filter(({ over }) => !over);
+    while (this.#batch.length < SLOTS && this.#queue.length > 0) this.#grant();
+    if (swapping) return;
+    for (const run of this.#batch) this.generated += run.decode(version);
+  }
+
+  #grant(): void {
+    const used = (tenant: string) =>
+      this.#batch.filter((run) => run.tenant === tenant).length;
+    const uses = new Map(this.#queue.map(({ tenant }) => [tenant, 0]));
+    for (const tenant of uses.keys()) uses.set(tenant, used(tenant));
+    const [tenant] = [...uses].reduce((a, b) => b[1] < a[1] ? b : a);
+    const at = this.#queue.findIndex((run) => run.tenant === tenant);
+    this.#batch.push(...this.#queue.splice(at, 1));
+  }
+}
+
+/** A trainer that works on samples as they come, step after step. */
+class Trainee {
+  readonly #name: string;
+  readonly #seed: number;
+  readonly #engines: Engines;
+  readonly #clock: ManualClock;
+  readonly #policy: Policy;
+  readonly #bound: number;
+  #step?: Step;
+  #held = new Bitmap();
+  #startedAt = 0;
+  #backlogMs = 0;
+  #idleMs = 0;
+  staleTokens = 0;
+  readonly steps: { idleMs: number; totalMs: number }[] = [];
+
+  constructor(options: {
+    name: string;
+    seed: number;
+    engines: Engines;
+    clock: ManualClock;
+    policy: Policy;
+    bound: number;
+  }) {
+    this.#bound = options.bound;
+    this.#name = options.name;
+    this.#seed = options.seed;
+    this.#engines = options.engines;
+    this.#clock = options.clock;
+    this.#policy = options.policy;
+  }
+
+  tick(version: number): void {
+    const step = this.#step ??= this.#open(version);
+    const ready = step.ready(PULL);
+    this.#held = this.#held.with(ready.map(({ number }) => number));
+    step.acknowledge(this.#held, version);
+    this.#backlogMs += ready.length * WORK_MS;
+    const workedMs = Math.min(TICK_MS, this.#backlogMs);
+    this.#backlogMs -= workedMs;
+    this.#idleMs += TICK_MS - workedMs;
+    if (step.complete) this.#close(step);
+  }
+
+  #open(version: number): Step {
+    const seed = (this.#seed * 100 + this.steps.length) * 10_000;
+    lengthsOf(seed).forEach((length, number) =>
+      this.#engines.lengths.set(seed + number, length)
+    );
+    this.#held = new Bitmap();
+    this.#startedAt = this.#clock.now();
+    this.#idleMs = 0;
+    const step = new Step({
+      spec: specOf(this.#name, { seed, version, bound: this.#bound }),
+      terms: {
+        pool: "lm",
+        model: "m",
+        weight: 1,
+        priority: Priority.Training,
+        deadlineMs: 1e9,
+      },
+      generator: this.#engines,
+      clock: this.#clock,
+      concurrency: () => Math.ceil(SLOTS * QUEUED_PER_SLOT),
+      sequence: this.#policy.sequence(),
+      lookahead: this.#policy.lookahead,
+    });
+    step.fill();
+    return step;
+  }
+
+  #close(step: Step): void {
+    const totalMs = this.#clock.now() - this.#startedAt;
+    this.staleTokens += step.progress.waste.staleTokens;
+    this.steps.push({ idleMs: this.#idleMs, totalMs });
+    this.#step = undefined;
+  }
+}
+
+function specOf(
+  tenant: string,
+  options: { seed: number; version: number; bound: number },
+): Spec {
+  return {
+    id: `${options.seed}`,
+    route: "train",
+    tenant,
+    keyId: "k",
+    groups: Array.from({ length: GROUPS }, (_, group) => ({
+      prompt: `p${group}`,
+      samples: SAMPLES,
+    })),
+    maxTokens: MAX_TOKENS,
+    temperature: 1,
+    seed: options.seed,
+    stalenessBound: options.bound,
+    version: options.version,
+  };
+}
+
+async function simulate(
+  seed: number,
+  options: { policy: Policy; bound: number },
+) {
+  const clock = new ManualClock();
+  const engines = new Engines();
+  const trainers = Array.from({ length: TRAINERS }, (_, n) =>
+    new Trainee({
+      name: `trainer-${n}`,
+      seed: seed * TRAINERS + n,
+      engines,
+      clock,
+      ...options,
+    }));
+  while (trainers.some(({ steps }) => steps.length < STEPS)) {
+    const version = 1 + Math.floor(clock.now() / PUBLISH_MS);
+    const swapping = version > 1 && clock.now() % PUBLISH_MS < SWAP_MS;
+    for (const trainer of trainers) trainer.tick(version);
+    await settled();
+    engines.tick(swapping ? version - 1 : version, swapping);
+    await settled();
+    clock.advance(TICK_MS);
+  }
+  const steps = trainers.flatMap(({ steps }) => steps.slice(0, STEPS));
+  const stale = trainers.reduce((sum, { staleTokens }) => sum + staleTokens, 0);
+  return {
+    idleS: mean(steps.map(({ idleMs }) => idleMs)) / 1000,
+    stepS: mean(steps.map(({ totalMs }) => totalMs)) / 1000,
+    stalePercent: 100 * stale / engines.generated,
+  };
+}
+
+/** Lets everything that can run now, run. */
+function settled(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+async function compare(policy: string, bound: number) {
+  const runs = [];
+  for (const seed of SEEDS) {
+    runs.push(await simulate(seed, { policy: POLICIES[policy], bound }));
+  }
+  const idle = runs.map(({ idleS }) => idleS);
+  const stale = runs.map(({ stalePercent }) => stalePercent);
+  return {
+    bound,
+    policy,
+    idleS: round(mean(idle)),
+    idleMin: round(Math.min(...idle)),
+    idleMax: round(Math.max(...idle)),
+    stepS: round(mean(runs.map(({ stepS }) => stepS))),
+    stalePercent: round(mean(stale)),
+    staleMax: round(Math.max(...stale)),
+  };
+}
+
+async function main(): Promise<void> {
+  const [file, chosen, ...bounds] = process.argv.slice(2);
+  const policies = chosen ? chosen.split(";") : Object.keys(POLICIES);
+  const rows = [];
+  for (
+    const bound of bounds.length > 0 ? bounds.map(Number) : STALENESS_BOUNDS
+  ) {
+    for (const policy of policies) {
+      const row = await compare(policy, bound);
+      console.log(JSON.stringify(row));
+      rows.push(row);
+    }
+  }
+  if (file) writeFileSync(file, JSON.stringify(rows, null, 1) + "\n");
+}
+
+void main();
--- a/src/steps/sequence.ts
+++ b/src/steps/sequence.ts
@@ -19,8 +19,14 @@
 
 /** Picks the group whose next sample starts. */
 export abstract class Sequence {
-  /** One of `groups`, of which each has pending samples. */
-  abstract next(groups: readonly GroupRecord[]): GroupRecord;
+  /**
+   * One of `groups`, of which each has pending samples. A sample begun now is
+   * stale before its end if it has more than `lifeTokens`.
+   */
+  abstract next(
+    groups: readonly GroupRecord[],
+    lifeTokens?: number,
+  ): GroupRecord;
 }
 
 /** Starts groups in the order in which the trainer listed them. */
@@ -32,20 +38,28 @@
 
 /**
  * Starts one sample of each group as a probe, then the rest of the groups
- * that proved long. Samples of one prompt have similar lengths.
+ * that proved long. Samples of one prompt have similar lengths. Groups too
+ * long to end before they are stale wait for the next weights, as long as
+ * there are others.
  */
 export class LongestFirst extends Sequence {
-  next(groups: readonly GroupRecord[]): GroupRecord {
-    return groups.reduce((best, group) =>
-      expectedTokens(group) > expectedTokens(best) ? group : best
-    );
+  next(groups: readonly GroupRecord[], lifeTokens = Infinity): GroupRecord {
+    const fits = (group: GroupRecord) =>
+      !isStarted(group) || expectedTokens(group) <= lifeTokens;
+    return groups.reduce((best, group) => {
+      if (fits(group) !== fits(best)) return fits(group) ? group : best;
+      return expectedTokens(group) > expectedTokens(best) ? group : best;
+    });
   }
 }
 
 /** Tokens that the group's next sample will probably have. */
 export function expectedTokens(group: GroupRecord): number {
-  const started = group.whole > 0 || group.longestRunning > 0;
-  if (!started) return Infinity;
+  if (!isStarted(group)) return Infinity;
   const mean = group.whole === 0 ? 0 : group.wholeTokens / group.whole;
   return Math.max(mean, group.longestRunning);
 }
+
+function isStarted(group: GroupRecord): boolean {
+  return group.whole > 0 || group.longestRunning > 0;
+}
--- a/src/steps/step.ts
+++ b/src/steps/step.ts
@@ -16,6 +16,7 @@
 import type { Priority } from "../tables/mod.ts";
 import { Board, type Slot, Stage } from "./board.ts";
 import { Bitmap } from "./cursor.ts";
+import { Pace } from "./pace.ts";
 import { EMPTY_SAMPLE, extend, oldestVersion, type Sample } from "./sample.ts";
 import { LongestFirst, type Sequence } from "./sequence.ts";
 import { type Position, type Spec, stepName } from "./spec.ts";
@@ -62,6 +63,12 @@
 
 const MIN_BACKOFF_MS = 100;
 
+/** Samples that wait for a slot, in parts of those that have one. */
+const LOOKAHEAD = 0.25;
+
+/** Samples that may wait for a slot however few have one. */
+const MIN_WAITING = 8;
+
 /** A step that this daemon owns. */
 export class Step {
   readonly spec: Spec;
@@ -75,7 +82,11 @@
   readonly #board: Board;
   #held: Bitmap;
   #version: number;
+  readonly #lookahead: number;
+  readonly #pace: Pace;
   #running = 0;
+  /** Runs without a token yet, which probably wait for a slot. */
+  readonly #waiting = new Set<AbortSignal>();
   #resumeAt = 0;
   #failures = 0;
   #waste: Waste = { staleSamples: 0, staleTokens: 0 };
@@ -91,6 +102,8 @@
     clock: Clock;
     concurrency: () => number;
     sequence?: Sequence;
+    /** Samples that may wait for a slot, in parts of those that have one. */
+    lookahead?: number;
     held?: Bitmap;
     version?: number;
     samples?: readonly (readonly [number, Sample])[];
@@ -103,10 +116,12 @@
     this.#clock = options.clock;
     this.#concurrency = options.concurrency;
     this.#sequence = options.sequence ?? new LongestFirst();
+    this.#lookahead = options.lookahead ?? LOOKAHEAD;
     this.#refused = options.onRefused ?? (() => {});
     this.#held = options.held ?? new Bitmap();
     this.#version = options.version ?? options.spec.version;
     this.touchedAt = options.clock.now();
+    this.#pace = new Pace({ version: this.#version, now: this.touchedAt });
     this.#board = new Board({
       spec: options.spec,
       held: this.#held,
@@ -118,7 +133,7 @@
   fill(): void {
     if (this.#stopped || this.#clock.now() < this.#resumeAt) return;
     const limit = this.#concurrency();
-    while (this.#running < limit) {
+    while (this.#running < limit && this.#mayWait()) {
       const slot = this.#nextSlot();
       if (slot === undefined) return;
       void this.#produce(slot);
@@ -129,6 +144,7 @@
   acknowledge(held: Bitmap, version: number): void {
     this.touchedAt = this.#clock.now();
     const newer = version > this.#version;
+    this.#pace.named(version, this.touchedAt);
     this.#version = Math.max(this.#version, version);
     this.#held = held;
     for (const slot of this.#board.slots) {
@@ -212,12 +228,24 @@
     };
   }
 
+  /**
+   * Whether one more sample may wait for a slot. What waits was picked before
+   * more was known of the lengths, so only as many wait as keep slots busy.
+   */
+  #mayWait(): boolean {
+    const waiting = this.#waiting.size;
+    const served = this.#running - waiting;
+    return waiting < Math.max(MIN_WAITING, this.#lookahead * served);
+  }
+
   #nextSlot(): Slot | undefined {
     const begun = this.#board.begun();
     if (begun !== undefined) return begun;
     const records = this.#board.records();
     if (records.length === 0) return undefined;
-    return this.#board.pending(this.#sequence.next(records).group);
+    const { stalenessBound } = this.spec;
+    const life = this.#pace.lifeTokens(stalenessBound, this.#clock.now());
+    return this.#board.pending(this.#sequence.next(records, life).group);
   }
 
   async #produce(slot: Slot): Promise<void> {
@@ -229,7 +257,9 @@
     const run = new AbortController();
     this.#running++;
     this.#board.update(slot.number, { stage: Stage.Running, run });
+    this.#waiting.add(run.signal);
     const failure = await this.#generate(slot, run.signal);
+    this.#waiting.delete(run.signal);
     this.#running--;
     this.#settle(slot.number, run, failure);
     this.#wake();
@@ -243,11 +273,19 @@
     const generation = this.#generation(slot);
     const demand = { ...this.#demand(slot), id: generation.id };
     const chunks = this.#generator.run(demand, generation, signal);
+    let begunAt = 0;
+    let tokens = 0;
     for await (const item of chunks) {
       if (item.err) return item.val;
       if (signal.aborted) return undefined;
       const sample = extend(this.#board.slot(slot.number).sample, item.val);
       this.#board.update(slot.number, { sample });
+      if (this.#waiting.delete(signal)) {
+        begunAt = this.#clock.now();
+        this.fill();
+      } else tokens += item.val.tokens;
+      if (sample.finishReason === "") continue;
+      this.#pace.made(tokens, this.#clock.now() - begunAt);
     }
     return undefined;
   }
--- a/src/steps/step_test.ts
+++ b/src/steps/step_test.ts
@@ -8,6 +8,7 @@
 import { Priority } from "../tables/mod.ts";
 import type { Demand } from "../dispatch/mod.ts";
 import { Bitmap } from "./cursor.ts";
+import { LongestFirst } from "./sequence.ts";
 import type { Spec } from "./spec.ts";
 import { Step } from "./step.ts";
 
@@ -225,6 +226,25 @@
   expect(generator.runs[2].generation.prompt).toEqual("b");
 });
 
+test("few samples wait for slots; the first token lets more follow", async () => {
+  const groups = [{ prompt: "a", samples: 40 }];
+  const { generator } = fixture({ spec: { groups }, concurrency: 40 });
+  expect(generator.runs.length).toEqual(8);
+  await generator.runs[0].emit(1);
+  await generator.runs[1].emit(1);
+  expect(generator.runs.length).toEqual(10);
+});
+
+test("samples that would be stale before their end start last", () => {
+  const group = { pending: 1, whole: 1, longestRunning: 0 };
+  const short = { ...group, group: 1, wholeTokens: 10 };
+  const long = { ...group, group: 2, wholeTokens: 100 };
+  const sequence = new LongestFirst();
+  expect(sequence.next([short, long])).toEqual(long);
+  expect(sequence.next([short, long], 50)).toEqual(short);
+  expect(sequence.next([long], 50)).toEqual(long);
+});
+
 test("whatever happens, each delivery is fresh and new", async () => {
   const action = fc.oneof(
     fc.record({ kind: fc.constant("emit"), run: fc.nat(8) }),
