--- a/proofs/checkers_test.ts
+++ b/proofs/checkers_test.ts
@@ -42,6 +42,7 @@
     versions: [{ version: 1, from: 0, to: 4 }],
     text: "text",
     expected: "text",
+    quarantined: false,
     ...fields,
   };
 }
--- a/proofs/events.ts
+++ b/proofs/events.ts
@@ -72,6 +72,8 @@
   readonly versions: readonly Span[];
   readonly text: string;
   readonly expected: string;
+  /** Whether the trainer was told that it is not going to be made. */
+  readonly quarantined: boolean;
 }
 
 /** A trainer takes the samples of one pull. */
--- a/proofs/trainers.ts
+++ b/proofs/trainers.ts
@@ -115,6 +115,7 @@
     tokens: sample.tokens,
     versions: sample.versions,
     text: sample.text,
+    quarantined: sample.finishReason === "quarantined",
     expected: expectedText(body, shape.tokens(sample.group)),
   };
 }
--- a/src/steps/step.ts
+++ b/src/steps/step.ts
@@ -8,7 +8,7 @@
  */
 
 import { randomUUID } from "node:crypto";
-import type { Clock, Refusal } from "../kernel/mod.ts";
+import { type Clock, Reason, type Refusal } from "../kernel/mod.ts";
 import type { Demand } from "../dispatch/mod.ts";
 import { ENGINE_PRIORITY, type Generator } from "../gateway/generate.ts";
 import type { Generation } from "../platform/mod.ts";
@@ -61,6 +61,9 @@
   readonly waste: Waste;
 }
 
+/** Finish reason of a sample that crashed upstreams: it has no text. */
+export const QUARANTINED = "quarantined";
+
 const MIN_BACKOFF_MS = 100;
 
 /** Samples that wait for a slot, in parts of those that have one. */
@@ -297,8 +300,14 @@
   ): void {
     const slot = this.#board.slot(number);
     if (slot.run !== run) return;
-    const whole = slot.sample.finishReason !== "";
+    const banned = failure?.reason === Reason.Quarantined;
+    // A step must not wait for what is not going to run: its trainer is told.
+    const sample = banned
+      ? { ...EMPTY_SAMPLE, finishReason: QUARANTINED }
+      : slot.sample;
+    const whole = sample.finishReason !== "";
     this.#board.update(number, {
+      sample,
       stage: whole ? Stage.Whole : Stage.Pending,
       run: undefined,
     });
