Dispatch: a wait that could only end in part of an answer is refused

Cause: the deadline was compared with the expected time on a slot only when a request joined the queue; one that waited longer than expected got a slot and was cut in the middle of its answer. Ruled out: retries (none were counted). Change: waits whose time left is below the expected time on a slot are refused as not run.

--- a/src/dispatch/fair_queue.ts
+++ b/src/dispatch/fair_queue.ts
@@ -146,7 +146,7 @@
 export class FairQueue extends Queue {
   readonly #accounts = new Map<string, Account>();
   readonly #tickets = new Map<string, Ticket>();
-  readonly #holdMs = new Map<Priority, number>();
+  readonly #holds = new Map<Priority, number>();
   readonly #tenantLimit: number;
   readonly #limit: number;
   #slotsElsewhere = 0;
@@ -231,6 +231,10 @@
     account.lane(priority).running += 1;
   }
 
+  override holdMs(priority: Priority): number {
+    return this.#holds.get(priority) ?? 0;
+  }
+
   override ended({ tenant, weight, priority }: Demand, spent: Spent): void {
     const account = this.#account(tenant, weight);
     account.follow(spent.now);
@@ -238,8 +242,8 @@
     this.#presentWeights = undefined;
     account.lane(priority).running -= 1;
     if (spent.tokens === 0) return;
-    const known = this.#holdMs.get(priority) ?? 0;
-    this.#holdMs.set(priority, mean(known, spent.heldMs));
+    const known = this.#holds.get(priority) ?? 0;
+    this.#holds.set(priority, mean(known, spent.heldMs));
   }
 
   override setElsewhere({ slots, tenants }: Elsewhere): void {
@@ -314,7 +318,7 @@
     }
     if (capacity.freeSlots > 0 && account.waiting === 0) return undefined;
     const waitMs = this.#waitMs(demand, account, capacity);
-    const lateMs = waitMs + (this.#holdMs.get(demand.priority) ?? 0) -
+    const lateMs = waitMs + this.holdMs(demand.priority) -
       demand.remainingMs;
     if (lateMs <= 0) return undefined;
     return account.waiting > 0
@@ -330,7 +334,7 @@
     let taken = 0;
     for (const priority of CLASSES) {
       const { tickets, running } = account.lane(priority);
-      workMs += tickets.size * (this.#holdMs.get(priority) ?? 0);
+      workMs += tickets.size * this.holdMs(priority);
       if (priority === demand.priority) break;
       taken += running;
     }
--- a/src/dispatch/keeper.ts
+++ b/src/dispatch/keeper.ts
@@ -251,11 +251,22 @@
       const finding = this.#quarantine.finding(demand.fingerprint);
       if (finding?.crashes === 1) this.#quarantine.ease(demand.fingerprint);
     }
-    for (const ticket of [...this.#queue.waiting()]) {
-      if (ticket.queuedAt + ticket.demand.remainingMs > now) continue;
+    for (const ticket of [...this.#queue.waiting()]) this.#expire(ticket, now);
+    this.#pump();
+  }
+
+  /**
+   * Refuses a wait that can't end in a whole answer any more. A slot given to
+   * it would make part of one, and be lost to a request that can be met.
+   */
+  #expire(ticket: Ticket, now: number): void {
+    const { priority, remainingMs } = ticket.demand;
+    const leftMs = ticket.queuedAt + remainingMs - now;
+    if (leftMs <= 0) {
       this.#refuse(ticket, Reason.DeadlineExceeded, "The deadline passed");
+    } else if (leftMs < this.#queue.holdMs(priority)) {
+      this.#refuse(ticket, Reason.DeadlineTooShort, "The deadline is too near");
     }
-    this.#pump();
   }
 
   /** Answers all waits with `moved`: the shard has another keeper. */
--- a/src/dispatch/keeper_test.ts
+++ b/src/dispatch/keeper_test.ts
@@ -55,6 +55,21 @@
   expect(reason(second)).toEqual(Reason.DeadlineExceeded);
 });
 
+test("a wait that could only end in part of an answer is refused", () => {
+  const { clock, keeper, ask } = shard([upstream({ slots: 1 })]);
+  const first = ask();
+  clock.advance(1000);
+  keeper.release(permit(first), Outcome.Served, 10);
+  ask();
+  const second = ask({ remainingMs: 6000 });
+  clock.advance(3900);
+  keeper.tick();
+  expect(reason(second)).toEqual(undefined);
+  clock.advance(200);
+  keeper.tick();
+  expect(reason(second)).toEqual(Reason.DeadlineTooShort);
+});
+
 test("what the report tells beyond our permits takes slots", () => {
   const { keeper, ask } = shard([upstream()]);
   keeper.probed("up-1", Reach.Alive, load({ running: 2 }));
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -7,6 +7,7 @@
 
 import { Ok, type Result } from "ts-results";
 import type { Refusal } from "../kernel/mod.ts";
+import type { Priority } from "../tables/mod.ts";
 import type { Demand } from "./mod.ts";
 
 /** A request that waits for a permit. */
@@ -84,6 +85,11 @@
   /** Removes a request that no longer waits. */
   abstract remove(id: string): Ticket | undefined;
 
+  /** Expected time on a slot, in milliseconds; 0 where it isn't known. */
+  holdMs(_priority: Priority): number {
+    return 0;
+  }
+
   /** How urgently the request needs a slot. */
   urgency(_ticket: Ticket, _capacity: Capacity): Urgency {
     return Urgency.Low;
