--- a/src/orders/swaps.ts
+++ b/src/orders/swaps.ts
@@ -1,6 +1,6 @@
 /**
  * Which upstreams load new weights now: a bounded part of a pool at once, the
- * furthest behind first, failed ones again after a while.
+ * furthest behind first, failed ones again after a while and after the others.
  *
  * @module
  */
@@ -9,7 +9,7 @@
 const FRACTION = 0.35;
 /** Bounds on the time after which a swap counts as failed. */
 const MIN_TIMEOUT_MS = 5000;
-const FIRST_TIMEOUT_MS = 30_000;
+const FIRST_TIMEOUT_MS = 10_000;
 const MAX_TIMEOUT_MS = 120_000;
 /** A swap may take this many times the longest recent one. */
 const TIMEOUT_FACTOR = 3;
@@ -99,7 +99,10 @@
         version < latest && !this.#pending.has(id) &&
         (this.#retries.get(id)?.at ?? 0) <= now
       )
-      .sort((a, b) => a.version - b.version || (a.id < b.id ? -1 : 1))
+      .sort((a, b) =>
+        this.#failures(a.id) - this.#failures(b.id) ||
+        a.version - b.version || (a.id < b.id ? -1 : 1)
+      )
       .slice(0, Math.max(0, most - this.#pending.size))
       .map(({ id }) => id);
   }
@@ -116,7 +119,7 @@
 
   /** Notes that a swap failed, or couldn't be ordered. */
   failed(id: string, now: number): void {
-    const failures = (this.#retries.get(id)?.failures ?? 0) + 1;
+    const failures = this.#failures(id) + 1;
     const waitMs = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** (failures - 1));
     this.#pending = without(this.#pending, id);
     this.#retries = new Map([
@@ -125,6 +128,10 @@
     ]);
   }
 
+  #failures(id: string): number {
+    return this.#retries.get(id)?.failures ?? 0;
+  }
+
   #done(id: string, tookMs: number): SwapEnd {
     this.#pending = without(this.#pending, id);
     this.#retries = without(this.#retries, id);
