--- a/experiments/claim_cost.ts
+++ b/experiments/claim_cost.ts
@@ -13,7 +13,7 @@
 import { Ending, Standing } from "../src/claims/mod.ts";
 import { RecordKind } from "../src/claims/record.ts";
 import { SystemClock } from "../src/kernel/mod.ts";
-import { HttpKeyValue } from "../src/platform/http_key_value.ts";
+import { HttpKeyValue } from "../src/outside/http_key_value.ts";
 import { startPlatform } from "../stand_ins/platform.ts";
 
 const SHARDS = 16;
--- a/experiments/configuration_spread.ts
+++ b/experiments/configuration_spread.ts
@@ -12,7 +12,7 @@
 import { Daemons } from "../src/cli/daemons.ts";
 import { Ending, Revisions } from "../src/cli/mod.ts";
 import { SystemClock } from "../src/kernel/mod.ts";
-import { HttpKeyValue } from "../src/platform/http_key_value.ts";
+import { HttpKeyValue } from "../src/outside/http_key_value.ts";
 import { pool, tables } from "../stand_ins/builders.ts";
 import { type Cluster, startCluster } from "../stand_ins/cluster.ts";
 import { FaultKind, type Injection } from "../stand_ins/faults.ts";
--- a/experiments/engine_model.ts
+++ b/experiments/engine_model.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import type { CacheEvent, Load } from "../src/platform/mod.ts";
+import type { CacheEvent, Load } from "../src/outside/mod.ts";
 import type { Random } from "./random.ts";
 import type { Timeline } from "./timeline.ts";
 
--- a/experiments/forward_cost.ts
+++ b/experiments/forward_cost.ts
@@ -27,7 +27,7 @@
 import * as builders from "../stand_ins/builders.ts";
 import { type Cluster, startCluster } from "../stand_ins/cluster.ts";
 import { vm } from "../stand_ins/platform.ts";
-import { HttpEngine } from "../src/platform/http_engine.ts";
+import { HttpEngine } from "../src/outside/http_engine.ts";
 
 const RUN_MS = Number(process.env.RUN_MS ?? 4_000);
 const WARM_MS = 1_000;
--- a/experiments/plans.ts
+++ b/experiments/plans.ts
@@ -14,7 +14,7 @@
 import type { Placement, Plan } from "../src/orders/mod.ts";
 import { dueOf, type Gap, gapOf } from "../src/orders/ordering.ts";
 import { PressurePlan, StaticPlan } from "../src/orders/plan.ts";
-import type { Offer } from "../src/platform/mod.ts";
+import type { Offer } from "../src/outside/mod.ts";
 import type { Pool } from "../src/tables/mod.ts";
 
 const SECONDS = 6 * 3600;
--- a/experiments/step_policies.ts
+++ b/experiments/step_policies.ts
@@ -12,7 +12,7 @@
 import type { Demand } from "../src/dispatch/mod.ts";
 import { Generator } from "../src/gateway/generate.ts";
 import { ManualClock, type Refusal } from "../src/kernel/mod.ts";
-import type { Chunk, Generation } from "../src/platform/mod.ts";
+import type { Chunk, Generation } from "../src/outside/mod.ts";
 import {
   Bitmap,
   ListedOrder,
--- a/experiments/systems.ts
+++ b/experiments/systems.ts
@@ -6,7 +6,7 @@
  */
 
 import { Reason } from "../src/kernel/mod.ts";
-import type { Load } from "../src/platform/mod.ts";
+import type { Load } from "../src/outside/mod.ts";
 import { Reach } from "../src/dispatch/crashes.ts";
 import type { Choice } from "../src/dispatch/choice.ts";
 import type { Shard } from "../src/dispatch/fleet.ts";
--- a/proofs/checkers_test.ts
+++ b/proofs/checkers_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { test } from "node:test";
-import { Standing } from "../src/platform/mod.ts";
+import { Standing } from "../src/outside/mod.ts";
 import { vm } from "../stand_ins/platform.ts";
 import type { Fields, History, PulledSample } from "./events.ts";
 import {
--- a/proofs/events.ts
+++ b/proofs/events.ts
@@ -6,7 +6,7 @@
  */
 
 import type { HistoryEvent } from "../stand_ins/history.ts";
-import type { Order, Vm } from "../src/platform/mod.ts";
+import type { Order, Vm } from "../src/outside/mod.ts";
 import type { Span } from "../src/steps/mod.ts";
 
 /** A caller sends a request. */
--- a/proofs/platform.ts
+++ b/proofs/platform.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { Standing } from "../src/platform/mod.ts";
+import { Standing } from "../src/outside/mod.ts";
 import {
   type Event,
   groupBy,
--- a/proofs/scenario.ts
+++ b/proofs/scenario.ts
@@ -11,8 +11,8 @@
 import { isSome } from "fp-ts/Option";
 import { Ending, Revisions } from "../src/cli/revisions.ts";
 import { SystemClock } from "../src/kernel/mod.ts";
-import { HttpKeyValue } from "../src/platform/http_key_value.ts";
-import { Standing } from "../src/platform/mod.ts";
+import { HttpKeyValue } from "../src/outside/http_key_value.ts";
+import { Standing } from "../src/outside/mod.ts";
 import { Kind, Priority, type Tables } from "../src/tables/mod.ts";
 import { key, pool, route, tables } from "../stand_ins/builders.ts";
 import {
--- a/src/admin/admin.ts
+++ b/src/admin/admin.ts
@@ -22,7 +22,7 @@
   Verdict,
 } from "../kernel/mod.ts";
 import { type Member, peersKey } from "../peers/mod.ts";
-import { Role, Standing } from "../platform/mod.ts";
+import { Role, Standing } from "../outside/mod.ts";
 import type { Priority, Tables } from "../tables/mod.ts";
 import { admit } from "./admission.ts";
 import {
--- a/src/admin/fixture.ts
+++ b/src/admin/fixture.ts
@@ -33,7 +33,7 @@
   type Platform,
   Role,
   type Vm,
-} from "../platform/mod.ts";
+} from "../outside/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import type { Configuration, Key } from "../tables/mod.ts";
 import { tables } from "../../stand_ins/builders.ts";
--- /dev/null
+++ b/src/batches/batches.ts
@@ -0,0 +1,554 @@
+/**
+ * The batches plug-in. A batch is accepted by any daemon and run by one, its
+ * owner: the first ranked for its route, so that a trainer's connections to
+ * upstreams stay where they are. Any daemon serves its results.
+ *
+ * @module
+ */
+
+import { isNone, none, type Option, some } from "fp-ts/Option";
+import { Err, Ok, type Result } from "ts-results";
+import { z } from "zod";
+import { configKey } from "../config/mod.ts";
+import { dispatchKey } from "../dispatch/mod.ts";
+import {
+  type Kernel,
+  logger,
+  type PeerHandler,
+  type Props,
+  Reason,
+  Refusal,
+  register,
+  Verdict,
+} from "../kernel/mod.ts";
+import type { Records } from "../outside/mod.ts";
+import { type Peers, peersKey } from "../peers/mod.ts";
+import { type ExchangeRoute, relayKey } from "../relay/mod.ts";
+import {
+  Archive,
+  Changed,
+  type Head,
+  resultsSchema,
+  type Versioned,
+} from "./archive.ts";
+import {
+  Batches,
+  batchesKey,
+  type Named,
+  type Page,
+  type Submission,
+} from "./mod.ts";
+import { Run } from "./run.ts";
+import { pageOf, type View, Views } from "./view.ts";
+
+const log = logger("batches");
+
+/** How often the daemons that look after all batches look at them. */
+const SCAN_MS = 1000;
+
+/** Daemons that look after all batches: one may be dead, one cut off. */
+const SCANNERS = 2;
+
+/** An ended batch's owner is told so for this long. */
+const TELL_ENDED_MS = 10_000;
+
+/** Batches are removed this long after nobody may ask for them any more. */
+const REMOVAL_MARGIN_MS = 30_000;
+
+/** Time in which an unknown outcome of a submission is settled. */
+const SUBMIT_PATIENCE_MS = 1500;
+
+const OWN_TIMEOUT_MS = 1000;
+
+/** Time that an owner's answer may take beyond what it waits for. */
+const READ_MARGIN_MS = 400;
+
+/** When to come back to a batch that can't be looked up now. */
+const RETRY_AFTER_MS = 300;
+
+/** Attempts to end a batch whose head changes all the while. */
+const END_ATTEMPTS = 20;
+
+/** Peer requests of this plug-in. */
+enum Message {
+  /** Asks a daemon to run a batch, or to stop if it has ended. */
+  Own = "batches.own",
+  /** Asks a batch's owner for results. */
+  Read = "batches.read",
+}
+
+const ownBody = z.object({ id: z.string(), ended: z.boolean() });
+const readBody = z.object({
+  id: z.string(),
+  after: z.number(),
+  waitMs: z.number(),
+});
+const readAnswer = z.object({
+  run: z.boolean(),
+  results: resultsSchema,
+});
+
+/** Batches kept in the platform's key-value service. */
+export class KeptBatches extends Batches {
+  override readonly props: Props;
+  readonly #kernel: Kernel;
+  readonly #peers: Peers;
+  readonly #archive: Archive;
+  readonly #keepMs: number;
+  readonly #views = new Views();
+  readonly #runs = new Map<string, Run>();
+  readonly #starting = new Set<string>();
+  readonly #stop = new AbortController();
+  readonly #ended;
+  #leaving = false;
+
+  constructor(options: {
+    kernel: Kernel;
+    records: Records;
+    /** Time after its submission during which a batch can be read. */
+    keepMs?: number;
+  }) {
+    super();
+    const { kernel, records } = options;
+    this.#kernel = kernel;
+    this.#peers = kernel.get(peersKey);
+    this.#keepMs = options.keepMs ?? 120_000;
+    this.#archive = new Archive({ records, clock: kernel.clock });
+    this.#ended = kernel.counter(
+      "toucanwind_batches_calls_total",
+      "Calls on batches by kind and outcome",
+      ["call", "outcome"],
+    );
+    this.props = {
+      peerHandlers: {
+        [Message.Own]: this.#owned,
+        [Message.Read]: this.#asked,
+      },
+      status: () =>
+        [...this.#runs.values()].map(({ state, results }) => ({
+          id: state.head.id,
+          route: state.head.route,
+          listed: results.length,
+          total: state.head.total,
+        })),
+    };
+  }
+
+  override start(): Promise<void> {
+    void this.#scan();
+    return Promise.resolve();
+  }
+
+  /** Runs go on at the daemons that take over. */
+  override async leave(): Promise<void> {
+    this.#leaving = true;
+    const runs = [...this.#runs.values()];
+    this.#runs.clear();
+    await Promise.all(runs.map((run) => run.stop("leaving")));
+    await Promise.all(runs.map(({ state }) => this.#pass(state.head)));
+  }
+
+  override async stop(): Promise<void> {
+    this.#stop.abort();
+    const runs = [...this.#runs.values()];
+    await Promise.all(runs.map((run) => run.stop("stopping")));
+  }
+
+  async submit(submission: Submission): Promise<Result<true, Refusal>> {
+    const owner = this.#ownerOf(submission.route);
+    const outcome = await this.#archive.create(submission, {
+      owner: owner.vm,
+      run: owner.incarnation,
+      patienceMs: SUBMIT_PATIENCE_MS,
+    });
+    const { id, organisation } = submission;
+    log("submitted", {
+      id,
+      route: submission.route,
+      organisation,
+      items: submission.items.length,
+      groups: submission.wantedGroups,
+      minVersion: submission.minVersion,
+      owner: owner.vm,
+      outcome: outcome.changed,
+      message: outcome.message,
+    });
+    this.#ended.inc({ call: "submit", outcome: outcome.changed });
+    switch (outcome.changed) {
+      case Changed.Applied:
+        if (!isNone(outcome.now)) this.#accepted(submission, outcome.now.value);
+        return Ok(true);
+      case Changed.Overtaken:
+        return this.#repeated(submission, outcome.now);
+      case Changed.Refused:
+        return Err(refuse(Verdict.NotRun, Reason.PlatformDown));
+      case Changed.Unknown:
+        return Err(refuse(Verdict.MayHaveRun, Reason.PeerFailed));
+    }
+  }
+
+  async read(batch: Named, { after, waitMs, signal }: {
+    after: number;
+    waitMs: number;
+    signal: AbortSignal;
+  }): Promise<Result<Page, Refusal>> {
+    const found = await this.#view(batch);
+    if (found.err) return found;
+    let view = found.val;
+    if (view.results.length <= after && view.results.length < view.head.total) {
+      view = await this.#newer(view, { after, waitMs, signal });
+    }
+    return Ok(pageOf(view.head.total, view.results, after));
+  }
+
+  async body(batch: Named, item: string): Promise<Result<string, Refusal>> {
+    const found = await this.#view(batch);
+    if (found.err) return found;
+    const { head } = found.val;
+    const submission = found.val.submission ?? await this.#items(head);
+    if (submission === undefined) {
+      return Err(refuse(Verdict.NotRun, Reason.PlatformDown));
+    }
+    const wanted = submission.items.find(({ id }) => id === item);
+    const listed = found.val.results.some(({ id }) => id === item);
+    if (wanted !== undefined && !listed && !head.ended) {
+      return Ok(wanted.body);
+    }
+    return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
+  }
+
+  async end(batch: Named): Promise<Result<true, Refusal>> {
+    for (let attempt = 0; attempt < END_ATTEMPTS; attempt++) {
+      const found = await this.#archive.head(batch.id);
+      if (found.err) break;
+      if (isNone(found.val)) {
+        return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
+      }
+      const state = found.val.value;
+      if (state.head.organisation !== batch.organisation) {
+        return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
+      }
+      if (state.head.ended) return this.#endedAs(state.head, "repeated");
+      const outcome = await this.#archive.end(state);
+      if (outcome.changed === Changed.Applied) {
+        return this.#endedAs({ ...state.head, ended: true }, "ended");
+      }
+      if (outcome.changed !== Changed.Overtaken) break;
+    }
+    log("end failed", { id: batch.id });
+    return Err(refuse(Verdict.MayHaveRun, Reason.PeerFailed));
+  }
+
+  #endedAs(head: Head, outcome: string): Result<true, Refusal> {
+    log("ended", { id: head.id, outcome, listed: head.listed });
+    this.#ended.inc({ call: "end", outcome });
+    const view = this.#views.get(head.id);
+    if (view !== undefined) this.#views.put({ ...view, head });
+    void this.#tellOwner(head);
+    return Ok(true);
+  }
+
+  // Accepting
+
+  #accepted(submission: Submission, state: Versioned): void {
+    const { head } = state;
+    this.#views.put({ head, results: [], chunks: 0, submission });
+    void this.#tellOwner(head);
+  }
+
+  #repeated(
+    submission: Submission,
+    now: Option<Versioned>,
+  ): Result<true, Refusal> {
+    const same = !isNone(now) &&
+      now.value.head.organisation === submission.organisation &&
+      now.value.head.total === submission.items.length;
+    if (same) return Ok(true);
+    return Err(refuse(Verdict.NotRun, Reason.IdempotencyConflict));
+  }
+
+  /** The daemon that shall run the batches of a route. */
+  #ownerOf(route: string): { vm: string; incarnation: string } {
+    return this.#peers.ranked(`batches/${route}`)[0] ?? this.#peers.self;
+  }
+
+  /** The owner if it lives and stays, or who shall take over. */
+  #runnerOf(head: Head): string {
+    const owner = this.#peers.members().find(({ vm, incarnation }) =>
+      vm === head.owner && incarnation === head.run
+    );
+    if (owner !== undefined && !owner.leaving) return owner.vm;
+    return this.#ownerOf(head.route).vm;
+  }
+
+  async #tellOwner(head: Head): Promise<void> {
+    const { id, ended } = head;
+    await this.#peers.ask(this.#runnerOf(head), Message.Own, { id, ended }, {
+      timeoutMs: OWN_TIMEOUT_MS,
+    });
+  }
+
+  async #pass(head: Head): Promise<void> {
+    const next = this.#peers.ranked(`batches/${head.route}`)
+      .find(({ vm }) => vm !== this.#peers.self.vm);
+    if (next === undefined || head.ended) return;
+    await this.#peers.ask(next.vm, Message.Own, { id: head.id, ended: false }, {
+      timeoutMs: OWN_TIMEOUT_MS,
+    });
+  }
+
+  // Running
+
+  readonly #owned: PeerHandler = (body) => {
+    const { id, ended } = ownBody.parse(body);
+    const run = this.#runs.get(id);
+    if (ended) {
+      this.#runs.delete(id);
+      void run?.stop("ended");
+    } else if (run === undefined || !run.running) {
+      void this.#run(id);
+    }
+    return Promise.resolve(true);
+  };
+
+  async #run(id: string): Promise<void> {
+    if (this.#leaving || this.#starting.has(id)) return;
+    this.#starting.add(id);
+    try {
+      await this.#begin(id);
+    } catch (error) {
+      log("run failed", { id, reason: String(error) });
+    } finally {
+      this.#starting.delete(id);
+    }
+  }
+
+  async #begin(id: string): Promise<void> {
+    const found = await this.#archive.head(id);
+    if (found.err || isNone(found.val)) return;
+    const state = found.val.value;
+    if (state.head.ended || state.head.listed >= state.head.total) return;
+    const owned = await this.#own(state);
+    if (isNone(owned)) return;
+    const { head } = owned.value;
+    const route = this.#routeNamed(head.route);
+    const results = await this.#archive.results(id, 0);
+    const submission = this.#views.get(id)?.submission ??
+      await this.#items(head);
+    if (route === undefined || results.err || submission === undefined) return;
+    const run = new Run({
+      kernel: this.#kernel,
+      archive: this.#archive,
+      state: owned.value,
+      submission,
+      route,
+      results: results.val.flat(),
+    });
+    if (this.#leaving) return;
+    this.#runs.set(id, run);
+    run.start();
+  }
+
+  /** Makes this run of the daemon the owner, if it isn't. */
+  async #own(state: Versioned): Promise<Option<Versioned>> {
+    const { vm, incarnation } = this.#peers.self;
+    const { head } = state;
+    if (head.owner === vm && head.run === incarnation) return some(state);
+    const outcome = await this.#archive.take(state, {
+      owner: vm,
+      run: incarnation,
+    });
+    log("taken over", {
+      id: head.id,
+      from: head.owner,
+      outcome: outcome.changed,
+      listed: head.listed,
+    });
+    return outcome.changed === Changed.Applied ? outcome.now : none;
+  }
+
+  #routeNamed(name: string): ExchangeRoute | undefined {
+    const current = this.#kernel.get(configKey).current();
+    if (isNone(current)) return undefined;
+    const route = current.value.tables.routes.find((row) => row.name === name);
+    return route?.exchange === undefined ? undefined : route as ExchangeRoute;
+  }
+
+  async #items(head: Head): Promise<Submission | undefined> {
+    const found = await this.#archive.submission(head);
+    if (found.err) {
+      log("items unread", { id: head.id, reason: found.val.message });
+      return undefined;
+    }
+    const view = this.#views.get(head.id);
+    this.#views.put({
+      ...view ?? { head, results: [], chunks: 0 },
+      submission: found.val,
+    });
+    return found.val;
+  }
+
+  // Looking after all batches
+
+  async #scan(): Promise<void> {
+    const { signal } = this.#stop;
+    while (!signal.aborted) {
+      await this.#kernel.clock.sleep(SCAN_MS, signal);
+      const ranked = this.#peers.ranked("batches").slice(0, SCANNERS);
+      const self = this.#peers.self.vm;
+      if (signal.aborted || !ranked.some(({ vm }) => vm === self)) continue;
+      const heads = await this.#archive.heads();
+      if (heads.err) continue;
+      for (const state of heads.val) await this.#look(state);
+    }
+  }
+
+  async #look(state: Versioned): Promise<void> {
+    const { head } = state;
+    const ageMs = this.#kernel.clock.wall() - head.submittedAt;
+    if (ageMs > this.#keepMs + REMOVAL_MARGIN_MS) {
+      await this.#archive.remove(state);
+      log("removed", { id: head.id, ageMs: Math.round(ageMs) });
+      return;
+    }
+    if (head.listed >= head.total) return;
+    if (head.ended && ageMs > TELL_ENDED_MS) return;
+    void this.#tellOwner(head);
+  }
+
+  // Reading
+
+  /** What is known of a batch, looked up if it isn't known at all. */
+  async #view({ id, organisation }: Named): Promise<Result<View, Refusal>> {
+    const run = this.#runs.get(id);
+    const known = run === undefined ? this.#views.get(id) : this.#viewOf(run);
+    const view = known === undefined
+      ? await this.#lookUp(id)
+      : Ok(known) as Result<View, Refusal>;
+    if (view.err) return view;
+    if (view.val.head.organisation === organisation) return view;
+    return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
+  }
+
+  #viewOf(run: Run): View {
+    const { head } = run.state;
+    const { results } = run;
+    return this.#views.put({
+      head,
+      results: [...results],
+      chunks: head.chunks,
+    });
+  }
+
+  async #lookUp(id: string): Promise<Result<View, Refusal>> {
+    const found = await this.#archive.head(id);
+    if (found.err) return Err(refuse(Verdict.NotRun, Reason.PlatformDown));
+    if (isNone(found.val)) {
+      return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
+    }
+    const view = { head: found.val.value.head, results: [], chunks: 0 };
+    const full = await this.#refresh(view);
+    return full === undefined
+      ? Err(refuse(Verdict.NotRun, Reason.PlatformDown))
+      : Ok(full);
+  }
+
+  /** Results beyond those known, from the owner or the service. */
+  async #newer(view: View, options: {
+    after: number;
+    waitMs: number;
+    signal: AbortSignal;
+  }): Promise<View> {
+    const asked = await this.#askOwner(view, options);
+    if (asked !== undefined && asked.results.length > options.after) {
+      return asked;
+    }
+    // An owner that was replaced without knowing tells too little.
+    return await this.#refresh(asked ?? view) ?? asked ?? view;
+  }
+
+  async #askOwner(view: View, options: {
+    after: number;
+    waitMs: number;
+    signal: AbortSignal;
+  }): Promise<View | undefined> {
+    const { id } = view.head;
+    const known = view.results.length;
+    const answer = await this.#peers.ask(
+      this.#runnerOf(view.head),
+      Message.Read,
+      {
+        id,
+        after: known,
+        waitMs: options.waitMs,
+      },
+      {
+        timeoutMs: options.waitMs + READ_MARGIN_MS,
+        signal: options.signal,
+      },
+    );
+    if (answer.err) return undefined;
+    const parsed = readAnswer.safeParse(answer.val);
+    if (!parsed.success || !parsed.data.run) return undefined;
+    const { results } = parsed.data;
+    return this.#views.put({
+      ...this.#views.get(id) ?? view,
+      results: [...view.results, ...results],
+    });
+  }
+
+  readonly #asked: PeerHandler = async (body) => {
+    const { id, after, waitMs } = readBody.parse(body);
+    const run = this.#runs.get(id);
+    if (run === undefined) return { run: false, results: [] };
+    await run.more(after, { waitMs, signal: this.#stop.signal });
+    const { results } = pageOf(run.state.head.total, run.results, after);
+    return { run: true, results };
+  };
+
+  /** The batch as the service has it; nothing if it can't be read. */
+  async #refresh(view: View): Promise<View | undefined> {
+    const { id } = view.head;
+    const found = await this.#archive.head(id);
+    if (found.err || isNone(found.val)) return undefined;
+    const { head } = found.val.value;
+    if (head.listed <= view.results.length) {
+      return this.#views.put({ ...view, head });
+    }
+    const chunks = await this.#archive.results(id, 0);
+    if (chunks.err) return undefined;
+    return this.#views.put({
+      head,
+      results: chunks.val.flat(),
+      chunks: chunks.val.length,
+    });
+  }
+}
+
+function refuse(verdict: Verdict, reason: Reason): Refusal {
+  return new Refusal({
+    verdict,
+    reason,
+    message: MESSAGES[reason] ?? "The batch can't be served now",
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
+const MESSAGES: Readonly<Partial<Record<Reason, string>>> = {
+  [Reason.StepUnknown]: "There is no such batch or item",
+  [Reason.IdempotencyConflict]: "Another batch has this id",
+  [Reason.PlatformDown]: "Batches can't be looked up now",
+  [Reason.PeerFailed]: "Whether the batch was changed is not known",
+};
+
+register({
+  key: batchesKey,
+  requires: [peersKey, configKey, dispatchKey, relayKey],
+  create: (kernel) => {
+    const { records } = kernel.platform;
+    if (records === undefined) {
+      throw new RangeError("This platform keeps no batches");
+    }
+    return new KeptBatches({ kernel, records });
+  },
+});
--- /dev/null
+++ b/src/batches/run.ts
@@ -0,0 +1,486 @@
+/**
+ * The run of one batch at its owner: a task for each item, which generates
+ * its text over as many upstreams as it takes and has it scored, and one task
+ * that lists what is finished.
+ *
+ * @module
+ */
+
+import { isNone } from "fp-ts/Option";
+import {
+  type Demand,
+  type Dispatch,
+  dispatchKey,
+  Outcome as Use,
+} from "../dispatch/mod.ts";
+import { type Kernel, logger, Reason } from "../kernel/mod.ts";
+import { Loss, type Lost, type Parcel } from "../outside/mod.ts";
+import {
+  drawPool,
+  type ExchangeRoute,
+  type Relay,
+  relayKey,
+} from "../relay/mod.ts";
+import { fingerprintOf, isUnrun, outcomeOf } from "../relay/relay.ts";
+import { priorityOf } from "../tables/mod.ts";
+import { type Archive, Changed, type Versioned } from "./archive.ts";
+import { Generation } from "./generation.ts";
+import { End, type Item, type ItemResult, type Submission } from "./mod.ts";
+
+const log = logger("batches");
+
+/** Finished items wait for the rest of their group at most so long. */
+const GATHER_MS = 250;
+
+/** First and longest wait before an item asks for a permit again. */
+const RETRY_MS = 40;
+const MAX_RETRY_MS = 400;
+
+/** Time that a reward's request gets. */
+const REWARD_MS = 3000;
+
+/** Longest time that an upstream is told to work on an item. */
+const ITEM_MS = 12_000;
+
+/** Events of one token estimate: tokens that one event holds at most. */
+const MIN_TOKENS = 1;
+
+/** A batch that runs on this daemon. */
+export class Run {
+  readonly #kernel: Kernel;
+  readonly #dispatch: Dispatch;
+  readonly #relay: Relay;
+  readonly #archive: Archive;
+  readonly #submission: Submission;
+  readonly #route: ExchangeRoute;
+  readonly #abort = new AbortController();
+  readonly #results: ItemResult[];
+  readonly #finished: ItemResult[] = [];
+  readonly #listeners = new Set<() => void>();
+  readonly #open: Map<string, number>;
+  #state: Versioned;
+  #gatheredAt = 0;
+  #wake: () => void = () => {};
+  #done: Promise<unknown> = Promise.resolve();
+
+  constructor(options: {
+    kernel: Kernel;
+    archive: Archive;
+    state: Versioned;
+    submission: Submission;
+    route: ExchangeRoute;
+    /** What was listed before. */
+    results: readonly ItemResult[];
+  }) {
+    this.#kernel = options.kernel;
+    this.#dispatch = options.kernel.get(dispatchKey);
+    this.#relay = options.kernel.get(relayKey);
+    this.#archive = options.archive;
+    this.#state = options.state;
+    this.#submission = options.submission;
+    this.#route = options.route;
+    this.#results = [...options.results];
+    this.#open = new Map();
+    const listed = new Set(options.results.map(({ id }) => id));
+    for (const { id, group } of options.submission.items) {
+      if (listed.has(id)) continue;
+      this.#open.set(group, (this.#open.get(group) ?? 0) + 1);
+    }
+  }
+
+  /** The head as this owner knows it. */
+  get state(): Versioned {
+    return this.#state;
+  }
+
+  /** What is listed so far, in order. */
+  get results(): readonly ItemResult[] {
+    return this.#results;
+  }
+
+  /** Whether this daemon still runs it. */
+  get running(): boolean {
+    return !this.#abort.signal.aborted;
+  }
+
+  /** Starts the tasks. */
+  start(): void {
+    const listed = new Set(this.#results.map(({ id }) => id));
+    const items = this.#submission.items.filter(({ id }) => !listed.has(id));
+    log("run", {
+      id: this.#submission.id,
+      route: this.#route.name,
+      items: items.length,
+      listed: listed.size,
+      revision: this.#state.revision,
+    });
+    this.#done = Promise.all([
+      this.#list(),
+      ...items.map((item) => this.#item(item)),
+    ]);
+  }
+
+  /** Ends all tasks; what isn't listed is dropped. */
+  async stop(reason: string): Promise<void> {
+    if (!this.running) return;
+    log("run stopped", { id: this.#submission.id, reason });
+    this.#abort.abort();
+    this.#wake();
+    this.#tell();
+    await this.#done;
+  }
+
+  /** Waits until more than `count` results are listed, or the run ends. */
+  async more(count: number, options: {
+    waitMs: number;
+    signal?: AbortSignal;
+  }): Promise<void> {
+    if (this.#results.length > count || !this.running) return;
+    const done = new AbortController();
+    const listener = () => {
+      if (this.#results.length > count || !this.running) done.abort();
+    };
+    this.#listeners.add(listener);
+    options.signal?.addEventListener("abort", () => done.abort(), {
+      once: true,
+    });
+    await this.#kernel.clock.sleep(options.waitMs, done.signal);
+    this.#listeners.delete(listener);
+  }
+
+  get #signal(): AbortSignal {
+    return this.#abort.signal;
+  }
+
+  /** Unix milliseconds at which items may be given up. */
+  get #givesUpAt(): number {
+    const retentionMs = this.#route.exchange.batch?.retentionMs ?? Infinity;
+    return this.#state.head.submittedAt + retentionMs;
+  }
+
+  async #item(item: Item): Promise<void> {
+    const course = new ItemCourse(item);
+    let waitMs = RETRY_MS;
+    while (!this.#signal.aborted) {
+      const leftMs = this.#givesUpAt - this.#kernel.clock.wall();
+      if (leftMs <= 0) return this.#giveUp(course, "retention");
+      const permit = await this.#dispatch.acquire(
+        this.#demand(course, leftMs),
+        this.#signal,
+      );
+      if (this.#signal.aborted) {
+        if (permit.ok) permit.val.release(Use.Cancelled, 0);
+        return;
+      }
+      if (permit.err) {
+        if (permit.val.reason === Reason.NoUpstream) course.excluded = [];
+        await this.#kernel.clock.sleep(waitMs, this.#signal);
+        waitMs = Math.min(2 * waitMs, MAX_RETRY_MS);
+        continue;
+      }
+      const lost = await this.#generate(course, permit.val);
+      if (this.#signal.aborted) return;
+      if (lost === undefined) {
+        if (await this.#score(course)) return;
+        continue;
+      }
+      if (lost.loss === Loss.Impossible) return this.#giveUp(course, lost.loss);
+      const { maxAttempts } = this.#route.exchange;
+      if (course.failures >= maxAttempts) return this.#giveUp(course, "failed");
+      waitMs = RETRY_MS;
+      await this.#kernel.clock.sleep(RETRY_MS, this.#signal);
+    }
+  }
+
+  /** Streams from one upstream; nothing is returned once the text is whole. */
+  async #generate(
+    course: ItemCourse,
+    permit: {
+      target: { id: string; address: string };
+      leaving: AbortSignal;
+      release(outcome: Use, tokens: number): void;
+    },
+  ): Promise<Lost | undefined> {
+    const { carrier } = this.#kernel.platform;
+    if (carrier === undefined) {
+      throw new RangeError("This platform passes no requests on");
+    }
+    const { target, leaving, release } = permit;
+    const signal = AbortSignal.any([this.#signal, leaving]);
+    const parcel = this.#parcel(course);
+    const begunAt = this.#kernel.clock.now();
+    let events = 0;
+    let lost: Lost | undefined;
+    for await (const piece of carrier.stream(target, parcel, signal)) {
+      if (piece.err) {
+        lost = piece.val;
+        break;
+      }
+      lost = course.take(piece.val, this.#terms);
+      if (lost !== undefined) break;
+      events += 1;
+    }
+    release(
+      lost === undefined
+        ? Use.Served
+        : leaving.aborted
+        ? Use.Cancelled
+        : outcomeOf(lost.loss),
+      lost === undefined ? this.#tokens(course.item) : 0,
+    );
+    if (lost === undefined) return undefined;
+    course.lost(target.id, lost);
+    log("item lost", {
+      id: course.item.id,
+      batch: this.#submission.id,
+      upstream: target.id,
+      loss: lost.loss,
+      message: lost.message,
+      leaving: leaving.aborted,
+      events,
+      last: course.generation.last,
+      tookMs: Math.round(this.#kernel.clock.now() - begunAt),
+    });
+    return lost;
+  }
+
+  get #terms() {
+    return {
+      minVersion: this.#submission.minVersion,
+      singleVersion: this.#route.exchange.batch?.singleVersion ?? false,
+    };
+  }
+
+  /** Has a whole text scored; answers whether the item has ended. */
+  async #score(course: ItemCourse): Promise<boolean> {
+    const { item, generation } = course;
+    const { reward } = item;
+    if (reward === undefined) {
+      this.#finish({
+        id: item.id,
+        end: End.Completed,
+        text: generation.text,
+        versions: generation.versions,
+      });
+      return true;
+    }
+    let failures = 0;
+    while (!this.#signal.aborted) {
+      const route = this.#relay.route(reward.host, reward.path);
+      if (this.#givesUpAt <= this.#kernel.clock.wall()) {
+        this.#giveUp(course, "retention");
+        return true;
+      }
+      if (isNone(route)) {
+        await this.#kernel.clock.sleep(MAX_RETRY_MS, this.#signal);
+        continue;
+      }
+      const served = await this.#relay.serve(route.value, {
+        organisation: "",
+      }, {
+        id: reward.id,
+        method: "POST",
+        path: reward.path,
+        host: reward.host,
+        fields: [],
+        body: Buffer.from(reward.body, "base64"),
+        remainingMs: REWARD_MS,
+      }, this.#signal);
+      if (this.#signal.aborted) return true;
+      const { answer: scored } = served;
+      const answer = scored.ok ? scored.val : undefined;
+      if (answer?.seal !== undefined && answer.status < 300) {
+        this.#finish({
+          id: item.id,
+          end: End.Completed,
+          text: generation.text,
+          versions: generation.versions,
+          score: answer.seal,
+        });
+        return true;
+      }
+      failures += served.failures;
+      if (failures >= route.value.exchange.maxAttempts) {
+        this.#giveUp(course, "reward failed");
+        return true;
+      }
+      await this.#kernel.clock.sleep(RETRY_MS, this.#signal);
+    }
+    return true;
+  }
+
+  #giveUp({ item }: ItemCourse, reason: string): void {
+    if (this.#signal.aborted) return;
+    log("given up", { id: item.id, batch: this.#submission.id, reason });
+    this.#finish({ id: item.id, end: End.GivenUp, text: "", versions: [] });
+  }
+
+  #finish(result: ItemResult): void {
+    if (this.#finished.length === 0) {
+      this.#gatheredAt = this.#kernel.clock.now();
+    }
+    this.#finished.push(result);
+    this.#wake();
+  }
+
+  /** Lists finished items, whole groups at once where that costs little. */
+  async #list(): Promise<void> {
+    const groups = new Map(
+      this.#submission.items.map(({ id, group }) => [id, group]),
+    );
+    while (!this.#signal.aborted) {
+      const waitMs = this.#listsInMs(groups);
+      if (waitMs > 0) {
+        await this.#woken(waitMs);
+        continue;
+      }
+      const results = this.#finished.splice(0);
+      const outcome = await this.#archive
+        .append(this.#state, results, this.#signal);
+      if (outcome.changed !== Changed.Applied || isNone(outcome.now)) {
+        if (!this.#signal.aborted) void this.stop(outcome.changed);
+        return;
+      }
+      this.#state = outcome.now.value;
+      this.#results.push(...results);
+      for (const { id } of results) {
+        const group = groups.get(id) ?? "";
+        this.#open.set(group, (this.#open.get(group) ?? 1) - 1);
+      }
+      log("listed", {
+        id: this.#submission.id,
+        results: results.length,
+        listed: this.#results.length,
+        total: this.#state.head.total,
+      });
+      this.#tell();
+      if (this.#results.length >= this.#state.head.total) {
+        void this.stop("complete");
+        return;
+      }
+    }
+  }
+
+  /** Time until finished items are due to be listed. */
+  #listsInMs(groups: ReadonlyMap<string, string>): number {
+    if (this.#finished.length === 0) return Infinity;
+    const counts = new Map<string, number>();
+    for (const { id } of this.#finished) {
+      const group = groups.get(id) ?? "";
+      counts.set(group, (counts.get(group) ?? 0) + 1);
+    }
+    for (const [group, count] of counts) {
+      if (count >= (this.#open.get(group) ?? 0)) return 0;
+    }
+    return this.#gatheredAt + GATHER_MS - this.#kernel.clock.now();
+  }
+
+  /** Waits for a finished item, or for the time until some are due. */
+  async #woken(waitMs: number): Promise<void> {
+    const done = new AbortController();
+    this.#wake = () => done.abort();
+    if (this.#signal.aborted) return;
+    await this.#kernel.clock.sleep(Math.min(waitMs, 1000), done.signal);
+  }
+
+  #tell(): void {
+    for (const listener of this.#listeners) listener();
+  }
+
+  #tokens({ tokens }: Item): number {
+    return Math.max(MIN_TOKENS, tokens);
+  }
+
+  #demand(course: ItemCourse, leftMs: number): Demand {
+    const { item } = course;
+    const { organisation, rank, minVersion } = this.#submission;
+    return {
+      id: item.id,
+      pool: drawPool(this.#route.exchange, Math.random()),
+      route: this.#route.name,
+      tenant: organisation,
+      priority: rank === undefined ? this.#route.priority : priorityOf(rank),
+      weight: 1,
+      tokens: this.#tokens(item),
+      prefixes: item.prefixes,
+      remainingMs: leftMs,
+      minVersion: Math.max(minVersion, course.generation.versions[0] ?? 0),
+      model: item.model,
+      exclude: course.excluded,
+      fingerprint: course.fingerprint(organisation),
+      attempt: course.sends,
+    };
+  }
+
+  #parcel({ item, generation }: ItemCourse): Parcel {
+    return {
+      id: item.id,
+      method: "POST",
+      path: item.path,
+      host: this.#submission.host,
+      fields: item.fields,
+      body: Buffer.from(item.body, "base64"),
+      organisation: this.#submission.organisation,
+      remainingMs: Math.min(
+        ITEM_MS,
+        this.#givesUpAt - this.#kernel.clock.wall(),
+      ),
+      after: generation.last,
+      urgency: Math.min(9, this.#route.exchange.rank + 2),
+    };
+  }
+}
+
+/** One item on its way to a whole text. */
+class ItemCourse {
+  readonly item: Item;
+  generation = new Generation();
+  excluded: readonly string[] = [];
+  sends = 0;
+  /** Runs that ended in a failure of the item's own. */
+  failures = 0;
+  #fingerprint: string | undefined;
+
+  constructor(item: Item) {
+    this.item = item;
+  }
+
+  /** Adds an event; an event that can't be used ends the stream. */
+  take(
+    piece: { number: number; text: string; weightVersion: number },
+    terms: { minVersion: number; singleVersion: boolean },
+  ): Lost | undefined {
+    if (!this.generation.follows(piece)) {
+      const message = `Event ${piece.number} after ${this.generation.last}`;
+      return { loss: Loss.Broken, message };
+    }
+    const next = this.generation.with(piece);
+    if (next.fits(terms)) {
+      this.generation = next;
+      return undefined;
+    }
+    // What an unfit version made can't be part of the text.
+    if (terms.singleVersion) this.generation = new Generation();
+    return {
+      loss: Loss.NotRun,
+      message: `Weight version ${piece.weightVersion} does not fit`,
+    };
+  }
+
+  /** Takes note of a stream that broke off. */
+  lost(upstream: string, { loss }: Lost): void {
+    this.sends += 1;
+    if (loss === Loss.Failed) this.failures += 1;
+    const avoid = isUnrun(loss) || loss === Loss.Broken || loss === Loss.Silent;
+    if (avoid) this.excluded = [...this.excluded.slice(-2), upstream];
+  }
+
+  fingerprint(organisation: string): string {
+    this.#fingerprint ??= fingerprintOf(organisation, {
+      method: "POST",
+      path: this.item.path,
+      body: Buffer.from(this.item.body, "base64"),
+    });
+    return this.#fingerprint;
+  }
+}
--- a/src/bin/toucanwind.ts
+++ b/src/bin/toucanwind.ts
@@ -8,7 +8,7 @@
 import { Cli } from "clipanion";
 import { run } from "../cli/mod.ts";
 import { SystemClock } from "../kernel/mod.ts";
-import { HttpKeyValue } from "../platform/http_key_value.ts";
+import { HttpKeyValue } from "../outside/http_key_value.ts";
 
 async function main(): Promise<number> {
   return await run(process.argv.slice(2), {
--- a/src/bin/toucanwindd.ts
+++ b/src/bin/toucanwindd.ts
@@ -16,8 +16,8 @@
 import { Cli, Command, Option } from "clipanion";
 import { randomUUID } from "node:crypto";
 import { Kernel, logger } from "../kernel/mod.ts";
-import { httpPlatform } from "../platform/http_platform.ts";
-import type { Platform } from "../platform/mod.ts";
+import { httpPlatform } from "../outside/http_platform.ts";
+import type { Platform } from "../outside/mod.ts";
 import "../plugins.ts";
 import { loadSettings } from "../settings/load.ts";
 import type { Settings } from "../settings/mod.ts";
--- a/src/claims/fixture.ts
+++ b/src/claims/fixture.ts
@@ -13,7 +13,7 @@
   type Grant,
   KeyValue,
   type Swap,
-} from "../platform/mod.ts";
+} from "../outside/mod.ts";
 
 /** How a call of the fake service goes. */
 export type Fate =
--- a/src/claims/log.ts
+++ b/src/claims/log.ts
@@ -15,7 +15,7 @@
 import * as O from "fp-ts/Option";
 import { Err, Ok, type Result } from "ts-results";
 import { type Clock, logger, Reason, Refusal, Verdict } from "../kernel/mod.ts";
-import { type Entry, Fault, type KeyValue } from "../platform/mod.ts";
+import { type Entry, Fault, type KeyValue } from "../outside/mod.ts";
 import { type Claim, type Claimed, type Found, Standing } from "./mod.ts";
 import {
   type ClaimRecord,
--- a/src/claims/log_test.ts
+++ b/src/claims/log_test.ts
@@ -3,7 +3,7 @@
 import * as O from "fp-ts/Option";
 import { test } from "node:test";
 import { Clock, ManualClock, Reason, Verdict } from "../kernel/mod.ts";
-import type { KeyValue } from "../platform/mod.ts";
+import type { KeyValue } from "../outside/mod.ts";
 import { type Fate, MapKeyValue } from "./fixture.ts";
 import { ClaimLog } from "./log.ts";
 import { type Claim, Ending, Standing } from "./mod.ts";
--- a/src/claims/logged_claims_test.ts
+++ b/src/claims/logged_claims_test.ts
@@ -10,7 +10,7 @@
   Verdict,
 } from "../kernel/mod.ts";
 import { type Member, Peers, peersKey } from "../peers/mod.ts";
-import type { Platform } from "../platform/mod.ts";
+import type { Platform } from "../outside/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { MapKeyValue } from "./fixture.ts";
 import { LoggedClaims } from "./logged_claims.ts";
--- a/src/cli/chain.ts
+++ b/src/cli/chain.ts
@@ -6,7 +6,7 @@
  */
 
 import { isSome, type Option } from "fp-ts/Option";
-import type { Entry } from "../platform/mod.ts";
+import type { Entry } from "../outside/mod.ts";
 import {
   type Configuration,
   CONFIGURATION_KEY,
--- a/src/cli/fixture.ts
+++ b/src/cli/fixture.ts
@@ -16,7 +16,7 @@
   type Grant,
   KeyValue,
   type Swap,
-} from "../platform/mod.ts";
+} from "../outside/mod.ts";
 import { run } from "./mod.ts";
 
 /** How one call of the service in memory goes. */
--- a/src/cli/operation.ts
+++ b/src/cli/operation.ts
@@ -8,7 +8,7 @@
 import { isNone, type Option as Maybe } from "fp-ts/Option";
 import { Err, Ok, type Result } from "ts-results";
 import type { Clock } from "../kernel/mod.ts";
-import type { KeyValue } from "../platform/mod.ts";
+import type { KeyValue } from "../outside/mod.ts";
 import {
   printProblem,
   type Problem,
--- a/src/cli/races.ts
+++ b/src/cli/races.ts
@@ -15,7 +15,7 @@
 import { FaultKind } from "../../stand_ins/faults.ts";
 import { startPlatform } from "../../stand_ins/platform.ts";
 import { Random } from "../../stand_ins/random.ts";
-import type { Entry } from "../platform/mod.ts";
+import type { Entry } from "../outside/mod.ts";
 import { hashKey, printTables, type Stamp } from "../tables/mod.ts";
 import type { Message } from "./chain.ts";
 import { Ending } from "./revisions.ts";
--- a/src/cli/revisions.ts
+++ b/src/cli/revisions.ts
@@ -23,7 +23,7 @@
   Fault,
   type KeyValue,
   type Swap,
-} from "../platform/mod.ts";
+} from "../outside/mod.ts";
 import {
   type Configuration,
   CONFIGURATION_KEY,
--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -21,7 +21,7 @@
 } from "../kernel/mod.ts";
 import { type Peers, peersKey } from "../peers/mod.ts";
 import { within } from "../peers/within.ts";
-import type { Entry, Failure } from "../platform/mod.ts";
+import type { Entry, Failure } from "../outside/mod.ts";
 import {
   type Configuration,
   CONFIGURATION_KEY,
@@ -205,6 +205,14 @@
     if (isNone(key)) return this.#refuse(Reason.NoKey);
     if (!this.fresh()) return this.#refuse(Reason.StaleConfiguration);
     const sha256 = hashKey(key.value);
+    if (current.exchange !== undefined) {
+      const holder = this.#keyring.organisation(sha256);
+      if (isNone(holder)) {
+        return this.#refuse(REASONS[this.#keyring.match(sha256)]);
+      }
+      const { name: tenant, rank } = holder.value;
+      return Ok({ tenant, keyId: "", rank });
+    }
     const found = this.#keyring.find(route.name, sha256);
     if (isNone(found)) {
       return this.#refuse(REASONS[this.#keyring.match(sha256)]);
--- a/src/config/follower_test.ts
+++ b/src/config/follower_test.ts
@@ -13,7 +13,7 @@
   Verdict,
 } from "../kernel/mod.ts";
 import { peersKey } from "../peers/mod.ts";
-import { type Entry, Fault, type Platform } from "../platform/mod.ts";
+import { type Entry, Fault, type Platform } from "../outside/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import {
   type Configuration,
--- a/src/config/keyring.ts
+++ b/src/config/keyring.ts
@@ -5,7 +5,7 @@
  */
 
 import { fromNullable, type Option } from "fp-ts/Option";
-import type { Configuration, Key, Route } from "../tables/mod.ts";
+import type { Configuration, Key, Organisation, Route } from "../tables/mod.ts";
 
 /** Most hashes of withdrawn keys that are remembered. */
 const MAX_WITHDRAWN = 100_000;
@@ -24,20 +24,25 @@
 export class Keyring {
   #routes: ReadonlyMap<string, Route> = new Map();
   #keys: ReadonlyMap<string, ReadonlyMap<string, Key>> = new Map();
+  #organisations: ReadonlyMap<string, Organisation> = new Map();
   #hashes: ReadonlySet<string> = new Set();
   readonly #withdrawn = new Set<string>();
 
   /** Takes in a newer revision. */
   update(configuration: Configuration): void {
-    const { routes } = configuration.tables;
-    const hashes = new Set(
-      routes.flatMap((route) => route.keys.map((key) => key.sha256)),
-    );
+    const { routes, organisations = [] } = configuration.tables;
+    const hashes = new Set([
+      ...routes.flatMap((route) => route.keys.map((key) => key.sha256)),
+      ...organisations.flatMap(({ keys }) => keys),
+    ]);
     for (const hash of this.#hashes) {
       if (!hashes.has(hash)) this.#withdraw(hash);
     }
     for (const hash of hashes) this.#withdrawn.delete(hash);
     this.#hashes = hashes;
+    this.#organisations = new Map(
+      organisations.flatMap((one) => one.keys.map((hash) => [hash, one])),
+    );
     this.#routes = new Map(routes.map((route) => [route.name, route]));
     this.#keys = new Map(
       routes.map((route) => [
@@ -57,6 +62,11 @@
     return fromNullable(this.#keys.get(route)?.get(sha256));
   }
 
+  /** The organisation that holds a key with this hash. */
+  organisation(sha256: string): Option<Organisation> {
+    return fromNullable(this.#organisations.get(sha256));
+  }
+
   /** The key with this public name on the route. */
   named(route: string, id: string): Option<Key> {
     return fromNullable(
--- a/src/config/mod.ts
+++ b/src/config/mod.ts
@@ -14,6 +14,8 @@
   readonly tenant: string;
   /** Public name of the key; empty on an open route. */
   readonly keyId: string;
+  /** Urgency that the caller's contract sets, before the route's. */
+  readonly rank?: number;
 }
 
 /** The configuration in force, its freshness, and callers' keys. */
--- a/src/dispatch/affine_choice.ts
+++ b/src/dispatch/affine_choice.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { CacheEvent } from "../platform/mod.ts";
+import type { CacheEvent } from "../outside/mod.ts";
 import { type Candidate, Choice } from "./choice.ts";
 import { Prefixes } from "./prefixes.ts";
 import type { Ticket } from "./queue.ts";
--- a/src/dispatch/choice.ts
+++ b/src/dispatch/choice.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { CacheEvent, Load } from "../platform/mod.ts";
+import type { CacheEvent, Load } from "../outside/mod.ts";
 import type { Upstream } from "./shards.ts";
 import type { Ticket } from "./queue.ts";
 
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -19,7 +19,7 @@
   register,
 } from "../kernel/mod.ts";
 import { type Peers, peersKey } from "../peers/mod.ts";
-import type { Vm } from "../platform/mod.ts";
+import type { Vm } from "../outside/mod.ts";
 import { Entry } from "./entry.ts";
 import { Fleet } from "./fleet.ts";
 import { Hosting } from "./hosting.ts";
--- a/src/dispatch/dispatcher_test.ts
+++ b/src/dispatch/dispatcher_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { test } from "node:test";
 import { Reason } from "../kernel/mod.ts";
-import { Standing } from "../platform/mod.ts";
+import { Standing } from "../outside/mod.ts";
 import { Cluster, demand, vm } from "./fixtures_test.ts";
 import { type Demand, Outcome, type Permit } from "./mod.ts";
 import type { Dispatcher } from "./dispatcher.ts";
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -24,7 +24,7 @@
   Role,
   Standing,
   type Vm,
-} from "../platform/mod.ts";
+} from "../outside/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { type Configuration, type Pool, Priority } from "../tables/mod.ts";
 import { Dispatcher } from "./dispatcher.ts";
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Configuration } from "../tables/mod.ts";
-import { Role, Standing, type Vm } from "../platform/mod.ts";
+import { Role, Standing, type Vm } from "../outside/mod.ts";
 import { cut, shardName, type Upstream } from "./shards.ts";
 
 /** Slots of an upstream whose pool is not in the table. */
@@ -80,6 +80,7 @@
     availabilityZone: vm.availabilityZone,
     reclaimable: vm.reclaimable,
     leaving: vm.standing === Standing.Leaving,
-    slots: pool?.slots ?? UNKNOWN_SLOTS,
+    slots: vm.slots ?? pool?.slots ?? UNKNOWN_SLOTS,
+    weightVersions: vm.weightVersions,
   };
 }
--- a/src/dispatch/hosting.ts
+++ b/src/dispatch/hosting.ts
@@ -8,12 +8,7 @@
 import { createHash } from "node:crypto";
 import { type Kernel, type Log, logger } from "../kernel/mod.ts";
 import type { Member, Peers } from "../peers/mod.ts";
-import {
-  type Failure,
-  Fault,
-  type Load,
-  type Target,
-} from "../platform/mod.ts";
+import { type Failure, Fault, type Load, type Target } from "../outside/mod.ts";
 import type { Result } from "ts-results";
 import type { Candidate } from "./choice.ts";
 import { Reach } from "./crashes.ts";
--- a/src/dispatch/keeper.ts
+++ b/src/dispatch/keeper.ts
@@ -8,7 +8,7 @@
 
 import type { Result } from "ts-results";
 import { type Clock, Reason, Refusal, Verdict } from "../kernel/mod.ts";
-import type { CacheEvent, Load } from "../platform/mod.ts";
+import type { CacheEvent, Load } from "../outside/mod.ts";
 import { Priority } from "../tables/mod.ts";
 import { AffineChoice } from "./affine_choice.ts";
 import type { Candidate, Choice } from "./choice.ts";
@@ -549,7 +549,12 @@
 /** Whether a request may go to an upstream at all. */
 function suits(demand: Demand, { upstream, load }: Candidate): boolean {
   if (demand.exclude.includes(upstream.id)) return false;
-  return demand.minVersion <= (load?.weightVersion ?? 0);
+  if (demand.model === undefined) {
+    return demand.minVersion <= (load?.weightVersion ?? 0);
+  }
+  // Before the first report the list's word counts.
+  const versions = load?.weightVersions ?? upstream.weightVersions ?? {};
+  return demand.minVersion <= (versions[demand.model] ?? 0);
 }
 
 function refusalOf(
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -41,6 +41,7 @@
   prefixes: z.array(z.string()),
   remainingMs: z.number(),
   minVersion: z.number(),
+  model: z.string().optional(),
   exclude: z.array(z.string()),
   fingerprint: z.string(),
   attempt: z.number(),
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -6,7 +6,7 @@
 
 import type { Result } from "ts-results";
 import { Plugin, PluginKey, type Refusal } from "../kernel/mod.ts";
-import type { Target } from "../platform/mod.ts";
+import type { Target } from "../outside/mod.ts";
 import type { Priority } from "../tables/mod.ts";
 
 /** What a request asks of a pool. */
@@ -27,6 +27,8 @@
   readonly remainingMs: number;
   /** Oldest weight version that will do; 0 for any. */
   readonly minVersion: number;
+  /** The model whose version counts, where upstreams serve several. */
+  readonly model?: string;
   /** Upstreams that this request shall not go to. */
   readonly exclude: readonly string[];
   /** Equal for resends of one request; used to quarantine what crashes. */
--- a/src/dispatch/prefixes.ts
+++ b/src/dispatch/prefixes.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { CacheEvent } from "../platform/mod.ts";
+import type { CacheEvent } from "../outside/mod.ts";
 
 /** Prefixes remembered for one upstream. */
 const PREFIX_LIMIT = 4096;
--- a/src/dispatch/shards.ts
+++ b/src/dispatch/shards.ts
@@ -26,6 +26,8 @@
   readonly leaving: boolean;
   /** Requests that it runs at once. */
   readonly slots: number;
+  /** Weight version by model, as the platform's list has it. */
+  readonly weightVersions?: Readonly<Record<string, number>>;
 }
 
 /** The name under which a shard's keeper is ranked. */
--- a/src/gateway/answer.ts
+++ b/src/gateway/answer.ts
@@ -10,7 +10,7 @@
 import type { ServerResponse } from "node:http";
 import type { ClaimOutcome } from "../claims/mod.ts";
 import type { Refusal } from "../kernel/mod.ts";
-import type { Chunk } from "../platform/mod.ts";
+import type { Chunk } from "../outside/mod.ts";
 import type { Admitted } from "./admission.ts";
 import type { Ask } from "./ask.ts";
 import type { Capture } from "./once.ts";
--- a/src/gateway/completions.ts
+++ b/src/gateway/completions.ts
@@ -19,8 +19,8 @@
   register,
   Verdict,
 } from "../kernel/mod.ts";
-import type { Generation } from "../platform/mod.ts";
-import { blocksOf } from "../platform/prefixes.ts";
+import type { Generation } from "../outside/mod.ts";
+import { blocksOf } from "../outside/prefixes.ts";
 import { Kind, type Route } from "../tables/mod.ts";
 import { type Usage, usageKey } from "../usage/mod.ts";
 import { Admission, Running, TOO_LARGE, WITHDRAWN } from "./admission.ts";
--- a/src/gateway/completions_test.ts
+++ b/src/gateway/completions_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { Outcome } from "../dispatch/mod.ts";
 import { Reason, Refusal, Verdict } from "../kernel/mod.ts";
-import { EngineFault } from "../platform/mod.ts";
+import { EngineFault } from "../outside/mod.ts";
 import {
   chunk,
   failing,
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -47,7 +47,7 @@
   type Load,
   type Platform,
   type Target,
-} from "../platform/mod.ts";
+} from "../outside/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import {
   type Configuration,
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -21,7 +21,7 @@
   register,
   Verdict,
 } from "../kernel/mod.ts";
-import type { Target } from "../platform/mod.ts";
+import type { Target } from "../outside/mod.ts";
 import { Kind, type Route } from "../tables/mod.ts";
 import { claimsKey } from "../claims/mod.ts";
 import { type Usage, usageKey } from "../usage/mod.ts";
--- a/src/gateway/generate.ts
+++ b/src/gateway/generate.ts
@@ -6,7 +6,7 @@
 
 import type { Result } from "ts-results";
 import { Plugin, PluginKey, type Refusal } from "../kernel/mod.ts";
-import type { Chunk, Generation } from "../platform/mod.ts";
+import type { Chunk, Generation } from "../outside/mod.ts";
 import type { Demand } from "../dispatch/mod.ts";
 import { Priority } from "../tables/mod.ts";
 
--- a/src/gateway/http_gateway_test.ts
+++ b/src/gateway/http_gateway_test.ts
@@ -2,7 +2,7 @@
 import { connect } from "node:net";
 import { test } from "node:test";
 import { Kernel } from "../kernel/mod.ts";
-import type { Platform } from "../platform/mod.ts";
+import type { Platform } from "../outside/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { withGateway } from "./fixture.ts";
 import { HttpGateway } from "./http_gateway.ts";
--- a/src/gateway/once_test.ts
+++ b/src/gateway/once_test.ts
@@ -4,7 +4,7 @@
 import { test } from "node:test";
 import { Ending } from "../claims/mod.ts";
 import { Reason, Refusal, Verdict } from "../kernel/mod.ts";
-import { EngineFault } from "../platform/mod.ts";
+import { EngineFault } from "../outside/mod.ts";
 import {
   failing,
   type Fixture,
--- a/src/gateway/resume.ts
+++ b/src/gateway/resume.ts
@@ -27,7 +27,7 @@
   type EngineFailure,
   EngineFault,
   type Generation,
-} from "../platform/mod.ts";
+} from "../outside/mod.ts";
 import { Generator, generatorKey } from "./generate.ts";
 
 const MAX_ATTEMPTS = 6;
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -6,7 +6,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import type { Platform } from "../platform/mod.ts";
+import type { Platform } from "../outside/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { type Clock, SystemClock } from "./clock.ts";
 import {
--- a/src/kernel/mod.ts
+++ b/src/kernel/mod.ts
@@ -6,7 +6,7 @@
 
 export { Clock, ManualClock, SystemClock } from "./clock.ts";
 export { Kernel } from "./kernel.ts";
-export { type Log, logger } from "./log.ts";
+export { type Log, logger, logTo, type Sink } from "./log.ts";
 export {
   type GossipSection,
   type PeerHandler,
--- a/src/orders/charge.ts
+++ b/src/orders/charge.ts
@@ -17,8 +17,8 @@
 import { z } from "zod";
 import { type Clock, logger } from "../kernel/mod.ts";
 import type { Peers } from "../peers/mod.ts";
-import { expireWith } from "../platform/expiry.ts";
-import { type Entry, Fault, type KeyValue } from "../platform/mod.ts";
+import { expireWith } from "../outside/expiry.ts";
+import { type Entry, Fault, type KeyValue } from "../outside/mod.ts";
 
 const log = logger("charge");
 
--- a/src/orders/charge_test.ts
+++ b/src/orders/charge_test.ts
@@ -11,7 +11,7 @@
   type Grant,
   KeyValue,
   type Swap,
-} from "../platform/mod.ts";
+} from "../outside/mod.ts";
 import { Charge, type Tenure } from "./charge.ts";
 
 const LEASE_MS = 1000;
--- a/src/orders/contender_fixture.ts
+++ b/src/orders/contender_fixture.ts
@@ -6,9 +6,9 @@
  */
 
 import { SystemClock } from "../kernel/mod.ts";
-import { HttpKeyValue } from "../platform/http_key_value.ts";
-import { HttpOrderDesk } from "../platform/http_platform.ts";
-import type { Order } from "../platform/mod.ts";
+import { HttpKeyValue } from "../outside/http_key_value.ts";
+import { HttpOrderDesk } from "../outside/http_platform.ts";
+import type { Order } from "../outside/mod.ts";
 import { Charge, type Tenure } from "./charge.ts";
 
 /** Orders under way at once, on as many connections. */
--- a/src/orders/fixtures_test.ts
+++ b/src/orders/fixtures_test.ts
@@ -15,7 +15,7 @@
 } from "../dispatch/mod.ts";
 import { Kernel } from "../kernel/mod.ts";
 import { type Member, Peers, peersKey } from "../peers/mod.ts";
-import { httpPlatform } from "../platform/http_platform.ts";
+import { httpPlatform } from "../outside/http_platform.ts";
 import { DEFAULT_TIMING } from "../settings/load.ts";
 import type { Settings } from "../settings/mod.ts";
 import type { Tables } from "../tables/mod.ts";
--- a/src/orders/frozen_test.ts
+++ b/src/orders/frozen_test.ts
@@ -7,7 +7,7 @@
 import type { HistoryEvent } from "../../stand_ins/history.ts";
 import { startPlatform } from "../../stand_ins/platform.ts";
 import { Random } from "../../stand_ins/random.ts";
-import type { Order } from "../platform/mod.ts";
+import type { Order } from "../outside/mod.ts";
 
 const CONTENDER = join(__dirname, "contender_fixture.js");
 const GUARD = join(__dirname, "../../stand_ins/guard.js");
--- a/src/orders/mod.ts
+++ b/src/orders/mod.ts
@@ -8,7 +8,7 @@
 import { Plugin, PluginKey } from "../kernel/mod.ts";
 import type { Option } from "fp-ts/Option";
 import type { Pressure } from "../dispatch/mod.ts";
-import type { Offer } from "../platform/mod.ts";
+import type { Offer } from "../outside/mod.ts";
 import type { Pool } from "../tables/mod.ts";
 
 /** What a plan knows of a pool. */
--- a/src/orders/ordering.ts
+++ b/src/orders/ordering.ts
@@ -8,7 +8,7 @@
 import { type Clock, type Kernel, logger } from "../kernel/mod.ts";
 import { type Config, configKey } from "../config/mod.ts";
 import { type Dispatch, dispatchKey, type Pressure } from "../dispatch/mod.ts";
-import { Fault, type Offer, type Order } from "../platform/mod.ts";
+import { Fault, type Offer, type Order } from "../outside/mod.ts";
 import { type Pool, Priority, type Tables } from "../tables/mod.ts";
 import type { Tenure } from "./charge.ts";
 import type { Placement, Plan } from "./mod.ts";
--- a/src/orders/orders_test.ts
+++ b/src/orders/orders_test.ts
@@ -11,8 +11,8 @@
   vm,
 } from "../../stand_ins/platform.ts";
 import type { Kernel } from "../kernel/mod.ts";
-import type { HttpPlatform } from "../platform/http_platform.ts";
-import type { Order } from "../platform/mod.ts";
+import type { HttpPlatform } from "../outside/http_platform.ts";
+import type { Order } from "../outside/mod.ts";
 import { kernel } from "./fixtures_test.ts";
 import { ordersKey, type Plan } from "./mod.ts";
 import { StaticPlan } from "./plan.ts";
--- a/src/orders/placement.ts
+++ b/src/orders/placement.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Offer } from "../platform/mod.ts";
+import type { Offer } from "../outside/mod.ts";
 import type { Placement } from "./mod.ts";
 
 /** An offer and how many upstreams may run on it. */
--- a/src/orders/plan.ts
+++ b/src/orders/plan.ts
@@ -6,7 +6,7 @@
  */
 
 import { isNone } from "fp-ts/Option";
-import type { Offer } from "../platform/mod.ts";
+import type { Offer } from "../outside/mod.ts";
 import type { Pool } from "../tables/mod.ts";
 import { type Outlook, type Placement, Plan } from "./mod.ts";
 import { type Capacity, countOf, ordered, place, sum } from "./placement.ts";
--- a/src/orders/plan_test.ts
+++ b/src/orders/plan_test.ts
@@ -3,7 +3,7 @@
 import { none, some } from "fp-ts/Option";
 import { test } from "node:test";
 import { pool as poolOf } from "../../stand_ins/builders.ts";
-import type { Offer } from "../platform/mod.ts";
+import type { Offer } from "../outside/mod.ts";
 import type { Outlook, Placement, Plan } from "./mod.ts";
 import { countOf, place } from "./placement.ts";
 import { PressurePlan, StaticPlan } from "./plan.ts";
--- a/src/orders/swapping.ts
+++ b/src/orders/swapping.ts
@@ -8,18 +8,32 @@
 import { type Clock, type Kernel, logger } from "../kernel/mod.ts";
 import { type Config, configKey } from "../config/mod.ts";
 import { type Dispatch, dispatchKey } from "../dispatch/mod.ts";
-import { Fault, Role, Standing, type Vm } from "../platform/mod.ts";
+import { Fault, Role, Standing, type Vm } from "../outside/mod.ts";
 import type { Pool } from "../tables/mod.ts";
 import type { Tenure } from "./charge.ts";
-import { SwapEnd, Swaps, type Versioned } from "./swaps.ts";
+import { Swaps, type Versioned } from "./swaps.ts";
 
 const log = logger("weights");
 
 /** How often the weight store is asked for a model's newest version. */
-const LATEST_MS = 1000;
+const LATEST_MS = 500;
 /** What an engine itself told goes before what its keeper told this long. */
 const TOLD_MS = 5000;
 
+/** A model on the upstreams of a pool, which may serve several. */
+interface Line {
+  readonly pool: Pool;
+  readonly model: string;
+}
+
+/** What an engine itself told of one model. */
+interface Told {
+  readonly version: number;
+  /** Orders that the engine had accepted by then, if it tells. */
+  readonly orders: number | undefined;
+  readonly at: number;
+}
+
 /** Swaps weights within one tenure. */
 export class Swapping {
   readonly #kernel: Kernel;
@@ -28,8 +42,8 @@
   readonly #dispatch: Dispatch;
   readonly #tenure: Tenure;
   readonly #meters: SwapMeters;
-  readonly #pools = new Map<string, Swaps>();
-  readonly #told = new Map<string, { version: number; at: number }>();
+  readonly #lines = new Map<string, Swaps>();
+  readonly #told = new Map<string, Told>();
   /** Calls to engines that weren't answered yet, by upstream. */
   readonly #asked = new Map<string, Promise<unknown>>();
   #latest: ReadonlyMap<string, number> = new Map();
@@ -54,9 +68,9 @@
   async round(): Promise<void> {
     const tables = toUndefined(this.#config.current())?.tables;
     if (tables === undefined || !this.#config.fresh()) return;
-    const pools = tables.pools.filter(({ model }) => model !== "");
-    await Promise.all([this.#look(pools), this.#list()]);
-    for (const pool of pools) this.#pool(pool);
+    const lines = tables.pools.flatMap(linesOf);
+    await Promise.all([this.#look(lines), this.#list()]);
+    for (const line of lines) this.#line(line);
   }
 
   /** Waits for the engines that were asked something. */
@@ -64,11 +78,11 @@
     await Promise.all(this.#asked.values());
   }
 
-  async #look(pools: readonly Pool[]): Promise<void> {
+  async #look(lines: readonly Line[]): Promise<void> {
     const now = this.#clock.now();
     if (now - this.#askedAt < LATEST_MS) return;
     this.#askedAt = now;
-    const models = [...new Set(pools.map(({ model }) => model))];
+    const models = [...new Set(lines.map(({ model }) => model))];
     const versions = await Promise.all(
       models.map((model) => this.#kernel.platform.weights.latest(model)),
     );
@@ -96,30 +110,40 @@
     this.#vms = vms.val;
   }
 
-  #pool(pool: Pool): void {
-    const latest = this.#latest.get(pool.model) ?? 0;
+  #line(line: Line): void {
+    const { pool, model } = line;
+    const latest = this.#latest.get(model) ?? 0;
     if (latest === 0) return;
-    const swaps = this.#pools.get(pool.name) ?? new Swaps();
-    this.#pools.set(pool.name, swaps);
+    const swaps = this.#lines.get(nameOf(line)) ?? new Swaps();
+    this.#lines.set(nameOf(line), swaps);
     const vms = this.#vms.filter((vm) =>
       vm.role === Role.Upstream && vm.pool === pool.name &&
       vm.standing === Standing.Live
     );
-    this.#settle(swaps, { pool, upstreams: this.#versions(pool, vms) });
-    const due = swaps.due(this.#versions(pool, vms), {
+    this.#settle(swaps, { line, upstreams: this.#versions(line, vms) });
+    const due = swaps.due(this.#versions(line, vms), {
       latest,
       now: this.#clock.now(),
     });
     const awaited = new Set(swaps.awaited(this.#clock.now()));
     for (const vm of vms) {
-      if (awaited.has(vm.id)) this.#ask(vm, () => this.#tell(vm));
+      if (awaited.has(vm.id)) this.#ask(vm, () => this.#tell(vm, model));
       if (!due.includes(vm.id) || this.#asked.has(vm.id)) continue;
-      const swap = { vm, pool, version: latest };
+      // An engine carries out one order at a time, for whichever model.
+      if (this.#loading(vm.id)) continue;
+      const swap = { vm, model, version: latest };
       swaps.started(vm.id, { version: latest, now: this.#clock.now() });
       this.#ask(vm, () => this.#swap(swaps, swap));
     }
   }
 
+  /** Whether an engine loads weights of any model. */
+  #loading(id: string): boolean {
+    return [...this.#lines.values()].some(({ pending }) =>
+      pending.includes(id)
+    );
+  }
+
   /** Asks something of an engine, unless it didn't answer to the last yet. */
   #ask({ id }: Vm, ask: () => Promise<unknown>): void {
     if (this.#asked.has(id)) return;
@@ -138,36 +162,44 @@
 
   #settle(
     swaps: Swaps,
-    { pool, upstreams }: { pool: Pool; upstreams: readonly Versioned[] },
+    { line, upstreams }: { line: Line; upstreams: readonly Versioned[] },
   ): void {
     for (const [id, end] of swaps.settle(upstreams, this.#clock.now())) {
       this.#meters.swaps.inc({ outcome: end });
-      if (end !== SwapEnd.Done) {
-        log("overdue", { upstream: id, pool: pool.name });
-      }
+      log(end, { upstream: id, pool: line.pool.name, model: line.model });
     }
   }
 
   async #swap(
     swaps: Swaps,
-    { vm, pool, version }: { vm: Vm; pool: Pool; version: number },
+    { vm, model, version }: { vm: Vm; model: string; version: number },
   ): Promise<void> {
     // What the keeper told lags: the engine itself says if it is behind.
-    const current = await this.#tell(vm);
+    const current = await this.#tell(vm, model);
     if (current === undefined) return swaps.failed(vm.id, this.#clock.now());
-    if (current >= version) return swaps.forget(vm.id);
-    const { model } = pool;
+    if (current.version >= version) return swaps.forget(vm.id);
     const { term } = this.#tenure;
     const answer = await this.#tenure.act((signal) =>
       this.#kernel.platform.engine.loadWeights(vm, {
         model,
         version,
         term,
+        holder: this.#kernel.settings.vm,
+        orders: current.orders,
         signal,
       })
     );
     if (isNone(answer)) return swaps.forget(vm.id);
     const { value } = answer;
+    log("ordered", {
+      upstream: vm.id,
+      model,
+      version,
+      from: current.version,
+      orders: current.orders,
+      term,
+      outcome: value.err ? value.val.message : "accepted",
+    });
     this.#meters.swaps.inc({
       outcome: value.err ? `order_${value.val.fault}` : "ordered",
     });
@@ -176,29 +208,43 @@
     if (!started) swaps.failed(vm.id, this.#clock.now());
   }
 
-  /** Asks an engine for its version. */
-  async #tell(vm: Vm): Promise<number | undefined> {
+  /** Asks an engine for a model's version. */
+  async #tell(vm: Vm, model: string): Promise<Told | undefined> {
     const load = await this.#kernel.platform.engine.load(vm);
     if (load.err) return undefined;
-    const version = load.val.weightVersion;
-    this.#told.set(vm.id, { version, at: this.#clock.now() });
-    return version;
+    const { weightVersion, weightVersions, orders } = load.val;
+    const version = weightVersions?.[model] ?? weightVersion;
+    const told = { version, orders, at: this.#clock.now() };
+    this.#told.set(`${vm.id}/${model}`, told);
+    return told;
   }
 
-  #versions(pool: Pool, vms: readonly Vm[]): readonly Versioned[] {
+  #versions({ pool, model }: Line, vms: readonly Vm[]): readonly Versioned[] {
     const now = this.#clock.now();
     const kept = new Map(
       this.#dispatch.upstreams(pool.name)
         .map(({ id, weightVersion }) => [id, weightVersion]),
     );
-    return vms.map(({ id }) => {
-      const told = this.#told.get(id);
+    return vms.map(({ id, weightVersions }) => {
+      const told = this.#told.get(`${id}/${model}`);
       const recent = told !== undefined && now - told.at < TOLD_MS;
-      return { id, version: recent ? told.version : kept.get(id) ?? 0 };
+      const listed = weightVersions?.[model] ?? kept.get(id) ?? 0;
+      return { id, version: recent ? told.version : listed };
     });
   }
 }
 
+/** The models that a pool's upstreams serve. */
+function linesOf(pool: Pool): readonly Line[] {
+  const models = pool.models ?? [pool.model];
+  return models.filter((model) => model !== "")
+    .map((model) => ({ pool, model }));
+}
+
+function nameOf({ pool, model }: Line): string {
+  return `${pool.name}/${model}`;
+}
+
 /** Counters of weight swaps. */
 export class SwapMeters {
   readonly swaps;
--- /dev/null
+++ b/src/outside/carrier.ts
@@ -0,0 +1,92 @@
+/**
+ * Requests that are passed on byte for byte: what goes to an upstream, what
+ * comes back, and what is known when nothing whole does.
+ *
+ * @module
+ */
+
+import type { Result } from "ts-results";
+import type { Target } from "./mod.ts";
+
+/** Header fields as they were sent, in order. */
+export type Fields = readonly (readonly [string, string])[];
+
+/** A request to be passed on. */
+export interface Parcel {
+  /** The request's own marker, which comes back with its answer. */
+  readonly id: string;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly path: string;
+  readonly host: string;
+  readonly fields: Fields;
+  readonly body: Buffer;
+  /** Empty on a route open to all. */
+  readonly organisation: string;
+  /** Time left for the answer, in milliseconds. */
+  readonly remainingMs: number;
+  /** Number of the event after which a stream goes on; absent for a new one. */
+  readonly after?: number;
+  /** 0 is the most urgent; absent where the upstream shall not care. */
+  readonly urgency?: number;
+}
+
+/** A whole answer. */
+export interface Delivery {
+  readonly status: number;
+  /** The fields that concern the caller. */
+  readonly fields: Fields;
+  readonly body: Buffer;
+  /** Mark by which a caller proves who answered; absent without one. */
+  readonly seal?: string;
+}
+
+/** A numbered event of a streamed answer. */
+export interface Piece {
+  readonly number: number;
+  readonly text: string;
+  readonly weightVersion: number;
+}
+
+/** How a request came to have no whole answer. */
+export enum Loss {
+  /** No connection was made: the upstream saw nothing. */
+  Unreachable = "unreachable",
+  /** The upstream says that it did not run the request. */
+  NotRun = "not_run",
+  /** Another upstream has the address. */
+  Misdirected = "misdirected",
+  /** The upstream ran the request and failed. */
+  Failed = "failed",
+  /** The upstream says that the request can never be done. */
+  Impossible = "impossible",
+  /** The connection broke, or what came is no answer to the request. */
+  Broken = "broken",
+  /** Nothing came for longer than the bound on silence. */
+  Silent = "silent",
+  /** The caller or a bound ended it. */
+  Cancelled = "cancelled",
+}
+
+/** A request without a whole answer. */
+export interface Lost {
+  readonly loss: Loss;
+  readonly message: string;
+}
+
+/** Passes requests on to upstreams; sends nothing twice. */
+export abstract class Carrier {
+  /** Any answer of the upstream that is whole and says that it ran. */
+  abstract send(
+    target: Target,
+    parcel: Parcel,
+    signal: AbortSignal,
+  ): Promise<Result<Delivery, Lost>>;
+
+  /** Events until the stream is whole; the last item is an error if it isn't. */
+  abstract stream(
+    target: Target,
+    parcel: Parcel,
+    signal: AbortSignal,
+  ): AsyncGenerator<Result<Piece, Lost>, void, void>;
+}
--- a/src/platform/http_endpoint.ts
+++ b/src/outside/http_endpoint.ts
@@ -17,18 +17,29 @@
 const CALL_TIMEOUT_MS = 1000;
 const IDLE_TIMEOUT_MS = 4000;
 
-/** One call to an endpoint. */
-export interface Call<T> {
-  readonly method: "GET" | "POST";
+/** What is sent to an endpoint. */
+export interface Question {
+  readonly method: "GET" | "POST" | "DELETE";
   readonly path: string;
   /** Sent as JSON, or as it is if it is text. */
   readonly body?: unknown;
-  /** What the answer must look like. */
-  readonly answer: ZodType<T>;
+  readonly headers?: Readonly<Record<string, string>>;
   readonly timeoutMs?: number;
   readonly signal?: AbortSignal;
 }
 
+/** One call to an endpoint. */
+export interface Call<T> extends Question {
+  /** What the answer must look like. */
+  readonly answer: ZodType<T>;
+}
+
+/** What an endpoint answered, whatever the status. */
+export interface Reply {
+  readonly status: number;
+  readonly text: string;
+}
+
 /** An HTTP service and the connections to it. */
 export class Endpoint {
   readonly #base: URL;
@@ -43,9 +54,23 @@
 
   /** Makes one call. */
   async call<T>(call: Call<T>): Promise<Result<T, Failure>> {
-    const bound = new Bound(call.timeoutMs ?? CALL_TIMEOUT_MS, call.signal);
+    const reply = await this.ask(call);
+    if (reply.err) return reply;
+    const { status, text } = reply.val;
+    if (status !== 200) return Err(refusal(status, text));
+    const answer = call.answer.safeParse(json(text));
+    if (answer.success) return Ok(answer.data);
+    return Err({ fault: Fault.Unknown, message: answer.error.message });
+  }
+
+  /** Asks and takes any status for an answer. */
+  async ask(question: Question): Promise<Result<Reply, Failure>> {
+    const bound = new Bound(
+      question.timeoutMs ?? CALL_TIMEOUT_MS,
+      question.signal,
+    );
     try {
-      return await this.#send(call, bound.signal);
+      return Ok(await this.#send(question, bound.signal));
     } catch (error) {
       if (bound.timedOut) this.#renew();
       return Err(failure(error, bound.timedOut));
@@ -59,22 +84,17 @@
     await this.#pool.destroy();
   }
 
-  async #send<T>(
-    call: Call<T>,
-    signal: AbortSignal,
-  ): Promise<Result<T, Failure>> {
+  async #send(question: Question, signal: AbortSignal): Promise<Reply> {
+    const { headers, body } = contentOf(question);
     const response = await this.#pool.request({
-      method: call.method,
-      path: this.#base.pathname.replace(/\/$/, "") + call.path,
-      ...contentOf(call),
+      method: question.method,
+      path: this.#base.pathname.replace(/\/$/, "") + question.path,
+      headers: { ...headers, ...question.headers },
+      body,
       signal,
     });
-    const body = await response.body.text();
-    const status = response.statusCode;
-    if (status !== 200) return Err(refusal(status, body));
-    const answer = call.answer.safeParse(JSON.parse(body));
-    if (answer.success) return Ok(answer.data);
-    return Err({ fault: Fault.Unknown, message: answer.error.message });
+    const text = await response.body.text();
+    return { status: response.statusCode, text };
   }
 
   #connect(): Pool {
@@ -97,7 +117,10 @@
 }
 
 /** The headers and the body of a call. */
-function contentOf({ body, signal }: Call<unknown>) {
+function contentOf({ body, signal }: Question): {
+  headers?: Record<string, string>;
+  body?: Buffer | Readable;
+} {
   if (body === undefined) return {};
   const text = typeof body === "string";
   const content = Buffer.from(text ? body : JSON.stringify(body));
@@ -192,6 +215,15 @@
   return error instanceof Error ? error.message : String(error);
 }
 
+function json(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // Not JSON: no schema takes it.
+    return undefined;
+  }
+}
+
 function refusal(status: number, body: string): Failure {
   const fault = declines(status) ? Fault.Refused : Fault.Unknown;
   return { fault, message: `Answer ${status}: ${body.slice(0, 200)}` };
--- a/src/platform/mod.ts
+++ b/src/outside/mod.ts
@@ -7,6 +7,7 @@
 
 import type { Option } from "fp-ts/Option";
 import type { Result } from "ts-results";
+import type { Carrier } from "./carrier.ts";
 
 /** How a call to an outside service failed. */
 export enum Fault {
@@ -89,6 +90,25 @@
   ): Promise<Result<Option<Entry>, Failure>>;
 }
 
+/** Changes of several keys that take effect together or not at all. */
+export interface Change {
+  /** Keys that must have these revisions; 0 stands for an absent key. */
+  readonly expected: readonly { key: string; revision: number }[];
+  readonly writes: readonly { key: string; value: string; lease?: string }[];
+  readonly removes?: readonly string[];
+}
+
+/** An answered change: applied, or refused as the expected keys differ. */
+export type Commit =
+  | { readonly applied: true; readonly revision: number }
+  | { readonly applied: false; readonly current: readonly Entry[] };
+
+/** A key-value service that changes several keys at once. */
+export abstract class Records extends KeyValue {
+  /** On `Fault.Unknown` the change may have taken effect, or may yet. */
+  abstract commit(change: Change): Promise<Result<Commit, Failure>>;
+}
+
 /** What a VM on the platform's list is for. */
 export enum Role {
   Entry = "entry",
@@ -115,6 +135,14 @@
   readonly pool: string;
   /** Whether the VM can be reclaimed at a few seconds' notice. */
   readonly reclaimable: boolean;
+  /** Requests that an upstream runs at once, where the list says so. */
+  readonly slots?: number;
+  /** Weight version by model, where the list says so. */
+  readonly weightVersions?: Readonly<Record<string, number>>;
+  /** Orders that an upstream has accepted since its start. */
+  readonly orders?: number;
+  /** Start of an upstream in milliseconds since the Unix epoch. */
+  readonly bornAt?: number;
 }
 
 /** The platform's lagging list of live and leaving VMs. */
@@ -207,6 +235,12 @@
   readonly slots: number;
   readonly weightVersion: number;
   readonly adapters: readonly string[];
+  /** Weight version by model, where an engine serves several. */
+  readonly weightVersions?: Readonly<Record<string, number>>;
+  /** Whether an order is being carried out. */
+  readonly busy?: boolean;
+  /** Orders accepted since the engine's start. */
+  readonly orders?: number;
 }
 
 /** A prefix that an engine put into its cache or evicted. */
@@ -293,6 +327,10 @@
     model: string;
     version: number;
     term: number;
+    /** The ordering daemon, for the record. */
+    holder?: string;
+    /** Orders that the engine has accepted, if it shall check that. */
+    orders?: number;
     signal: AbortSignal;
   }): Promise<Result<true, Failure>>;
 }
@@ -305,4 +343,18 @@
   readonly reports: ReportDesk;
   readonly weights: WeightStore;
   readonly engine: Engine;
+  /** The key-value service, where it changes several keys at once. */
+  readonly records?: Records;
+  /** What passes requests on byte for byte, where routes ask for that. */
+  readonly carrier?: Carrier;
 }
+
+export {
+  Carrier,
+  type Delivery,
+  type Fields,
+  Loss,
+  type Lost,
+  type Parcel,
+  type Piece,
+} from "./carrier.ts";
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -16,7 +16,7 @@
   register,
   Verdict,
 } from "../kernel/mod.ts";
-import { Role, type Vm } from "../platform/mod.ts";
+import { Role, type Vm } from "../outside/mod.ts";
 import { Gossip } from "./gossip.ts";
 import { Handlers } from "./handlers.ts";
 import { cancelled, type Link, type Message, unreachable } from "./link.ts";
--- /dev/null
+++ b/src/peers/presence.ts
@@ -0,0 +1,143 @@
+/**
+ * This daemon's own line on the list of VMs, where the platform keeps none of
+ * the daemons: a leased key that the others find it by.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import {
+  type Kernel,
+  logger,
+  Plugin,
+  PluginKey,
+  register,
+} from "../kernel/mod.ts";
+import { type Entry, Fault, Role, Standing, type Vm } from "../outside/mod.ts";
+
+const log = logger("presence");
+
+/** Keys of the daemons' own lines. */
+export const PRESENCE_PREFIX = "toucanwind/members/";
+
+/** A daemon that renews its line no more is off the list after this time. */
+const LEASE_MS = 6000;
+
+/** Three renewals may fail before the line lapses. */
+const RENEWAL_MS = 1500;
+
+/** First wait after a failed call, so that all don't come back at once. */
+const RETRY_MS = 300;
+
+const line = z.object({
+  address: z.string(),
+  http: z.string(),
+  availabilityZone: z.string(),
+});
+
+/** The daemon that an entry stands for; none if it can't be read. */
+export function parseMember({ key, value }: Entry): readonly Vm[] {
+  const parsed = line.safeParse(json(value));
+  if (!parsed.success) return [];
+  return [{
+    ...parsed.data,
+    id: key.slice(PRESENCE_PREFIX.length),
+    role: Role.Entry,
+    standing: Standing.Live,
+    pool: "",
+    reclaimable: false,
+  }];
+}
+
+/** Keeps this daemon on the list. */
+export class Presence extends Plugin {
+  readonly #kernel: Kernel;
+  readonly #stop = new AbortController();
+  #ended: Promise<void> = Promise.resolve();
+  #lease = "";
+
+  constructor(kernel: Kernel) {
+    super();
+    this.#kernel = kernel;
+  }
+
+  override start(): Promise<void> {
+    this.#ended = this.#run();
+    return Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    this.#stop.abort();
+    await this.#ended;
+    if (this.#lease === "") return;
+    await this.#kernel.platform.keyValue.revoke(this.#lease);
+  }
+
+  async #run(): Promise<void> {
+    const { signal } = this.#stop;
+    const { clock } = this.#kernel;
+    while (!signal.aborted) {
+      const kept = this.#lease === ""
+        ? await this.#enter()
+        : await this.#renew();
+      const waitMs = kept ? RENEWAL_MS : RETRY_MS * (1 + Math.random());
+      await clock.sleep(waitMs, signal);
+    }
+  }
+
+  async #enter(): Promise<boolean> {
+    const { settings, platform } = this.#kernel;
+    const grant = await platform.keyValue.grant(LEASE_MS);
+    if (grant.err) return false;
+    const key = PRESENCE_PREFIX + settings.vm;
+    const value = JSON.stringify({
+      address: `${settings.peer.host}:${settings.peer.port}`,
+      http: `${settings.http.host}:${settings.http.port}`,
+      availabilityZone: settings.availabilityZone,
+    });
+    const found = await platform.keyValue.get(key);
+    if (found.err) return false;
+    const expected = found.val._tag === "Some" ? found.val.value.revision : 0;
+    const swap = await platform.keyValue.swap(key, {
+      value,
+      expected,
+      lease: grant.val.id,
+    });
+    const entered = swap.ok && swap.val.applied;
+    if (entered) this.#lease = grant.val.id;
+    log("entered", { vm: settings.vm, lease: grant.val.id, entered });
+    return entered;
+  }
+
+  async #renew(): Promise<boolean> {
+    const renewed = await this.#kernel.platform.keyValue.renew(this.#lease);
+    if (renewed.ok) return true;
+    // A refusal may come from a busy service; only the line itself can tell.
+    const { settings, platform } = this.#kernel;
+    if (renewed.val.fault !== Fault.Refused) return false;
+    const found = await platform.keyValue.get(PRESENCE_PREFIX + settings.vm);
+    if (found.ok && found.val._tag === "None") {
+      log("lapsed", { vm: settings.vm, lease: this.#lease });
+      this.#lease = "";
+    }
+    return false;
+  }
+}
+
+function json(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // Not a daemon's line: the schema refuses it.
+    return undefined;
+  }
+}
+
+/** The key of the presence plug-in. */
+export const presenceKey = new PluginKey<Presence>("presence");
+
+register({
+  key: presenceKey,
+  requires: [],
+  create: (kernel) => new Presence(kernel),
+});
--- /dev/null
+++ b/src/relay/mod.ts
@@ -0,0 +1,62 @@
+/**
+ * Requests that are passed on byte for byte, with the attempts and the time
+ * that their route allows.
+ *
+ * @module
+ */
+
+import type { Option } from "fp-ts/Option";
+import type { Result } from "ts-results";
+import { Plugin, PluginKey, type Refusal } from "../kernel/mod.ts";
+import type { Delivery, Fields } from "../outside/mod.ts";
+import type { ExchangeRoute } from "./routing.ts";
+
+/** A request as a caller sent it. */
+export interface Request {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly host: string;
+  readonly fields: Fields;
+  readonly body: Buffer;
+  /** Time that the caller waits, in milliseconds. */
+  readonly remainingMs: number;
+}
+
+/** On whose behalf a request runs. */
+export interface Sender {
+  /** Empty where the route is open and no key came. */
+  readonly organisation: string;
+  readonly rank?: number;
+}
+
+/** Passes requests on. */
+export abstract class Relay extends Plugin {
+  /** The route of a request; `None` also before the first configuration. */
+  abstract route(host: string, path: string): Option<ExchangeRoute>;
+
+  /** All exchange and batch routes of a host. */
+  abstract routes(host: string): readonly ExchangeRoute[];
+
+  /**
+   * Runs a request within the route's bounds. The answer is an upstream's own,
+   * whole; a refusal says whether the request may have run.
+   */
+  abstract serve(
+    route: ExchangeRoute,
+    sender: Sender,
+    request: Request,
+    signal: AbortSignal,
+  ): Promise<Served>;
+}
+
+/** How a request ended, and how often upstreams failed at it. */
+export interface Served {
+  readonly answer: Result<Delivery, Refusal>;
+  readonly failures: number;
+}
+
+/** The key of the relay plug-in. */
+export const relayKey = new PluginKey<Relay>("relay");
+
+export { drawPool, type ExchangeRoute, Routing } from "./routing.ts";
--- /dev/null
+++ b/src/relay/routing.ts
@@ -0,0 +1,61 @@
+/**
+ * Finds the route of a request by its host and path, and the pool that takes
+ * it.
+ *
+ * @module
+ */
+
+import { fromNullable, type Option } from "fp-ts/Option";
+import type { Exchange, Route } from "../tables/mod.ts";
+
+/** A route whose requests are passed on byte for byte. */
+export type ExchangeRoute = Route & { readonly exchange: Exchange };
+
+/** The exchange and batch routes of one revision. */
+export class Routing {
+  readonly #byHost: ReadonlyMap<string, readonly ExchangeRoute[]>;
+
+  constructor(routes: readonly Route[]) {
+    const byHost = new Map<string, ExchangeRoute[]>();
+    for (const route of routes) {
+      if (!isExchange(route)) continue;
+      const { host } = route.exchange;
+      byHost.set(host, [...byHost.get(host) ?? [], route]);
+    }
+    for (const rows of byHost.values()) {
+      rows.sort((a, b) => b.exchange.prefix.length - a.exchange.prefix.length);
+    }
+    this.#byHost = byHost;
+  }
+
+  /** The route with the longest prefix that begins the path. */
+  find(host: string, path: string): Option<ExchangeRoute> {
+    const [bare] = path.split("?", 1);
+    const rows = this.of(host);
+    return fromNullable(
+      rows.find(({ exchange }) => bare.startsWith(exchange.prefix)),
+    );
+  }
+
+  /** All routes of a host. */
+  of(host: string): readonly ExchangeRoute[] {
+    const name = host.toLowerCase();
+    return this.#byHost.get(name) ??
+      this.#byHost.get(name.replace(/:\d+$/, "")) ?? [];
+  }
+}
+
+/** One of a route's pools, drawn by their weights with `random` in [0, 1). */
+export function drawPool({ pools }: Exchange, random: number): string {
+  const total = pools.reduce((sum, { weight }) => sum + weight, 0);
+  let left = random * total;
+  for (const { pool, weight } of pools) {
+    left -= weight;
+    if (left < 0) return pool;
+  }
+  return pools[0].pool;
+}
+
+function isExchange(route: Route): route is ExchangeRoute {
+  return route.exchange !== undefined;
+}
--- a/src/steps/sample.ts
+++ b/src/steps/sample.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Chunk } from "../platform/mod.ts";
+import type { Chunk } from "../outside/mod.ts";
 
 /** A run of tokens that one weight version made. */
 export interface Span {
--- a/src/steps/step_test.ts
+++ b/src/steps/step_test.ts
@@ -4,7 +4,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import { Generator } from "../gateway/generate.ts";
 import { ManualClock, Reason, Refusal, Verdict } from "../kernel/mod.ts";
-import type { Chunk, Generation } from "../platform/mod.ts";
+import type { Chunk, Generation } from "../outside/mod.ts";
 import { Priority } from "../tables/mod.ts";
 import type { Demand } from "../dispatch/mod.ts";
 import { Bitmap } from "./cursor.ts";
--- a/src/tables/check.ts
+++ b/src/tables/check.ts
@@ -30,11 +30,15 @@
     ...tables.pools.flatMap(checkPool),
     ...repeated(tables.pools.map((pool) => pool.name))
       .map((name) => inPools(name, "", `pool "${name}" stands twice`)),
-    ...tables.routes.flatMap(checkRoute),
+    ...tables.routes.flatMap((route) =>
+      isExchange(route) ? checkExchange(route, tables) : checkRoute(route)
+    ),
     ...repeated(tables.routes.map((route) => route.name))
       .map((name) => inRoutes(name, "", `route "${name}" stands twice`)),
-    ...tables.routes.flatMap((route) => checkJoin(route, tables, unread)),
-    ...checkClaims(tables.routes),
+    ...tables.routes.flatMap((route) =>
+      isExchange(route) ? [] : checkJoin(route, tables, unread)
+    ),
+    ...checkClaims(tables.routes.filter((route) => !isExchange(route))),
     ...checkKeys(tables.routes),
     ...checkWeights(tables.routes),
   ];
@@ -80,6 +84,24 @@
   return problems;
 }
 
+function isExchange({ kind }: Route): boolean {
+  return kind === Kind.Exchange || kind === Kind.Batch;
+}
+
+function checkExchange(route: Route, { pools }: Tables): readonly Problem[] {
+  const { exchange } = route;
+  if (exchange === undefined) {
+    const text = `a ${route.kind} route needs its terms`;
+    return [inRoutes(route.name, "exchange", text)];
+  }
+  const unknown = exchange.pools.filter(({ pool }) =>
+    !pools.some(({ name }) => name === pool)
+  );
+  return unknown.map(({ pool }) =>
+    inRoutes(route.name, "exchange", `pool "${pool}" is not in ${File.Pools}`)
+  );
+}
+
 function checkCallers(route: Route): readonly Problem[] {
   const problems: Problem[] = [];
   const found = (key: string, message: string) => {
--- a/src/tables/mod.ts
+++ b/src/tables/mod.ts
@@ -19,13 +19,20 @@
 export { hashKey, newSecret } from "./secret.ts";
 export { File, printProblem, type Problem } from "./problem.ts";
 export {
+  type BatchTerms,
+  type CallerLimits,
   type Configuration,
   CONFIGURATION_KEY,
+  type Exchange,
   type Key,
   Kind,
+  type Organisation,
   type Pool,
+  type PoolShare,
   Priority,
+  priorityOf,
   type Route,
+  type Scaling,
   type Share,
   type Tables,
 } from "./tables.ts";
--- a/src/tables/print.ts
+++ b/src/tables/print.ts
@@ -24,6 +24,7 @@
 /** The tables with their rows and lists in order of name. */
 export function canonical(tables: Tables): Tables {
   return {
+    ...tables,
     routes: RA.sort(byName)(tables.routes.map((route) => ({
       ...route,
       tenants: RA.sort(byTenant)(route.tenants),
--- a/src/tables/schema.ts
+++ b/src/tables/schema.ts
@@ -17,6 +17,9 @@
 const MAX_WEIGHT = 1_000_000;
 const MAX_AUTHOR = 200;
 const MAX_NOTE = 500;
+const MAX_ATTEMPTS = 1_000;
+const MAX_RANK = 1_000;
+const MAX_REQUEST_BYTES = 2 ** 31;
 
 const name = z.string().regex(
   /^[a-z0-9][a-z0-9_-]{0,62}$/,
@@ -57,6 +60,47 @@
   tenant: name,
 });
 
+const batchTerms = z.strictObject({
+  resultTargetMs: integer(1, DAY_MS),
+  retentionMs: integer(1, DAY_MS),
+  singleVersion: z.boolean(),
+});
+
+const exchange = z.strictObject({
+  host: z.string().max(256),
+  prefix: z.string().regex(/^\/(.*\/)?$/, "must begin and end with a slash"),
+  pools: z.array(
+    z.strictObject({ pool: name, weight: fraction(0, MAX_WEIGHT) }),
+  ).min(1),
+  latencyGoalMs: integer(1, DAY_MS),
+  maxAttempts: integer(1, MAX_ATTEMPTS),
+  rank: integer(0, MAX_RANK),
+  streamed: z.boolean(),
+  resumable: z.boolean(),
+  batch: batchTerms.optional(),
+});
+
+const scaling = z.strictObject({
+  minPerZone: integer(0, MAX_UPSTREAMS),
+  maxPerZone: integer(0, MAX_UPSTREAMS),
+  bootMs: integer(0, DAY_MS),
+  reclaimablePrice: z.number().optional(),
+  zonePrices: z.record(z.string(), z.number()),
+});
+
+const organisation = z.strictObject({
+  name: z.string().min(1).max(200),
+  keys: z.array(z.string().length(64)),
+  rank: integer(0, MAX_RANK).optional(),
+});
+
+const callerLimits = z.strictObject({
+  maxHeaderBytes: integer(1, MAX_BODY_BYTES),
+  maxBodyBytes: integer(1, MAX_REQUEST_BYTES),
+  headerTimeoutMs: integer(1, DAY_MS),
+  idleTimeoutMs: integer(1, DAY_MS),
+});
+
 /** A row of the routes table. */
 export const routeRow = z.strictObject({
   name,
@@ -75,6 +119,7 @@
   deadlineMs: integer(1, DAY_MS),
   maxBodyBytes: integer(1, MAX_BODY_BYTES),
   stalenessBound: integer(0, MAX_STALENESS),
+  exchange: exchange.optional(),
 }) satisfies z.ZodType<Route>;
 
 /** A row of the pools table. */
@@ -87,6 +132,8 @@
   availabilityZones: z.array(name).min(1, "must name a zone").max(64),
   slots: integer(1, MAX_SLOTS),
   fenced: z.boolean("must be true or false"),
+  models: z.array(z.string().max(200)).optional(),
+  scaling: scaling.optional(),
 }) satisfies z.ZodType<Pool>;
 
 const stamp = {
@@ -106,5 +153,7 @@
   tables: z.strictObject({
     routes: z.array(routeRow),
     pools: z.array(poolRow),
+    organisations: z.array(organisation).optional(),
+    callerLimits: callerLimits.optional(),
   }),
 });
--- a/src/tables/tables.ts
+++ b/src/tables/tables.ts
@@ -13,6 +13,10 @@
   Service = "service",
   /** Steps of samples for trainers. */
   Training = "training",
+  /** Requests that are passed on byte for byte. */
+  Exchange = "exchange",
+  /** Batches of such requests, kept until each has a result. */
+  Batch = "batch",
 }
 
 /** Classes of urgency, the most urgent first. */
@@ -23,6 +27,19 @@
   Batch = "batch",
 }
 
+/** Classes by rank; ranks beyond the last are all of the last one. */
+const CLASSES = [
+  Priority.Interactive,
+  Priority.Standard,
+  Priority.Training,
+  Priority.Batch,
+] as const;
+
+/** The class of urgency of a rank, of which 0 is the most urgent. */
+export function priorityOf(rank: number): Priority {
+  return CLASSES[Math.min(Math.max(0, rank), CLASSES.length - 1)];
+}
+
 /** A caller's key: its SHA-256 and whose it is. */
 export interface Key {
   /** Short public name of the key; safe in logs. */
@@ -54,6 +71,62 @@
   readonly maxBodyBytes: number;
   /** For training: how many versions old a sample may be. */
   readonly stalenessBound: number;
+  /** For exchange and batch routes, which every organisation may call. */
+  readonly exchange?: Exchange;
+}
+
+/** Terms on which a route's requests are passed on byte for byte. */
+export interface Exchange {
+  readonly host: string;
+  /** Begins and ends with a slash; the longest that begins a path is used. */
+  readonly prefix: string;
+  /** The pools among which the requests are split. */
+  readonly pools: readonly PoolShare[];
+  /** Time within which an answer has its full worth, in milliseconds. */
+  readonly latencyGoalMs: number;
+  /** Most upstreams that one request may be sent to. */
+  readonly maxAttempts: number;
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  /** Whether answers are streams of numbered events. */
+  readonly streamed: boolean;
+  /** Whether a broken stream may go on at another upstream. */
+  readonly resumable: boolean;
+  /** For batch routes only. */
+  readonly batch?: BatchTerms;
+}
+
+/** A pool's part of a route's requests. */
+export interface PoolShare {
+  readonly pool: string;
+  readonly weight: number;
+}
+
+/** What a batch route promises. */
+export interface BatchTerms {
+  /** Time from a submission until all results are due, in milliseconds. */
+  readonly resultTargetMs: number;
+  /** Time after which an item may be given up, in milliseconds. */
+  readonly retentionMs: number;
+  /** Whether all of a result must be made by one weight version. */
+  readonly singleVersion: boolean;
+}
+
+/** An organisation that may call every exchange and batch route. */
+export interface Organisation {
+  readonly name: string;
+  /** SHA-256 of each of its keys. */
+  readonly keys: readonly string[];
+  /** Goes before a route's rank. */
+  readonly rank?: number;
+}
+
+/** Bounds on what a caller's connection may do. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
 }
 
 /** A tenant's contract on a route's pool. */
@@ -78,12 +151,31 @@
   readonly slots: number;
   /** Whether the engines refuse an order with an old term. */
   readonly fenced: boolean;
+  /** Models that share the upstreams; `model` is the only one without it. */
+  readonly models?: readonly string[];
+  /** Where upstreams are ordered, and what they cost there. */
+  readonly scaling?: Scaling;
+}
+
+/** On what terms upstreams of a pool are ordered. */
+export interface Scaling {
+  /** Bounds on the number in each availability zone. */
+  readonly minPerZone: number;
+  readonly maxPerZone: number;
+  /** Time from an order until the upstream serves, in milliseconds. */
+  readonly bootMs: number;
+  /** Price of a reclaimable upstream in parts of another one's. */
+  readonly reclaimablePrice?: number;
+  /** Price of a second of an upstream, by availability zone. */
+  readonly zonePrices: Readonly<Record<string, number>>;
 }
 
 /** Both tables; they change together. */
 export interface Tables {
   readonly routes: readonly Route[];
   readonly pools: readonly Pool[];
+  readonly organisations?: readonly Organisation[];
+  readonly callerLimits?: CallerLimits;
 }
 
 /** A revision of the tables, as kept by the platform's service. */
--- a/src/usage/book.ts
+++ b/src/usage/book.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import type { ReportLine } from "../platform/mod.ts";
+import type { ReportLine } from "../outside/mod.ts";
 import type { Use } from "./mod.ts";
 
 /** A use with its place in the book. */
--- a/src/usage/ledger_test.ts
+++ b/src/usage/ledger_test.ts
@@ -10,7 +10,7 @@
   type Platform,
   type Report,
   ReportDesk,
-} from "../platform/mod.ts";
+} from "../outside/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { PeerNetwork, SoloPeers } from "../../stand_ins/peers.ts";
 import { Ledger } from "./ledger.ts";
--- a/src/usage/reporting.ts
+++ b/src/usage/reporting.ts
@@ -12,7 +12,7 @@
 import { type Kernel, logger } from "../kernel/mod.ts";
 import { Charge, isCandidate, type Tenure } from "../orders/charge.ts";
 import type { Peers } from "../peers/mod.ts";
-import { type Entry, type Failure, Fault } from "../platform/mod.ts";
+import { type Entry, type Failure, Fault } from "../outside/mod.ts";
 import type { BookSummary } from "./book.ts";
 import type { Collect } from "./ledger.ts";
 import { type Seal, seal, type Sealed, windowOf } from "./seal.ts";
--- a/src/usage/seal.ts
+++ b/src/usage/seal.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import type { Report } from "../platform/mod.ts";
+import type { Report } from "../outside/mod.ts";
 import {
   addEntry,
   addLine,
--- a/src/usage/seal_test.ts
+++ b/src/usage/seal_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { test } from "node:test";
-import type { Report } from "../platform/mod.ts";
+import type { Report } from "../outside/mod.ts";
 import { Book, type BookEntry, type BookSummary } from "./book.ts";
 import type { Use } from "./mod.ts";
 import { longestCopies, seal } from "./seal.ts";
--- a/stand_ins/cache.ts
+++ b/stand_ins/cache.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { CacheEvent } from "../src/platform/mod.ts";
+import type { CacheEvent } from "../src/outside/mod.ts";
 import { Random } from "./random.ts";
 
 /** Events kept for readers that lag. */
--- a/stand_ins/cluster.ts
+++ b/stand_ins/cluster.ts
@@ -20,7 +20,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { Role, type Vm } from "../src/platform/mod.ts";
+import { Role, type Vm } from "../src/outside/mod.ts";
 import {
   type Configuration,
   CONFIGURATION_KEY,
--- a/stand_ins/cluster_test.ts
+++ b/stand_ins/cluster_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CHARGE_PREFIX } from "../src/orders/charge.ts";
-import type { Order } from "../src/platform/mod.ts";
+import type { Order } from "../src/outside/mod.ts";
 import { pool, tables } from "./builders.ts";
 import { type Cluster, type Daemon, startCluster } from "./cluster.ts";
 
--- a/stand_ins/engine.ts
+++ b/stand_ins/engine.ts
@@ -14,7 +14,7 @@
 import { createHash } from "node:crypto";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { blocksOf } from "../src/platform/prefixes.ts";
+import { blocksOf } from "../src/outside/prefixes.ts";
 import { Cache } from "./cache.ts";
 import { History, type HistoryEvent } from "./history.ts";
 import { uniform } from "./random.ts";
--- a/stand_ins/launches.ts
+++ b/stand_ins/launches.ts
@@ -12,7 +12,7 @@
   Role,
   Standing,
   type Vm,
-} from "../src/platform/mod.ts";
+} from "../src/outside/mod.ts";
 import type { History } from "./history.ts";
 
 /** What can be ordered of one kind in one availability zone. */
--- a/stand_ins/platform.ts
+++ b/stand_ins/platform.ts
@@ -12,7 +12,7 @@
 } from "fastify";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type Order, Role, Standing, type Vm } from "../src/platform/mod.ts";
+import { type Order, Role, Standing, type Vm } from "../src/outside/mod.ts";
 import { Faults, type Injection } from "./faults.ts";
 import { History, type HistoryEvent } from "./history.ts";
 import { Launches, type Offered, type Wanted } from "./launches.ts";
