Directory: the list of upstreams is shared among the daemons

And each daemon read two ranges twice a second: 32 of 84 calls a second.

Ruled out: a late permit (the keeper granted 40 ms before the send).

Change: two daemons read the list and tell it, with the store's revision, so that an older list never replaces a newer one; others read it themselves after 900 ms without news. A watcher reads the configuration only when its watch has not shown it to be current for a second. A holder that gave a charge up lets a lease pass before it takes it back.

--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -39,6 +39,10 @@
 /** Daemons that ask the platform; the others rely on them. */
 const WATCHERS = 8;
 const READ_MS = 500;
+/** Part of the bound on age after which a watcher reads. */
+const READ_AGE = 0.2;
+/** A change that a silent watch misses is found within this. */
+const MAX_READ_AFTER_MS = 1000;
 /** A read or fetch that takes longer is abandoned. */
 const READ_TIMEOUT_MS = 2000;
 const WATCH_MS = 5000;
@@ -290,11 +294,19 @@
       this.#freshness.observe(this.#vms(), now);
       this.#forgetGone();
       this.#age.set(Math.min(this.ageMs() / 1000, Number.MAX_SAFE_INTEGER));
-      if (this.#watching() || this.#rescues()) void this.#read();
+      const due = this.ageMs() > this.#readAfterMs;
+      if ((this.#watching() && due) || this.#rescues()) void this.#read();
       await this.#kernel.clock.sleep(READ_MS, this.#signal);
     }
   }
 
+  // A watch shows a view to be current only once it is answered: a view that
+  // grows old meanwhile is read.
+  get #readAfterMs(): number {
+    const { freshnessMs } = this.#kernel.settings.timing;
+    return Math.min(MAX_READ_AFTER_MS, freshnessMs * READ_AGE);
+  }
+
   // Whether a daemon that hears nothing current asks the platform itself.
   #rescues(): boolean {
     const { freshnessMs } = this.#kernel.settings.timing;
--- /dev/null
+++ b/src/directory/sharing.ts
@@ -0,0 +1,133 @@
+/**
+ * Shares the list of VMs among the daemons: a few read it from the platform,
+ * the others are told, and whoever isn't told in time reads it itself. So the
+ * calls don't grow with the daemons, and one that the platform turns away
+ * still learns which upstreams leave.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import { z } from "zod";
+import {
+  type Kernel,
+  Plugin,
+  PluginKey,
+  type Props,
+  register,
+} from "../kernel/mod.ts";
+import { HeldDirectory } from "../outside/held_directory.ts";
+import { Role, Standing, type Vm } from "../outside/mod.ts";
+import { type Peers, peersKey } from "../peers/mod.ts";
+
+const SECTION = "directory";
+
+/** Daemons that read the list for all: one may be cut off. */
+const READERS = 2;
+
+/** A reader's list is read again at each look. */
+const READER_FRESH_MS = 300;
+
+/** Others read it themselves after this: upstreams leave within 2 s. */
+const TOLD_FRESH_MS = 900;
+
+const vm = z.object({
+  id: z.string(),
+  role: z.enum(Role),
+  standing: z.enum(Standing),
+  availabilityZone: z.string(),
+  address: z.string(),
+  http: z.string(),
+  pool: z.string(),
+  reclaimable: z.boolean(),
+  slots: z.number().optional(),
+  weightVersions: z.record(z.string(), z.number()).optional(),
+  orders: z.number().optional(),
+  bornAt: z.number().optional(),
+});
+
+/** The list goes along only where the peer was told another one. */
+const news = z.object({
+  digest: z.string(),
+  revision: z.number(),
+  ageMs: z.number(),
+  vms: z.array(vm).optional(),
+});
+
+/** Tells the other daemons of the list. */
+export class Sharing extends Plugin {
+  override readonly props: Props = {
+    gossip: {
+      [SECTION]: {
+        offer: (peer) => this.#offer(peer),
+        forget: (peer) => this.#told.delete(peer),
+        accept: (body) => this.#accept(news.parse(body)),
+      },
+    },
+    status: () => {
+      const { revision, ageMs, vms } = this.#directory.newest;
+      return { revision, ageMs: Math.round(ageMs), vms: vms.length };
+    },
+  };
+  readonly #peers: Peers;
+  readonly #directory: HeldDirectory;
+  readonly #told = new Map<string, string>();
+  #digested: { vms: readonly Vm[]; digest: string } = { vms: [], digest: "" };
+
+  constructor(options: { peers: Peers; directory: HeldDirectory }) {
+    super();
+    this.#peers = options.peers;
+    this.#directory = options.directory;
+    this.#directory.freshMs = () => this.#reads()
+      ? READER_FRESH_MS
+      : TOLD_FRESH_MS;
+    this.#directory.onChange(() => this.#peers.poke(SECTION));
+  }
+
+  #reads(): boolean {
+    const self = this.#peers.self.vm;
+    return this.#peers.ranked(SECTION).slice(0, READERS)
+      .some(({ vm }) => vm === self);
+  }
+
+  #offer(peer: string): z.infer<typeof news> | undefined {
+    const { vms, revision, ageMs } = this.#directory.newest;
+    if (ageMs > TOLD_FRESH_MS) return undefined;
+    const digest = this.#digest(vms);
+    const known = this.#told.get(peer) === digest;
+    this.#told.set(peer, digest);
+    return { digest, revision, ageMs, ...known ? {} : { vms: [...vms] } };
+  }
+
+  #accept({ digest, revision, ageMs, vms }: z.infer<typeof news>): void {
+    if (vms !== undefined) {
+      this.#directory.hear({ vms, revision, ageMs });
+    } else if (digest === this.#digest(this.#directory.newest.vms)) {
+      this.#directory.confirm(revision, ageMs);
+    }
+  }
+
+  #digest(vms: readonly Vm[]): string {
+    if (this.#digested.vms !== vms) {
+      const text = JSON.stringify([...vms].sort((a, b) => a.id < b.id ? -1 : 1));
+      const digest = createHash("sha256").update(text).digest("base64url");
+      this.#digested = { vms, digest: digest.slice(0, 16) };
+    }
+    return this.#digested.digest;
+  }
+}
+
+/** The key of the sharing plug-in. */
+export const sharingKey = new PluginKey<Sharing>("directory");
+
+register({
+  key: sharingKey,
+  requires: [peersKey],
+  create: (kernel: Kernel) => {
+    const { directory } = kernel.platform;
+    if (!(directory instanceof HeldDirectory)) {
+      throw new RangeError("This platform's list can't be shared");
+    }
+    return new Sharing({ peers: kernel.get(peersKey), directory });
+  },
+});
--- a/src/orders/charge.ts
+++ b/src/orders/charge.ts
@@ -49,6 +49,8 @@
   readonly leaseMs: number;
   /** Whether the holder ended all its acts and gave the charge up. */
   readonly released: boolean;
+  /** VM of the holder before; empty for the first one. */
+  readonly before: string;
 }
 
 const holdingSchema = z.object({
@@ -57,6 +59,7 @@
   attempt: z.string(),
   leaseMs: z.number(),
   released: z.boolean(),
+  before: z.string().default(""),
 });
 
 /** Stands for a value that no charge wrote: it never gets free. */
@@ -66,6 +69,7 @@
   attempt: "",
   leaseMs: Infinity,
   released: false,
+  before: "",
 };
 
 /** How a write to the charge's value ended. */
@@ -89,6 +93,8 @@
   /** When own writes were sent that may be the value now, by attempt. */
   #sent: ReadonlyMap<string, number> = new Map();
   #revision = 0;
+  /** VM of the holder before this one, as in the value. */
+  #before = "";
   /** When the write that is the value now was sent, if it is an own one. */
   #from = -Infinity;
 
@@ -163,6 +169,7 @@
 
   async #acquire(signal: AbortSignal): Promise<Option<number>> {
     let seen = { revision: -1, at: 0 };
+    let seenTerm = { term: -1, at: 0 };
     for (; !signal.aborted; await this.#clock.sleep(this.#beatMs(), signal)) {
       if (!this.#candidate()) continue;
       const found = await this.#keyValue.get(this.#key());
@@ -170,12 +177,25 @@
       const now = this.#clock.now();
       const revision = revisionOf(found.val);
       if (seen.revision !== revision) seen = { revision, at: now };
+      const held = holdingOf(found.val)?.term ?? 0;
+      if (seenTerm.term !== held) seenTerm = { term: held, at: now };
+      if (this.#returns(found.val, now - seenTerm.at)) continue;
       const term = await this.#take(found.val, now - seen.at);
       if (term !== undefined) return some(term);
     }
     return none;
   }
 
+  /**
+   * Whether this VM held the charge right before the present holder, a lease
+   * ago at most: two holders that take turns look like two that both believe.
+   */
+  #returns(entry: Option<Entry>, termMs: number): boolean {
+    const holding = holdingOf(entry);
+    return holding !== undefined && holding.before === vmOf(this.#holder) &&
+      vmOf(holding.holder) !== vmOf(this.#holder) && termMs < this.#leaseMs;
+  }
+
   /** Takes the charge if it is free; answers with the term if it was had. */
   async #take(
     entry: Option<Entry>,
@@ -187,6 +207,7 @@
     this.#revision = revisionOf(entry);
     const renewed = own && !holding?.released;
     const term = renewed ? holding?.term ?? 1 : (holding?.term ?? 0) + 1;
+    this.#before = beforeOf(holding, this.#holder);
     const write = await this.#write(term, { released: false });
     const fresh = this.#clock.now() < this.#deadline();
     return write === Write.Applied && fresh ? term : undefined;
@@ -220,6 +241,7 @@
       attempt,
       leaseMs: this.#leaseMs,
       released: options.released,
+      before: this.#before,
     };
     const sentAt = this.#clock.now();
     this.#sent = new Map([...this.#sent, [attempt, sentAt]]);
@@ -373,6 +395,18 @@
   }
 }
 
+/** The VM of a holder, which is a VM and a run of its daemon. */
+function vmOf(holder: string): string {
+  return holder.split("/")[0];
+}
+
+/** Who held the charge before `holder` takes it. */
+function beforeOf(holding: Holding | undefined, holder: string): string {
+  if (holding === undefined) return "";
+  const same = vmOf(holding.holder) === vmOf(holder);
+  return same ? holding.before : vmOf(holding.holder);
+}
+
 function revisionOf(entry: Option<Entry>): number {
   return isNone(entry) ? 0 : entry.value.revision;
 }
--- a/src/orders/charge_test.ts
+++ b/src/orders/charge_test.ts
@@ -410,3 +410,37 @@
   );
   expect(found.failed).toEqual(true);
 });
+
+test("a holder that gave the charge up lets a lease pass before it returns", async () => {
+  const world = new World();
+  const turns: { holder: string; at: number }[] = [];
+  const hold = (holder: string, heldMs: number) => {
+    const process = new ProcessClock(world.clock);
+    const charge = new Charge({
+      keyValue: new FakeKeyValue(world, process),
+      clock: process,
+      name: "test",
+      leaseMs: LEASE_MS,
+      marginMs: MARGIN_MS,
+      holder,
+    });
+    return charge.hold(new AbortController().signal, async (tenure) => {
+      turns.push({ holder, at: world.clock.now() });
+      await process.sleep(heldMs, tenure.signal);
+    });
+  };
+  const pass = async (ms: number) => {
+    for (let t = 0; t < ms; t += STEP_MS) {
+      world.clock.advance(STEP_MS);
+      await settle();
+    }
+  };
+  void hold("a/1", 100);
+  await pass(400);
+  void hold("b/1", 100);
+  await pass(400);
+  void hold("a/2", 100);
+  await pass(2 * LEASE_MS);
+  expect(turns.map(({ holder }) => holder)).toEqual(["a/1", "b/1", "a/2"]);
+  expect(turns[2].at - turns[1].at >= LEASE_MS).toEqual(true);
+});
--- a/src/outside/held_directory.ts
+++ b/src/outside/held_directory.ts
@@ -1,31 +1,48 @@
 /**
- * The platform's list, read at most so often, with what lapsed while the
- * platform was away: an upstream whose entry ran out in an outage is back in
- * the list soon after, or it is gone.
+ * The newest list of VMs that is known here, whoever read it. It is read again
+ * once it is older than a bound, and outlasts the platform's outages: an
+ * upstream whose entry ran out meanwhile is back soon after, or it is gone.
  *
  * @module
  */
 
 import { Ok, type Result } from "ts-results";
 import { type Clock, logger } from "../kernel/mod.ts";
-import { Directory, type Failure, Role, type Vm } from "./mod.ts";
+import {
+  Directory,
+  type Failure,
+  type Listing,
+  type ListingSource,
+  Role,
+  type Vm,
+} from "./mod.ts";
 
 const log = logger("directory");
 
+/** A list that was older than this may lack what lapsed in an outage. */
+const OUTAGE_MS = 1500;
+
+/** A list with its age, as daemons tell it each other. */
+export interface AgedListing extends Listing {
+  readonly ageMs: number;
+}
+
 /** A directory that outlasts the source's outages. */
 export class HeldDirectory extends Directory {
-  readonly #source: Directory;
+  readonly #source: ListingSource;
   readonly #clock: Clock;
-  readonly #freshMs: number;
   readonly #returnMs: number;
-  #vms: readonly Vm[] = [];
-  #readAt = -Infinity;
-  #away = false;
+  readonly #listeners = new Set<() => void>();
+  #freshMs: () => number;
+  #listing: Listing = { vms: [], revision: 0 };
+  /** When the list was surely current. */
+  #currentAt = -Infinity;
   #returnedAt = -Infinity;
+  #reachable = true;
   #reading: Promise<Result<readonly Vm[], Failure>> | undefined;
 
   constructor(options: {
-    source: Directory;
+    source: ListingSource;
     clock: Clock;
     /** A list younger than this is not read again. */
     freshMs: number;
@@ -35,59 +52,107 @@
     super();
     this.#source = options.source;
     this.#clock = options.clock;
-    this.#freshMs = options.freshMs;
+    this.#freshMs = () => options.freshMs;
     this.#returnMs = options.returnMs;
   }
 
+  /** Has the bound on the list's age asked for before each look at it. */
+  set freshMs(bound: () => number) {
+    this.#freshMs = bound;
+  }
+
+  /** The newest list; its age is infinite before the first. */
+  get newest(): AgedListing {
+    const ageMs = this.#clock.now() - this.#currentAt;
+    return { ...this.#listing, ageMs };
+  }
+
   list(): Promise<Result<readonly Vm[], Failure>> {
-    if (this.#clock.now() - this.#readAt < this.#freshMs) {
-      return Promise.resolve(Ok(this.#vms));
+    if (this.newest.ageMs < this.#freshMs()) {
+      return Promise.resolve(Ok(this.#listing.vms));
     }
     this.#reading ??= this.#read().finally(() => this.#reading = undefined);
     return this.#reading;
   }
 
+  /** Takes in a list that another daemon read, unless it is an older one. */
+  hear({ vms, revision, ageMs }: AgedListing): void {
+    if (revision < this.#listing.revision) return;
+    const currentAt = this.#clock.now() - ageMs;
+    this.#take({ vms, revision }, Math.max(currentAt, this.#currentAt));
+  }
+
+  /** Another daemon has the same list, and it was current `ageMs` ago. */
+  confirm(revision: number, ageMs: number): void {
+    this.hear({ vms: this.#listing.vms, revision, ageMs });
+  }
+
+  /** Calls `listener` after each change of the list; returns its removal. */
+  onChange(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
   async #read(): Promise<Result<readonly Vm[], Failure>> {
     const askedAt = this.#clock.now();
-    const listed = await this.#source.list();
-    if (listed.err) {
-      if (!this.#away) log("lost", { reason: listed.val.message });
-      this.#away = true;
-      return listed;
+    const read = await this.#source.read();
+    if (read.err) {
+      if (this.#reachable) log("lost", { reason: read.val.message });
+      this.#reachable = false;
+      return read;
     }
-    const now = this.#clock.now();
-    if (this.#away) {
-      this.#away = false;
-      this.#returnedAt = now;
-      log("regained", { listed: listed.val.length });
+    if (!this.#reachable) log("regained", { listed: read.val.vms.length });
+    this.#reachable = true;
+    if (read.val.revision < this.#listing.revision) {
+      return Ok(this.#listing.vms);
     }
-    this.#take(listed.val, now);
-    this.#readAt = askedAt;
-    return Ok(this.#vms);
+    const now = this.#clock.now();
+    const known = this.#currentAt > -Infinity;
+    if (known && now - this.#currentAt > OUTAGE_MS) this.#returnedAt = now;
+    this.#take(this.#held(read.val, now), askedAt);
+    return Ok(this.#listing.vms);
   }
 
-  #take(listed: readonly Vm[], now: number): void {
-    const present = new Set(listed.map(({ id }) => id));
-    const missing = this.#vms.filter(({ id, role }) =>
+  /** The list with upstreams that may yet come back after an outage. */
+  #held(listing: Listing, now: number): Listing {
+    if (now - this.#returnedAt >= this.#returnMs) return listing;
+    const present = new Set(listing.vms.map(({ id }) => id));
+    const missing = this.#listing.vms.filter(({ id, role }) =>
       role === Role.Upstream && !present.has(id)
     );
-    const held = now - this.#returnedAt < this.#returnMs ? missing : [];
-    const gone = held.length > 0 ? [] : missing;
-    for (const { id, pool } of gone) log("gone", { upstream: id, pool });
-    const known = new Map(this.#vms.map((vm) => [vm.id, vm]));
-    for (const vm of listed) this.#tell(vm, known.get(vm.id));
-    this.#vms = [...listed, ...held];
+    return { ...listing, vms: [...listing.vms, ...missing] };
+  }
+
+  #take(listing: Listing, currentAt: number): void {
+    const before = this.#listing;
+    this.#listing = listing;
+    this.#currentAt = currentAt;
+    if (!this.#tell(before.vms, listing.vms)) return;
+    for (const listener of this.#listeners) listener();
   }
 
-  #tell(vm: Vm, before: Vm | undefined): void {
-    const same = before?.standing === vm.standing &&
-      before.bornAt === vm.bornAt && before.address === vm.address;
-    if (same || vm.role !== Role.Upstream) return;
-    log("listed", {
-      upstream: vm.id,
-      pool: vm.pool,
-      standing: vm.standing,
-      zone: vm.availabilityZone,
-    });
+  /** Logs what changed among the upstreams; answers whether anything did. */
+  #tell(before: readonly Vm[], after: readonly Vm[]): boolean {
+    const known = new Map(before.map((vm) => [vm.id, vm]));
+    let changed = before.length !== after.length;
+    for (const vm of after) {
+      const old = known.get(vm.id);
+      known.delete(vm.id);
+      if (old === undefined || !alike(old, vm)) {
+        changed = true;
+        const { id, pool, standing, availabilityZone } = vm;
+        log("listed", { id, pool, standing, availabilityZone });
+      }
+    }
+    for (const { id, pool } of known.values()) {
+      changed = true;
+      log("gone", { id, pool });
+    }
+    return changed;
   }
 }
+
+function alike(a: Vm, b: Vm): boolean {
+  return a.standing === b.standing && a.bornAt === b.bornAt &&
+    a.address === b.address && a.pool === b.pool;
+}
--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -103,8 +103,18 @@
   | { readonly applied: true; readonly revision: number }
   | { readonly applied: false; readonly current: readonly Entry[] };
 
+/** Entries as of a revision of the service at least. */
+export interface Snapshot {
+  readonly entries: readonly Entry[];
+  /** Grows with every change of any key. */
+  readonly revision: number;
+}
+
 /** A key-value service that changes several keys at once. */
 export abstract class Records extends KeyValue {
+  /** All entries under a prefix. */
+  abstract snapshot(prefix: string): Promise<Result<Snapshot, Failure>>;
+
   /** On `Fault.Unknown` the change may have taken effect, or may yet. */
   abstract commit(change: Change): Promise<Result<Commit, Failure>>;
 }
@@ -150,6 +160,17 @@
   abstract list(): Promise<Result<readonly Vm[], Failure>>;
 }
 
+/** A list with a number that grows whenever the list may have changed. */
+export interface Listing {
+  readonly vms: readonly Vm[];
+  readonly revision: number;
+}
+
+/** A source of lists that can be told apart by age. */
+export abstract class ListingSource {
+  abstract read(): Promise<Result<Listing, Failure>>;
+}
+
 /** How many upstreams of a pool shall run in one availability zone. */
 export interface Order {
   /** Makes resending harmless: the platform runs an id once. */
