--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -52,6 +52,9 @@
 /** An ended batch's owner is told so for this long. */
 const TELL_ENDED_MS = 10_000;
 
+/** Time that batches are kept where the settings name none. */
+const KEEP_MS = 120_000;
+
 /** Batches are removed this long after nobody may ask for them any more. */
 const REMOVAL_MARGIN_MS = 30_000;
 
@@ -112,7 +115,8 @@
     const { kernel, records } = options;
     this.#kernel = kernel;
     this.#peers = kernel.get(peersKey);
-    this.#keepMs = options.keepMs ?? 120_000;
+    this.#keepMs = options.keepMs ??
+      kernel.settings.timing.batchRetentionMs ?? KEEP_MS;
     this.#archive = new Archive({ records, clock: kernel.clock });
     this.#ended = kernel.counter(
       "toucanwind_batches_calls_total",
--- a/src/directory/sharing.ts
+++ b/src/directory/sharing.ts
@@ -78,9 +78,8 @@
     super();
     this.#peers = options.peers;
     this.#directory = options.directory;
-    this.#directory.freshMs = () => this.#reads()
-      ? READER_FRESH_MS
-      : TOLD_FRESH_MS;
+    this.#directory.freshMs = () =>
+      this.#reads() ? READER_FRESH_MS : TOLD_FRESH_MS;
     this.#directory.onChange(() => this.#peers.poke(SECTION));
   }
 
@@ -109,7 +108,9 @@
 
   #digest(vms: readonly Vm[]): string {
     if (this.#digested.vms !== vms) {
-      const text = JSON.stringify([...vms].sort((a, b) => a.id < b.id ? -1 : 1));
+      const text = JSON.stringify(
+        [...vms].sort((a, b) => a.id < b.id ? -1 : 1),
+      );
       const digest = createHash("sha256").update(text).digest("base64url");
       this.#digested = { vms, digest: digest.slice(0, 16) };
     }
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -12,6 +12,8 @@
   readonly region: string;
   /** Where callers, trainers and operators connect. */
   readonly http: Listener;
+  /** Where the platform asks whether callers may come, if it does. */
+  readonly readiness?: Listener;
   /** Where other daemons connect. */
   readonly peer: Listener;
   /** Shared by all daemons; proves membership. */
@@ -62,4 +64,6 @@
   readonly drainMs: number;
   /** How long the outcome of an idempotency key is kept. */
   readonly claimRetentionMs: number;
+  /** How long a batch's results are kept after its submission. */
+  readonly batchRetentionMs?: number;
 }
--- /dev/null
+++ b/stand_ins/records.ts
@@ -0,0 +1,253 @@
+/**
+ * A key-value service in memory that changes several keys at once, and whose
+ * answers can be lost, late or refused.
+ *
+ * @module
+ */
+
+import { fromNullable, type Option } from "fp-ts/Option";
+import { Err, Ok, type Result } from "ts-results";
+import {
+  type Change,
+  type Commit,
+  type Entry,
+  type Failure,
+  Fault,
+  type Grant,
+  Records,
+  type Snapshot,
+  type Swap,
+} from "../src/outside/mod.ts";
+
+/** How a call goes. */
+export enum Conduct {
+  Answered = "answered",
+  /** It takes effect, and nobody is told. */
+  Lost = "lost",
+  /** It takes effect after `LATE_MS`, if its condition still holds. */
+  Late = "late",
+  /** It has no effect and is answered so. */
+  Refused = "refused",
+  /** It has no effect and no answer. */
+  Silent = "silent",
+}
+
+/** When a late call takes effect. */
+export const LATE_MS = 80;
+
+/** A deletion or an entry, in order of revisions. */
+export interface Event {
+  readonly key: string;
+  readonly revision: number;
+  /** Absent where the key was deleted. */
+  readonly value?: string;
+}
+
+interface Kept extends Entry {
+  readonly lease?: string;
+}
+
+interface Lease {
+  readonly ttlMs: number;
+  timer: NodeJS.Timeout;
+}
+
+const UNANSWERED: Failure = { fault: Fault.Unknown, message: "No answer" };
+const REFUSED: Failure = { fault: Fault.Refused, message: "Busy" };
+
+/** `Records` in memory. */
+export class MemoryRecords extends Records {
+  /** How the next call of this name goes. */
+  conduct: (call: string) => Conduct = () => Conduct.Answered;
+  /** Every change, the oldest first. */
+  readonly history: Event[] = [];
+  readonly #entries = new Map<string, Kept>();
+  readonly #leases = new Map<string, Lease>();
+  readonly #watchers = new Set<() => void>();
+  #revision = 1;
+  #leaseCount = 0;
+
+  get revision(): number {
+    return this.#revision;
+  }
+
+  get(key: string): Promise<Result<Option<Entry>, Failure>> {
+    return this.#call("get", () => fromNullable(this.#entries.get(key)));
+  }
+
+  range(
+    prefix: string,
+    options: { after?: string; limit?: number } = {},
+  ): Promise<Result<readonly Entry[], Failure>> {
+    return this.#call("range", () => this.under(prefix, options));
+  }
+
+  snapshot(prefix: string): Promise<Result<Snapshot, Failure>> {
+    return this.#call("range", () => ({
+      entries: this.under(prefix),
+      revision: this.#revision,
+    }));
+  }
+
+  /** The entries under a prefix, without a call. */
+  under(
+    prefix: string,
+    options: { after?: string; limit?: number } = {},
+  ): readonly Entry[] {
+    return [...this.#entries.values()]
+      .filter(({ key }) =>
+        key.startsWith(prefix) && key > (options.after ?? "")
+      )
+      .sort((a, b) => a.key < b.key ? -1 : 1)
+      .slice(0, options.limit ?? Infinity);
+  }
+
+  async swap(key: string, options: {
+    value: string;
+    expected: number;
+    lease?: string;
+  }): Promise<Result<Swap, Failure>> {
+    const { value, expected, lease } = options;
+    return (await this.commit({
+      expected: [{ key, revision: expected }],
+      writes: [{ key, value, lease }],
+    })).map(swapOf);
+  }
+
+  async remove(key: string, expected: number): Promise<Result<Swap, Failure>> {
+    return (await this.commit({
+      expected: [{ key, revision: expected }],
+      writes: [],
+      removes: [key],
+    })).map(swapOf);
+  }
+
+  commit(change: Change): Promise<Result<Commit, Failure>> {
+    return this.#call("commit", () => this.apply(change));
+  }
+
+  /** Makes a change at once, without a call. */
+  apply(change: Change): Commit {
+    const differs = change.expected.some(({ key, revision }) =>
+      (this.#entries.get(key)?.revision ?? 0) !== revision
+    );
+    if (differs) {
+      const current = change.expected
+        .flatMap(({ key }) => this.#entries.get(key) ?? []);
+      return { applied: false, current };
+    }
+    const revision = ++this.#revision;
+    for (const { key, value, lease } of change.writes) {
+      this.#entries.set(key, { key, value, revision, lease });
+      this.history.push({ key, revision, value });
+    }
+    for (const key of change.removes ?? []) {
+      if (!this.#entries.delete(key)) continue;
+      this.history.push({ key, revision });
+    }
+    for (const watcher of [...this.#watchers]) watcher();
+    return { applied: true, revision };
+  }
+
+  /** Writes one key whatever it held, without a call. */
+  put(key: string, value: string): void {
+    this.apply({ expected: [], writes: [{ key, value }] });
+  }
+
+  /** Removes one key, without a call. */
+  drop(key: string): void {
+    this.apply({ expected: [], writes: [], removes: [key] });
+  }
+
+  grant(ttlMs: number): Promise<Result<Grant, Failure>> {
+    return this.#call("grant", () => {
+      const id = `${++this.#leaseCount}`;
+      const timer = setTimeout(() => this.#lapse(id), ttlMs).unref();
+      this.#leases.set(id, { ttlMs, timer });
+      return { id, ttlMs };
+    });
+  }
+
+  async renew(id: string): Promise<Result<Grant, Failure>> {
+    const renewed = await this.#call("renew", () => {
+      const lease = this.#leases.get(id);
+      lease?.timer.refresh();
+      return lease === undefined ? undefined : { id, ttlMs: lease.ttlMs };
+    });
+    if (renewed.err) return renewed;
+    return renewed.val === undefined ? Err(REFUSED) : Ok(renewed.val);
+  }
+
+  revoke(id: string): Promise<Result<true, Failure>> {
+    return this.#call("revoke", () => {
+      this.#lapse(id);
+      return true as const;
+    });
+  }
+
+  async watch(
+    key: string,
+    options: { known: number; waitMs: number; signal?: AbortSignal },
+  ): Promise<Result<Option<Entry>, Failure>> {
+    const changed = () => {
+      const revision = this.#entries.get(key)?.revision ?? 0;
+      return revision !== options.known;
+    };
+    if (!changed()) await this.until(changed, options);
+    return await this.get(key);
+  }
+
+  /** Waits until `done` holds after a change, at most `waitMs`. */
+  until(
+    done: () => boolean,
+    { waitMs, signal }: { waitMs: number; signal?: AbortSignal },
+  ): Promise<void> {
+    return new Promise((resolve) => {
+      const end = () => {
+        clearTimeout(timer);
+        this.#watchers.delete(look);
+        resolve();
+      };
+      const look = () => {
+        if (done()) end();
+      };
+      const timer = setTimeout(end, waitMs).unref();
+      this.#watchers.add(look);
+      signal?.addEventListener("abort", end, { once: true });
+      if (signal?.aborted) end();
+    });
+  }
+
+  #lapse(id: string): void {
+    const lease = this.#leases.get(id);
+    if (lease === undefined) return;
+    clearTimeout(lease.timer);
+    this.#leases.delete(id);
+    const removes = [...this.#entries.values()]
+      .filter((entry) => entry.lease === id).map(({ key }) => key);
+    this.apply({ expected: [], writes: [], removes });
+  }
+
+  async #call<T>(name: string, run: () => T): Promise<Result<T, Failure>> {
+    await new Promise((resolve) => setImmediate(resolve));
+    switch (this.conduct(name)) {
+      case Conduct.Answered:
+        return Ok(run());
+      case Conduct.Lost:
+        run();
+        return Err(UNANSWERED);
+      case Conduct.Late:
+        setTimeout(run, LATE_MS);
+        return Err(UNANSWERED);
+      case Conduct.Refused:
+        return Err(REFUSED);
+      case Conduct.Silent:
+        return Err(UNANSWERED);
+    }
+  }
+}
+
+function swapOf(commit: Commit): Swap {
+  if (commit.applied) return commit;
+  return { applied: false, current: fromNullable(commit.current[0]) };
+}
