--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -10,6 +10,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
 import { configKey } from "../config/mod.ts";
+import { detourKey } from "../detour/mod.ts";
 import { dispatchKey } from "../dispatch/mod.ts";
 import {
   type Kernel,
@@ -38,6 +39,7 @@
   type Page,
   type Submission,
 } from "./mod.ts";
+import { Paces } from "./paces.ts";
 import { Run } from "./run.ts";
 import { pageOf, type View, Views } from "./view.ts";
 
@@ -101,6 +103,7 @@
   readonly #views = new Views();
   readonly #runs = new Map<string, Run>();
   readonly #starting = new Set<string>();
+  readonly #paces = new Map<string, Paces>();
   readonly #stop = new AbortController();
   readonly #ended;
   #leaving = false;
@@ -347,12 +350,21 @@
       submission,
       route,
       results: results.val.flat(),
+      paces: (pool) => this.#pacesOf(pool),
     });
     if (this.#leaving) return;
     this.#runs.set(id, run);
     run.start();
   }
 
+  #pacesOf(pool: string): Paces {
+    const known = this.#paces.get(pool);
+    if (known !== undefined) return known;
+    const paces = new Paces({ clock: this.#kernel.clock });
+    this.#paces.set(pool, paces);
+    return paces;
+  }
+
   /** Makes this run of the daemon the owner, if it isn't. */
   async #own(state: Versioned): Promise<Option<Versioned>> {
     const { vm, incarnation } = this.#peers.self;
@@ -547,12 +559,7 @@
 
 register({
   key: batchesKey,
-  requires: [peersKey, configKey, dispatchKey, relayKey],
-  create: (kernel) => {
-    const { records } = kernel.platform;
-    if (records === undefined) {
-      throw new RangeError("This platform keeps no batches");
-    }
-    return new KeptBatches({ kernel, records });
-  },
+  requires: [peersKey, configKey, detourKey, dispatchKey, relayKey],
+  create: (kernel) =>
+    new KeptBatches({ kernel, records: kernel.get(detourKey).records }),
 });
--- a/src/batches/run.ts
+++ b/src/batches/run.ts
@@ -7,6 +7,7 @@
  */
 
 import { isNone } from "fp-ts/Option";
+import { setMaxListeners } from "node:events";
 import {
   type Demand,
   type Dispatch,
@@ -26,6 +27,7 @@
 import { type Archive, Changed, type Versioned } from "./archive.ts";
 import { Generation } from "./generation.ts";
 import { End, type Item, type ItemResult, type Submission } from "./mod.ts";
+import type { Paces } from "./paces.ts";
 
 const log = logger("batches");
 
@@ -42,9 +44,12 @@
 /** Longest time that an upstream is told to work on an item. */
 const ITEM_MS = 12_000;
 
-/** Events of one token estimate: tokens that one event holds at most. */
+/** Fewest tokens that an item counts for. */
 const MIN_TOKENS = 1;
 
+/** Slow upstreams that one item leaves: all may be slow in turn. */
+const MAX_MOVES = 3;
+
 /** A batch that runs on this daemon. */
 export class Run {
   readonly #kernel: Kernel;
@@ -53,6 +58,7 @@
   readonly #archive: Archive;
   readonly #submission: Submission;
   readonly #route: ExchangeRoute;
+  readonly #paces: (pool: string) => Paces;
   readonly #abort = new AbortController();
   readonly #results: ItemResult[];
   readonly #finished: ItemResult[] = [];
@@ -71,6 +77,8 @@
     route: ExchangeRoute;
     /** What was listed before. */
     results: readonly ItemResult[];
+    /** The paces of each pool's upstreams, shared by all runs. */
+    paces: (pool: string) => Paces;
   }) {
     this.#kernel = options.kernel;
     this.#dispatch = options.kernel.get(dispatchKey);
@@ -79,7 +87,10 @@
     this.#state = options.state;
     this.#submission = options.submission;
     this.#route = options.route;
+    this.#paces = options.paces;
     this.#results = [...options.results];
+    // Every item of the batch listens.
+    setMaxListeners(0, this.#abort.signal);
     this.#open = new Map();
     const listed = new Set(options.results.map(({ id }) => id));
     for (const { id, group } of options.submission.items) {
@@ -106,7 +117,10 @@
   /** Starts the tasks. */
   start(): void {
     const listed = new Set(this.#results.map(({ id }) => id));
-    const items = this.#submission.items.filter(({ id }) => !listed.has(id));
+    // The longest first: a group waits for its last item.
+    const items = this.#submission.items
+      .filter(({ id }) => !listed.has(id))
+      .sort((a, b) => b.expectedTokens - a.expectedTokens);
     log("run", {
       id: this.#submission.id,
       route: this.#route.name,
@@ -159,7 +173,10 @@
   }
 
   async #item(item: Item): Promise<void> {
-    const course = new ItemCourse(item);
+    const course = new ItemCourse(item, {
+      pool: drawPool(this.#route.exchange, Math.random()),
+      now: this.#kernel.clock.now(),
+    });
     let waitMs = RETRY_MS;
     while (!this.#signal.aborted) {
       const leftMs = this.#givesUpAt - this.#kernel.clock.wall();
@@ -188,7 +205,9 @@
       const { maxAttempts } = this.#route.exchange;
       if (course.failures >= maxAttempts) return this.#giveUp(course, "failed");
       waitMs = RETRY_MS;
-      await this.#kernel.clock.sleep(RETRY_MS, this.#signal);
+      if (lost.loss !== Loss.Cancelled) {
+        await this.#kernel.clock.sleep(RETRY_MS, this.#signal);
+      }
     }
   }
 
@@ -206,9 +225,13 @@
       throw new RangeError("This platform passes no requests on");
     }
     const { target, leaving, release } = permit;
+    course.upstream = target.id;
     const signal = AbortSignal.any([this.#signal, leaving]);
     const parcel = this.#parcel(course);
-    const begunAt = this.#kernel.clock.now();
+    const { clock } = this.#kernel;
+    const paces = this.#paces(course.pool);
+    const begunAt = clock.now();
+    let eventAt = 0;
     let events = 0;
     let lost: Lost | undefined;
     for await (const piece of carrier.stream(target, parcel, signal)) {
@@ -218,16 +241,22 @@
       }
       lost = course.take(piece.val, this.#terms);
       if (lost !== undefined) break;
+      const now = clock.now();
+      if (events > 0) paces.seen(target.id, now - eventAt);
+      eventAt = now;
       events += 1;
+      if (course.mayMove && paces.slow(target.id)) {
+        lost = { loss: Loss.Cancelled, message: "The upstream is slow" };
+        break;
+      }
     }
-    release(
-      lost === undefined
-        ? Use.Served
-        : leaving.aborted
-        ? Use.Cancelled
-        : outcomeOf(lost.loss),
-      lost === undefined ? this.#tokens(course.item) : 0,
-    );
+    course.ranMs += clock.now() - begunAt;
+    const ended = leaving.aborted && lost !== undefined
+      ? Use.Cancelled
+      : lost === undefined
+      ? Use.Served
+      : outcomeOf(lost.loss);
+    release(ended, lost === undefined ? this.#tokens(course.item) : 0);
     if (lost === undefined) return undefined;
     course.lost(target.id, lost);
     log("item lost", {
@@ -290,6 +319,7 @@
       const { answer: scored } = served;
       const answer = scored.ok ? scored.val : undefined;
       if (answer?.seal !== undefined && answer.status < 300) {
+        this.#told(course);
         this.#finish({
           id: item.id,
           end: End.Completed,
@@ -309,6 +339,22 @@
     return true;
   }
 
+  /** Logs what an item's text took. */
+  #told(course: ItemCourse): void {
+    const ageMs = this.#kernel.clock.now() - course.since;
+    log("finished", {
+      id: course.item.id,
+      batch: this.#submission.id,
+      group: course.item.group,
+      upstream: course.upstream,
+      sends: course.sends + 1,
+      events: course.generation.lines.length,
+      expected: course.item.expectedTokens,
+      ranMs: Math.round(course.ranMs),
+      ageMs: Math.round(ageMs),
+    });
+  }
+
   #giveUp({ item }: ItemCourse, reason: string): void {
     if (this.#signal.aborted) return;
     log("given up", { id: item.id, batch: this.#submission.id, reason });
@@ -396,7 +442,7 @@
     const { organisation, rank, minVersion } = this.#submission;
     return {
       id: item.id,
-      pool: drawPool(this.#route.exchange, Math.random()),
+      pool: course.pool,
       route: this.#route.name,
       tenant: organisation,
       priority: rank === undefined ? this.#route.priority : priorityOf(rank),
@@ -406,7 +452,10 @@
       remainingMs: leftMs,
       minVersion: Math.max(minVersion, course.generation.versions[0] ?? 0),
       model: item.model,
-      exclude: course.excluded,
+      exclude: [
+        ...course.excluded,
+        ...this.#paces(course.pool).slowest(),
+      ],
       fingerprint: course.fingerprint(organisation),
       attempt: course.sends,
     };
@@ -434,15 +483,31 @@
 /** One item on its way to a whole text. */
 class ItemCourse {
   readonly item: Item;
+  readonly pool: string;
+  /** When the item was first asked for, on the monotonic clock. */
+  readonly since: number;
+  /** Time on upstreams, in milliseconds. */
+  ranMs = 0;
+  /** The last upstream. */
+  upstream = "";
   generation = new Generation();
   excluded: readonly string[] = [];
   sends = 0;
   /** Runs that ended in a failure of the item's own. */
   failures = 0;
+  /** Upstreams that it left by itself. */
+  moves = 0;
   #fingerprint: string | undefined;
 
-  constructor(item: Item) {
+  constructor(item: Item, options: { pool: string; now: number }) {
     this.item = item;
+    this.pool = options.pool;
+    this.since = options.now;
+  }
+
+  /** Whether it may leave a slow upstream once more. */
+  get mayMove(): boolean {
+    return this.moves < MAX_MOVES;
   }
 
   /** Adds an event; an event that can't be used ends the stream. */
@@ -470,6 +535,7 @@
   /** Takes note of a stream that broke off. */
   lost(upstream: string, { loss }: Lost): void {
     this.sends += 1;
+    if (loss === Loss.Cancelled) this.moves += 1;
     if (loss === Loss.Failed) this.failures += 1;
     const avoid = isUnrun(loss) || loss === Loss.Broken || loss === Loss.Silent;
     if (avoid) this.excluded = [...this.excluded.slice(-2), upstream];
--- /dev/null
+++ b/src/detour/detour.ts
@@ -0,0 +1,278 @@
+/**
+ * The detour plug-in: each call goes to the service directly, and through a
+ * peer where that fails. After a failure peers go first for a while.
+ *
+ * @module
+ */
+
+import type { Option } from "fp-ts/Option";
+import { fromNullable, toUndefined } from "fp-ts/Option";
+import { Err, Ok, type Result } from "ts-results";
+import { z } from "zod";
+import {
+  type Kernel,
+  logger,
+  type PeerHandler,
+  type Props,
+  register,
+} from "../kernel/mod.ts";
+import {
+  type Change,
+  type Commit,
+  type Entry,
+  type Failure,
+  Fault,
+  type Grant,
+  Records,
+  type Snapshot,
+} from "../outside/mod.ts";
+import { type Peers, peersKey } from "../peers/mod.ts";
+import { Detour, detourKey } from "./mod.ts";
+
+const log = logger("detour");
+
+const CALL = "detour.call";
+
+/** Peers that are asked before the call fails. */
+const PEERS = 3;
+
+/** A peer's answer takes one call to the service, and that takes 1.5 s. */
+const PEER_TIMEOUT_MS = 1800;
+
+/** After a direct call failed, peers are asked first for this long. */
+const AWAY_MS = 1500;
+
+const entry = z.object({
+  key: z.string(),
+  value: z.string(),
+  revision: z.number(),
+});
+const failure = z.object({ fault: z.enum(Fault), message: z.string() });
+
+const call = z.discriminatedUnion("name", [
+  z.object({ name: z.literal("get"), key: z.string() }),
+  z.object({
+    name: z.literal("range"),
+    prefix: z.string(),
+    after: z.string().optional(),
+    limit: z.number().optional(),
+  }),
+  z.object({
+    name: z.literal("commit"),
+    change: z.object({
+      expected: z.array(z.object({ key: z.string(), revision: z.number() })),
+      writes: z.array(z.object({
+        key: z.string(),
+        value: z.string(),
+        lease: z.string().optional(),
+      })),
+      removes: z.array(z.string()).optional(),
+    }),
+  }),
+]);
+
+type Call = z.infer<typeof call>;
+
+const answers = {
+  get: z.object({ entry: entry.nullish() }),
+  range: z.object({ entries: z.array(entry) }),
+  commit: z.object({
+    applied: z.boolean(),
+    revision: z.number().optional(),
+    current: z.array(entry).optional(),
+  }),
+};
+
+/** What a peer answers: the service's answer, or why there is none. */
+const peerAnswer = z.union([
+  z.object({ failure }),
+  z.object({ answer: z.unknown() }),
+]);
+
+/** The service through peers, where it can't be reached directly. */
+export class PeerDetour extends Detour {
+  override readonly props: Props = {
+    peerHandlers: { [CALL]: (body) => this.#serve(call.parse(body)) },
+  };
+  readonly records: Records;
+  readonly #direct: Records;
+
+  constructor(options: { kernel: Kernel; direct: Records }) {
+    super();
+    this.#direct = options.direct;
+    this.records = new DetouredRecords(options);
+  }
+
+  readonly #serve = async (asked: Call): ReturnType<PeerHandler> => {
+    const result = await ask(this.#direct, asked);
+    return result.ok ? { answer: result.val } : { failure: result.val };
+  };
+}
+
+/** `Records` that ask peers. */
+class DetouredRecords extends Records {
+  readonly #kernel: Kernel;
+  readonly #direct: Records;
+  readonly #calls;
+  #awayUntil = -Infinity;
+
+  constructor(options: { kernel: Kernel; direct: Records }) {
+    super();
+    this.#kernel = options.kernel;
+    this.#direct = options.direct;
+    this.#calls = options.kernel.counter(
+      "toucanwind_detour_calls_total",
+      "Calls to the key-value service by way and outcome",
+      ["way", "outcome"],
+    );
+  }
+
+  async get(key: string): Promise<Result<Option<Entry>, Failure>> {
+    const answer = await this.#call({ name: "get", key });
+    return answer.map((body) => fromNullable(answers.get.parse(body).entry));
+  }
+
+  async range(
+    prefix: string,
+    options: { after?: string; limit?: number } = {},
+  ): Promise<Result<readonly Entry[], Failure>> {
+    const answer = await this.#call({ name: "range", prefix, ...options });
+    return answer.map((body) => answers.range.parse(body).entries);
+  }
+
+  async commit(change: Change): Promise<Result<Commit, Failure>> {
+    const answer = await this.#call({
+      name: "commit",
+      change: {
+        expected: [...change.expected],
+        writes: [...change.writes],
+        removes: [...change.removes ?? []],
+      },
+    });
+    return answer.map((body) => {
+      const { applied, revision = 0, current = [] } = answers.commit.parse(
+        body,
+      );
+      return applied ? { applied, revision } : { applied, current };
+    });
+  }
+
+  // Leases and watches belong to this daemon: they take no detour.
+
+  snapshot(prefix: string): Promise<Result<Snapshot, Failure>> {
+    return this.#direct.snapshot(prefix);
+  }
+
+  grant(ttlMs: number): Promise<Result<Grant, Failure>> {
+    return this.#direct.grant(ttlMs);
+  }
+
+  renew(id: string): Promise<Result<Grant, Failure>> {
+    return this.#direct.renew(id);
+  }
+
+  revoke(id: string): Promise<Result<true, Failure>> {
+    return this.#direct.revoke(id);
+  }
+
+  watch(key: string, options: {
+    known: number;
+    waitMs: number;
+    signal?: AbortSignal;
+  }): Promise<Result<Option<Entry>, Failure>> {
+    return this.#direct.watch(key, options);
+  }
+
+  async #call(asked: Call): Promise<Result<unknown, Failure>> {
+    const away = this.#kernel.clock.now() < this.#awayUntil;
+    const ways = [() => this.#ask(asked), () => this.#askPeers(asked)];
+    if (away) ways.reverse();
+    const first = await ways[0]();
+    if (first.ok) return first;
+    const second = await ways[1]();
+    if (second.ok) return second;
+    // One call without an answer may take effect whatever the other came to.
+    const unknown = [first.val, second.val]
+      .find(({ fault }) => fault === Fault.Unknown);
+    return Err(unknown ?? second.val);
+  }
+
+  async #ask(asked: Call): Promise<Result<unknown, Failure>> {
+    const { clock } = this.#kernel;
+    const answer = await ask(this.#direct, asked);
+    this.#calls.inc({ way: "direct", outcome: outcomeOf(answer) });
+    const away = clock.now() < this.#awayUntil;
+    if (answer.ok) {
+      if (this.#awayUntil > -Infinity) log("regained", { call: asked.name });
+      this.#awayUntil = -Infinity;
+    } else {
+      this.#awayUntil = clock.now() + AWAY_MS;
+      if (!away) log("lost", { call: asked.name, ...answer.val });
+    }
+    return answer;
+  }
+
+  async #askPeers(asked: Call): Promise<Result<unknown, Failure>> {
+    const peers = this.#kernel.get(peersKey);
+    let fault = Fault.NotSent;
+    for (const vm of helpers(peers)) {
+      const answer = await peers.ask(vm, CALL, asked, {
+        timeoutMs: PEER_TIMEOUT_MS,
+      });
+      const parsed = peerAnswer.safeParse(answer.ok ? answer.val : undefined);
+      if (!parsed.success) {
+        fault = Fault.Unknown;
+        continue;
+      }
+      if ("failure" in parsed.data) {
+        if (parsed.data.failure.fault === Fault.Unknown) fault = Fault.Unknown;
+        continue;
+      }
+      this.#calls.inc({ way: "peer", outcome: "answered" });
+      return Ok(parsed.data.answer);
+    }
+    this.#calls.inc({ way: "peer", outcome: fault });
+    return Err({ fault, message: "No peer reaches the service" });
+  }
+}
+
+/** The peers to ask; each daemon has others, so that none is asked by all. */
+function helpers(peers: Peers): readonly string[] {
+  const { vm: self } = peers.self;
+  return peers.ranked(`detour/${self}`)
+    .map(({ vm }) => vm)
+    .filter((vm) => vm !== self)
+    .slice(0, PEERS);
+}
+
+async function ask(
+  records: Records,
+  asked: Call,
+): Promise<Result<unknown, Failure>> {
+  switch (asked.name) {
+    case "get":
+      return (await records.get(asked.key))
+        .map((found) => ({ entry: toUndefined(found) }));
+    case "range":
+      return (await records.range(asked.prefix, asked))
+        .map((entries) => ({ entries }));
+    case "commit":
+      return await records.commit(asked.change);
+  }
+}
+
+function outcomeOf(answer: Result<unknown, Failure>): string {
+  return answer.ok ? "answered" : answer.val.fault;
+}
+
+register({
+  key: detourKey,
+  requires: [peersKey],
+  create: (kernel) => {
+    const { records } = kernel.platform;
+    if (records === undefined) {
+      throw new RangeError("This platform has no records");
+    }
+    return new PeerDetour({ kernel, direct: records });
+  },
+});
--- a/src/dispatch/keeper.ts
+++ b/src/dispatch/keeper.ts
@@ -38,6 +38,9 @@
  */
 const TRIAL_MS = 300;
 
+/** An upstream that refused a model's request gets none for so long. */
+const REFUSAL_MS = 250;
+
 /** Most slots kept free for tenants that may come back, in parts of all. */
 const MAX_CLAIMS = 0.06;
 
@@ -67,6 +70,8 @@
   readonly seenAt: number;
   load: Load | undefined;
   foreign: number;
+  /** Until when requests of a model are not sent there again. */
+  readonly refusedUntil: Map<string, number>;
   /** Most permits in use since the last report, and since the one before. */
   peak: number;
   lastPeak: number;
@@ -137,6 +142,7 @@
         foreign: 0,
         peak: 0,
         lastPeak: 0,
+        refusedUntil: new Map(),
         ...known,
         upstream,
       });
@@ -347,6 +353,7 @@
     const trial = this.#trial(ticket.demand);
     const fitting = free.filter((candidate) =>
       !this.#reserved.has(candidate.upstream.id) &&
+      !this.#refuses(candidate.upstream.id, ticket.demand) &&
       (trial === undefined || trial === candidate.upstream.id) &&
       suits(ticket.demand, candidate)
     );
@@ -366,6 +373,20 @@
     return tried?.upstream;
   }
 
+  /**
+   * Whether an upstream turned a request of this model away just now, as one
+   * does that loads the model's weights.
+   */
+  #refuses(id: string, { model }: Demand): boolean {
+    const state = this.#states.get(id);
+    if (state === undefined || model === undefined) return false;
+    const until = state.refusedUntil.get(model);
+    if (until === undefined) return false;
+    if (this.#clock.now() < until || state.load?.busy === true) return true;
+    state.refusedUntil.delete(model);
+    return false;
+  }
+
   /** An empty upstream for a suspect; reserves one if none is empty. */
   #placeAlone(
     ticket: Ticket,
@@ -475,6 +496,10 @@
     const state = this.#states.get(holding.upstream);
     if (state === undefined) return;
     state.health.ended(outcome, now);
+    const { model } = holding.demand;
+    if (outcome === Outcome.Refused && model !== undefined) {
+      state.refusedUntil.set(model, now + REFUSAL_MS);
+    }
     this.#crashes.ended(holding, {
       outcome,
       now,
--- a/src/orders/swapping.ts
+++ b/src/orders/swapping.ts
@@ -10,6 +10,7 @@
 import { type Dispatch, dispatchKey } from "../dispatch/mod.ts";
 import { Fault, Role, Standing, type Vm } from "../outside/mod.ts";
 import type { Pool } from "../tables/mod.ts";
+import { assign } from "./assignment.ts";
 import type { Tenure } from "./charge.ts";
 import { Swaps, type Versioned } from "./swaps.ts";
 
@@ -111,15 +112,12 @@
   }
 
   #line(line: Line): void {
-    const { pool, model } = line;
+    const { model } = line;
     const latest = this.#latest.get(model) ?? 0;
     if (latest === 0) return;
     const swaps = this.#lines.get(nameOf(line)) ?? new Swaps();
     this.#lines.set(nameOf(line), swaps);
-    const vms = this.#vms.filter((vm) =>
-      vm.role === Role.Upstream && vm.pool === pool.name &&
-      vm.standing === Standing.Live
-    );
+    const vms = this.#following(line);
     this.#settle(swaps, { line, upstreams: this.#versions(line, vms) });
     const due = swaps.due(this.#versions(line, vms), {
       latest,
@@ -137,6 +135,26 @@
     }
   }
 
+  /** The live upstreams that follow the line's model. */
+  #following({ pool, model }: Line): readonly Vm[] {
+    const vms = this.#vms.filter((vm) =>
+      vm.role === Role.Upstream && vm.pool === pool.name &&
+      vm.standing === Standing.Live
+    );
+    const models = linesOf(pool).map((line) => line.model);
+    const parts = assign(
+      vms.map((vm) => ({
+        id: vm.id,
+        versions: Object.fromEntries(
+          models.map((name) => [name, this.#version(pool, name, vm)]),
+        ),
+      })),
+      models,
+    );
+    const part = new Set(parts.get(model));
+    return vms.filter(({ id }) => part.has(id));
+  }
+
   /** Whether an engine loads weights of any model. */
   #loading(id: string): boolean {
     return [...this.#lines.values()].some(({ pending }) =>
@@ -220,17 +238,25 @@
   }
 
   #versions({ pool, model }: Line, vms: readonly Vm[]): readonly Versioned[] {
-    const now = this.#clock.now();
-    const kept = new Map(
-      this.#dispatch.upstreams(pool.name)
-        .map(({ id, weightVersion }) => [id, weightVersion]),
-    );
-    return vms.map(({ id, weightVersions }) => {
-      const told = this.#told.get(`${id}/${model}`);
-      const recent = told !== undefined && now - told.at < TOLD_MS;
-      const listed = weightVersions?.[model] ?? kept.get(id) ?? 0;
-      return { id, version: recent ? told.version : listed };
-    });
+    return vms.map((vm) => ({
+      id: vm.id,
+      version: this.#version(pool, model, vm),
+    }));
+  }
+
+  /** A model's version as the engine itself told, or else its keeper or list. */
+  #version(
+    pool: Pool,
+    model: string,
+    { id, weightVersions }: Vm,
+  ): number {
+    const told = this.#told.get(`${id}/${model}`);
+    const recent = told !== undefined &&
+      this.#clock.now() - told.at < TOLD_MS;
+    if (recent) return told.version;
+    if (weightVersions !== undefined) return weightVersions[model] ?? 0;
+    return this.#dispatch.upstreams(pool.name)
+      .find((upstream) => upstream.id === id)?.weightVersion ?? 0;
   }
 }
 
--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Option } from "fp-ts/Option";
+import { fromNullable, type Option } from "fp-ts/Option";
 import type { Result } from "ts-results";
 import type { Carrier } from "./carrier.ts";
 
@@ -117,6 +117,32 @@
 
   /** On `Fault.Unknown` the change may have taken effect, or may yet. */
   abstract commit(change: Change): Promise<Result<Commit, Failure>>;
+
+  async swap(key: string, options: {
+    value: string;
+    expected: number;
+    lease?: string;
+  }): Promise<Result<Swap, Failure>> {
+    const { value, expected, lease } = options;
+    return (await this.commit({
+      expected: [{ key, revision: expected }],
+      writes: [{ key, value, lease }],
+    })).map(swapOf);
+  }
+
+  async remove(key: string, expected: number): Promise<Result<Swap, Failure>> {
+    return (await this.commit({
+      expected: [{ key, revision: expected }],
+      writes: [],
+      removes: [key],
+    })).map(swapOf);
+  }
+}
+
+/** A change of one key as a swap. */
+function swapOf(commit: Commit): Swap {
+  if (commit.applied) return commit;
+  return { applied: false, current: fromNullable(commit.current[0]) };
 }
 
 /** What a VM on the platform's list is for. */
--- a/stand_ins/records.ts
+++ b/stand_ins/records.ts
@@ -16,7 +16,6 @@
   type Grant,
   Records,
   type Snapshot,
-  type Swap,
 } from "../src/outside/mod.ts";
 
 /** How a call goes. */
@@ -102,26 +101,6 @@
       .slice(0, options.limit ?? Infinity);
   }
 
-  async swap(key: string, options: {
-    value: string;
-    expected: number;
-    lease?: string;
-  }): Promise<Result<Swap, Failure>> {
-    const { value, expected, lease } = options;
-    return (await this.commit({
-      expected: [{ key, revision: expected }],
-      writes: [{ key, value, lease }],
-    })).map(swapOf);
-  }
-
-  async remove(key: string, expected: number): Promise<Result<Swap, Failure>> {
-    return (await this.commit({
-      expected: [{ key, revision: expected }],
-      writes: [],
-      removes: [key],
-    })).map(swapOf);
-  }
-
   commit(change: Change): Promise<Result<Commit, Failure>> {
     return this.#call("commit", () => this.apply(change));
   }
@@ -246,8 +225,3 @@
     }
   }
 }
-
-function swapOf(commit: Commit): Swap {
-  if (commit.applied) return commit;
-  return { applied: false, current: fromNullable(commit.current[0]) };
-}
--- /dev/null
+++ b/stand_ins/site.ts
@@ -0,0 +1,365 @@
+/**
+ * The users' platform on the loopback: its key-value service, its interface
+ * for reports and orders, and upstreams that speak its protocol. Upstreams
+ * record what truly ran.
+ *
+ * @module
+ */
+
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { Conduct, MemoryRecords } from "./records.ts";
+
+/** A request that an upstream began to run. */
+export interface Ran {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly organisation: string | undefined;
+  readonly fields: Readonly<Record<string, string>>;
+  readonly body: string;
+}
+
+/** What an upstream does with a request. */
+export enum Manner {
+  Serve = "serve",
+  /** Says that it did not run it. */
+  Refuse = "refuse",
+  /** Runs it and fails. */
+  Fail = "fail",
+  /** Resets the connection in the middle of the answer. */
+  Break = "break",
+  /** Answers with another request's id. */
+  Foreign = "foreign",
+  /** Never answers. */
+  Hang = "hang",
+  /** Says that the request can never be done. */
+  Impossible = "impossible",
+}
+
+/** An upstream of the platform. */
+export class SiteUpstream {
+  readonly id: string;
+  readonly service: string;
+  readonly ran: Ran[] = [];
+  readonly orders: { model: string; version: number; fence: number }[] = [];
+  /** What happens to the next request. */
+  manner: (ran: Ran) => Manner = () => Manner.Serve;
+  /** Events of a streamed answer. */
+  events = 4;
+  /** Time between two events. */
+  eventMs = 2;
+  versions: Record<string, number> = {};
+  readonly #server: Server;
+
+  constructor(options: { id: string; service: string; models?: string[] }) {
+    this.id = options.id;
+    this.service = options.service;
+    for (const model of options.models ?? []) this.versions[model] = 1;
+    this.#server = createServer((message, response) =>
+      void this.#arrived(message, response)
+    );
+  }
+
+  get address(): string {
+    const { port } = this.#server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  /** Its entry in the platform's store. */
+  entry(state = "ready"): string {
+    const models = Object.entries(this.versions)
+      .map(([name, version]) => ({ name, version, adapters: [] }));
+    return JSON.stringify({
+      service: this.service,
+      address: this.address,
+      zone: "a",
+      version: "v1",
+      slots: 4,
+      state,
+      cold_ms: 0,
+      sequence: this.orders.length,
+      ...models.length === 0 ? {} : { stage: "combined", models },
+    });
+  }
+
+  async start(): Promise<void> {
+    this.#server.listen(0, "127.0.0.1");
+    await once(this.#server, "listening");
+  }
+
+  async stop(): Promise<void> {
+    this.#server.close();
+    this.#server.closeAllConnections();
+    await Promise.resolve();
+  }
+
+  async #arrived(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await bodyOf(message);
+    if (message.headers["x-expect-instance"] !== this.id) {
+      return void response.writeHead(421, { "x-instance-id": "other" }).end();
+    }
+    if (message.url === "/-/report") return this.#report(response);
+    if (message.url === "/-/order") return this.#order(response, body);
+    const ran: Ran = {
+      id: `${message.headers["x-request-id"]}`,
+      method: message.method ?? "",
+      path: message.url ?? "",
+      organisation: message.headers["x-tenant"] as string | undefined,
+      fields: message.headers as Record<string, string>,
+      body,
+    };
+    const manner = this.manner(ran);
+    if (manner === Manner.Refuse) {
+      return void response.writeHead(503, { "x-not-executed": "1" }).end();
+    }
+    this.ran.push(ran);
+    if (manner === Manner.Hang) return;
+    const id = manner === Manner.Foreign ? "another" : ran.id;
+    const head = { "x-request-id": id, "x-response-seal": `seal-${ran.id}` };
+    if (manner === Manner.Fail) return void response.writeHead(500, head).end();
+    if (manner === Manner.Impossible) {
+      return void response.writeHead(422, head).end();
+    }
+    if (message.headers["x-model"] === undefined) {
+      response.writeHead(200, head).write("answer to ");
+      if (manner === Manner.Break) return void response.destroy();
+      return void response.end(ran.path);
+    }
+    await this.#stream(ran, { manner, response, head });
+  }
+
+  async #stream(ran: Ran, { manner, response, head }: {
+    manner: Manner;
+    response: ServerResponse;
+    head: Record<string, string>;
+  }): Promise<void> {
+    const version = this.versions[ran.fields["x-model"]] ?? 0;
+    response.writeHead(200, {
+      ...head,
+      "content-type": "text/event-stream",
+      "x-weight-versions": `${version}`,
+    });
+    const after = Number(ran.fields["last-event-id"] ?? 0);
+    for (let number = after + 1; number <= this.events; number++) {
+      if (response.destroyed) return;
+      const event = `id: ${number}\ndata: ${ran.id}.${number}\n\n`;
+      if (manner === Manner.Break && number === after + 2) {
+        response.write(event.slice(0, 9));
+        await sleep(this.eventMs);
+        return void response.destroy();
+      }
+      response.write(event);
+      await sleep(this.eventMs);
+    }
+    response.end();
+  }
+
+  #report(response: ServerResponse): void {
+    answer(response, 200, {
+      stage: "combined",
+      models: Object.entries(this.versions)
+        .map(([name, version]) => ({ name, version, adapters: [] })),
+      busy: false,
+      sequence: this.orders.length,
+      num_waiting: 0,
+      num_running: 0,
+      kv_used: 0,
+      kv_total: 1000,
+      handles: 0,
+    });
+  }
+
+  #order(response: ServerResponse, body: string): void {
+    const order = JSON.parse(body);
+    const newest = Math.max(0, ...this.orders.map(({ fence }) => fence));
+    if (order.fence < newest) return answer(response, 412, {});
+    const stale = order.expected !== undefined &&
+      order.expected !== this.orders.length;
+    if (stale) return answer(response, 409, {});
+    this.orders.push(order);
+    this.versions[order.model] = order.version;
+    answer(response, 202, {});
+  }
+}
+
+/** The platform: its store, its desk, and the upstreams on it. */
+export class Site {
+  readonly records = new MemoryRecords();
+  readonly reports: { window: number; holder: string; fence: string }[] = [];
+  readonly scaled: Record<string, unknown>[] = [];
+  readonly #upstreams: SiteUpstream[] = [];
+  readonly #server = createServer((message, response) =>
+    void this.#arrived(message, response)
+  );
+
+  /** Address of the store and of the desk. */
+  get address(): string {
+    const { port } = this.#server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  async start(): Promise<void> {
+    this.#server.listen(0, "127.0.0.1");
+    await once(this.#server, "listening");
+  }
+
+  /** Starts an upstream and lists it. */
+  async add(options: {
+    id: string;
+    service: string;
+    models?: string[];
+  }): Promise<SiteUpstream> {
+    const upstream = new SiteUpstream(options);
+    await upstream.start();
+    this.#upstreams.push(upstream);
+    this.records.put(`servers/${upstream.id}`, upstream.entry());
+    return upstream;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.#upstreams.map((upstream) => upstream.stop()));
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #arrived(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await bodyOf(message);
+    const url = new URL(message.url ?? "/", "http://site");
+    const call = `${message.method} ${url.pathname}`;
+    if (call === "POST /usage") {
+      this.reports.push({
+        ...JSON.parse(body),
+        holder: message.headers["x-duty-holder"],
+        fence: message.headers["x-fencing-token"],
+      });
+      return answer(response, 200, {});
+    }
+    if (call === "POST /scale") {
+      this.scaled.push(JSON.parse(body));
+      return answer(response, 200, {});
+    }
+    const conduct = this.records.conduct(call);
+    if (conduct === Conduct.Refused) return answer(response, 503, {});
+    if (conduct === Conduct.Silent) return void response.destroy();
+    const [status, json] = await this.#store(call, url.searchParams, body);
+    if (conduct === Conduct.Lost) return void response.destroy();
+    answer(response, status, json);
+  }
+
+  /** One call of the store, done. */
+  async #store(
+    call: string,
+    query: URLSearchParams,
+    body: string,
+  ): Promise<readonly [number, unknown]> {
+    const { records } = this;
+    const at = records.revision;
+    if (call === "GET /-/kv-key") {
+      const key = query.get("key") ?? "";
+      const entry = records.under(key).find((one) => one.key === key);
+      return entry === undefined
+        ? [404, { at }]
+        : [200, { ...encoded(entry), at }];
+    }
+    if (call === "GET /-/kv-range") {
+      const items = records.under(query.get("prefix") ?? "", {
+        after: query.get("after") ?? "",
+      }).map(encoded);
+      return [200, { items, has_more: false, at }];
+    }
+    if (call === "GET /-/kv-watch") return [200, await this.#watch(query)];
+    if (call === "POST /-/kv-txn") return this.#commit(JSON.parse(body));
+    if (call === "POST /-/kv-lease") {
+      const { ttl_ms } = JSON.parse(body);
+      const granted = await records.grant(ttl_ms);
+      return [200, { lease: Number(granted.unwrap().id), ttl_ms }];
+    }
+    const kept = /^POST \/-\/kv-keep\/(\d+)$/.exec(call);
+    if (kept !== null) {
+      const renewed = await records.renew(kept[1]);
+      return renewed.err ? [404, {}] : [200, { ttl_ms: renewed.val.ttlMs }];
+    }
+    const ended = /^DELETE \/-\/kv-lease-end\/(\d+)$/.exec(call);
+    if (ended !== null) await records.revoke(ended[1]);
+    return [ended === null ? 404 : 200, {}];
+  }
+
+  async #watch(query: URLSearchParams): Promise<unknown> {
+    const { records } = this;
+    const prefix = query.get("prefix") ?? "";
+    const after = Number(query.get("after"));
+    const events = () =>
+      records.history.filter(({ key, revision }) =>
+        key.startsWith(prefix) && revision > after
+      );
+    if (events().length === 0) {
+      await records.until(() => events().length > 0, {
+        waitMs: Number(query.get("wait_ms")),
+      });
+    }
+    return {
+      events: events().map(({ key, revision, value }) =>
+        value === undefined
+          ? { key, revision, deleted: true }
+          : encoded({ key, revision, value })
+      ),
+      at: records.revision,
+    };
+  }
+
+  #commit(change: {
+    expected: { key: string; revision: number }[];
+    writes: { key: string; value: string; lease?: number }[];
+    remove: string[];
+  }): readonly [number, unknown] {
+    const done = this.records.apply({
+      expected: change.expected,
+      writes: change.writes.map(({ key, value, lease }) => ({
+        key,
+        value: Buffer.from(value, "base64").toString(),
+        lease: lease === undefined ? undefined : `${lease}`,
+      })),
+      removes: change.remove,
+    });
+    return done.applied
+      ? [200, { revision: done.revision }]
+      : [412, { items: done.current.map(encoded) }];
+  }
+}
+
+function encoded({ key, revision, value }: {
+  key: string;
+  revision: number;
+  value: string;
+}) {
+  const base64 = Buffer.from(value).toString("base64");
+  return { key, revision, created: revision, lease: 0, value: base64 };
+}
+
+async function bodyOf(message: IncomingMessage): Promise<string> {
+  const parts: Buffer[] = [];
+  for await (const part of message) parts.push(part);
+  return Buffer.concat(parts).toString();
+}
+
+function answer(response: ServerResponse, status: number, json: unknown): void {
+  response.writeHead(status, { "content-type": "application/json" })
+    .end(JSON.stringify(json));
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
