Dispatch: what must start first goes first; orders for pools with terms of their own

Change: a demand says until when it must start, and lanes keep that order; an item's time is estimated from its hint and from how long hinted items ran. A pool whose table holds scaling terms is offered by these, and the plan orders what its pressure needs. Batches are looked for soon after a start.

--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -48,6 +48,9 @@
 /** How often the daemons that look after all batches look at them. */
 const SCAN_MS = 1000;
 
+/** Time in which the daemons find each other after a start of all. */
+const FIRST_SCAN_MS = 300;
+
 /** Daemons that look after all batches: one may be dead, one cut off. */
 const SCANNERS = 2;
 
@@ -408,8 +411,11 @@
 
   async #scan(): Promise<void> {
     const { signal } = this.#stop;
+    // The first look is soon: all daemons may have restarted.
+    let waitMs = FIRST_SCAN_MS;
     while (!signal.aborted) {
-      await this.#kernel.clock.sleep(SCAN_MS, signal);
+      await this.#kernel.clock.sleep(waitMs, signal);
+      waitMs = SCAN_MS;
       const ranked = this.#peers.ranked("batches").slice(0, SCANNERS);
       const self = this.#peers.self.vm;
       if (signal.aborted || !ranked.some(({ vm }) => vm === self)) continue;
--- a/src/batches/paces.ts
+++ b/src/batches/paces.ts
@@ -29,9 +29,17 @@
   readonly seenAt: number;
 }
 
+/** Time for an expected token before any item has ended. */
+const FIRST_TOKEN_MS = 0.5;
+
+/** Weight of the newest item in the time for a token. */
+const NEWEST_ITEM = 0.03;
+
 /** The paces of a pool's upstreams. */
 export class Paces {
   readonly #clock: Clock;
+  #expected = 0;
+  #ran = 0;
   readonly #paces = new Map<string, Pace>();
 
   constructor(options: { clock: Clock }) {
@@ -56,6 +64,22 @@
     return pace === undefined || pace.gaps < MIN_GAPS ? undefined : pace.gapMs;
   }
 
+  /** Takes in how long an item ran of which so many tokens were expected. */
+  ended(expectedTokens: number, ranMs: number): void {
+    if (expectedTokens <= 0) return;
+    const kept = 1 - NEWEST_ITEM;
+    this.#expected = this.#expected * kept + expectedTokens * NEWEST_ITEM;
+    this.#ran = this.#ran * kept + ranMs * NEWEST_ITEM;
+  }
+
+  /** Time that an item of so many expected tokens may run. */
+  expectedMs(expectedTokens: number): number {
+    const tokenMs = this.#expected > 0
+      ? this.#ran / this.#expected
+      : FIRST_TOKEN_MS;
+    return expectedTokens * tokenMs;
+  }
+
   /** The faster half's slowest pace. */
   typical(): number | undefined {
     const gaps = [...this.#paces.keys()]
--- a/src/batches/run.ts
+++ b/src/batches/run.ts
@@ -47,6 +47,12 @@
 /** Fewest tokens that an item counts for. */
 const MIN_TOKENS = 1;
 
+/** An item this late may still be in time: expectations are rough. */
+const HOPE_MS = 2000;
+
+/** How far back an item goes that can't be in time any more. */
+const HOPELESS_MS = 30_000;
+
 /** Slow upstreams that one item leaves: all may be slow in turn. */
 const MAX_MOVES = 3;
 
@@ -342,6 +348,7 @@
   /** Logs what an item's text took. */
   #told(course: ItemCourse): void {
     const ageMs = this.#kernel.clock.now() - course.since;
+    this.#paces(course.pool).ended(course.item.expectedTokens, course.ranMs);
     log("finished", {
       id: course.item.id,
       batch: this.#submission.id,
@@ -450,6 +457,7 @@
       tokens: this.#tokens(item),
       prefixes: item.prefixes,
       remainingMs: leftMs,
+      startInMs: this.#startInMs(course),
       minVersion: Math.max(minVersion, course.generation.versions[0] ?? 0),
       model: item.model,
       exclude: [
@@ -461,6 +469,20 @@
     };
   }
 
+  /**
+   * Time until the item must start to be listed when its step is due. What
+   * can't be met any more goes behind all that can.
+   */
+  #startInMs({ item, generation, pool }: ItemCourse): number {
+    const { head } = this.#state;
+    const targetMs = this.#route.exchange.batch?.resultTargetMs ?? Infinity;
+    const dueInMs = head.submittedAt + targetMs - this.#kernel.clock.wall();
+    const leftMs = this.#paces(pool).expectedMs(item.expectedTokens) -
+      generation.lines.length * (this.#paces(pool).typical() ?? 0);
+    const slackMs = dueInMs - Math.max(0, leftMs);
+    return slackMs >= -HOPE_MS ? slackMs : slackMs + HOPELESS_MS;
+  }
+
   #parcel({ item, generation }: ItemCourse): Parcel {
     return {
       id: item.id,
--- a/src/dispatch/fair_queue.ts
+++ b/src/dispatch/fair_queue.ts
@@ -64,15 +64,34 @@
 
 /** One tenant's waiting requests of one class. */
 class Lane {
-  readonly tickets = new Map<string, Ticket>();
+  /** In the order in which they shall start. */
+  #tickets: readonly Ticket[] = [];
   running = 0;
   /** Mean time between two grants while others wait. */
   #gapMs = 0;
   #since = 0;
 
   push(ticket: Ticket): void {
-    if (this.tickets.size === 0) this.#since = ticket.queuedAt;
-    this.tickets.set(ticket.id, ticket);
+    if (this.size === 0) this.#since = ticket.queuedAt;
+    const startBy = startByOf(ticket);
+    const later = this.#tickets.findIndex((other) =>
+      startByOf(other) > startBy
+    );
+    const at = later < 0 ? this.size : later;
+    this.#tickets = this.#tickets.toSpliced(at, 0, ticket);
+  }
+
+  get size(): number {
+    return this.#tickets.length;
+  }
+
+  /** The waiting requests, the next one first. */
+  waiting(): Iterable<Ticket> {
+    return this.#tickets;
+  }
+
+  remove({ id }: Ticket): void {
+    this.#tickets = this.#tickets.filter((other) => other.id !== id);
   }
 
   /** Takes note of a grant to a request of this lane. */
@@ -84,9 +103,9 @@
 
   /** Expected wait of one more request, from how the lane moves. */
   waitMs(now: number): number {
-    if (this.tickets.size === 0) return 0;
+    if (this.size === 0) return 0;
     const gapMs = Math.max(this.#gapMs, now - this.#since);
-    return this.tickets.size * gapMs;
+    return this.size * gapMs;
   }
 }
 
@@ -185,7 +204,7 @@
     while (heads.length > 0) {
       const { account, lane } = removeFirst(heads);
       let scanned = 0;
-      for (const ticket of lane.tickets.values()) {
+      for (const ticket of lane.waiting()) {
         if (++scanned > SCAN_LIMIT) break;
         if (!fits(ticket)) continue;
         this.#drop(ticket, account);
@@ -276,7 +295,7 @@
       const use = account.use(capacity.now) / entitled;
       for (const [index, priority] of CLASSES.entries()) {
         const lane = account.lane(priority);
-        if (lane.tickets.size === 0) continue;
+        if (lane.size === 0) continue;
         const urgency = urgencyOf(priority, use < 1);
         const rank = use < 1
           ? dueRank(use, deprived(account, { priority, entitled }) ? -1 : index)
@@ -333,8 +352,8 @@
     let workMs = 0;
     let taken = 0;
     for (const priority of CLASSES) {
-      const { tickets, running } = account.lane(priority);
-      workMs += tickets.size * this.holdMs(priority);
+      const { size, running } = account.lane(priority);
+      workMs += size * this.holdMs(priority);
       if (priority === demand.priority) break;
       taken += running;
     }
@@ -356,12 +375,19 @@
 
   #drop(ticket: Ticket, account: Account): void {
     this.#tickets.delete(ticket.id);
-    account.lane(ticket.demand.priority).tickets.delete(ticket.id);
+    account.lane(ticket.demand.priority).remove(ticket);
     account.waiting -= 1;
     this.#presentWeights = undefined;
   }
 }
 
+/** When a request must start; the last of all where it isn't known. */
+function startByOf({ queuedAt, demand }: Ticket): number {
+  return demand.startInMs === undefined
+    ? Infinity
+    : queuedAt + demand.startInMs;
+}
+
 /** Rank of a tenant below its entitlement: by class, then by use. */
 function dueRank(use: number, index: number): number {
   return index - CLASSES.length - 1 + use;
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -42,6 +42,7 @@
   remainingMs: z.number(),
   minVersion: z.number(),
   model: z.string().optional(),
+  startInMs: z.number().optional(),
   exclude: z.array(z.string()),
   fingerprint: z.string(),
   attempt: z.number(),
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -29,6 +29,11 @@
   readonly minVersion: number;
   /** The model whose version counts, where upstreams serve several. */
   readonly model?: string;
+  /**
+   * Time until it must start to be done when it is due, in milliseconds; may
+   * be negative. Of equals, whatever must start first goes first.
+   */
+  readonly startInMs?: number;
   /** Upstreams that this request shall not go to. */
   readonly exclude: readonly string[];
   /** Equal for resends of one request; used to quarantine what crashes. */
--- a/src/orders/ordering.ts
+++ b/src/orders/ordering.ts
@@ -8,7 +8,14 @@
 import { type Clock, type Kernel, logger } from "../kernel/mod.ts";
 import { type Config, configKey } from "../config/mod.ts";
 import { type Dispatch, dispatchKey, type Pressure } from "../dispatch/mod.ts";
-import { Fault, type Offer, type Order } from "../outside/mod.ts";
+import {
+  Fault,
+  type Offer,
+  type Order,
+  Role,
+  Standing,
+  type Vm,
+} from "../outside/mod.ts";
 import { type Pool, Priority, type Tables } from "../tables/mod.ts";
 import type { Tenure } from "./charge.ts";
 import type { Placement, Plan } from "./mod.ts";
@@ -16,6 +23,8 @@
 
 const log = logger("orders");
 
+const SECONDS_PER_HOUR = 3600;
+
 /** An order that had no effect is placed anew after this time. */
 const REPEAT_MS = 10_000;
 
@@ -25,6 +34,8 @@
   readonly at: number;
   /** Whether the platform answered; until then the same order is resent. */
   readonly settled: boolean;
+  /** Whether the platform refused it. */
+  readonly failed: boolean;
 }
 
 /** One offer and the number of upstreams wanted on it. */
@@ -64,18 +75,41 @@
   async round(): Promise<void> {
     const configuration = this.#config.current();
     if (isNone(configuration) || !this.#config.fresh()) return;
+    const { tables } = configuration.value;
     const offers = await this.#kernel.platform.orders.offers();
     if (offers.err) {
       this.#meters.orders.inc({ outcome: `offers_${offers.val.fault}` });
       return;
     }
-    this.#meters.observe(offers.val);
-    const { tables } = configuration.value;
+    const all = [...offers.val, ...await this.#scaled(tables.pools)];
+    this.#meters.observe(all);
     await Promise.all(
-      tables.pools.map((pool) => this.#pool(pool, tables, offers.val)),
+      tables.pools.map((pool) => this.#pool(pool, tables, all)),
+    );
+  }
+
+  /** Offers of pools whose terms stand in their table. */
+  async #scaled(pools: readonly Pool[]): Promise<readonly Offer[]> {
+    if (pools.every(({ scaling }) => scaling === undefined)) return [];
+    const vms = await this.#kernel.platform.directory.list();
+    if (vms.err) return [];
+    return pools.flatMap((pool) =>
+      scaledOffers(pool, vms.val).map((offer) => ({
+        ...offer,
+        starting: this.#starting(offer, pool),
+      }))
     );
   }
 
+  /** Upstreams that were ordered and don't run yet. */
+  #starting(offer: Offer, { scaling }: Pool): number {
+    const last = this.#placed.get(keyOf(offer));
+    const bootMs = (scaling?.bootMs ?? 0) + REPEAT_MS;
+    if (last === undefined || last.failed) return 0;
+    if (this.#clock.now() - last.at > bootMs) return 0;
+    return Math.max(0, last.order.count - offer.running);
+  }
+
   async #pool(
     pool: Pool,
     tables: Tables,
@@ -119,7 +153,8 @@
     const fault = value.err ? value.val.fault : undefined;
     // An unknown outcome stays open: a newer order could be overtaken by it.
     const settled = fault !== Fault.Unknown;
-    this.#placed.set(key, { order, at: now, settled });
+    const failed = fault === Fault.Refused;
+    this.#placed.set(key, { order, at: now, settled, failed });
     this.#meters.orders.inc({ outcome: fault ?? "placed" });
     if (fault === undefined) log("ordered", { ...order });
   }
@@ -148,7 +183,31 @@
   const fewer = gaps.filter(({ offer, wanted }) => wanted < ordered(offer));
   const waiting = more.length > 0 ||
     gaps.some(({ offer }) => offer.starting > 0);
-  return waiting ? more : fewer;
+  if (waiting) return more;
+  // Even numbers over the zones are not worth emptying an upstream for.
+  const surplus = sum(gaps.map(({ offer, wanted }) => ordered(offer) - wanted));
+  return surplus > 0 ? fewer : [];
+}
+
+/** What a pool's own terms offer in each availability zone. */
+function scaledOffers(
+  { name, scaling }: Pool,
+  vms: readonly Vm[],
+): readonly Offer[] {
+  if (scaling === undefined) return [];
+  return Object.entries(scaling.zonePrices).map(([zone, price]) => ({
+    pool: name,
+    availabilityZone: zone,
+    reclaimable: false,
+    pricePerHour: price * SECONDS_PER_HOUR,
+    running: vms.filter((vm) =>
+      vm.role === Role.Upstream && vm.pool === name &&
+      vm.availabilityZone === zone && vm.standing === Standing.Live &&
+      !vm.reclaimable
+    ).length,
+    starting: 0,
+    available: scaling.maxPerZone,
+  }));
 }
 
 /** Counters and gauges of orders. */
