--- /dev/null
+++ b/src/metering/tally_test.ts
@@ -0,0 +1,28 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { Tally } from "./tally.ts";
+
+test("a window's sum is over all runs", () => {
+  const tally = new Tally();
+  tally.add({ run: "a", window: 1 }, "x");
+  tally.add({ run: "a", window: 1 }, "x");
+  tally.merge({ run: "b", window: 1, counts: { x: 3, y: 1 } });
+  tally.merge({ run: "b", window: 2, counts: { x: 9 } });
+  expect(tally.sum(1)).toEqual({ x: 5, y: 1 });
+});
+
+test("an older word of the same run changes nothing", () => {
+  const tally = new Tally();
+  tally.merge({ run: "b", window: 1, counts: { x: 3, y: 1 } });
+  expect(tally.merge({ run: "b", window: 1, counts: { x: 2 } }))
+    .toEqual(false);
+  expect(tally.sum(1)).toEqual({ x: 3, y: 1 });
+});
+
+test("windows before a bound are forgotten", () => {
+  const tally = new Tally();
+  tally.add({ run: "a", window: 1 }, "x");
+  tally.add({ run: "a", window: 2 }, "x");
+  tally.forget(2);
+  expect([tally.sum(1), tally.sum(2)]).toEqual([{}, { x: 1 }]);
+});
--- a/src/outside/held_directory.ts
+++ b/src/outside/held_directory.ts
@@ -101,14 +101,16 @@
       this.#reachable = false;
       return read;
     }
-    if (!this.#reachable) log("regained", { listed: read.val.vms.length });
+    const away = !this.#reachable;
+    if (away) log("regained", { listed: read.val.vms.length });
     this.#reachable = true;
     if (read.val.revision < this.#listing.revision) {
       return Ok(this.#listing.vms);
     }
     const now = this.#clock.now();
     const known = this.#currentAt > -Infinity;
-    if (known && now - this.#currentAt > OUTAGE_MS) this.#returnedAt = now;
+    const old = now - this.#currentAt > OUTAGE_MS;
+    if (away && known && old) this.#returnedAt = now;
     this.#take(this.#held(read.val, now), askedAt);
     return Ok(this.#listing.vms);
   }
--- /dev/null
+++ b/src/outside/held_directory_test.ts
@@ -0,0 +1,101 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { Err, Ok, type Result } from "ts-results";
+import { ManualClock } from "../kernel/mod.ts";
+import { HeldDirectory } from "./held_directory.ts";
+import {
+  type Failure,
+  Fault,
+  type Listing,
+  ListingSource,
+  Role,
+  Standing,
+  type Vm,
+} from "./mod.ts";
+
+function upstream(id: string): Vm {
+  return {
+    id,
+    role: Role.Upstream,
+    standing: Standing.Live,
+    availabilityZone: "a",
+    address: `${id}:1`,
+    http: "",
+    pool: "p",
+    reclaimable: false,
+  };
+}
+
+class FixedSource extends ListingSource {
+  reads = 0;
+  listing: Listing | undefined = { vms: [], revision: 1 };
+
+  read(): Promise<Result<Listing, Failure>> {
+    this.reads += 1;
+    return Promise.resolve(
+      this.listing === undefined
+        ? Err({ fault: Fault.Unknown, message: "down" })
+        : Ok(this.listing),
+    );
+  }
+}
+
+function directory() {
+  const clock = new ManualClock();
+  const source = new FixedSource();
+  const held = new HeldDirectory({
+    source,
+    clock,
+    freshMs: 400,
+    returnMs: 2000,
+  });
+  const ids = async () => {
+    const listed = await held.list();
+    return listed.ok ? listed.val.map(({ id }) => id) : ["failed"];
+  };
+  return { clock, source, held, ids };
+}
+
+test("a list is read again only when it is old", async () => {
+  const { clock, source, ids } = directory();
+  await ids();
+  clock.advance(300);
+  await ids();
+  expect(source.reads).toEqual(1);
+  clock.advance(200);
+  await ids();
+  expect(source.reads).toEqual(2);
+});
+
+test("a list that was heard goes before an older one, never after", async () => {
+  const { held, ids } = directory();
+  await ids();
+  held.hear({ vms: [upstream("new")], revision: 5, ageMs: 10 });
+  held.hear({ vms: [upstream("old")], revision: 3, ageMs: 0 });
+  expect(await ids()).toEqual(["new"]);
+});
+
+test("what lapsed in an outage is listed for two seconds more", async () => {
+  const { clock, source, ids } = directory();
+  source.listing = { vms: [upstream("a"), upstream("b")], revision: 1 };
+  await ids();
+  source.listing = undefined;
+  clock.advance(3000);
+  expect(await ids()).toEqual(["failed"]);
+  source.listing = { vms: [upstream("a")], revision: 2 };
+  clock.advance(500);
+  expect(await ids()).toEqual(["a", "b"]);
+  clock.advance(1900);
+  expect(await ids()).toEqual(["a", "b"]);
+  clock.advance(500);
+  expect(await ids()).toEqual(["a"]);
+});
+
+test("without an outage a missing upstream is gone at once", async () => {
+  const { clock, source, ids } = directory();
+  source.listing = { vms: [upstream("a"), upstream("b")], revision: 1 };
+  await ids();
+  source.listing = { vms: [upstream("a")], revision: 2 };
+  clock.advance(500);
+  expect(await ids()).toEqual(["a"]);
+});
--- /dev/null
+++ b/src/relay/routing_test.ts
@@ -0,0 +1,61 @@
+import { expect } from "earl";
+import { isNone } from "fp-ts/Option";
+import { test } from "node:test";
+import { Kind, Priority, type Route } from "../tables/mod.ts";
+import { drawPool, Routing } from "./routing.ts";
+
+function route(name: string, host: string, prefix: string): Route {
+  return {
+    name,
+    path: "",
+    model: "",
+    kind: Kind.Exchange,
+    pool: "p",
+    priority: Priority.Standard,
+    open: true,
+    repeatable: true,
+    tenants: [],
+    keys: [],
+    deadlineMs: 1000,
+    maxBodyBytes: 1000,
+    stalenessBound: 0,
+    exchange: {
+      host,
+      prefix,
+      pools: [{ pool: "p", weight: 9 }, { pool: "q", weight: 1 }],
+      latencyGoalMs: 100,
+      maxAttempts: 2,
+      rank: 0,
+      streamed: false,
+      resumable: false,
+    },
+  };
+}
+
+function found(routes: readonly Route[], host: string, path: string) {
+  const match = new Routing(routes).find(host, path);
+  return isNone(match) ? undefined : match.value.name;
+}
+
+test("the longest prefix of the host's routes is used", () => {
+  const routes = [
+    route("all", "a.example", "/"),
+    route("lots", "a.example", "/lots/"),
+    route("other", "b.example", "/lots/new/"),
+  ];
+  expect(found(routes, "a.example", "/lots/new/1")).toEqual("lots");
+  expect(found(routes, "A.example:80", "/lost")).toEqual("all");
+  expect(found(routes, "c.example", "/lots/")).toEqual(undefined);
+});
+
+test("a query is no part of the path", () => {
+  const routes = [route("lots", "a.example", "/lots/")];
+  expect(found(routes, "a.example", "/x?y=/lots/")).toEqual(undefined);
+});
+
+test("pools are drawn by their weights", () => {
+  const { exchange } = route("r", "h", "/");
+  if (exchange === undefined) throw new Error("No terms");
+  expect([0, 0.89, 0.91, 0.999].map((at) => drawPool(exchange, at)))
+    .toEqual(["p", "p", "q", "q"]);
+});
