Orders: each weight version is loaded by half of a pool where the one before will do

Change: of upstreams one version behind only so many load that half have the newest; those two behind all do.

--- a/src/orders/swapping.ts
+++ b/src/orders/swapping.ts
@@ -115,7 +115,8 @@
     const { model } = line;
     const latest = this.#latest.get(model) ?? 0;
     if (latest === 0) return;
-    const swaps = this.#lines.get(nameOf(line)) ?? new Swaps();
+    const swaps = this.#lines.get(nameOf(line)) ??
+      new Swaps({ lag: line.pool.versionLag });
     this.#lines.set(nameOf(line), swaps);
     const vms = this.#following(line);
     this.#settle(swaps, { line, upstreams: this.#versions(line, vms) });
--- a/src/orders/swaps.ts
+++ b/src/orders/swaps.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+/** Where older versions do for a while, this part has the newest. */
+const NEWEST_SHARE = 0.5;
 /** Part of a pool's upstreams that load weights at once. */
 const FRACTION = 0.35;
 /** Bounds on the time after which a swap counts as failed. */
@@ -45,12 +47,18 @@
 /** The swaps of one pool. */
 export class Swaps {
   readonly #fraction: number;
+  readonly #lag: number;
   #pending: ReadonlyMap<string, Pending> = new Map();
   #retries: ReadonlyMap<string, Retry> = new Map();
   #durations: readonly number[] = [];
 
-  constructor(options: { fraction?: number } = {}) {
+  constructor(options: {
+    fraction?: number;
+    /** Versions that an upstream may be behind and still serve trainers. */
+    lag?: number;
+  } = {}) {
     this.#fraction = options.fraction ?? FRACTION;
+    this.#lag = options.lag ?? 0;
   }
 
   /** Upstreams whose swap hasn't ended. */
@@ -94,10 +102,9 @@
     { latest, now }: { latest: number; now: number },
   ): readonly string[] {
     const most = Math.max(1, Math.floor(upstreams.length * this.#fraction));
-    return upstreams
-      .filter(({ id, version }) =>
-        version < latest && !this.#pending.has(id) &&
-        (this.#retries.get(id)?.at ?? 0) <= now
+    return this.#behind(upstreams, latest)
+      .filter(({ id }) =>
+        !this.#pending.has(id) && (this.#retries.get(id)?.at ?? 0) <= now
       )
       .sort((a, b) =>
         this.#failures(a.id) - this.#failures(b.id) ||
@@ -107,6 +114,25 @@
       .map(({ id }) => id);
   }
 
+  /**
+   * Upstreams that shall load `latest`: all that are too old to serve, and of
+   * the others as many as bring a part of the pool up to it. So each version
+   * is loaded by a part of the upstreams only, and at any time most serve.
+   */
+  #behind(
+    upstreams: readonly Versioned[],
+    latest: number,
+  ): readonly Versioned[] {
+    const older = upstreams.filter(({ version }) => version < latest);
+    const stale = older.filter(({ version }) => version < latest - this.#lag);
+    if (this.#lag === 0) return stale;
+    const newest = upstreams.length - older.length + stale.length;
+    const wanted = Math.ceil(upstreams.length * NEWEST_SHARE);
+    const others = older.filter((one) => !stale.includes(one))
+      .sort((a, b) => a.id < b.id ? -1 : 1);
+    return [...stale, ...others.slice(0, Math.max(0, wanted - newest))];
+  }
+
   /** Notes that `version` was ordered. */
   started(id: string, { version, now }: { version: number; now: number }) {
     this.#pending = new Map([...this.#pending, [id, { version, at: now }]]);
--- a/src/orders/swaps_test.ts
+++ b/src/orders/swaps_test.ts
@@ -94,3 +94,18 @@
   expect(swaps.settle([], 10)).toEqual([]);
   expect(swaps.pending).toEqual([]);
 });
+
+test("where the version before will do, half of a pool loads each one", () => {
+  const swaps = new Swaps({ fraction: 1, lag: 1 });
+  expect(start(swaps, upstreams(1, 1, 1, 1), { latest: 2, now: 0 }))
+    .toEqual(["u0", "u1"]);
+});
+
+test("what is too old to serve loads first, and all of it", () => {
+  const swaps = new Swaps({ fraction: 1, lag: 1 });
+  expect(start(swaps, upstreams(2, 2, 1, 1), { latest: 3, now: 0 }))
+    .toEqual(["u2", "u3"]);
+  const few = new Swaps({ fraction: 1, lag: 1 });
+  expect(start(few, upstreams(2, 2, 2, 1), { latest: 3, now: 0 }))
+    .toEqual(["u3", "u0"]);
+});
--- a/src/tables/schema.ts
+++ b/src/tables/schema.ts
@@ -133,6 +133,7 @@
   slots: integer(1, MAX_SLOTS),
   fenced: z.boolean("must be true or false"),
   models: z.array(z.string().max(200)).optional(),
+  versionLag: integer(0, MAX_STALENESS).optional(),
   scaling: scaling.optional(),
 }) satisfies z.ZodType<Pool>;
 
--- a/src/tables/tables.ts
+++ b/src/tables/tables.ts
@@ -153,6 +153,8 @@
   readonly fenced: boolean;
   /** Models that share the upstreams; `model` is the only one without it. */
   readonly models?: readonly string[];
+  /** Versions that an upstream may be behind and still serve; 0 if absent. */
+  readonly versionLag?: number;
   /** Where upstreams are ordered, and what they cost there. */
   readonly scaling?: Scaling;
 }
