--- /dev/null
+++ b/src/detour/detour_test.ts
@@ -0,0 +1,93 @@
+import { expect } from "earl";
+import { isNone } from "fp-ts/Option";
+import { test } from "node:test";
+import { Conduct, MemoryRecords } from "../../stand_ins/records.ts";
+import { PeerNetwork, SoloPeers } from "../../stand_ins/peers.ts";
+import { Kernel } from "../kernel/mod.ts";
+import { type Platform, type Records } from "../outside/mod.ts";
+import { type Peers, peersKey } from "../peers/mod.ts";
+import { DEFAULT_TIMING } from "../settings/load.ts";
+import type { Settings } from "../settings/mod.ts";
+import { PeerDetour } from "./detour.ts";
+import { detourKey } from "./mod.ts";
+
+/** A daemon that reaches the service through `direct`. */
+function daemon(vm: string, options: {
+  network: PeerNetwork;
+  direct: Records;
+}): Records {
+  const peers: Peers = new SoloPeers({ vm, network: options.network });
+  const kernel = new Kernel({
+    settings: { vm, timing: DEFAULT_TIMING } as Settings,
+    platform: { records: options.direct } as Platform,
+    incarnation: vm,
+    registrations: [
+      { key: peersKey, requires: [], create: () => peers },
+      {
+        key: detourKey,
+        requires: [peersKey],
+        create: (kernel) => new PeerDetour({ kernel, direct: options.direct }),
+      },
+    ],
+  });
+  const detour = kernel.get(detourKey);
+  (peers as SoloPeers).serve(detour);
+  return detour.records;
+}
+
+/** The service as one daemon sees it. */
+function seen(records: MemoryRecords, conduct: () => Conduct): Records {
+  const view = Object.create(records) as MemoryRecords;
+  const through = async <T>(call: () => Promise<T>) => {
+    if (conduct() === Conduct.Answered) return await call();
+    const other = new MemoryRecords();
+    other.conduct = conduct;
+    return await other.get("") as T;
+  };
+  view.get = (key) => through(() => records.get(key));
+  view.range = (prefix, options) =>
+    through(() => records.range(prefix, options));
+  view.commit = (change) => through(() => records.commit(change));
+  return view;
+}
+
+function pair(conducts: Record<string, () => Conduct>) {
+  const network = new PeerNetwork();
+  const records = new MemoryRecords();
+  const daemons = Object.entries(conducts).map(([vm, conduct]) =>
+    daemon(vm, { network, direct: seen(records, conduct) })
+  );
+  return { network, records, daemons };
+}
+
+const answered = () => Conduct.Answered;
+const silent = () => Conduct.Silent;
+const refused = () => Conduct.Refused;
+
+test("a daemon that is cut off writes and reads through a peer", async () => {
+  const { records, daemons: [cut] } = pair({ a: silent, b: answered });
+  const done = await cut.swap("key", { value: "v", expected: 0 });
+  expect(done.ok && done.val.applied).toEqual(true);
+  expect(records.under("key").map(({ value }) => value)).toEqual(["v"]);
+  const found = await cut.get("key");
+  expect(found.ok && !isNone(found.val) && found.val.value.value).toEqual("v");
+});
+
+test("one that the service turns away does so too", async () => {
+  const { daemons: [cut] } = pair({ a: refused, b: answered });
+  expect((await cut.range("")).ok).toEqual(true);
+});
+
+test("where nobody reaches the service the call fails", async () => {
+  const { daemons: [cut] } = pair({ a: refused, b: refused });
+  const failed = await cut.get("key");
+  expect(failed.err && failed.val.message).toEqual(
+    "No peer reaches the service",
+  );
+});
+
+test("a call without an answer is not told as refused by the peer's", async () => {
+  const { daemons: [cut] } = pair({ a: silent, b: refused });
+  const failed = await cut.commit({ expected: [], writes: [] });
+  expect(failed.err && failed.val.fault).toEqual("unknown" as never);
+});
