Batches: begun texts go on; models share a pool by their work

Change: texts of 25 events or more are kept every 1.5 s where a next owner finds them, and those of an ended batch for when its items come again. Parts of a pool follow the models' work.

Check changed: the pool's pressure now tells requests by model; the test expects that field too.

--- a/src/batches/archive.ts
+++ b/src/batches/archive.ts
@@ -20,6 +20,8 @@
   Fault,
   type Records,
 } from "../outside/mod.ts";
+import { draftsSchema } from "./drafts.ts";
+import { Generation } from "./generation.ts";
 import { End, type ItemResult, type Submission } from "./mod.ts";
 
 const log = logger("batches");
@@ -27,6 +29,7 @@
 const HEADS = "toucanwind/batches/heads/";
 const ITEMS = "toucanwind/batches/items/";
 const RESULTS = "toucanwind/batches/results/";
+const DRAFTS = "toucanwind/batches/drafts/";
 
 /** Most bytes of one value; the service takes a megabyte. */
 const MAX_VALUE_BYTES = 700_000;
@@ -248,6 +251,33 @@
     );
   }
 
+  /** Keeps texts that are not finished; only the present owner can. */
+  async draft(
+    { head, revision }: Versioned,
+    drafts: Readonly<Record<string, Generation>>,
+  ): Promise<boolean> {
+    const done = await this.#records.commit({
+      expected: [{ key: HEADS + head.id, revision }],
+      writes: [{ key: DRAFTS + head.id, value: JSON.stringify(drafts) }],
+    });
+    return done.ok && done.val.applied;
+  }
+
+  /** The texts that an earlier owner kept. */
+  async drafts(id: string): Promise<ReadonlyMap<string, Generation>> {
+    const found = await this.#records.get(DRAFTS + id);
+    if (found.err || isNone(found.val)) return new Map();
+    const parsed = draftsSchema.safeParse(JSON.parse(found.val.value.value));
+    if (!parsed.success) {
+      log("drafts unreadable", { id, reason: parsed.error.message });
+      return new Map();
+    }
+    return new Map(
+      Object.entries(parsed.data)
+        .map(([item, draft]) => [item, new Generation(draft)]),
+    );
+  }
+
   /** Ends a batch for good. */
   async end({ head, revision }: Versioned): Promise<Outcome> {
     const next = { ...head, ended: true, attempt: randomUUID() };
@@ -261,6 +291,7 @@
   async remove({ head, revision }: Versioned): Promise<void> {
     const keys = [
       HEADS + head.id,
+      DRAFTS + head.id,
       ...Array.from(
         { length: head.parts },
         (_, index) => `${ITEMS}${head.id}/${index}`,
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -39,6 +39,7 @@
   type Page,
   type Submission,
 } from "./mod.ts";
+import { draftName, Drafts } from "./drafts.ts";
 import { Paces } from "./paces.ts";
 import { Run } from "./run.ts";
 import { pageOf, type View, Views } from "./view.ts";
@@ -107,6 +108,7 @@
   readonly #runs = new Map<string, Run>();
   readonly #starting = new Set<string>();
   readonly #paces = new Map<string, Paces>();
+  readonly #drafts = new Drafts();
   readonly #stop = new AbortController();
   readonly #ended;
   #leaving = false;
@@ -154,6 +156,7 @@
     this.#leaving = true;
     const runs = [...this.#runs.values()];
     this.#runs.clear();
+    await Promise.all(runs.map((run) => run.keep()));
     await Promise.all(runs.map((run) => run.stop("leaving")));
     await Promise.all(runs.map(({ state }) => this.#pass(state.head)));
   }
@@ -343,6 +346,12 @@
     const { head } = owned.value;
     const route = this.#routeNamed(head.route);
     const results = await this.#archive.results(id, 0);
+    if (state.head.listed > 0 || state.head.run !== head.run) {
+      const drafts = await this.#archive.drafts(id);
+      for (const [item, draft] of drafts) {
+        this.#drafts.keep(draftName(head, item), draft);
+      }
+    }
     const submission = this.#views.get(id)?.submission ??
       await this.#items(head);
     if (route === undefined || results.err || submission === undefined) return;
@@ -354,6 +363,7 @@
       route,
       results: results.val.flat(),
       paces: (pool) => this.#pacesOf(pool),
+      drafts: this.#drafts,
     });
     if (this.#leaving) return;
     this.#runs.set(id, run);
--- a/src/batches/generation.ts
+++ b/src/batches/generation.ts
@@ -15,15 +15,24 @@
   readonly last: number | undefined;
   /** Versions that made an event, the oldest first. */
   readonly versions: readonly number[];
+  /** Whether the stream ended after its last event. */
+  readonly whole: boolean;
 
   constructor(options: {
     lines?: readonly string[];
     last?: number;
     versions?: readonly number[];
+    whole?: boolean;
   } = {}) {
     this.lines = options.lines ?? [];
     this.last = options.last;
     this.versions = options.versions ?? [];
+    this.whole = options.whole ?? false;
+  }
+
+  /** The generation, known to have no more events. */
+  ended(): Generation {
+    return new Generation({ ...this, whole: true });
   }
 
   /** Data of all events, one a line. */
--- a/src/batches/run.ts
+++ b/src/batches/run.ts
@@ -25,6 +25,7 @@
 import { fingerprintOf, isUnrun, outcomeOf } from "../relay/relay.ts";
 import { priorityOf } from "../tables/mod.ts";
 import { type Archive, Changed, type Versioned } from "./archive.ts";
+import { draftName, type Drafts } from "./drafts.ts";
 import { Generation } from "./generation.ts";
 import { End, type Item, type ItemResult, type Submission } from "./mod.ts";
 import type { Paces } from "./paces.ts";
@@ -53,6 +54,15 @@
 /** How far back an item goes that can't be in time any more. */
 const HOPELESS_MS = 30_000;
 
+/** How often texts that take long are kept. */
+const DRAFTS_MS = 1500;
+
+/** A text of fewer events is made again sooner than it is read. */
+const MIN_DRAFT_EVENTS = 25;
+
+/** Most bytes of a batch's drafts; one value of the service holds them. */
+const MAX_DRAFT_BYTES = 500_000;
+
 /** Slow upstreams that one item leaves: all may be slow in turn. */
 const MAX_MOVES = 3;
 
@@ -65,6 +75,8 @@
   readonly #submission: Submission;
   readonly #route: ExchangeRoute;
   readonly #paces: (pool: string) => Paces;
+  readonly #drafts: Drafts;
+  readonly #courses = new Map<string, ItemCourse>();
   readonly #abort = new AbortController();
   readonly #results: ItemResult[];
   readonly #finished: ItemResult[] = [];
@@ -85,6 +97,8 @@
     results: readonly ItemResult[];
     /** The paces of each pool's upstreams, shared by all runs. */
     paces: (pool: string) => Paces;
+    /** Texts that were begun before. */
+    drafts: Drafts;
   }) {
     this.#kernel = options.kernel;
     this.#dispatch = options.kernel.get(dispatchKey);
@@ -94,6 +108,7 @@
     this.#submission = options.submission;
     this.#route = options.route;
     this.#paces = options.paces;
+    this.#drafts = options.drafts;
     this.#results = [...options.results];
     // Every item of the batch listens.
     setMaxListeners(0, this.#abort.signal);
@@ -136,6 +151,7 @@
     });
     this.#done = Promise.all([
       this.#list(),
+      this.#keepDrafts(),
       ...items.map((item) => this.#item(item)),
     ]);
   }
@@ -148,6 +164,36 @@
     this.#wake();
     this.#tell();
     await this.#done;
+    for (const { item, generation } of this.#courses.values()) {
+      this.#drafts.keep(this.#draftOf(item.id), generation);
+    }
+  }
+
+  /** An item's name over all batches of its organisation. */
+  #draftOf(item: string): string {
+    return draftName(this.#submission, item);
+  }
+
+  /** Keeps the texts so far where a next owner finds them. */
+  async keep(): Promise<void> {
+    const drafts: Record<string, Generation> = {};
+    let bytes = 0;
+    for (const { item, generation } of this.#courses.values()) {
+      if (generation.lines.length < MIN_DRAFT_EVENTS) continue;
+      bytes += generation.text.length;
+      if (bytes > MAX_DRAFT_BYTES) break;
+      drafts[item.id] = generation;
+    }
+    if (bytes === 0) return;
+    const kept = await this.#archive.draft(this.#state, drafts);
+    log("drafts kept", { id: this.#submission.id, bytes, kept });
+  }
+
+  async #keepDrafts(): Promise<void> {
+    while (!this.#signal.aborted) {
+      await this.#kernel.clock.sleep(DRAFTS_MS, this.#signal);
+      if (!this.#signal.aborted) await this.keep();
+    }
   }
 
   /** Waits until more than `count` results are listed, or the run ends. */
@@ -183,8 +229,15 @@
       pool: drawPool(this.#route.exchange, Math.random()),
       now: this.#kernel.clock.now(),
     });
+    this.#courses.set(item.id, course);
+    const draft = this.#drafts.fitting(this.#draftOf(item.id), this.#terms);
+    course.generation = draft;
     let waitMs = RETRY_MS;
     while (!this.#signal.aborted) {
+      if (course.generation.whole) {
+        await this.#score(course);
+        return;
+      }
       const leftMs = this.#givesUpAt - this.#kernel.clock.wall();
       if (leftMs <= 0) return this.#giveUp(course, "retention");
       const permit = await this.#dispatch.acquire(
@@ -204,7 +257,7 @@
       const lost = await this.#generate(course, permit.val);
       if (this.#signal.aborted) return;
       if (lost === undefined) {
-        if (await this.#score(course)) return;
+        course.generation = course.generation.ended();
         continue;
       }
       if (lost.loss === Loss.Impossible) return this.#giveUp(course, lost.loss);
@@ -286,8 +339,8 @@
     };
   }
 
-  /** Has a whole text scored; answers whether the item has ended. */
-  async #score(course: ItemCourse): Promise<boolean> {
+  /** Has a whole text scored, until that is done or can't be. */
+  async #score(course: ItemCourse): Promise<void> {
     const { item, generation } = course;
     const { reward } = item;
     if (reward === undefined) {
@@ -297,14 +350,14 @@
         text: generation.text,
         versions: generation.versions,
       });
-      return true;
+      return;
     }
     let failures = 0;
     while (!this.#signal.aborted) {
       const route = this.#relay.route(reward.host, reward.path);
       if (this.#givesUpAt <= this.#kernel.clock.wall()) {
         this.#giveUp(course, "retention");
-        return true;
+        return;
       }
       if (isNone(route)) {
         await this.#kernel.clock.sleep(MAX_RETRY_MS, this.#signal);
@@ -321,7 +374,7 @@
         body: Buffer.from(reward.body, "base64"),
         remainingMs: REWARD_MS,
       }, this.#signal);
-      if (this.#signal.aborted) return true;
+      if (this.#signal.aborted) return;
       const { answer: scored } = served;
       const answer = scored.ok ? scored.val : undefined;
       if (answer?.seal !== undefined && answer.status < 300) {
@@ -333,16 +386,15 @@
           versions: generation.versions,
           score: answer.seal,
         });
-        return true;
+        return;
       }
       failures += served.failures;
       if (failures >= route.value.exchange.maxAttempts) {
         this.#giveUp(course, "reward failed");
-        return true;
+        return;
       }
       await this.#kernel.clock.sleep(RETRY_MS, this.#signal);
     }
-    return true;
   }
 
   /** Logs what an item's text took. */
@@ -369,6 +421,8 @@
   }
 
   #finish(result: ItemResult): void {
+    this.#courses.delete(result.id);
+    this.#drafts.drop(this.#draftOf(result.id));
     if (this.#finished.length === 0) {
       this.#gatheredAt = this.#kernel.clock.now();
     }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -444,9 +444,21 @@
     queued: a.queued + b.queued,
     urgent: a.urgent + b.urgent,
     slots: a.slots + b.slots,
+    models: summed(a.models ?? {}, b.models ?? {}),
   };
 }
 
+function summed(
+  a: Readonly<Record<string, number>>,
+  b: Readonly<Record<string, number>>,
+): Readonly<Record<string, number>> {
+  const sums: Record<string, number> = { ...a };
+  for (const [name, count] of Object.entries(b)) {
+    sums[name] = (sums[name] ?? 0) + count;
+  }
+  return sums;
+}
+
 register({
   key: dispatchKey,
   requires: [peersKey, configKey],
--- a/src/dispatch/dispatcher_test.ts
+++ b/src/dispatch/dispatcher_test.ts
@@ -117,5 +117,11 @@
     void two.acquire(demand({ remainingMs: 200 }), idle);
     await pause(20);
     const pressure = await one.pressure("lm");
-    expect(pressure).toEqual({ running: 2, queued: 1, urgent: 1, slots: 2 });
+    expect(pressure).toEqual({
+      running: 2,
+      queued: 1,
+      urgent: 1,
+      slots: 2,
+      models: {},
+    });
   }));
--- a/src/dispatch/keeper.ts
+++ b/src/dispatch/keeper.ts
@@ -297,6 +297,10 @@
       queued: waiting.length,
       urgent: urgent.length,
       slots: this.#slots(),
+      models: countsOf([
+        ...waiting.map(({ demand }) => demand),
+        ...[...this.#permits.all()].map(({ demand }) => demand),
+      ]),
     };
   }
 
@@ -563,6 +567,17 @@
   }
 }
 
+/** Requests by model; those that name none are left out. */
+function countsOf(
+  demands: readonly Demand[],
+): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const { model } of demands) {
+    if (model !== undefined) counts[model] = (counts[model] ?? 0) + 1;
+  }
+  return counts;
+}
+
 /** Free slots of an upstream. */
 function room({ upstream, inFlight, foreign, load }: Candidate): number {
   const slots = load === undefined || load.slots === 0
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -156,6 +156,7 @@
   queued: z.number(),
   urgent: z.number(),
   slots: z.number(),
+  models: z.record(z.string(), z.number()).optional(),
 });
 
 /** What daemons gossip of each shard. */
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -104,6 +104,8 @@
   /** Queued work that is interactive or standard. */
   readonly urgent: number;
   readonly slots: number;
+  /** Requests that run or wait, by model. */
+  readonly models?: Readonly<Record<string, number>>;
 }
 
 /** The key of the dispatch plug-in. */
--- a/src/orders/assignment.ts
+++ b/src/orders/assignment.ts
@@ -12,23 +12,33 @@
   readonly versions: Readonly<Record<string, number>>;
 }
 
+/** A model's part of a pool changes only by more than this of an upstream. */
+const HYSTERESIS = 0.8;
+
+/** Least weight of a model against the heaviest one. */
+const LEAST_WEIGHT = 0.2;
+
 /**
- * The upstreams that follow each model, alike in number. An upstream stays
- * with the model of which it has the newest version, so that any daemon that
- * looks comes to the same parts.
+ * The upstreams that follow each model, in number by the models' weights. An
+ * upstream stays with the model of which it has the newest version, so that
+ * any daemon that looks comes to the same parts.
  */
 export function assign(
   upstreams: readonly Follower[],
   models: readonly string[],
+  weights: Readonly<Record<string, number>> = {},
 ): ReadonlyMap<string, readonly string[]> {
   if (models.length <= 1 || upstreams.length < models.length) {
     const all = upstreams.map(({ id }) => id);
     return new Map(models.map((model) => [model, all]));
   }
+  const sizes = sizesOf(upstreams, models, weights);
   const parts = new Map(models.map((model) => [model, [] as string[]]));
   let left = [...upstreams].sort((a, b) => a.id < b.id ? -1 : 1);
-  for (let turn = 0; left.length > 0; turn++) {
-    const model = models[turn % models.length];
+  while (left.length > 0) {
+    const model = models.reduce((best, one) =>
+      filled(parts, sizes, one) < filled(parts, sizes, best) ? one : best
+    );
     const next = left.reduce((best, one) =>
       lead(one, model, models) > lead(best, model, models) ? one : best
     );
@@ -38,6 +48,45 @@
   return parts;
 }
 
+/** How much of a model's part is there, from 0 to 1. */
+function filled(
+  parts: ReadonlyMap<string, readonly string[]>,
+  sizes: ReadonlyMap<string, number>,
+  model: string,
+): number {
+  return (parts.get(model)?.length ?? 0) / (sizes.get(model) ?? 1);
+}
+
+/** Whole numbers of upstreams, one at least, near what the weights ask for. */
+function sizesOf(
+  upstreams: readonly Follower[],
+  models: readonly string[],
+  weights: Readonly<Record<string, number>>,
+): ReadonlyMap<string, number> {
+  const heaviest = Math.max(...models.map((model) => weights[model] ?? 0), 0);
+  const weightOf = (model: string) =>
+    heaviest === 0 ? 1 : Math.max(weights[model] ?? 0, heaviest * LEAST_WEIGHT);
+  const total = models.reduce((sum, model) => sum + weightOf(model), 0);
+  const count = upstreams.length;
+  const sizes = new Map<string, number>();
+  for (const model of models) {
+    const exact = count * weightOf(model) / total;
+    const now = followers(upstreams, model, models);
+    const kept = now > 0 && Math.abs(now - exact) < HYSTERESIS;
+    sizes.set(model, kept ? now : Math.max(1, Math.round(exact)));
+  }
+  return sizes;
+}
+
+/** Upstreams that are further with this model than with any other. */
+function followers(
+  upstreams: readonly Follower[],
+  model: string,
+  models: readonly string[],
+): number {
+  return upstreams.filter((one) => lead(one, model, models) > 0).length;
+}
+
 /** How much further an upstream is with a model than with the others. */
 function lead(
   { versions }: Follower,
--- a/src/orders/swapping.ts
+++ b/src/orders/swapping.ts
@@ -18,6 +18,9 @@
 
 /** How often the weight store is asked for a model's newest version. */
 const LATEST_MS = 500;
+/** How often the models' work is looked at, and what the newest look counts. */
+const WEIGH_MS = 500;
+const NEWEST_WEIGHT = 0.04;
 /** What an engine itself told goes before what its keeper told this long. */
 const TOLD_MS = 5000;
 
@@ -47,6 +50,9 @@
   readonly #told = new Map<string, Told>();
   /** Calls to engines that weren't answered yet, by upstream. */
   readonly #asked = new Map<string, Promise<unknown>>();
+  /** Requests that ran or waited lately, by model. */
+  readonly #weights = new Map<string, number>();
+  #weighedAt = -Infinity;
   #latest: ReadonlyMap<string, number> = new Map();
   #vms: readonly Vm[] = [];
   #askedAt = -Infinity;
@@ -70,7 +76,7 @@
     const tables = toUndefined(this.#config.current())?.tables;
     if (tables === undefined || !this.#config.fresh()) return;
     const lines = tables.pools.flatMap(linesOf);
-    await Promise.all([this.#look(lines), this.#list()]);
+    await Promise.all([this.#look(lines), this.#list(), this.#weigh(lines)]);
     for (const line of lines) this.#line(line);
   }
 
@@ -136,6 +142,25 @@
     }
   }
 
+  /** Follows how much work each of several models has. */
+  async #weigh(lines: readonly Line[]): Promise<void> {
+    const now = this.#clock.now();
+    if (now - this.#weighedAt < WEIGH_MS) return;
+    this.#weighedAt = now;
+    const pools = new Set(
+      lines.filter(({ pool }) => linesOf(pool).length > 1)
+        .map(({ pool }) => pool.name),
+    );
+    for (const pool of pools) {
+      const { models = {} } = await this.#dispatch.pressure(pool);
+      for (const { model } of lines.filter((line) => line.pool.name === pool)) {
+        const before = this.#weights.get(model) ?? 0;
+        const count = models[model] ?? 0;
+        this.#weights.set(model, before + (count - before) * NEWEST_WEIGHT);
+      }
+    }
+  }
+
   /** The live upstreams that follow the line's model. */
   #following({ pool, model }: Line): readonly Vm[] {
     const vms = this.#vms.filter((vm) =>
@@ -151,6 +176,7 @@
         ),
       })),
       models,
+      Object.fromEntries(this.#weights),
     );
     const part = new Set(parts.get(model));
     return vms.filter(({ id }) => part.has(id));
