--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -478,8 +478,8 @@
     if (isNone(found.val)) {
       return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
     }
-    const view = { head: found.val.value.head, results: [], chunks: 0 };
-    const full = await this.#refresh(view);
+    const { head } = found.val.value;
+    const full = await this.#complete({ head, results: [], chunks: 0 }, head);
     return full === undefined
       ? Err(refuse(Verdict.NotRun, Reason.PlatformDown))
       : Ok(full);
@@ -543,11 +543,15 @@
     const { id } = view.head;
     const found = await this.#archive.head(id);
     if (found.err || isNone(found.val)) return undefined;
-    const { head } = found.val.value;
+    return await this.#complete(view, found.val.value.head);
+  }
+
+  /** A view with all results that the head tells of. */
+  async #complete(view: View, head: Head): Promise<View | undefined> {
     if (head.listed <= view.results.length) {
       return this.#views.put({ ...view, head });
     }
-    const chunks = await this.#archive.results(id, 0);
+    const chunks = await this.#archive.results(head.id, 0);
     if (chunks.err) return undefined;
     return this.#views.put({
       head,
