--- a/src/cli/mod.ts
+++ b/src/cli/mod.ts
@@ -5,6 +5,7 @@
  */
 
 import { Builtins, Cli } from "clipanion";
+import { Explain } from "./explain_command.ts";
 import { GrantKey, NewKey, WithdrawKey } from "./key_commands.ts";
 import type { Context } from "./operation.ts";
 import { InForce, Status } from "./status_commands.ts";
@@ -42,7 +43,7 @@
   });
   const commands = [
     ...[Validate, Diff, Apply, Show, History, Rollback, Outcome],
-    ...[NewKey, GrantKey, WithdrawKey, Status, InForce],
+    ...[NewKey, GrantKey, WithdrawKey, Status, InForce, Explain],
     ...[Builtins.HelpCommand, Builtins.VersionCommand],
   ];
   for (const command of commands) cli.register(command);
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -14,6 +14,8 @@
   readonly http: Listener;
   /** Where the platform asks whether callers may come, if it does. */
   readonly readiness?: Listener;
+  /** Where metrics are served, if apart from callers. */
+  readonly metrics?: Listener;
   /** Where other daemons connect. */
   readonly peer: Listener;
   /** Shared by all daemons; proves membership. */
