--- /dev/null
+++ b/soak/run.ts
@@ -0,0 +1,35 @@
+/**
+ * Runs seeds of the soak, one after the other:
+ * `node dist/soak/run.js --from 1 --count 5 [--seconds 12] [--faults 6]
+ * [--daemons 3]`. Exits with 1 if any promise was broken.
+ *
+ * @module
+ */
+
+import { parseArgs } from "node:util";
+import { drawPlan } from "./plan.ts";
+import { Soak } from "./soak.ts";
+
+async function main(): Promise<void> {
+  const { values } = parseArgs({
+    options: {
+      from: { type: "string", default: "1" },
+      count: { type: "string", default: "1" },
+      seconds: { type: "string", default: "12" },
+      faults: { type: "string", default: "6" },
+      daemons: { type: "string", default: "3" },
+    },
+  });
+  const runMs = Number(values.seconds) * 1000;
+  const first = Number(values.from);
+  for (let seed = first; seed < first + Number(values.count); seed++) {
+    const plan = drawPlan({ seed, count: Number(values.faults), runMs });
+    const soak = new Soak({ daemons: Number(values.daemons) });
+    const { violations, ...outcome } = await soak.run(plan, runMs);
+    const kinds = plan.map(({ kind }) => kind);
+    console.log(JSON.stringify({ seed, ...outcome, kinds, violations }));
+    if (violations.length > 0) process.exitCode = 1;
+  }
+}
+
+void main().then(() => process.exit());
--- /dev/null
+++ b/soak/workload.ts
@@ -0,0 +1,202 @@
+/**
+ * Callers and trainers, who write down what they were told.
+ *
+ * @module
+ */
+
+import { Agent, request as send } from "node:http";
+import { once } from "node:events";
+import { batch, KEY } from "../platform/fixture_test.ts";
+import type { Daemon } from "./daemons.ts";
+
+/** What one attempt was told; a status of 0 is no answer. */
+export interface Told {
+  readonly id: string;
+  readonly path: string;
+  readonly status: number;
+  readonly body: string;
+  readonly seal: string | undefined;
+  readonly at: number;
+}
+
+/** What a reader saw at a position. */
+export interface Seen {
+  readonly batch: string;
+  readonly position: number;
+  readonly result: string;
+  readonly total: number;
+  readonly at: number;
+}
+
+/** What a trainer knows of its batch. */
+export interface Submitted {
+  readonly id: string;
+  readonly items: readonly string[];
+  accepted: boolean;
+  /** Whether an attempt got no answer that promises anything. */
+  unsure: boolean;
+}
+
+const CALLERS = 6;
+const TRAINERS = 2;
+const READ_MS = 250;
+const ATTEMPTS = 40;
+
+/** All callers of one run. */
+export class Workload {
+  readonly told: Told[] = [];
+  readonly seen: Seen[] = [];
+  readonly batches: Submitted[] = [];
+  /** Answers of 404 to readers of an accepted batch. */
+  readonly missing: string[] = [];
+  readonly #daemons: readonly Daemon[];
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 64 });
+  #count = 0;
+  #stopped = false;
+  #tasks: readonly Promise<void>[] = [];
+
+  constructor(options: { daemons: readonly Daemon[] }) {
+    this.#daemons = options.daemons;
+  }
+
+  start(): void {
+    this.#tasks = [
+      ...Array.from({ length: CALLERS }, () => this.#caller()),
+      ...Array.from({ length: TRAINERS }, () => this.#trainer()),
+    ];
+  }
+
+  /** Ends new work; batches are read to their end. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    await Promise.all(this.#tasks);
+    this.#agent.destroy();
+  }
+
+  /** One attempt at a daemon. */
+  async attempt(daemon: Daemon, options: {
+    id: string;
+    method?: string;
+    path: string;
+    body?: string;
+    kept?: boolean;
+    waitMs?: number;
+  }): Promise<Told> {
+    const { id, path, method = "POST", body = "" } = options;
+    const [host, port] = daemon.front.split(":");
+    const abort = AbortSignal.timeout(4000);
+    try {
+      const message = send({
+        host,
+        port,
+        method,
+        path,
+        agent: options.kept ? this.#agent : false,
+        signal: abort,
+        headers: {
+          host: "shop.example",
+          "x-request-id": id,
+          "x-deadline-ms": "1500",
+          "x-api-key": KEY,
+          "x-wait-ms": `${options.waitMs ?? 0}`,
+        },
+      });
+      message.on("error", () => {});
+      message.end(body);
+      const [response] = await once(message, "response");
+      const parts: Buffer[] = [];
+      for await (const part of response) parts.push(part);
+      return {
+        id,
+        path,
+        status: response.statusCode,
+        body: Buffer.concat(parts).toString(),
+        seal: response.headers["x-response-seal"],
+        at: Date.now(),
+      };
+    } catch {
+      // No whole answer: the attempt promises nothing.
+      return { id, path, status: 0, body: "", seal: undefined, at: Date.now() };
+    }
+  }
+
+  #any(): Daemon {
+    return this.#daemons[Math.floor(Math.random() * this.#daemons.length)];
+  }
+
+  async #caller(): Promise<void> {
+    while (!this.#stopped) {
+      this.#count += 1;
+      const kind = this.#count % 3 === 0 ? "orders" : "lots";
+      const id = `${kind}-${this.#count}`;
+      const kept = this.#count % 2 === 0;
+      this.told.push(
+        await this.attempt(this.#any(), { id, path: `/${kind}/${id}`, kept }),
+      );
+      await sleep(30);
+    }
+  }
+
+  async #trainer(): Promise<void> {
+    while (!this.#stopped) {
+      this.#count += 1;
+      const id = `batch-${this.#count}`;
+      const items = Array.from({ length: 6 }, (_, n) => `${id}.${n}`);
+      const submitted = { id, items, accepted: false, unsure: false };
+      this.batches.push(submitted);
+      await this.#submit(submitted);
+      if (submitted.accepted) await this.#read(submitted);
+      await sleep(200);
+    }
+  }
+
+  async #submit(submitted: Submitted): Promise<void> {
+    const body = batch({ items: submitted.items });
+    const path = "/rollouts/";
+    for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+      const { id } = submitted;
+      const told = await this.attempt(this.#any(), { id, path, body });
+      if (told.status === 202) submitted.accepted = true;
+      if (told.status === 202) return;
+      if (told.status !== 503 && told.status !== 429) submitted.unsure = true;
+      await sleep(150);
+    }
+  }
+
+  /** Reads a batch at changing daemons until it is whole. */
+  async #read({ id, items }: Submitted): Promise<void> {
+    let after = 0;
+    const endsAt = Date.now() + 40_000;
+    while (after < items.length && Date.now() < endsAt) {
+      after = Math.max(after, await this.look(this.#any(), { id, after }));
+      await sleep(READ_MS);
+    }
+  }
+
+  /** Reads from a position once; answers with the next one. */
+  async look(
+    daemon: Daemon,
+    { id, after }: { id: string; after: number },
+  ): Promise<number> {
+    const path = `/-/lots/${id}?after=${after}`;
+    const read = { id: `read-${id}`, method: "GET", path, waitMs: 300 };
+    const told = await this.attempt(daemon, read);
+    if (told.status === 404) this.missing.push(`${id} at ${daemon.node}`);
+    if (told.status !== 200) return after;
+    const page = JSON.parse(told.body);
+    for (const [index, result] of page.results.entries()) {
+      this.seen.push({
+        batch: id,
+        position: after + index,
+        result: JSON.stringify(result),
+        total: page.total,
+        at: told.at,
+      });
+    }
+    return page.next;
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/stand_ins/relay.ts
+++ b/stand_ins/relay.ts
@@ -1,6 +1,6 @@
 /**
- * A relay in front of a TCP server that cuts its connections or lets them go
- * silent, as something between two ends may.
+ * A relay in front of a TCP server that cuts its connections, delays them or
+ * lets them go silent, as something between two ends may.
  *
  * @module
  */
@@ -13,11 +13,24 @@
   readonly far: Socket;
 }
 
+/** What becomes of bytes. */
+export enum Passage {
+  Open = "open",
+  /** Nothing passes, on new connections either; none is closed. */
+  Silent = "silent",
+  /** What the server answers is lost. */
+  OneWay = "one_way",
+}
+
 /** A running relay. */
 export class Relay {
+  passage = Passage.Open;
+  /** Time by which bytes are late, in milliseconds. */
+  delayMs = 0;
   readonly #server = createServer((near) => this.#accept(near));
   readonly #target: { host: string; port: number };
   readonly #pairs = new Set<Pair>();
+  readonly #silenced = new WeakSet<Socket>();
   #cut = false;
 
   constructor(options: { host: string; port: number }) {
@@ -34,21 +47,27 @@
   /** Breaks all connections and makes new ones fail, until `heal`. */
   cut(): void {
     this.#cut = true;
+    this.reset();
+  }
+
+  /** Breaks all connections; new ones work. */
+  reset(): void {
     for (const pair of this.#pairs) this.#drop(pair);
   }
 
-  /** Lets new connections through again. */
+  /** Lets new connections through again, and bytes pass at once. */
   heal(): void {
     this.#cut = false;
+    this.delayMs = 0;
+    // What was lost on the way doesn't come back: these stay silent.
+    if (this.passage !== Passage.Open) this.silence();
+    this.passage = Passage.Open;
   }
 
   /** Lets open connections go silent for good; new ones work. */
   silence(): void {
     for (const { near, far } of this.#pairs) {
-      near.unpipe(far);
-      far.unpipe(near);
-      near.pause();
-      far.pause();
+      this.#silenced.add(near).add(far);
     }
   }
 
@@ -73,8 +92,18 @@
       socket.on("error", () => this.#drop(pair));
       socket.on("close", () => this.#drop(pair));
     }
-    near.pipe(far);
-    far.pipe(near);
+    this.#join(near, far, () => this.passage !== Passage.Silent);
+    this.#join(far, near, () => this.passage === Passage.Open);
+  }
+
+  #join(from: Socket, to: Socket, passes: () => boolean): void {
+    const pass = (step: () => void) => {
+      if (this.#silenced.has(from) || !passes()) return;
+      if (this.delayMs === 0) step();
+      else setTimeout(step, this.delayMs);
+    };
+    from.on("data", (bytes) => pass(() => to.write(bytes)));
+    from.on("end", () => pass(() => to.end()));
   }
 
   #drop(pair: Pair): void {
--- a/stand_ins/site.ts
+++ b/stand_ins/site.ts
@@ -24,6 +24,16 @@
   readonly organisation: string | undefined;
   readonly fields: Readonly<Record<string, string>>;
   readonly body: string;
+  /** Unix milliseconds. */
+  readonly at: number;
+}
+
+/** An event that an engine made. */
+export interface Made {
+  readonly id: string;
+  readonly number: number;
+  readonly version: number;
+  readonly at: number;
 }
 
 /** What an upstream does with a request. */
@@ -48,7 +58,15 @@
   readonly id: string;
   readonly service: string;
   readonly ran: Ran[] = [];
-  readonly orders: { model: string; version: number; fence: number }[] = [];
+  readonly made: Made[] = [];
+  readonly orders: {
+    model: string;
+    version: number;
+    fence: number;
+    holder: string;
+  }[] = [];
+  /** Address that it is listed under; its own if empty. */
+  listed = "";
   /** What happens to the next request. */
   manner: (ran: Ran) => Manner = () => Manner.Serve;
   /** Events of a streamed answer. */
@@ -78,7 +96,7 @@
       .map(([name, version]) => ({ name, version, adapters: [] }));
     return JSON.stringify({
       service: this.service,
-      address: this.address,
+      address: this.listed === "" ? this.address : this.listed,
       zone: "a",
       version: "v1",
       slots: 4,
@@ -117,6 +135,7 @@
       organisation: message.headers["x-tenant"] as string | undefined,
       fields: message.headers as Record<string, string>,
       body,
+      at: Date.now(),
     };
     const manner = this.manner(ran);
     if (manner === Manner.Refuse) {
@@ -143,16 +162,22 @@
     response: ServerResponse;
     head: Record<string, string>;
   }): Promise<void> {
-    const version = this.versions[ran.fields["x-model"]] ?? 0;
+    const version = () => this.versions[ran.fields["x-model"]] ?? 0;
+    let told = version();
     response.writeHead(200, {
       ...head,
       "content-type": "text/event-stream",
-      "x-weight-versions": `${version}`,
+      "x-weight-versions": `${told}`,
     });
     const after = Number(ran.fields["last-event-id"] ?? 0);
     for (let number = after + 1; number <= this.events; number++) {
       if (response.destroyed) return;
-      const event = `id: ${number}\ndata: ${ran.id}.${number}\n\n`;
+      const swapped = version() === told
+        ? ""
+        : `x-weight-versions: ${version()}\n`;
+      told = version();
+      const event = `${swapped}id: ${number}\ndata: ${ran.id}.${number}\n\n`;
+      this.made.push({ id: ran.id, number, version: told, at: Date.now() });
       if (manner === Manner.Break && number === after + 2) {
         response.write(event.slice(0, 9));
         await sleep(this.eventMs);
@@ -195,7 +220,12 @@
 /** The platform: its store, its desk, and the upstreams on it. */
 export class Site {
   readonly records = new MemoryRecords();
-  readonly reports: { window: number; holder: string; fence: string }[] = [];
+  readonly reports: {
+    window: number;
+    holder: string;
+    fence: string;
+    counts: Record<string, number>;
+  }[] = [];
   readonly scaled: Record<string, unknown>[] = [];
   readonly #upstreams: SiteUpstream[] = [];
   readonly #server = createServer((message, response) =>
