--- a/stand_ins/relay.ts
+++ b/stand_ins/relay.ts
@@ -96,11 +96,15 @@
     this.#join(far, near, () => this.passage === Passage.Open);
   }
 
+  /** Passes bytes on in their order, however late each of them is. */
   #join(from: Socket, to: Socket, passes: () => boolean): void {
+    let last = Promise.resolve();
     const pass = (step: () => void) => {
       if (this.#silenced.has(from) || !passes()) return;
-      if (this.delayMs === 0) step();
-      else setTimeout(step, this.delayMs);
+      const late = this.delayMs === 0
+        ? last
+        : Promise.all([last, sleep(this.delayMs)]);
+      last = late.then(step);
     };
     from.on("data", (bytes) => pass(() => to.write(bytes)));
     from.on("end", () => pass(() => to.end()));
@@ -112,3 +116,7 @@
     pair.far.destroy();
   }
 }
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
