Fewer looks: four watchers of the configuration, two looks a lease at a charge; a lone view is rescued at 1.5 s

On a platform where keys work on any view, a daemon whose watchers are all cut off would never have asked by itself.

--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -37,7 +37,7 @@
 const log = logger("config");
 
 /** Daemons that ask the platform; the others rely on them. */
-const WATCHERS = 8;
+const WATCHERS = 4;
 const READ_MS = 500;
 /** Part of the bound on age after which a watcher reads. */
 const READ_AGE = 0.2;
@@ -52,6 +52,8 @@
 const RESCUERS = 16;
 /** Part of the bound on age at which a daemon asks the platform itself. */
 const RESCUE_AGE = 0.6;
+/** Where any age will do for keys, edits must come into force all the same. */
+const MAX_RESCUE_MS = 1500;
 /** A gain in freshness worth telling at once. */
 const TELL_MS = 400;
 /** A revision that could not be used is not fetched again for so long. */
@@ -310,7 +312,8 @@
   // Whether a daemon that hears nothing current asks the platform itself.
   #rescues(): boolean {
     const { freshnessMs } = this.#kernel.settings.timing;
-    if (this.ageMs() < RESCUE_AGE * freshnessMs) return false;
+    const rescueMs = Math.min(RESCUE_AGE * freshnessMs, MAX_RESCUE_MS);
+    if (this.ageMs() < rescueMs) return false;
     const perTurn = RESCUERS * READ_MS / 1000;
     return Math.random() < perTurn / this.#vms().length;
   }
--- a/src/orders/charge.ts
+++ b/src/orders/charge.ts
@@ -22,9 +22,12 @@
 
 const log = logger("charge");
 
-/** Renewals and looks at the holder's value within one lease. */
+/** Renewals within one lease. */
 const BEATS_PER_LEASE = 4;
 
+/** Looks at another holder's value within one lease. */
+const LOOKS_PER_LEASE = 2;
+
 /** Daemons that look at a charge which another one holds. */
 const CANDIDATES = 3;
 
@@ -170,7 +173,8 @@
   async #acquire(signal: AbortSignal): Promise<Option<number>> {
     let seen = { revision: -1, at: 0 };
     let seenTerm = { term: -1, at: 0 };
-    for (; !signal.aborted; await this.#clock.sleep(this.#beatMs(), signal)) {
+    const lookMs = this.#leaseMs / LOOKS_PER_LEASE;
+    for (; !signal.aborted; await this.#clock.sleep(lookMs, signal)) {
       if (!this.#candidate()) continue;
       const found = await this.#keyValue.get(this.#key());
       if (found.err || signal.aborted) continue;
