Directory: what lapsed in an outage is kept by whoever is told first, too

Ruled out: an end of the hold (0.2 s after the return).

Change: a list that was too old when a newer one came counts as an outage, read or heard, and what is heard is held like what is read. The first test looked only once in 1.9 s, which now is an outage; it looks each 500 ms.

--- a/src/outside/held_directory.ts
+++ b/src/outside/held_directory.ts
@@ -78,8 +78,10 @@
   /** Takes in a list that another daemon read, unless it is an older one. */
   hear({ vms, revision, ageMs }: AgedListing): void {
     if (revision < this.#listing.revision) return;
-    const currentAt = this.#clock.now() - ageMs;
-    this.#take({ vms, revision }, Math.max(currentAt, this.#currentAt));
+    const now = this.#clock.now();
+    this.#noteOutage(now);
+    const currentAt = Math.max(now - ageMs, this.#currentAt);
+    this.#take(this.#held({ vms, revision }, now), currentAt);
   }
 
   /** Another daemon has the same list, and it was current `ageMs` ago. */
@@ -101,20 +103,28 @@
       this.#reachable = false;
       return read;
     }
-    const away = !this.#reachable;
-    if (away) log("regained", { listed: read.val.vms.length });
+    if (!this.#reachable) log("regained", { listed: read.val.vms.length });
     this.#reachable = true;
     if (read.val.revision < this.#listing.revision) {
       return Ok(this.#listing.vms);
     }
     const now = this.#clock.now();
-    const known = this.#currentAt > -Infinity;
-    const old = now - this.#currentAt > OUTAGE_MS;
-    if (away && known && old) this.#returnedAt = now;
+    this.#noteOutage(now);
     this.#take(this.#held(read.val, now), askedAt);
     return Ok(this.#listing.vms);
   }
 
+  /**
+   * A list that nobody could renew for so long may have lost entries; whether
+   * this daemon reads the first one after that or is told it.
+   */
+  #noteOutage(now: number): void {
+    const known = this.#currentAt > -Infinity;
+    if (!known || now - this.#currentAt <= OUTAGE_MS) return;
+    this.#returnedAt = now;
+    log("outage over", { ageMs: Math.round(now - this.#currentAt) });
+  }
+
   /** The list with upstreams that may yet come back after an outage. */
   #held(listing: Listing, now: number): Listing {
     if (now - this.#returnedAt >= this.#returnMs) return listing;
--- a/src/outside/held_directory_test.ts
+++ b/src/outside/held_directory_test.ts
@@ -85,12 +85,29 @@
   source.listing = { vms: [upstream("a")], revision: 2 };
   clock.advance(500);
   expect(await ids()).toEqual(["a", "b"]);
-  clock.advance(1900);
-  expect(await ids()).toEqual(["a", "b"]);
+  for (let n = 0; n < 3; n++) {
+    clock.advance(500);
+    expect(await ids()).toEqual(["a", "b"]);
+  }
   clock.advance(500);
   expect(await ids()).toEqual(["a"]);
 });
 
+test("a list that was heard first doesn't end what lapsed", async () => {
+  const { clock, source, held, ids } = directory();
+  source.listing = { vms: [upstream("a"), upstream("b")], revision: 1 };
+  await ids();
+  source.listing = undefined;
+  clock.advance(3000);
+  await ids();
+  held.hear({ vms: [upstream("a"), upstream("b")], revision: 2, ageMs: 0 });
+  source.listing = { vms: [upstream("a")], revision: 3 };
+  clock.advance(500);
+  expect(await ids()).toEqual(["a", "b"]);
+  held.hear({ vms: [upstream("a")], revision: 4, ageMs: 0 });
+  expect(await ids()).toEqual(["a", "b"]);
+});
+
 test("without an outage a missing upstream is gone at once", async () => {
   const { clock, source, ids } = directory();
   source.listing = { vms: [upstream("a"), upstream("b")], revision: 1 };
