--- a/src/batches/run.ts
+++ b/src/batches/run.ts
@@ -206,12 +206,12 @@
     const listener = () => {
       if (this.#results.length > count || !this.running) done.abort();
     };
+    const end = () => done.abort();
     this.#listeners.add(listener);
-    options.signal?.addEventListener("abort", () => done.abort(), {
-      once: true,
-    });
+    options.signal?.addEventListener("abort", end, { once: true });
     await this.#kernel.clock.sleep(options.waitMs, done.signal);
     this.#listeners.delete(listener);
+    options.signal?.removeEventListener("abort", end);
   }
 
   get #signal(): AbortSignal {
