--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -295,19 +295,22 @@
   }
 
   async #tellOwner(head: Head): Promise<void> {
-    const { id, ended } = head;
-    await this.#peers.ask(this.#runnerOf(head), Message.Own, { id, ended }, {
+    await this.#tell(this.#runnerOf(head), head);
+  }
+
+  /** What isn't told now is told again by the scanners. */
+  async #tell(vm: string, { id, ended }: Head): Promise<void> {
+    const told = await this.#peers.ask(vm, Message.Own, { id, ended }, {
       timeoutMs: OWN_TIMEOUT_MS,
     });
+    if (told.err) log("owner not told", { id, vm, ended, ...told.val });
   }
 
   async #pass(head: Head): Promise<void> {
     const next = this.#peers.ranked(`batches/${head.route}`)
       .find(({ vm }) => vm !== this.#peers.self.vm);
     if (next === undefined || head.ended) return;
-    await this.#peers.ask(next.vm, Message.Own, { id: head.id, ended: false }, {
-      timeoutMs: OWN_TIMEOUT_MS,
-    });
+    await this.#tell(next.vm, head);
   }
 
   // Running
