--- a/src/kernel/mod.ts
+++ b/src/kernel/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export { Clock, ManualClock, SystemClock } from "./clock.ts";
+export { parseJson } from "./json.ts";
 export { Kernel } from "./kernel.ts";
 export { type Log, logger, logTo, type Sink } from "./log.ts";
 export {
--- a/src/orders/charge.ts
+++ b/src/orders/charge.ts
@@ -15,7 +15,7 @@
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import { z } from "zod";
-import { type Clock, logger } from "../kernel/mod.ts";
+import { type Clock, logger, parseJson } from "../kernel/mod.ts";
 import type { Peers } from "../peers/mod.ts";
 import { expireWith } from "../outside/expiry.ts";
 import { type Entry, Fault, type KeyValue } from "../outside/mod.ts";
@@ -417,15 +417,6 @@
 
 function holdingOf(entry: Option<Entry>): Holding | undefined {
   if (isNone(entry)) return undefined;
-  const holding = holdingSchema.safeParse(parse(entry.value.value));
+  const holding = holdingSchema.safeParse(parseJson(entry.value.value));
   return holding.success ? holding.data : FOREIGN;
 }
-
-function parse(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    // Not a charge: the schema refuses it.
-    return undefined;
-  }
-}
--- a/src/outside/http_endpoint.ts
+++ b/src/outside/http_endpoint.ts
@@ -10,6 +10,7 @@
 import type { Readable } from "node:stream";
 import { buildConnector, errors, Pool } from "undici";
 import type { ZodType } from "zod";
+import { parseJson } from "../kernel/mod.ts";
 import { isExpired } from "./expiry.ts";
 import { type Failure, Fault } from "./mod.ts";
 
@@ -58,7 +59,7 @@
     if (reply.err) return reply;
     const { status, text } = reply.val;
     if (status !== 200) return Err(refusal(status, text));
-    const answer = call.answer.safeParse(json(text));
+    const answer = call.answer.safeParse(parseJson(text));
     if (answer.success) return Ok(answer.data);
     return Err({ fault: Fault.Unknown, message: answer.error.message });
   }
@@ -215,15 +216,6 @@
   return error instanceof Error ? error.message : String(error);
 }
 
-function json(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    // Not JSON: no schema takes it.
-    return undefined;
-  }
-}
-
 function refusal(status: number, body: string): Failure {
   const fault = declines(status) ? Fault.Refused : Fault.Unknown;
   return { fault, message: `Answer ${status}: ${body.slice(0, 200)}` };
--- a/src/peers/presence.ts
+++ b/src/peers/presence.ts
@@ -9,6 +9,7 @@
 import {
   type Kernel,
   logger,
+  parseJson,
   Plugin,
   PluginKey,
   register,
@@ -37,7 +38,7 @@
 
 /** The daemon that an entry stands for; none if it can't be read. */
 export function parseMember({ key, value }: Entry): readonly Vm[] {
-  const parsed = line.safeParse(json(value));
+  const parsed = line.safeParse(parseJson(value));
   if (!parsed.success) return [];
   return [{
     ...parsed.data,
@@ -124,15 +125,6 @@
   }
 }
 
-function json(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    // Not a daemon's line: the schema refuses it.
-    return undefined;
-  }
-}
-
 /** The key of the presence plug-in. */
 export const presenceKey = new PluginKey<Presence>("presence");
 
