Directory: a list is sent only when what lasts in it has changed

Ruled out: the age notices alone (some 15 small frames a second for each daemon).

Change: the digest leaves out what changes all the while; ages are passed on when they gain 400 ms.

--- a/src/directory/sharing.ts
+++ b/src/directory/sharing.ts
@@ -31,8 +31,8 @@
 /** Others read it themselves after this: upstreams leave within 2 s. */
 const TOLD_FRESH_MS = 1100;
 
-/** A gain in age worth telling the neighbours at once. */
-const PASS_ON_MS = 250;
+/** A gain in age worth telling the neighbours at once: twice a second. */
+const PASS_ON_MS = 400;
 
 const vm = z.object({
   id: z.string(),
@@ -119,9 +119,7 @@
 
   #digest(vms: readonly Vm[]): string {
     if (this.#digested.vms !== vms) {
-      const text = JSON.stringify(
-        [...vms].sort((a, b) => a.id < b.id ? -1 : 1),
-      );
+      const text = JSON.stringify(vms.map(lasting).sort());
       const digest = createHash("sha256").update(text).digest("base64url");
       this.#digested = { vms, digest: digest.slice(0, 16) };
     }
@@ -129,6 +127,17 @@
   }
 }
 
+/**
+ * What of a VM is worth a message to everybody. Weight versions and orders
+ * change several times a second; keepers and holders ask engines for them.
+ */
+function lasting(vm: Vm): string {
+  const { id, role, standing, availabilityZone, address, pool } = vm;
+  return JSON.stringify(
+    [id, role, standing, availabilityZone, address, pool, vm.slots, vm.bornAt],
+  );
+}
+
 /** The key of the sharing plug-in. */
 export const sharingKey = new PluginKey<Sharing>("directory");
 
--- /dev/null
+++ b/src/directory/sharing_test.ts
@@ -0,0 +1,110 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { Ok, type Result } from "ts-results";
+import { PeerNetwork, SoloPeers } from "../../stand_ins/peers.ts";
+import { type GossipSection, ManualClock } from "../kernel/mod.ts";
+import { HeldDirectory } from "../outside/held_directory.ts";
+import {
+  type Failure,
+  type Listing,
+  ListingSource,
+  Role,
+  Standing,
+  type Vm,
+} from "../outside/mod.ts";
+import { Sharing } from "./sharing.ts";
+
+function upstream(id: string, part: Partial<Vm> = {}): Vm {
+  return {
+    id,
+    role: Role.Upstream,
+    standing: Standing.Live,
+    availabilityZone: "a",
+    address: `${id}:1`,
+    http: "",
+    pool: "p",
+    reclaimable: false,
+    ...part,
+  };
+}
+
+class FixedSource extends ListingSource {
+  reads = 0;
+  listing: Listing = { vms: [], revision: 1 };
+
+  read(): Promise<Result<Listing, Failure>> {
+    this.reads += 1;
+    return Promise.resolve(Ok(this.listing));
+  }
+}
+
+/** Daemons that share a list, and the number of lists that they sent. */
+function fleet(size: number) {
+  const clock = new ManualClock();
+  const network = new PeerNetwork();
+  const sent = { lists: 0 };
+  const daemons = Array.from({ length: size }, (_, n) => {
+    const peers = new SoloPeers({ vm: `vm-${n}`, network });
+    const source = new FixedSource();
+    const directory = new HeldDirectory({
+      source,
+      clock,
+      freshMs: 300,
+      returnMs: 2000,
+    });
+    const sharing = new Sharing({ peers, directory });
+    const section = sharing.props.gossip?.directory as GossipSection;
+    const { offer } = section;
+    section.offer = (peer) => {
+      const news = offer(peer) as { vms?: unknown } | undefined;
+      if (news?.vms !== undefined) sent.lists += 1;
+      return news;
+    };
+    peers.serve(sharing);
+    return { source, directory };
+  });
+  const reads = () =>
+    daemons.reduce((sum, { source }) => sum + source.reads, 0);
+  const turn = async (listing: Listing) => {
+    for (const { source } of daemons) source.listing = listing;
+    for (const { directory } of daemons) await directory.list();
+  };
+  return { clock, daemons, sent, reads, turn };
+}
+
+test("two daemons read the list for all", async () => {
+  const { clock, reads, turn, daemons } = fleet(8);
+  await turn({ vms: [upstream("u")], revision: 1 });
+  const first = reads();
+  for (let n = 0; n < 10; n++) {
+    clock.advance(500);
+    await turn({ vms: [upstream("u")], revision: 2 + n });
+  }
+  expect(reads() - first <= 20).toEqual(true);
+  expect(daemons.every(({ directory }) => directory.newest.ageMs < 600))
+    .toEqual(true);
+});
+
+test("versions that change are no reason to send the list again", async () => {
+  const { clock, sent, turn } = fleet(4);
+  await turn({ vms: [upstream("u", { orders: 0 })], revision: 1 });
+  const first = sent.lists;
+  for (let n = 1; n <= 5; n++) {
+    clock.advance(500);
+    const vms = [upstream("u", { orders: n, weightVersions: { m: n } })];
+    await turn({ vms, revision: 1 + n });
+  }
+  expect(sent.lists - first).toEqual(0);
+});
+
+test("an upstream that leaves is known to all at the reader's next look", async () => {
+  const { clock, daemons, turn } = fleet(8);
+  await turn({ vms: [upstream("u")], revision: 1 });
+  clock.advance(500);
+  const vms = [upstream("u", { standing: Standing.Leaving })];
+  await turn({ vms, revision: 2 });
+  const known = daemons.map(({ directory }) =>
+    directory.newest.vms[0].standing
+  );
+  expect(new Set(known)).toEqual(new Set([Standing.Leaving]));
+});
