--- a/src/batches/archive_test.ts
+++ b/src/batches/archive_test.ts
@@ -1,56 +1,9 @@
 import { expect } from "earl";
 import { isNone } from "fp-ts/Option";
 import { test } from "node:test";
-import { Conduct, MemoryRecords } from "../../stand_ins/records.ts";
-import { SystemClock } from "../kernel/mod.ts";
-import { Archive, Changed, type Versioned } from "./archive.ts";
-import { End, type ItemResult, type Submission } from "./mod.ts";
-
-const OWNER = { owner: "a", run: "a1" };
-
-function submission(part: Partial<Submission> = {}): Submission {
-  return {
-    id: "batch",
-    route: "rollouts",
-    host: "host.example",
-    organisation: "org",
-    wantedGroups: 1,
-    minVersion: 1,
-    items: ["one", "two"].map((id) => ({
-      id,
-      path: `/r/${id}`,
-      fields: [],
-      body: "",
-      tokens: 10,
-      prefixes: [],
-      expectedTokens: 0,
-      model: "m",
-      group: "g",
-    })),
-    ...part,
-  };
-}
-
-function result(id: string): ItemResult {
-  return { id, end: End.Completed, text: id, versions: [1], score: "s" };
-}
-
-function archive() {
-  const records = new MemoryRecords();
-  return {
-    records,
-    archive: new Archive({ records, clock: new SystemClock() }),
-  };
-}
-
-async function created(on: Archive): Promise<Versioned> {
-  const outcome = await on.create(submission(), {
-    ...OWNER,
-    patienceMs: 1000,
-  });
-  if (isNone(outcome.now)) throw new Error("Not created");
-  return outcome.now.value;
-}
+import { Conduct } from "../../stand_ins/records.ts";
+import { Changed } from "./archive.ts";
+import { archive, created, OWNER, result, submission } from "./fixture_test.ts";
 
 test("a batch is kept once, whoever submits it again", async () => {
   const { archive: on } = archive();
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -7,6 +7,7 @@
  */
 
 import { isNone, none, type Option, some } from "fp-ts/Option";
+import { setMaxListeners } from "node:events";
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
 import { configKey } from "../config/mod.ts";
@@ -123,6 +124,8 @@
     const { kernel, records } = options;
     this.#kernel = kernel;
     this.#peers = kernel.get(peersKey);
+    // Every reader that waits for a result listens.
+    setMaxListeners(0, this.#stop.signal);
     this.#keepMs = options.keepMs ??
       kernel.settings.timing.batchRetentionMs ?? KEEP_MS;
     this.#archive = new Archive({ records, clock: kernel.clock });
--- /dev/null
+++ b/src/batches/fixture_test.ts
@@ -0,0 +1,62 @@
+/**
+ * Builders for the tests of this folder.
+ *
+ * @module
+ */
+
+import { isNone } from "fp-ts/Option";
+import { MemoryRecords } from "../../stand_ins/records.ts";
+import { SystemClock } from "../kernel/mod.ts";
+import { Archive, type Versioned } from "./archive.ts";
+import { End, type ItemResult, type Submission } from "./mod.ts";
+
+/** The daemon that owns what is created here. */
+export const OWNER = { owner: "a", run: "a1" };
+
+/** A batch of one group with two items. */
+export function submission(part: Partial<Submission> = {}): Submission {
+  return {
+    id: "batch",
+    route: "rollouts",
+    host: "host.example",
+    organisation: "org",
+    wantedGroups: 1,
+    minVersion: 1,
+    items: ["one", "two"].map((id) => ({
+      id,
+      path: `/r/${id}`,
+      fields: [],
+      body: "",
+      tokens: 10,
+      prefixes: [],
+      expectedTokens: 0,
+      model: "m",
+      group: "g",
+    })),
+    ...part,
+  };
+}
+
+/** A completed item. */
+export function result(id: string): ItemResult {
+  return { id, end: End.Completed, text: id, versions: [1], score: "s" };
+}
+
+/** An archive in memory, and its service. */
+export function archive() {
+  const records = new MemoryRecords();
+  return {
+    records,
+    archive: new Archive({ records, clock: new SystemClock() }),
+  };
+}
+
+/** A batch that was just kept. */
+export async function created(on: Archive): Promise<Versioned> {
+  const outcome = await on.create(submission(), {
+    ...OWNER,
+    patienceMs: 1000,
+  });
+  if (isNone(outcome.now)) throw new Error("Not created");
+  return outcome.now.value;
+}
--- /dev/null
+++ b/src/batches/listing.ts
@@ -0,0 +1,163 @@
+/**
+ * Lists the finished items of a batch, whole groups at once where that costs
+ * little, and lets readers wait for what is listed.
+ *
+ * @module
+ */
+
+import { isNone } from "fp-ts/Option";
+import { type Clock, logger } from "../kernel/mod.ts";
+import { type Archive, Changed, type Versioned } from "./archive.ts";
+import type { ItemResult, Submission } from "./mod.ts";
+
+const log = logger("batches");
+
+/** Finished items wait for the rest of their group at most so long. */
+const GATHER_MS = 250;
+
+/** Longest wait for a finished item before the run is looked at again. */
+const LOOK_MS = 1000;
+
+/** The results of a batch at its owner. */
+export class Listing {
+  readonly #clock: Clock;
+  readonly #archive: Archive;
+  readonly #signal: AbortSignal;
+  readonly #groups: ReadonlyMap<string, string>;
+  /** Items of each group that are not listed. */
+  readonly #open = new Map<string, number>();
+  readonly #results: ItemResult[];
+  readonly #listeners = new Set<() => void>();
+  #finished: readonly ItemResult[] = [];
+  #state: Versioned;
+  #gatheredAt = 0;
+  #wake: () => void = () => {};
+
+  constructor(options: {
+    clock: Clock;
+    archive: Archive;
+    state: Versioned;
+    submission: Submission;
+    /** What was listed before. */
+    results: readonly ItemResult[];
+    /** Aborts when the run ends. */
+    signal: AbortSignal;
+  }) {
+    const { submission, results, signal } = options;
+    this.#clock = options.clock;
+    this.#archive = options.archive;
+    this.#state = options.state;
+    this.#signal = signal;
+    this.#results = [...results];
+    this.#groups = new Map(
+      submission.items.map(({ id, group }) => [id, group]),
+    );
+    const listed = new Set(results.map(({ id }) => id));
+    for (const { id } of submission.items) {
+      if (!listed.has(id)) this.#count(id, 1);
+    }
+    signal.addEventListener("abort", () => this.#notify(), { once: true });
+  }
+
+  /** The head as this owner knows it. */
+  get state(): Versioned {
+    return this.#state;
+  }
+
+  /** What is listed so far, in order. */
+  get results(): readonly ItemResult[] {
+    return this.#results;
+  }
+
+  /** Has a finished item listed soon. */
+  add(result: ItemResult): void {
+    if (this.#finished.length === 0) this.#gatheredAt = this.#clock.now();
+    this.#finished = [...this.#finished, result];
+    this.#wake();
+  }
+
+  /** Lists until all is listed, or nothing more can be; tells which. */
+  async run(): Promise<string> {
+    while (!this.#signal.aborted) {
+      const waitMs = this.#dueInMs();
+      if (waitMs > 0) {
+        await this.#woken(waitMs);
+        continue;
+      }
+      const results = this.#finished;
+      this.#finished = [];
+      const outcome = await this.#archive
+        .append(this.#state, results, this.#signal);
+      if (outcome.changed !== Changed.Applied || isNone(outcome.now)) {
+        return outcome.changed;
+      }
+      this.#listed(results, outcome.now.value);
+      if (this.#results.length >= this.#state.head.total) return "complete";
+    }
+    return "ended";
+  }
+
+  /** Waits until more than `count` results are listed, or the run ends. */
+  async more(count: number, options: {
+    waitMs: number;
+    signal: AbortSignal;
+  }): Promise<void> {
+    const enough = () => this.#results.length > count || this.#signal.aborted;
+    if (enough()) return;
+    const done = new AbortController();
+    const end = () => done.abort();
+    const listener = () => {
+      if (enough()) end();
+    };
+    this.#listeners.add(listener);
+    options.signal.addEventListener("abort", end, { once: true });
+    await this.#clock.sleep(options.waitMs, done.signal);
+    this.#listeners.delete(listener);
+    options.signal.removeEventListener("abort", end);
+  }
+
+  #listed(results: readonly ItemResult[], state: Versioned): void {
+    this.#state = state;
+    this.#results.push(...results);
+    for (const { id } of results) this.#count(id, -1);
+    log("listed", {
+      id: state.head.id,
+      results: results.length,
+      listed: this.#results.length,
+      total: state.head.total,
+    });
+    this.#notify();
+  }
+
+  #count(item: string, by: number): void {
+    const group = this.#groups.get(item) ?? "";
+    this.#open.set(group, (this.#open.get(group) ?? 0) + by);
+  }
+
+  /** Time until finished items are due to be listed. */
+  #dueInMs(): number {
+    if (this.#finished.length === 0) return Infinity;
+    const counts = new Map<string, number>();
+    for (const { id } of this.#finished) {
+      const group = this.#groups.get(id) ?? "";
+      counts.set(group, (counts.get(group) ?? 0) + 1);
+    }
+    for (const [group, count] of counts) {
+      if (count >= (this.#open.get(group) ?? 0)) return 0;
+    }
+    return this.#gatheredAt + GATHER_MS - this.#clock.now();
+  }
+
+  /** Waits for a finished item, or for the time until some are due. */
+  async #woken(waitMs: number): Promise<void> {
+    const done = new AbortController();
+    this.#wake = () => done.abort();
+    if (this.#signal.aborted) return;
+    await this.#clock.sleep(Math.min(waitMs, LOOK_MS), done.signal);
+  }
+
+  #notify(): void {
+    this.#wake();
+    for (const listener of this.#listeners) listener();
+  }
+}
--- a/src/batches/run.ts
+++ b/src/batches/run.ts
@@ -24,18 +24,16 @@
 } from "../relay/mod.ts";
 import { outcomeOf } from "../relay/relay.ts";
 import { priorityOf } from "../tables/mod.ts";
-import { type Archive, Changed, type Versioned } from "./archive.ts";
+import type { Archive, Versioned } from "./archive.ts";
 import { draftName, type Drafts } from "./drafts.ts";
 import type { Generation } from "./generation.ts";
 import { ItemCourse } from "./item_course.ts";
+import { Listing } from "./listing.ts";
 import { End, type Item, type ItemResult, type Submission } from "./mod.ts";
 import type { Paces } from "./paces.ts";
 
 const log = logger("batches");
 
-/** Finished items wait for the rest of their group at most so long. */
-const GATHER_MS = 250;
-
 /** First and longest wait before an item asks for a permit again. */
 const RETRY_MS = 40;
 const MAX_RETRY_MS = 400;
@@ -55,6 +53,9 @@
 /** How far back an item goes that can't be in time any more. */
 const HOPELESS_MS = 30_000;
 
+/** The submitter's clock and the owner's may differ by this. */
+const CLOCK_MARGIN_MS = 6000;
+
 /** How often texts that take long are kept. */
 const DRAFTS_MS = 1500;
 
@@ -76,13 +77,7 @@
   readonly #drafts: Drafts;
   readonly #courses = new Map<string, ItemCourse>();
   readonly #abort = new AbortController();
-  readonly #results: ItemResult[];
-  readonly #finished: ItemResult[] = [];
-  readonly #listeners = new Set<() => void>();
-  readonly #open: Map<string, number>;
-  #state: Versioned;
-  #gatheredAt = 0;
-  #wake: () => void = () => {};
+  readonly #listing: Listing;
   #done: Promise<unknown> = Promise.resolve();
 
   constructor(options: {
@@ -102,30 +97,27 @@
     this.#dispatch = options.kernel.get(dispatchKey);
     this.#relay = options.kernel.get(relayKey);
     this.#archive = options.archive;
-    this.#state = options.state;
     this.#submission = options.submission;
     this.#route = options.route;
     this.#paces = options.paces;
     this.#drafts = options.drafts;
-    this.#results = [...options.results];
     // Every item of the batch listens.
     setMaxListeners(0, this.#abort.signal);
-    this.#open = new Map();
-    const listed = new Set(options.results.map(({ id }) => id));
-    for (const { id, group } of options.submission.items) {
-      if (listed.has(id)) continue;
-      this.#open.set(group, (this.#open.get(group) ?? 0) + 1);
-    }
+    this.#listing = new Listing({
+      ...options,
+      clock: options.kernel.clock,
+      signal: this.#abort.signal,
+    });
   }
 
   /** The head as this owner knows it. */
   get state(): Versioned {
-    return this.#state;
+    return this.#listing.state;
   }
 
   /** What is listed so far, in order. */
   get results(): readonly ItemResult[] {
-    return this.#results;
+    return this.#listing.results;
   }
 
   /** Whether this daemon still runs it. */
@@ -135,7 +127,7 @@
 
   /** Starts the tasks. */
   start(): void {
-    const listed = new Set(this.#results.map(({ id }) => id));
+    const listed = new Set(this.results.map(({ id }) => id));
     // The longest first: a group waits for its last item.
     const items = this.#submission.items
       .filter(({ id }) => !listed.has(id))
@@ -145,10 +137,10 @@
       route: this.#route.name,
       items: items.length,
       listed: listed.size,
-      revision: this.#state.revision,
+      revision: this.state.revision,
     });
     this.#done = Promise.all([
-      this.#list(),
+      this.#listing.run().then((reason) => void this.stop(reason)),
       this.#keepDrafts(),
       ...items.map((item) => this.#item(item)),
     ]);
@@ -159,8 +151,6 @@
     if (!this.running) return;
     log("run stopped", { id: this.#submission.id, reason });
     this.#abort.abort();
-    this.#wake();
-    this.#tell();
     await this.#done;
     for (const { item, generation } of this.#courses.values()) {
       this.#drafts.keep(this.#draftOf(item.id), generation);
@@ -183,7 +173,7 @@
       drafts[item.id] = generation;
     }
     if (bytes === 0) return;
-    const kept = await this.#archive.draft(this.#state, drafts);
+    const kept = await this.#archive.draft(this.state, drafts);
     log("drafts kept", { id: this.#submission.id, bytes, kept });
   }
 
@@ -195,21 +185,11 @@
   }
 
   /** Waits until more than `count` results are listed, or the run ends. */
-  async more(count: number, options: {
+  more(count: number, options: {
     waitMs: number;
-    signal?: AbortSignal;
+    signal: AbortSignal;
   }): Promise<void> {
-    if (this.#results.length > count || !this.running) return;
-    const done = new AbortController();
-    const listener = () => {
-      if (this.#results.length > count || !this.running) done.abort();
-    };
-    const end = () => done.abort();
-    this.#listeners.add(listener);
-    options.signal?.addEventListener("abort", end, { once: true });
-    await this.#kernel.clock.sleep(options.waitMs, done.signal);
-    this.#listeners.delete(listener);
-    options.signal?.removeEventListener("abort", end);
+    return this.#listing.more(count, options);
   }
 
   get #signal(): AbortSignal {
@@ -219,7 +199,7 @@
   /** Unix milliseconds at which items may be given up. */
   get #givesUpAt(): number {
     const retentionMs = this.#route.exchange.batch?.retentionMs ?? Infinity;
-    return this.#state.head.submittedAt + retentionMs;
+    return this.state.head.submittedAt + retentionMs + CLOCK_MARGIN_MS;
   }
 
   async #item(item: Item): Promise<void> {
@@ -421,75 +401,7 @@
   #finish(result: ItemResult): void {
     this.#courses.delete(result.id);
     this.#drafts.drop(this.#draftOf(result.id));
-    if (this.#finished.length === 0) {
-      this.#gatheredAt = this.#kernel.clock.now();
-    }
-    this.#finished.push(result);
-    this.#wake();
-  }
-
-  /** Lists finished items, whole groups at once where that costs little. */
-  async #list(): Promise<void> {
-    const groups = new Map(
-      this.#submission.items.map(({ id, group }) => [id, group]),
-    );
-    while (!this.#signal.aborted) {
-      const waitMs = this.#listsInMs(groups);
-      if (waitMs > 0) {
-        await this.#woken(waitMs);
-        continue;
-      }
-      const results = this.#finished.splice(0);
-      const outcome = await this.#archive
-        .append(this.#state, results, this.#signal);
-      if (outcome.changed !== Changed.Applied || isNone(outcome.now)) {
-        if (!this.#signal.aborted) void this.stop(outcome.changed);
-        return;
-      }
-      this.#state = outcome.now.value;
-      this.#results.push(...results);
-      for (const { id } of results) {
-        const group = groups.get(id) ?? "";
-        this.#open.set(group, (this.#open.get(group) ?? 1) - 1);
-      }
-      log("listed", {
-        id: this.#submission.id,
-        results: results.length,
-        listed: this.#results.length,
-        total: this.#state.head.total,
-      });
-      this.#tell();
-      if (this.#results.length >= this.#state.head.total) {
-        void this.stop("complete");
-        return;
-      }
-    }
-  }
-
-  /** Time until finished items are due to be listed. */
-  #listsInMs(groups: ReadonlyMap<string, string>): number {
-    if (this.#finished.length === 0) return Infinity;
-    const counts = new Map<string, number>();
-    for (const { id } of this.#finished) {
-      const group = groups.get(id) ?? "";
-      counts.set(group, (counts.get(group) ?? 0) + 1);
-    }
-    for (const [group, count] of counts) {
-      if (count >= (this.#open.get(group) ?? 0)) return 0;
-    }
-    return this.#gatheredAt + GATHER_MS - this.#kernel.clock.now();
-  }
-
-  /** Waits for a finished item, or for the time until some are due. */
-  async #woken(waitMs: number): Promise<void> {
-    const done = new AbortController();
-    this.#wake = () => done.abort();
-    if (this.#signal.aborted) return;
-    await this.#kernel.clock.sleep(Math.min(waitMs, 1000), done.signal);
-  }
-
-  #tell(): void {
-    for (const listener of this.#listeners) listener();
+    this.#listing.add(result);
   }
 
   #tokens({ tokens }: Item): number {
@@ -526,7 +438,7 @@
    * can't be met any more goes behind all that can.
    */
   #startInMs({ item, generation, pool }: ItemCourse): number {
-    const { head } = this.#state;
+    const { head } = this.state;
     const targetMs = this.#route.exchange.batch?.resultTargetMs ?? Infinity;
     const dueInMs = head.submittedAt + targetMs - this.#kernel.clock.wall();
     const leftMs = this.#paces(pool).expectedMs(item.expectedTokens) -
