Batches: a run that has ended is let go; its results are kept for readers

Cause: ended runs stayed in the owner's memory for good, and readers of a complete batch asked the service, as the run was the only one to know.

--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -36,6 +36,7 @@
 import {
   Batches,
   batchesKey,
+  type ItemResult,
   type Named,
   type Page,
   type Submission,
@@ -374,6 +375,13 @@
     if (this.#leaving) return;
     this.#runs.set(id, run);
     run.start();
+    void run.ended.then(() => this.#retire(id, run));
+  }
+
+  /** Keeps what a run listed for its readers, and drops the rest. */
+  #retire(id: string, run: Run): void {
+    this.#viewOf(run);
+    if (this.#runs.get(id) === run) this.#runs.delete(id);
   }
 
   #pacesOf(pool: string): Paces {
@@ -538,12 +546,23 @@
   readonly #asked: PeerHandler = async (body) => {
     const { id, after, waitMs } = readBody.parse(body);
     const run = this.#runs.get(id);
-    if (run === undefined) return { run: false, results: [] };
+    if (run === undefined) return this.#remembered(id, after);
     await run.more(after, { waitMs, signal: this.#stop.signal });
     const { results } = pageOf(run.state.head.total, run.results, after);
     return { run: true, results };
   };
 
+  /** Results of a run that has ended; the asker looks further if it's none. */
+  #remembered(
+    id: string,
+    after: number,
+  ): { run: boolean; results: readonly ItemResult[] } {
+    const view = this.#views.get(id);
+    if (view === undefined) return { run: false, results: [] };
+    const { results } = pageOf(view.head.total, view.results, after);
+    return { run: results.length > 0, results };
+  }
+
   /** The batch as the service has it; nothing if it can't be read. */
   async #refresh(view: View): Promise<View | undefined> {
     const { id } = view.head;
--- a/src/batches/run.ts
+++ b/src/batches/run.ts
@@ -125,6 +125,11 @@
     return !this.#abort.signal.aborted;
   }
 
+  /** Resolves when all tasks have ended. */
+  get ended(): Promise<unknown> {
+    return this.#done;
+  }
+
   /** Starts the tasks. */
   start(): void {
     const listed = new Set(this.results.map(({ id }) => id));
