--- a/stand_ins/site.ts
+++ b/stand_ins/site.ts
@@ -59,6 +59,8 @@
   readonly service: string;
   readonly ran: Ran[] = [];
   readonly made: Made[] = [];
+  /** Requests whose sender left before they were answered. */
+  readonly left: string[] = [];
   readonly orders: {
     model: string;
     version: number;
@@ -142,6 +144,9 @@
       return void response.writeHead(503, { "x-not-executed": "1" }).end();
     }
     this.ran.push(ran);
+    response.on("close", () => {
+      if (!response.writableFinished) this.left.push(ran.id);
+    });
     if (manner === Manner.Hang) return;
     const id = manner === Manner.Foreign ? "another" : ran.id;
     const head = { "x-request-id": id, "x-response-seal": `seal-${ran.id}` };
