--- a/stand_ins/relay.ts
+++ b/stand_ins/relay.ts
@@ -64,10 +64,15 @@
     this.passage = Passage.Open;
   }
 
-  /** Lets open connections go silent for good; new ones work. */
+  /**
+   * Lets open connections go silent for good; new ones work. Neither end
+   * learns that the other one has closed, either: nothing is read any more.
+   */
   silence(): void {
     for (const { near, far } of this.#pairs) {
       this.#silenced.add(near).add(far);
+      near.pause();
+      far.pause();
     }
   }
 
