--- a/stand_ins/site.ts
+++ b/stand_ins/site.ts
@@ -16,6 +16,9 @@
 import type { AddressInfo } from "node:net";
 import { Conduct, MemoryRecords } from "./records.ts";
 
+/** Stands for a call whose answer is lost. */
+const UNANSWERED = [0, {}] as const;
+
 /** A request that an upstream began to run. */
 export interface Ran {
   readonly id: string;
@@ -290,7 +293,8 @@
     if (conduct === Conduct.Refused) return answer(response, 503, {});
     if (conduct === Conduct.Silent) return void response.destroy();
     const [status, json] = await this.#store(call, url.searchParams, body);
-    if (conduct === Conduct.Lost) return void response.destroy();
+    const lost = conduct === Conduct.Lost || status === 0;
+    if (lost) return void response.destroy();
     answer(response, status, json);
   }
 
@@ -320,7 +324,8 @@
     if (call === "POST /-/kv-lease") {
       const { ttl_ms } = JSON.parse(body);
       const granted = await records.grant(ttl_ms);
-      return [200, { lease: Number(granted.unwrap().id), ttl_ms }];
+      if (granted.err) return UNANSWERED;
+      return [200, { lease: Number(granted.val.id), ttl_ms }];
     }
     const kept = /^POST \/-\/kv-keep\/(\d+)$/.exec(call);
     if (kept !== null) {
