Held directory: a red test for lists that go round

Cause: daemons with unlike lists of one revision swap them for ever, since each takes what it hears and tells it on, and a frame's way isn't in the age that it tells. Ruled out: batches, drafts, the store and the detour (their loops all wait; the log shows only the directory's lines).

--- a/src/outside/held_directory_test.ts
+++ b/src/outside/held_directory_test.ts
@@ -116,3 +116,28 @@
   clock.advance(500);
   expect(await ids()).toEqual(["a"]);
 });
+
+test("two daemons with unlike lists of one revision agree on one", async () => {
+  const latencyMs = 2;
+  const { clock, source, held: first } = directory();
+  const second = new HeldDirectory({
+    source,
+    clock,
+    freshMs: 400,
+    returnMs: 2000,
+  });
+  source.listing = { vms: [upstream("a")], revision: 1 };
+  await first.list();
+  clock.advance(1);
+  source.listing = { vms: [], revision: 1 };
+  await second.list();
+  let changes = 0;
+  for (const held of [first, second]) held.onNews(() => changes += 1);
+  for (let n = 0; n < 20; n++) {
+    const told = { first: first.newest, second: second.newest };
+    clock.advance(latencyMs);
+    first.hear(told.second);
+    second.hear(told.first);
+  }
+  expect(changes <= 2).toEqual(true);
+});
