Links: frames behind the one that ended a link are not acted on

Cause: after a pause the first frame read closes the link, but frames that came in the same piece were still acted on, though their sender had been told that the call may have run. That is how the stopped process of mesh_test ran a call after it was let go. Ruled out: the stop reaching the process late; the asker sending again (one send). Change: the loop that reads ends with its link. link_test fails without it: the ask behind a closing ping was handed on.

--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -143,7 +143,9 @@
     try {
       for (;;) {
         const signed = await this.#inlet.next();
-        if (signed === undefined) break;
+        // What came in one piece with the frame that ended the link is not
+        // acted on: its sender is told that the link is gone.
+        if (signed === undefined || this.#closing !== undefined) break;
         const message = this.#verify(signed);
         this.heardAt = this.#clock.now();
         for (const resolve of this.#heard.splice(0)) resolve();
