--- a/src/outside/held_directory.ts
+++ b/src/outside/held_directory.ts
@@ -22,6 +22,13 @@
 /** A list that was older than this may lack what lapsed in an outage. */
 const OUTAGE_MS = 1500;
 
+/**
+ * Entries lapse without a new revision, so lists of one revision can differ. A
+ * frame's way isn't in the age that it tells: another list must be younger by
+ * more than that way, or two daemons would swap theirs without end.
+ */
+const RIVAL_MARGIN_MS = 100;
+
 /** A list with its age, as daemons tell it each other. */
 export interface AgedListing extends Listing {
   readonly ageMs: number;
@@ -79,6 +86,10 @@
   hear({ vms, revision, ageMs }: AgedListing): void {
     if (revision < this.#listing.revision) return;
     const now = this.#clock.now();
+    const gainMs = now - ageMs - this.#currentAt;
+    const rival = revision === this.#listing.revision &&
+      !sameVms(this.#listing.vms, vms);
+    if (rival && gainMs <= RIVAL_MARGIN_MS) return;
     this.#noteOutage(now);
     const currentAt = Math.max(now - ageMs, this.#currentAt);
     this.#take(this.#held({ vms, revision }, now), currentAt);
@@ -168,6 +179,15 @@
   }
 }
 
+function sameVms(a: readonly Vm[], b: readonly Vm[]): boolean {
+  if (a === b) return true;
+  const known = new Map(a.map((vm) => [vm.id, vm]));
+  return a.length === b.length && b.every((vm) => {
+    const other = known.get(vm.id);
+    return other !== undefined && alike(other, vm);
+  });
+}
+
 function alike(a: Vm, b: Vm): boolean {
   return a.standing === b.standing && a.bornAt === b.bornAt &&
     a.address === b.address && a.pool === b.pool;
--- a/src/outside/held_directory_test.ts
+++ b/src/outside/held_directory_test.ts
@@ -140,4 +140,16 @@
     second.hear(told.first);
   }
   expect(changes <= 2).toEqual(true);
+  clock.advance(400);
+  await second.list();
+  first.hear(second.newest);
+  expect(first.newest.vms).toEqual(second.newest.vms);
+});
+
+test("a list of a newer revision is taken however old it is", async () => {
+  const { source, held, ids } = directory();
+  source.listing = { vms: [upstream("a")], revision: 1 };
+  await ids();
+  held.hear({ vms: [], revision: 2, ageMs: 90 });
+  expect(await ids()).toEqual([]);
 });
