--- a/experiments/engine_model.ts
+++ b/experiments/engine_model.ts
@@ -7,7 +7,7 @@
  */
 
 import type { CacheEvent, Load } from "../src/outside/mod.ts";
-import type { Random } from "./random.ts";
+import type { Random } from "../src/bench/random.ts";
 import type { Timeline } from "./timeline.ts";
 
 /** Times of an engine. */
--- a/experiments/scenarios.ts
+++ b/experiments/scenarios.ts
@@ -16,7 +16,7 @@
 import { Priority } from "../src/tables/mod.ts";
 import { EngineModel } from "./engine_model.ts";
 import { type Figures, figures, Ledger } from "./measure.ts";
-import { Random } from "./random.ts";
+import { Random } from "../src/bench/random.ts";
 import {
   EntrySystem,
   type Ground,
--- a/experiments/step_policies.ts
+++ b/experiments/step_policies.ts
@@ -23,7 +23,7 @@
 } from "../src/steps/mod.ts";
 import type { GroupRecord } from "../src/steps/sequence.ts";
 import { Priority } from "../src/tables/mod.ts";
-import { Random } from "./random.ts";
+import { Random } from "../src/bench/random.ts";
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
 const TRAINERS = 3;
--- a/experiments/systems.ts
+++ b/experiments/systems.ts
@@ -18,7 +18,7 @@
 import { elsewhereOf } from "../src/dispatch/summaries.ts";
 import { cut, shardName, type Upstream } from "../src/dispatch/shards.ts";
 import type { EngineModel, Job } from "./engine_model.ts";
-import { Random } from "./random.ts";
+import { Random } from "../src/bench/random.ts";
 import type { Timeline } from "./timeline.ts";
 import { type Request, WEIGHTS } from "./workload.ts";
 
--- a/experiments/workload.ts
+++ b/experiments/workload.ts
@@ -6,7 +6,7 @@
 
 import { Priority } from "../src/tables/mod.ts";
 import { BLOCK_TOKENS } from "./engine_model.ts";
-import { Random } from "./random.ts";
+import { Random } from "../src/bench/random.ts";
 
 /** Weights of the tenants: a few are large. */
 export const WEIGHTS: Readonly<Record<string, number>> = {
--- a/src/bench/random.ts
+++ b/src/bench/random.ts
@@ -1,5 +1,5 @@
 /**
- * Seeded draws for load.
+ * Seeded draws for load and for the load model.
  *
  * @module
  */
@@ -34,4 +34,19 @@
   below(end: number): number {
     return Math.floor(this.next() * end);
   }
+
+  /** Log-normally distributed, with this median. */
+  lognormal(median: number, sigma: number): number {
+    const radius = Math.sqrt(-2 * Math.log(1 - this.next()));
+    const normal = radius * Math.cos(2 * Math.PI * this.next());
+    return median * Math.exp(sigma * normal);
+  }
+
+  /** An index up to `weights.length`, drawn by weight. */
+  index(weights: readonly number[]): number {
+    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    let rest = this.next() * total;
+    const found = weights.findIndex((weight) => (rest -= weight) < 0);
+    return found < 0 ? weights.length - 1 : found;
+  }
 }
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -1,6 +1,6 @@
 /**
- * Plain services: any method under a route's path prefix, with bodies streamed
- * both ways, to an upstream of the route's pool.
+ * Plain HTTP: any method under a route's path prefix, with bodies streamed both
+ * ways, to an upstream of the route's pool.
  *
  * @module
  */
