Streams go to callers event by event, and go on elsewhere where they may

Cause: a stream route was served like any other, its answer buffered whole: a caller saw its first event after the last one, and an upstream that broke off in the middle cost the whole answer. Ruled out: passing bytes through without reading events; a stream that breaks in the middle of an event could not go on, and an end could not be told from a break. Change: Carrier.stream gives the answer's head and its events as they came; src/relay/passage.ts holds the head back until the first event, passes events on, and goes on at another upstream with the next event where the route is resumable. Silence and a leaving upstream end only what can go on. The loop of attempts is one for whole and streamed answers (attempts.ts). Rank and prompt go to the permit and to the upstream. Before: no test of streams; the whole answer came at the end.

--- a/src/batches/generation_test.ts
+++ b/src/batches/generation_test.ts
@@ -3,7 +3,7 @@
 import { Generation } from "./generation.ts";
 
 function piece(number: number, weightVersion = 1) {
-  return { number, text: `t${number}`, weightVersion };
+  return { number, text: `t${number}`, weightVersion, raw: "" };
 }
 
 test("events make a text in order, with every version named once", () => {
--- a/src/batches/item_course.ts
+++ b/src/batches/item_course.ts
@@ -4,9 +4,8 @@
  * @module
  */
 
-import { Loss, type Lost, type Piece } from "../outside/mod.ts";
-import { isUnrun } from "../relay/course.ts";
-import { fingerprintOf } from "../relay/relay.ts";
+import { isUnrun, Loss, type Lost, type Piece } from "../outside/mod.ts";
+import { fingerprintOf } from "../relay/attempts.ts";
 import { Generation } from "./generation.ts";
 import type { Item } from "./mod.ts";
 
--- a/src/batches/run.ts
+++ b/src/batches/run.ts
@@ -22,7 +22,7 @@
   type Relay,
   relayKey,
 } from "../relay/mod.ts";
-import { outcomeOf } from "../relay/relay.ts";
+import { outcomeOf } from "../relay/attempts.ts";
 import { priorityOf } from "../tables/mod.ts";
 import type { Archive, Versioned } from "./archive.ts";
 import { draftName, type Drafts } from "./drafts.ts";
@@ -275,8 +275,9 @@
     const begunAt = clock.now();
     let eventAt = 0;
     let events = 0;
-    let lost: Lost | undefined;
-    for await (const piece of carrier.stream(target, parcel, signal)) {
+    const flow = await carrier.stream(target, parcel, signal);
+    let lost = flow.err ? flow.val : undefined;
+    for await (const piece of flow.ok ? flow.val.pieces : []) {
       if (piece.err) {
         lost = piece.val;
         break;
@@ -466,6 +467,7 @@
         this.#givesUpAt - this.#kernel.clock.wall(),
       ),
       after: generation.last,
+      silenceMs: this.#kernel.settings.timing.upstreamSilenceMs,
       urgency: Math.min(9, this.#route.exchange.rank + 2),
     };
   }
--- a/src/outside/carrier.ts
+++ b/src/outside/carrier.ts
@@ -27,6 +27,8 @@
   readonly remainingMs: number;
   /** Number of the event after which a stream goes on; absent for a new one. */
   readonly after?: number;
+  /** A stream silent for longer is given up; absent: never. */
+  readonly silenceMs?: number;
   /** 0 is the most urgent; absent where the upstream shall not care. */
   readonly urgency?: number;
 }
@@ -46,6 +48,22 @@
   readonly number: number;
   readonly text: string;
   readonly weightVersion: number;
+  /** The event as it came, with what stood between it and the one before. */
+  readonly raw: string;
+}
+
+/** An answer that arrives event by event. */
+export interface Flow {
+  readonly status: number;
+  /** The fields that concern the caller. */
+  readonly fields: Fields;
+  /**
+   * Events until the stream is whole; the last is an error if it isn't. Whoever
+   * takes a flow reads it, or aborts its signal.
+   */
+  readonly pieces: AsyncGenerator<Result<Piece, Lost>, void, void>;
+  /** What followed the last event, once all were read. */
+  tail(): string;
 }
 
 /** How a request came to have no whole answer. */
@@ -68,10 +86,18 @@
   Cancelled = "cancelled",
 }
 
+/** Whether an upstream surely ran nothing. */
+export function isUnrun(loss: Loss): boolean {
+  return loss === Loss.Unreachable || loss === Loss.NotRun ||
+    loss === Loss.Misdirected;
+}
+
 /** A request without a whole answer. */
 export interface Lost {
   readonly loss: Loss;
   readonly message: string;
+  /** What the upstream said in place of a stream. */
+  readonly answer?: Delivery;
 }
 
 /** Passes requests on to upstreams; sends nothing twice. */
@@ -83,10 +109,10 @@
     signal: AbortSignal,
   ): Promise<Result<Delivery, Lost>>;
 
-  /** Events until the stream is whole; the last item is an error if it isn't. */
+  /** An answer from its first byte on; a loss may bring another answer. */
   abstract stream(
     target: Target,
     parcel: Parcel,
     signal: AbortSignal,
-  ): AsyncGenerator<Result<Piece, Lost>, void, void>;
+  ): Promise<Result<Flow, Lost>>;
 }
--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -400,6 +400,8 @@
   Carrier,
   type Delivery,
   type Fields,
+  type Flow,
+  isUnrun,
   Loss,
   type Lost,
   type Parcel,
--- a/src/relay/course.ts
+++ b/src/relay/course.ts
@@ -6,7 +6,7 @@
  */
 
 import { type Kernel, Reason, Refusal, Verdict } from "../kernel/mod.ts";
-import { Loss, type Lost } from "../outside/mod.ts";
+import { isUnrun, Loss, type Lost } from "../outside/mod.ts";
 import type { Request } from "./mod.ts";
 import type { ExchangeRoute } from "./routing.ts";
 
@@ -25,6 +25,12 @@
 /** Time kept for the answer's way back to the caller. */
 const RETURN_MS = 20;
 
+/** How an attempt ends at its own bound. */
+export const SILENT: Lost = {
+  loss: Loss.Silent,
+  message: "No answer in time",
+};
+
 /** One request on its way, over all its attempts. */
 export class Course {
   readonly route: ExchangeRoute;
@@ -40,6 +46,8 @@
   /** Answers in which an upstream said that it failed. */
   failures = 0;
   excluded: readonly string[] = [];
+  /** Number of the last event of a stream. */
+  after: number | undefined;
   readonly #kernel: Kernel;
   readonly #endsAt: number;
   readonly #abort = new AbortController();
@@ -56,6 +64,7 @@
     const { kernel, route, request, signal } = options;
     this.route = route;
     this.request = request;
+    this.after = request.after;
     this.#kernel = kernel;
     this.#outer = signal;
     const boundMs = Math.min(route.deadlineMs, request.remainingMs - RETURN_MS);
@@ -100,6 +109,7 @@
   /** Whether the request may be sent once more after this loss. */
   mayRetry(loss: Loss): boolean {
     if (this.signal.aborted || this.leftMs() <= 0) return false;
+    if (loss === Loss.Impossible) return false;
     if (isUnrun(loss)) return this.unrun < MAX_UNRUN;
     if (!this.route.repeatable) return false;
     return this.attempts + 1 < this.route.exchange.maxAttempts;
@@ -112,6 +122,7 @@
       this.unrun += 1;
       return;
     }
+    if (loss === Loss.Failed) this.failures += 1;
     this.attempts += 1;
     this.verdict = Verdict.MayHaveRun;
   }
@@ -147,7 +158,7 @@
 }
 
 /** A signal that aborts with the course or after the attempt's own bound. */
-class Attempt {
+export class Attempt {
   timedOut = false;
   readonly #abort = new AbortController();
   readonly #outer: AbortSignal;
@@ -174,6 +185,11 @@
     return this.#abort.signal;
   }
 
+  /** An answer has begun: only the course bounds it now. */
+  begun(): void {
+    this.#cancel();
+  }
+
   end(): void {
     this.#cancel();
     this.#outer.removeEventListener("abort", this.#follow);
@@ -190,9 +206,3 @@
   [Loss.Silent]: Reason.UpstreamSilent,
   [Loss.Cancelled]: Reason.Cancelled,
 };
-
-/** Whether an upstream surely ran nothing. */
-export function isUnrun(loss: Loss): boolean {
-  return loss === Loss.Unreachable || loss === Loss.NotRun ||
-    loss === Loss.Misdirected;
-}
--- a/src/relay/mod.ts
+++ b/src/relay/mod.ts
@@ -21,6 +21,19 @@
   readonly body: Buffer;
   /** Time that the caller waits, in milliseconds. */
   readonly remainingMs: number;
+  /** Number of the event after which the caller wants a stream to go on. */
+  readonly after?: number;
+  /** What is asked of a model, where the request names one. */
+  readonly prompt?: Prompt;
+}
+
+/** What a request asks of a model. */
+export interface Prompt {
+  readonly model: string;
+  /** Tokens of the prompt and at most of the output together. */
+  readonly tokens: number;
+  /** Prompt's parts by name, the first part first. */
+  readonly prefixes: readonly string[];
 }
 
 /** On whose behalf a request runs. */
@@ -48,6 +61,26 @@
     request: Request,
     signal: AbortSignal,
   ): Promise<Served>;
+
+  /**
+   * Runs a request whose answer is passed on as it arrives. Until its first
+   * event another upstream may take over, and after it where the route's
+   * streams can be resumed.
+   */
+  abstract stream(
+    route: ExchangeRoute,
+    sender: Sender,
+    request: Request,
+    signal: AbortSignal,
+  ): Promise<Result<Streamed | Delivery, Refusal>>;
+}
+
+/** An answer that is passed on as it arrives. */
+export interface Streamed {
+  readonly status: number;
+  readonly fields: Fields;
+  /** Must be read to the end; an error is last, and means: not whole. */
+  readonly parts: AsyncGenerator<Result<string, Refusal>, void, void>;
 }
 
 /** How a request ended, and how often upstreams failed at it. */
