Plan of upstreams: what is listed one after the other is kept

Cause: the plan kept what ran at its first look. Ruled out: a longer window on the need; the need was truly nothing. Test: plan_test 'upstreams that are listed one after the other are all kept' failed before ([1, 1, 1, 1, 1, 1] of 4).

--- a/src/orders/plan.ts
+++ b/src/orders/plan.ts
@@ -83,10 +83,11 @@
     return place(capacities, { ...bounds, mostReclaimable });
   }
 
-  #course({ pool, offers, now }: Outlook): Course {
+  #course({ pool, now }: Outlook): Course {
     const known = this.#pools.get(pool.name);
     if (known !== undefined) return known;
     const course: Course = {
+      since: now,
       total: new Window(this.#downHoldMs),
       urgent: new Window(this.#downHoldMs),
       recent: new Window(this.#upHoldMs),
@@ -95,14 +96,17 @@
       reclaimedAt: new Map(),
       seen: new Map(),
     };
-    // What runs is kept until the need is known for long enough.
-    course.total.push(now, sum(offers.map(ordered)));
     this.#pools.set(pool.name, course);
     return course;
   }
 
   #follow(course: Course, { pool, pressure, offers, now }: Outlook): void {
     for (const offer of offers) this.#watch(course, { offer, now });
+    // What runs is kept until the need is known for long enough. At the first
+    // look the list may not hold all of it.
+    if (now - course.since < this.#downHoldMs) {
+      course.total.push(now, sum(offers.map(ordered)));
+    }
     if (isNone(pressure)) {
       course.total.push(now, course.total.peak(now));
       course.urgent.push(now, course.urgent.peak(now));
@@ -111,8 +115,10 @@
     const { running, queued, urgent } = pressure.value;
     const upstreamsFor = (requests: number) =>
       Math.ceil(requests / Math.max(1, pool.slots));
+    // Nor is the least ordered then: what there is may not be listed yet.
+    const fresh = now - course.since < this.#upHoldMs;
     const need = clamp(upstreamsFor((running + queued) / this.#utilization), {
-      least: Math.max(1, pool.minUpstreams),
+      least: fresh ? 0 : Math.max(1, pool.minUpstreams),
       most: pool.maxUpstreams,
     });
     const urgentNeed = upstreamsFor(running + urgent);
@@ -155,6 +161,8 @@
 
 /** What a plan remembers of a pool. */
 interface Course {
+  /** When the pool was first looked at. */
+  readonly since: number;
   /** Upstreams needed. */
   readonly total: Window;
   /** Upstreams that urgent work alone may need. */
--- a/src/orders/plan_test.ts
+++ b/src/orders/plan_test.ts
@@ -195,6 +195,26 @@
   expect(changes(wanted.slice(60)) <= 2).toEqual(true);
 });
 
+test("upstreams that are listed one after the other are all kept", () => {
+  const plan = new PressurePlan();
+  const listed = (count: number) =>
+    ZONES.map((availabilityZone, n) =>
+      offer({ availabilityZone, running: n < count ? 1 : 0 })
+    );
+  const wanted = [0, 1, 2, 3, 4, 4].map((count, second) =>
+    countOf(plan.wanted(outlook({
+      offers: listed(count),
+      now: second * 1000,
+    })))
+  );
+  expect(wanted).toEqual([0, 1, 2, 3, 4, 4]);
+});
+
+test("the least is ordered where nothing is listed for a while", () => {
+  const wanted = course(new PressurePlan(), { seconds: 8, load: () => 0 });
+  expect([wanted[0], wanted[7]].map(countOf)).toEqual([0, 1]);
+});
+
 test("an unknown pressure changes nothing", () => {
   const plan = new PressurePlan();
   const before = plan.wanted(outlook({ busy: 80 }));
