Choice of upstream: open connections are preferred, slower ones avoided

Ruled out: keeping connections by health checks; a share of them only. Change: the keeper knows which entry's request ended well where, and prefers an upstream to which the entry has a free connection. Longer half of a batch's items names the upstreams that have been slower for a while; they come last.

--- a/experiments/scenarios.ts
+++ b/experiments/scenarios.ts
@@ -56,7 +56,7 @@
   "keeper, fair by tokens, affine": (ground) =>
     new KeeperSystem(ground, {
       queue: () => new TokenQueue(),
-      choice: () => new AffineChoice(),
+      choice: (clock) => new AffineChoice({ clock }),
     }),
   "keeper, fair, least reported load": (ground) =>
     new KeeperSystem(ground, {
@@ -66,12 +66,12 @@
   "keeper, fair, affine, no headroom": (ground) =>
     new KeeperSystem(ground, {
       queue: () => new FairQueue(),
-      choice: () => new AffineChoice(),
+      choice: (clock) => new AffineChoice({ clock }),
     }),
   "keeper, fair, affine": (ground) =>
     new KeeperSystem(ground, {
       queue: () => new FairQueue(),
-      choice: () => new AffineChoice(),
+      choice: (clock) => new AffineChoice({ clock }),
       headroom: () => new Headroom(),
     }),
 };
--- a/experiments/systems.ts
+++ b/experiments/systems.ts
@@ -5,10 +5,11 @@
  * @module
  */
 
-import { Reason } from "../src/kernel/mod.ts";
+import { type Clock, Reason } from "../src/kernel/mod.ts";
 import type { Load } from "../src/outside/mod.ts";
 import { Reach } from "../src/dispatch/crashes.ts";
 import type { Choice } from "../src/dispatch/choice.ts";
+
 import type { Shard } from "../src/dispatch/fleet.ts";
 import type { Headroom } from "../src/dispatch/headroom.ts";
 import { type Answer, Keeper } from "../src/dispatch/keeper.ts";
@@ -176,7 +177,7 @@
 
   constructor(ground: Ground, options: {
     queue: () => Queue;
-    choice: () => Choice;
+    choice: (clock: Clock) => Choice;
     headroom?: () => Headroom;
   }) {
     super();
@@ -193,7 +194,7 @@
         clock: ground.timeline.clock,
         prefix: `${shard.name}.`,
         queue: options.queue(),
-        choice: options.choice(),
+        choice: options.choice(ground.timeline.clock),
         headroom: options.headroom?.(),
       });
       keeper.setUpstreams(shard.upstreams);
--- a/src/batches/paces_test.ts
+++ b/src/batches/paces_test.ts
@@ -42,3 +42,10 @@
   for (let n = 0; n < 50; n++) known.ended(1000, 2000);
   expect(Math.round(known.expectedMs(500))).toEqual(1000);
 });
+
+test("an upstream that is a little slower is behind, and stays so for long", () => {
+  const { clock, known } = paces({ a: 47, b: 48, c: 49, d: 61 });
+  clock.advance(30_000);
+  expect(known.behind()).toEqual(["d"]);
+  expect(known.slowest()).toEqual([]);
+});
--- a/src/batches/run.ts
+++ b/src/batches/run.ts
@@ -78,6 +78,8 @@
   readonly #courses = new Map<string, ItemCourse>();
   readonly #abort = new AbortController();
   readonly #listing: Listing;
+  /** Expected tokens of the median item. */
+  readonly #medianTokens: number;
   #done: Promise<unknown> = Promise.resolve();
 
   constructor(options: {
@@ -101,6 +103,9 @@
     this.#route = options.route;
     this.#paces = options.paces;
     this.#drafts = options.drafts;
+    this.#medianTokens = medianOf(
+      options.submission.items.map(({ expectedTokens }) => expectedTokens),
+    );
     // Every item of the batch listens.
     setMaxListeners(0, this.#abort.signal);
     this.#listing = new Listing({
@@ -410,6 +415,11 @@
     this.#listing.add(result);
   }
 
+  /** Whether an item may decide when its batch is done. */
+  #isLong({ expectedTokens }: Item): boolean {
+    return expectedTokens >= this.#medianTokens;
+  }
+
   #tokens({ tokens }: Item): number {
     return Math.max(MIN_TOKENS, tokens);
   }
@@ -434,6 +444,7 @@
         ...course.excluded,
         ...this.#paces(course.pool).slowest(),
       ],
+      avoid: this.#isLong(item) ? this.#paces(course.pool).behind() : [],
       fingerprint: course.fingerprint(organisation),
       attempt: course.sends,
     };
@@ -472,3 +483,7 @@
     };
   }
 }
+
+function medianOf(values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+}
--- a/src/dispatch/affine_choice.ts
+++ b/src/dispatch/affine_choice.ts
@@ -1,12 +1,14 @@
 /**
  * Picks by the load that the keeper knows, the prompt's part that an upstream
- * already holds, and the distance to the entry.
+ * already holds, the entry's open connections, and the distance to the entry.
  *
  * @module
  */
 
+import type { Clock } from "../kernel/mod.ts";
 import type { CacheEvent } from "../outside/mod.ts";
 import { type Candidate, Choice } from "./choice.ts";
+import { Connections } from "./connections.ts";
 import { Prefixes } from "./prefixes.ts";
 import type { Ticket } from "./queue.ts";
 
@@ -16,6 +18,10 @@
   readonly prefix: number;
   /** Cost of another availability zone, in parts of a full upstream. */
   readonly distance: number;
+  /** Worth of an open connection, in parts of a full upstream. */
+  readonly connection: number;
+  /** Cost of an upstream that the request avoids, likewise. */
+  readonly avoided: number;
   /** Time over which a fresh upstream comes up to full use. */
   readonly slowStartMs: number;
 }
@@ -24,12 +30,16 @@
 export class AffineChoice extends Choice {
   readonly #weights: Weights;
   readonly #prefixes = new Map<string, Prefixes>();
+  readonly #connections: Connections;
 
-  constructor(options: Partial<Weights> = {}) {
+  constructor(options: Partial<Weights> & { clock: Clock }) {
     super();
+    this.#connections = new Connections(options);
     this.#weights = {
       prefix: options.prefix ?? 0.3,
       distance: options.distance ?? 0.02,
+      connection: options.connection ?? 0.5,
+      avoided: options.avoided ?? 1.5,
       slowStartMs: options.slowStartMs ?? 5000,
     };
   }
@@ -48,6 +58,11 @@
 
   override granted(ticket: Ticket, upstream: string): void {
     this.#of(upstream).use(ticket.demand.prefixes);
+    this.#connections.taken(ticket.entry, upstream);
+  }
+
+  override freed(entry: string, upstream: string): void {
+    this.#connections.freed(entry, upstream);
   }
 
   override cached(upstream: string, events: readonly CacheEvent[]): void {
@@ -56,6 +71,7 @@
 
   override forget(upstream: string): void {
     this.#prefixes.delete(upstream);
+    this.#connections.forget(upstream);
   }
 
   /** The lower, the better. */
@@ -64,10 +80,14 @@
     const overlap = this.#of(upstream.id).overlap(ticket.demand.prefixes);
     const load = (inFlight + foreign) / upstream.slots;
     const far = upstream.availabilityZone !== ticket.availabilityZone;
+    const open = this.#connections.has(ticket.entry, upstream.id);
+    const avoided = ticket.demand.avoid?.includes(upstream.id) === true;
     const fresh = Math.max(0, 1 - readyForMs / this.#weights.slowStartMs);
     return load +
       load * fresh +
-      (far ? this.#weights.distance : 0) -
+      (far ? this.#weights.distance : 0) +
+      (avoided ? this.#weights.avoided : 0) -
+      (open ? this.#weights.connection : 0) -
       overlap * this.#weights.prefix;
   }
 
--- a/src/dispatch/choice.ts
+++ b/src/dispatch/choice.ts
@@ -29,6 +29,9 @@
   /** Takes note that a request went to an upstream. */
   granted(_ticket: Ticket, _upstream: string): void {}
 
+  /** Takes note that an entry's request left its connection open. */
+  freed(_entry: string, _upstream: string): void {}
+
   /** Takes in an upstream's cache events. */
   cached(_upstream: string, _events: readonly CacheEvent[]): void {}
 
--- /dev/null
+++ b/src/dispatch/connections_test.ts
@@ -0,0 +1,111 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { Random } from "../bench/random.ts";
+import { ManualClock } from "../kernel/mod.ts";
+import { AffineChoice } from "./affine_choice.ts";
+import { Connections } from "./connections.ts";
+import { ticket, upstream } from "./fixtures_test.ts";
+import { type Answer, Keeper } from "./keeper.ts";
+import { Outcome } from "./mod.ts";
+
+const ENTRIES = 40;
+const REQUESTS = 2400;
+const SLOTS = 6;
+
+/** A request that runs. */
+interface Running {
+  readonly entry: string;
+  readonly upstream: string;
+  readonly permit: string;
+  readonly endsAt: number;
+}
+
+/**
+ * Plays short requests from many entries on five upstreams that are a third
+ * full, and counts the connections that the entries had to open.
+ */
+function play(options: { connection?: number; seed: number }): {
+  opened: number;
+  waited: number;
+  fullest: number;
+} {
+  const clock = new ManualClock();
+  const random = new Random({ seed: options.seed });
+  const choice = new AffineChoice({ clock, connection: options.connection });
+  const keeper = new Keeper({ clock, choice });
+  keeper.setUpstreams(["1", "2", "3", "4", "5"].map((n) =>
+    upstream({
+      id: `up-${n}`,
+      slots: SLOTS,
+      availabilityZone: `zone-${Number(n) % 4}`,
+    })
+  ));
+  clock.advance(10_000);
+  const idle = new Map<string, number>();
+  let running: readonly Running[] = [];
+  let opened = 0;
+  let waited = 0;
+  let fullest = 0;
+  for (let count = 0; count < REQUESTS; count++) {
+    clock.advance(10);
+    const over = running.filter(({ endsAt }) => endsAt <= clock.now());
+    running = running.filter(({ endsAt }) => endsAt > clock.now());
+    for (const { permit, entry, upstream } of over) {
+      keeper.release(permit, Outcome.Served, 1);
+      const link = `${entry} ${upstream}`;
+      idle.set(link, (idle.get(link) ?? 0) + 1);
+    }
+    const number = Math.floor(random.next() * ENTRIES);
+    const entry = `entry-${number}`;
+    const asked = {
+      ...ticket(),
+      entry,
+      availabilityZone: `zone-${number % 4}`,
+    };
+    let answer: Answer | undefined;
+    keeper.submit(asked, (given) => answer = given);
+    if (answer === undefined || !("permit" in answer)) {
+      waited += 1;
+      keeper.cancel(asked.id);
+      continue;
+    }
+    const { permit, upstream: { id } } = answer;
+    const link = `${entry} ${id}`;
+    const open = idle.get(link) ?? 0;
+    if (open === 0) opened += 1;
+    else idle.set(link, open - 1);
+    const endsAt = clock.now() + 50 + random.next() * 100;
+    running = [...running, { entry, upstream: id, permit, endsAt }];
+    for (const { inFlight } of keeper.candidates) {
+      fullest = Math.max(fullest, inFlight);
+    }
+  }
+  return { opened, waited, fullest };
+}
+
+test("entries go where they have connections, and nobody waits for it", () => {
+  for (const seed of [1, 2, 3]) {
+    const blind = play({ connection: 0, seed });
+    const ours = play({ seed });
+    expect(ours.opened * 2 < blind.opened).toEqual(true);
+    expect([ours.waited, blind.waited]).toEqual([0, 0]);
+    expect(ours.fullest < SLOTS).toEqual(true);
+  }
+});
+
+test("a connection that nobody used for long is not counted on", () => {
+  const clock = new ManualClock();
+  const connections = new Connections({ clock });
+  connections.freed("entry-1", "up-1");
+  clock.advance(8000);
+  expect(connections.has("entry-1", "up-1")).toEqual(true);
+  clock.advance(2000);
+  expect(connections.has("entry-1", "up-1")).toEqual(false);
+});
+
+test("a connection serves one request at a time", () => {
+  const connections = new Connections({ clock: new ManualClock() });
+  connections.freed("entry-1", "up-1");
+  connections.taken("entry-1", "up-1");
+  expect(connections.has("entry-1", "up-1")).toEqual(false);
+});
--- a/src/dispatch/keeper.ts
+++ b/src/dispatch/keeper.ts
@@ -110,7 +110,8 @@
     this.#clock = options.clock;
     this.#prefix = options.prefix ?? "";
     this.#queue = options.queue ?? new FairQueue();
-    this.#choice = options.choice ?? new AffineChoice();
+    this.#choice = options.choice ??
+      new AffineChoice({ clock: options.clock });
     this.#quarantine = options.quarantine ??
       new Quarantine({ clock: options.clock });
     this.#crashes = new Crashes({ quarantine: this.#quarantine });
@@ -500,6 +501,9 @@
     const state = this.#states.get(holding.upstream);
     if (state === undefined) return;
     state.health.ended(outcome, now);
+    if (outcome === Outcome.Served || outcome === Outcome.Refused) {
+      this.#choice.freed(holding.entry, holding.upstream);
+    }
     const { model } = holding.demand;
     if (outcome === Outcome.Refused && model !== undefined) {
       state.refusedUntil.set(model, now + REFUSAL_MS);
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -44,6 +44,7 @@
   model: z.string().optional(),
   startInMs: z.number().optional(),
   exclude: z.array(z.string()),
+  avoid: z.array(z.string()).optional(),
   fingerprint: z.string(),
   attempt: z.number(),
 });
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -36,6 +36,8 @@
   readonly startInMs?: number;
   /** Upstreams that this request shall not go to. */
   readonly exclude: readonly string[];
+  /** Upstreams that it shall go to only if no other is free. */
+  readonly avoid?: readonly string[];
   /** Equal for resends of one request; used to quarantine what crashes. */
   readonly fingerprint: string;
   /** 0 for the first attempt. */
--- a/src/dispatch/uses.ts
+++ b/src/dispatch/uses.ts
@@ -227,6 +227,7 @@
         ...demand,
         prefixes: [],
         exclude: [],
+        avoid: [],
       },
     };
   }
