Named weight versions are watched, and read for all models at once

Ruled out: reading more often. Change: WeightStore.latest takes all models; WeightStore.changed waits for a change; what no watch told of is found after 2 s. The product's own weight store, which tells nothing, is polled as before.

--- a/src/orders/orders.ts
+++ b/src/orders/orders.ts
@@ -108,6 +108,7 @@
     await Promise.all([
       this.#repeat(tenure, { everyMs: ORDER_MS, run: () => ordering.round() }),
       this.#repeat(tenure, { everyMs: SWAP_MS, run: () => swapping.round() }),
+      this.#repeat(tenure, { everyMs: SWAP_MS, run: () => swapping.follow() }),
     ]);
     await swapping.end();
     this.#tenure = undefined;
--- a/src/orders/swapping.ts
+++ b/src/orders/swapping.ts
@@ -16,8 +16,11 @@
 
 const log = logger("weights");
 
-/** How often the weight store is asked for a model's newest version. */
-const LATEST_MS = 500;
+/** A change of the newest versions that nobody told of is found after this. */
+const REREAD_MS = 2000;
+/** Least time between two looks at the weight store. */
+const LOOK_MS = 100;
+
 /** How often the models' work is looked at, and what the newest look counts. */
 const WEIGH_MS = 500;
 const NEWEST_WEIGHT = 0.04;
@@ -55,7 +58,6 @@
   #weighedAt = -Infinity;
   #latest: ReadonlyMap<string, number> = new Map();
   #vms: readonly Vm[] = [];
-  #askedAt = -Infinity;
   #listedAt = -Infinity;
 
   constructor(options: {
@@ -76,7 +78,7 @@
     const tables = toUndefined(this.#config.current())?.tables;
     if (tables === undefined || !this.#config.fresh()) return;
     const lines = tables.pools.flatMap(linesOf);
-    await Promise.all([this.#look(lines), this.#list(), this.#weigh(lines)]);
+    await Promise.all([this.#list(), this.#weigh(lines)]);
     for (const line of lines) this.#line(line);
   }
 
@@ -85,17 +87,33 @@
     await Promise.all(this.#asked.values());
   }
 
-  async #look(lines: readonly Line[]): Promise<void> {
-    const now = this.#clock.now();
-    if (now - this.#askedAt < LATEST_MS) return;
-    this.#askedAt = now;
-    const models = [...new Set(lines.map(({ model }) => model))];
-    const versions = await Promise.all(
-      models.map((model) => this.#kernel.platform.weights.latest(model)),
-    );
-    for (const [n, version] of versions.entries()) {
-      if (version.err) this.#meters.store.inc({ fault: version.val.fault });
-      else this.#publish(models[n], version.val);
+  /** Follows the newest versions until the tenure ends. */
+  async follow(): Promise<void> {
+    const { signal } = this.#tenure;
+    while (!signal.aborted) {
+      await this.#look();
+      await this.#clock.sleep(LOOK_MS, signal);
+      if (signal.aborted) return;
+      await this.#kernel.platform.weights.changed({
+        waitMs: REREAD_MS,
+        signal,
+      });
+    }
+  }
+
+  async #look(): Promise<void> {
+    const tables = toUndefined(this.#config.current())?.tables;
+    if (tables === undefined) return;
+    const models = tables.pools.flatMap(linesOf).map(({ model }) => model);
+    const latest = await this.#kernel.platform.weights
+      .latest([...new Set(models)]);
+    if (latest.err) {
+      this.#meters.store.inc({ fault: latest.val.fault });
+      log("versions unread", { ...latest.val });
+      return;
+    }
+    for (const model of models) {
+      this.#publish(model, latest.val.get(model) ?? 0);
     }
   }
 
--- a/src/outside/http_platform.ts
+++ b/src/outside/http_platform.ts
@@ -5,8 +5,9 @@
  * @module
  */
 
-import type { Result } from "ts-results";
+import { Result } from "ts-results";
 import { z } from "zod";
+import { SystemClock } from "../kernel/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { Endpoint } from "./http_endpoint.ts";
 import { HttpEngine } from "./http_engine.ts";
@@ -139,6 +140,9 @@
   }
 }
 
+/** How often the weight store is asked anew. */
+const POLL_MS = 500;
+
 /** `WeightStore` over HTTP. */
 export class HttpWeightStore extends WeightStore {
   readonly #endpoint: Endpoint;
@@ -148,7 +152,23 @@
     this.#endpoint = new Endpoint(options);
   }
 
-  async latest(model: string): Promise<Result<number, Failure>> {
+  async latest(
+    models: readonly string[],
+  ): Promise<Result<ReadonlyMap<string, number>, Failure>> {
+    const answers = await Promise.all(models.map((model) => this.#of(model)));
+    return Result.all(...answers)
+      .map((versions) => new Map(versions.map((one, n) => [models[n], one])));
+  }
+
+  /** This store tells of nothing by itself. */
+  changed({ waitMs, signal }: {
+    waitMs: number;
+    signal: AbortSignal;
+  }): Promise<void> {
+    return new SystemClock().sleep(Math.min(waitMs, POLL_MS), signal);
+  }
+
+  async #of(model: string): Promise<Result<number, Failure>> {
     const answer = await this.#endpoint.call({
       method: "GET",
       path: `/weights/${encodeURIComponent(model)}`,
--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -270,8 +270,16 @@
 
 /** The rate-limited weight store. */
 export abstract class WeightStore {
-  /** The newest weight version published for a model; 0 before the first. */
-  abstract latest(model: string): Promise<Result<number, Failure>>;
+  /** The newest version published for each model; 0 before the first. */
+  abstract latest(
+    models: readonly string[],
+  ): Promise<Result<ReadonlyMap<string, number>, Failure>>;
+
+  /** Waits until another version may be there, at most `waitMs`. */
+  abstract changed(options: {
+    waitMs: number;
+    signal: AbortSignal;
+  }): Promise<void>;
 }
 
 /** An upstream's load, as it tells it; lags behind the truth. */
