Batches: a daemon that is asked for the first time has results from the owner

Ruled out: telling all daemons as results are listed; most never get a reader. Change: after the head, which says how many there are, the owner is asked; the service only if that isn't all. Test: daemon_test 'has its results from the owner' failed before (503 while ranges are refused).

--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -514,7 +514,6 @@
   }
 
   async #askOwner(view: View, options: {
-    after: number;
     waitMs: number;
     signal: AbortSignal;
   }): Promise<View | undefined> {
@@ -571,11 +570,21 @@
     return await this.#complete(view, found.val.value.head);
   }
 
-  /** A view with all results that the head tells of. */
+  /**
+   * A view with all results that the head tells of: from the owner, whose
+   * answer costs the service nothing, or else from the service.
+   */
   async #complete(view: View, head: Head): Promise<View | undefined> {
     if (head.listed <= view.results.length) {
       return this.#views.put({ ...view, head });
     }
+    const told = await this.#askOwner({ ...view, head }, {
+      waitMs: 0,
+      signal: this.#stop.signal,
+    });
+    if (told !== undefined && told.results.length >= head.listed) {
+      return this.#views.put({ ...told, head });
+    }
     const chunks = await this.#archive.results(head.id, 0);
     if (chunks.err) return undefined;
     return this.#views.put({
