Weights are loaded by as many upstreams at once as don't hinder each other

Cause: a third of each model's upstreams loaded at once, 15 to 20 with three models, where the store serves 7.

--- a/src/orders/swapping.ts
+++ b/src/orders/swapping.ts
@@ -12,6 +12,7 @@
 import type { Pool } from "../tables/mod.ts";
 import { assign } from "./assignment.ts";
 import type { Tenure } from "./charge.ts";
+import { Concurrency } from "./concurrency.ts";
 import { Swaps, type Versioned } from "./swaps.ts";
 
 const log = logger("weights");
@@ -50,11 +51,13 @@
   readonly #tenure: Tenure;
   readonly #meters: SwapMeters;
   readonly #lines = new Map<string, Swaps>();
+  readonly #concurrency = new Map<string, Concurrency>();
   readonly #told = new Map<string, Told>();
   /** Calls to engines that weren't answered yet, by upstream. */
   readonly #asked = new Map<string, Promise<unknown>>();
   /** Requests that ran or waited lately, by model. */
   readonly #weights = new Map<string, number>();
+  #turn = 0;
   #weighedAt = -Infinity;
   #latest: ReadonlyMap<string, number> = new Map();
   #vms: readonly Vm[] = [];
@@ -79,7 +82,12 @@
     if (tables === undefined || !this.#config.fresh()) return;
     const lines = tables.pools.flatMap(linesOf);
     await Promise.all([this.#list(), this.#weigh(lines)]);
-    for (const line of lines) this.#line(line);
+    // Each model has its turn at being the first that there is room for.
+    this.#turn += 1;
+    const first = this.#turn % Math.max(1, lines.length);
+    for (const line of [...lines.slice(first), ...lines.slice(0, first)]) {
+      this.#line(line);
+    }
   }
 
   /** Waits for the engines that were asked something. */
@@ -139,9 +147,7 @@
     const { model } = line;
     const latest = this.#latest.get(model) ?? 0;
     if (latest === 0) return;
-    const swaps = this.#lines.get(nameOf(line)) ??
-      new Swaps({ lag: line.pool.versionLag });
-    this.#lines.set(nameOf(line), swaps);
+    const swaps = this.#swapsOf(line);
     const vms = this.#following(line);
     this.#settle(swaps, { line, upstreams: this.#versions(line, vms) });
     const due = swaps.due(this.#versions(line, vms), {
@@ -149,17 +155,59 @@
       now: this.#clock.now(),
     });
     const awaited = new Set(swaps.awaited(this.#clock.now()));
+    let room = this.#room(line.pool);
     for (const vm of vms) {
       if (awaited.has(vm.id)) this.#ask(vm, () => this.#tell(vm, model));
       if (!due.includes(vm.id) || this.#asked.has(vm.id)) continue;
       // An engine carries out one order at a time, for whichever model.
-      if (this.#loading(vm.id)) continue;
+      if (this.#loading(vm.id) || room <= 0) continue;
+      room -= 1;
       const swap = { vm, model, version: latest };
       swaps.started(vm.id, { version: latest, now: this.#clock.now() });
       this.#ask(vm, () => this.#swap(swaps, swap));
     }
   }
 
+  #swapsOf({ pool, model }: Line): Swaps {
+    const name = nameOf({ pool, model });
+    const known = this.#lines.get(name);
+    if (known !== undefined) return known;
+    const concurrency = this.#concurrencyOf(pool);
+    const swaps = new Swaps({
+      lag: pool.versionLag,
+      onDone: (ended) =>
+        concurrency.ended(ended, {
+          now: this.#clock.now(),
+          pending: this.#pending(pool),
+        }),
+    });
+    this.#lines.set(name, swaps);
+    return swaps;
+  }
+
+  #concurrencyOf({ name }: Pool): Concurrency {
+    const known = this.#concurrency.get(name);
+    if (known !== undefined) return known;
+    const concurrency = new Concurrency();
+    this.#concurrency.set(name, concurrency);
+    return concurrency;
+  }
+
+  /** Swaps of any model that go on in a pool. */
+  #pending(pool: Pool): number {
+    return linesOf(pool)
+      .map((line) => this.#lines.get(nameOf(line))?.pending.length ?? 0)
+      .reduce((sum, count) => sum + count, 0);
+  }
+
+  /** Swaps that may begin in a pool now. */
+  #room(pool: Pool): number {
+    const upstreams = this.#vms
+      .filter((vm) => vm.role === Role.Upstream && vm.pool === pool.name);
+    const limit = this.#concurrencyOf(pool).limit(upstreams.length);
+    return limit - this.#pending(pool);
+  }
+
   /** Follows how much work each of several models has. */
   async #weigh(lines: readonly Line[]): Promise<void> {
     const now = this.#clock.now();
--- a/src/orders/swaps.ts
+++ b/src/orders/swaps.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import type { Ended } from "./concurrency.ts";
+
 /** Where older versions do for a while, this part has the newest. */
 const NEWEST_SHARE = 0.5;
 /** Part of a pool's upstreams that load weights at once. */
@@ -48,6 +50,7 @@
 export class Swaps {
   readonly #fraction: number;
   readonly #lag: number;
+  readonly #onDone: (ended: Ended) => void;
   #pending: ReadonlyMap<string, Pending> = new Map();
   #retries: ReadonlyMap<string, Retry> = new Map();
   #durations: readonly number[] = [];
@@ -56,9 +59,12 @@
     fraction?: number;
     /** Versions that an upstream may be behind and still serve trainers. */
     lag?: number;
+    /** Told of each swap that was done. */
+    onDone?: (ended: Ended) => void;
   } = {}) {
     this.#fraction = options.fraction ?? FRACTION;
     this.#lag = options.lag ?? 0;
+    this.#onDone = options.onDone ?? (() => {});
   }
 
   /** Upstreams whose swap hasn't ended. */
@@ -87,6 +93,7 @@
       const current = versions.get(id);
       if (current === undefined) this.#pending = without(this.#pending, id);
       else if (current >= version) {
+        this.#onDone({ startedAt: at, tookMs: now - at });
         ended.push([id, this.#done(id, now - at)]);
       } else if (now - at > this.#timeoutMs()) {
         this.failed(id, now);
