Loads of weights at once: begins with a sixth of the pool, doubles by waves

Change: begins with 16 %, one more for each load that wasn't hindered until the first that was, then one more for each wave.

--- a/src/orders/concurrency_test.ts
+++ b/src/orders/concurrency_test.ts
@@ -47,10 +47,7 @@
         const tookMs = now - startedAt;
         hadMs += now - since;
         blockedMs += tookMs;
-        concurrency.ended({ startedAt, tookMs }, {
-          now,
-          pending: loading.length,
-        });
+        concurrency.ended({ startedAt, tookMs }, now);
       }
       loading = after.filter(({ leftMs }) => leftMs > 0);
     }
@@ -67,22 +64,31 @@
   expect(ours.allMs < 1.2 * third.allMs).toEqual(true);
 });
 
-test("loads that don't hinder each other become more", () => {
+test("loads that don't hinder each other become a third of the pool", () => {
   const concurrency = new Concurrency();
-  const first = concurrency.limit(850);
-  for (let n = 0; n < 3; n++) {
-    const pending = concurrency.limit(850);
-    for (let one = 0; one < pending; one++) {
-      concurrency.ended({ startedAt: n * 2000, tookMs: 2000 }, {
-        now: (n + 1) * 2000,
-        pending: concurrency.limit(850),
-      });
+  const numbers = [0, 1, 2].map((wave) => {
+    const loads = concurrency.limit(850);
+    const startedAt = wave * 2500;
+    for (let n = 0; n < loads; n++) {
+      concurrency.ended({ startedAt, tookMs: 2000 + n }, startedAt + 2000 + n);
     }
+    return loads;
+  });
+  expect(numbers).toEqual([136, 272, 297]);
+});
+
+test("after loads that were hindered they become more slowly", () => {
+  const concurrency = new Concurrency();
+  concurrency.limit(48);
+  concurrency.ended({ startedAt: 0, tookMs: 900 }, 900);
+  concurrency.ended({ startedAt: 0, tookMs: 2000 }, 2000);
+  expect(concurrency.limit(48)).toEqual(6);
+  for (let n = 0; n < 7; n++) {
+    concurrency.ended({ startedAt: 3000, tookMs: 900 }, 3900);
   }
-  expect(first).toEqual(68);
-  expect(concurrency.limit(850) >= 297).toEqual(true);
+  expect(concurrency.limit(48)).toEqual(7);
 });
 
-test("a pool of few begins with two", () => {
+test("a pool of few has two at once", () => {
   expect(new Concurrency().limit(8)).toEqual(2);
 });
--- a/src/orders/swapping.ts
+++ b/src/orders/swapping.ts
@@ -175,11 +175,7 @@
     const concurrency = this.#concurrencyOf(pool);
     const swaps = new Swaps({
       lag: pool.versionLag,
-      onDone: (ended) =>
-        concurrency.ended(ended, {
-          now: this.#clock.now(),
-          pending: this.#pending(pool),
-        }),
+      onDone: (ended) => concurrency.ended(ended, this.#clock.now()),
     });
     this.#lines.set(name, swaps);
     return swaps;
