Batches: an item is not left out of every upstream that has its version

Cause: an item tells the keeper which upstreams to leave out, the slow ones among them, once, when it begins to wait. The keeper holds to that for as long as it waits. Where only these have the item's weight version, it waits until its time is over, also when they are slow no more. Ruled out: a batch without an owner (the logs show one within 3 s of the kills). Change: after 1.5 s without a place the wait is ended, and the next one leaves nothing out, only avoids; what then runs on a slow upstream stays there.

--- a/src/batches/item_course.ts
+++ b/src/batches/item_course.ts
@@ -42,6 +42,11 @@
     return this.moves < MAX_MOVES;
   }
 
+  /** Keeps it where it is from now on, however slow that is. */
+  stay(): void {
+    this.moves = MAX_MOVES;
+  }
+
   /** Adds an event; an event that can't be used ends the stream. */
   take(
     piece: Piece,
--- a/src/batches/run.ts
+++ b/src/batches/run.ts
@@ -8,13 +8,15 @@
 
 import { isNone } from "fp-ts/Option";
 import { setMaxListeners } from "node:events";
+import type { Result } from "ts-results";
 import {
   type Demand,
   type Dispatch,
   dispatchKey,
   Outcome as Use,
+  type Permit,
 } from "../dispatch/mod.ts";
-import { type Kernel, logger, Reason } from "../kernel/mod.ts";
+import { type Kernel, logger, Reason, type Refusal } from "../kernel/mod.ts";
 import { Loss, type Lost, type Parcel } from "../outside/mod.ts";
 import {
   drawPool,
@@ -47,6 +49,9 @@
 /** Fewest tokens that an item counts for. */
 const MIN_TOKENS = 1;
 
+/** An item that waited so long takes an upstream that it avoids, or left. */
+const PATIENCE_MS = 1500;
+
 /** An item this late may still be in time: expectations are rough. */
 const HOPE_MS = 2000;
 
@@ -221,6 +226,7 @@
     const draft = this.#drafts.fitting(this.#draftOf(item.id), this.#terms);
     course.generation = draft;
     let waitMs = RETRY_MS;
+    let waitsSince = this.#kernel.clock.now();
     while (!this.#signal.aborted) {
       if (course.generation.whole) {
         await this.#score(course);
@@ -228,10 +234,8 @@
       }
       const leftMs = this.#givesUpAt - this.#kernel.clock.wall();
       if (leftMs <= 0) return this.#giveUp(course, "retention");
-      const permit = await this.#dispatch.acquire(
-        this.#demand(course, leftMs),
-        this.#signal,
-      );
+      const patienceMs = waitsSince + PATIENCE_MS - this.#kernel.clock.now();
+      const permit = await this.#acquire(course, { leftMs, patienceMs });
       if (this.#signal.aborted) {
         if (permit.ok) permit.val.release(Use.Cancelled, 0);
         return;
@@ -243,6 +247,7 @@
         continue;
       }
       const lost = await this.#generate(course, permit.val);
+      waitsSince = this.#kernel.clock.now();
       if (this.#signal.aborted) return;
       if (lost === undefined) {
         course.generation = course.generation.ended();
@@ -258,14 +263,38 @@
     }
   }
 
+  /**
+   * Waits for a permit. What a keeper is told to leave out stays left out while
+   * the item waits there, also where nothing else has its version: so the wait
+   * is ended with the item's patience, and the next one leaves nothing out.
+   */
+  async #acquire(course: ItemCourse, { leftMs, patienceMs }: {
+    leftMs: number;
+    patienceMs: number;
+  }): Promise<Result<Permit, Refusal>> {
+    const demand = this.#demand(course, leftMs);
+    if (demand.exclude.length === 0) {
+      return await this.#dispatch.acquire(demand, this.#signal);
+    }
+    if (patienceMs <= 0) {
+      course.excluded = [];
+      course.stay();
+      const avoid = [...demand.avoid ?? [], ...demand.exclude];
+      const all = { ...demand, exclude: [], avoid };
+      return await this.#dispatch.acquire(all, this.#signal);
+    }
+    const over = new AbortController();
+    const cancel = this.#kernel.clock.after(patienceMs, () => over.abort());
+    const signal = AbortSignal.any([this.#signal, over.signal]);
+    const permit = await this.#dispatch.acquire(demand, signal);
+    cancel();
+    return permit;
+  }
+
   /** Streams from one upstream; nothing is returned once the text is whole. */
   async #generate(
     course: ItemCourse,
-    permit: {
-      target: { id: string; address: string };
-      leaving: AbortSignal;
-      release(outcome: Use, tokens: number): void;
-    },
+    permit: Permit,
   ): Promise<Lost | undefined> {
     const { carrier } = this.#kernel.platform;
     if (carrier === undefined) {
