--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -1,6 +1,6 @@
 /**
- * Plain HTTP: any method under a route's path prefix, with bodies streamed both
- * ways, to an upstream of the route's pool.
+ * Service routes: HTTP requests of any method under the route's path prefix go
+ * to an upstream of its pool, with bodies streamed both ways.
  *
  * @module
  */
