Batches: log what tells the hypotheses on late sends apart

Nothing in the logs said when the head that a run rests on was read, which notices arrived and what they met, or how old the proof of ownership was when an item or a reward request was sent. Each start, stop and send now says so; notices are logged where they change something (those that don't come each second). The age counts from before the call was sent, on whichever clock has advanced more: a suspended VM's monotonic clock stands still. No decision uses it yet.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -39,6 +39,7 @@
   ItemOutcome,
   type ItemResult,
 } from "./mod.ts";
+import type { Ownership } from "./ownership.ts";
 import { partialOutputKey, type PartialOutputs } from "./partial_outputs.ts";
 import { ResultLog } from "./result_log.ts";
 import type { UpstreamSpeeds } from "./upstream_speeds.ts";
@@ -85,6 +86,7 @@
   readonly #dispatch: Dispatch;
   readonly #relay: RequestRelay;
   readonly #store: BatchStore;
+  readonly #ownership: Ownership;
   readonly #submission: BatchSubmission;
   readonly #route: ExchangeRoute;
   readonly #speeds: (pool: string) => UpstreamSpeeds;
@@ -101,6 +103,7 @@
     kernel: Kernel;
     store: BatchStore;
     state: VersionedHead;
+    ownership: Ownership;
     submission: BatchSubmission;
     route: ExchangeRoute;
     /** Results listed before this run. */
@@ -114,6 +117,7 @@
     this.#dispatch = options.kernel.get(dispatchKey);
     this.#relay = options.kernel.get(relayKey);
     this.#store = options.store;
+    this.#ownership = options.ownership;
     this.#submission = options.submission;
     this.#route = options.route;
     this.#speeds = options.speeds;
@@ -163,6 +167,7 @@
       items: items.length,
       listed: listed.size,
       revision: this.state.revision,
+      confirmedMsAgo: this.#confirmedMsAgo,
     });
     this.#done = Promise.all([
       this.#resultLog.run().then((reason) => void this.stop(reason)),
@@ -174,7 +179,12 @@
   /** Ends all tasks; keeps partial outputs and drops unlisted results. */
   async stop(reason: string): Promise<void> {
     if (!this.running) return;
-    log("run stopped", { id: this.#submission.id, reason });
+    log("run stopped", {
+      id: this.#submission.id,
+      reason,
+      revision: this.state.revision,
+      confirmedMsAgo: this.#confirmedMsAgo,
+    });
     this.#abort.abort();
     await this.#done;
     for (const { item, output } of this.#itemTasks.values()) {
@@ -221,6 +231,11 @@
     return this.#abort.signal;
   }
 
+  /** Age of the last proof of ownership, for the log. */
+  get #confirmedMsAgo(): number {
+    return Math.round(this.#ownership.ageMs);
+  }
+
   /** Unix milliseconds after which unfinished items are given up. */
   get #giveUpAt(): number {
     const retentionMs = this.#route.exchange.batch?.retentionMs ?? Infinity;
@@ -326,6 +341,13 @@
     const startedAt = clock.now();
     let lastEventAt = 0;
     let events = 0;
+    log("item sent", {
+      id: task.item.id,
+      batch: this.#submission.id,
+      upstream: target.id,
+      after: request.after,
+      confirmedMsAgo: this.#confirmedMsAgo,
+    });
     const flow = await upstreamTransport.stream(target, request, signal);
     let lost = flow.err ? flow.val : undefined;
     for await (const event of flow.ok ? flow.val.events : []) {
@@ -398,6 +420,12 @@
         await this.#kernel.clock.sleep(MAX_RETRY_DELAY_MS, this.#signal);
         continue;
       }
+      log("reward requested", {
+        id: reward.id,
+        item: item.id,
+        batch: this.#submission.id,
+        confirmedMsAgo: this.#confirmedMsAgo,
+      });
       const served = await this.#relay.serve(route.value, {
         organisation: "",
       }, {
--- a/src/batches/batch_store.ts
+++ b/src/batches/batch_store.ts
@@ -11,7 +11,7 @@
 import { randomUUID } from "node:crypto";
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
-import { type Clock, logger } from "../kernel/mod.ts";
+import { type Clock, type Instant, logger } from "../kernel/mod.ts";
 import {
   type Failure,
   Fault,
@@ -71,6 +71,12 @@
   readonly revision: number;
 }
 
+/** A head that was read, and when the read was sent: it was current then. */
+export interface HeadReading {
+  readonly state: Option<VersionedHead>;
+  readonly sentAt: Instant;
+}
+
 const headSchema: z.ZodType<BatchHead> = z.object({
   id: z.string(),
   route: z.string(),
@@ -114,6 +120,8 @@
   /** The head after the change, as far as it is known. */
   readonly now: Option<VersionedHead>;
   readonly message: string;
+  /** When the call was sent that gave this outcome. */
+  readonly sentAt: Instant;
 }
 
 /** Batches in the key-value service. */
@@ -153,6 +161,7 @@
         changed: ChangeStatus.Refused,
         now: none,
         message: "The batch is larger than the service holds",
+        sentAt: this.#clock.instant(),
       };
     }
     return await this.#change(
@@ -173,8 +182,17 @@
 
   /** A batch's head; `None` if there is no such batch or it is unreadable. */
   async head(id: string): Promise<Result<Option<VersionedHead>, Failure>> {
+    return (await this.readHead(id)).map(({ state }) => state);
+  }
+
+  /** Like `head`, with the time of the read. */
+  async readHead(id: string): Promise<Result<HeadReading, Failure>> {
+    const sentAt = this.#clock.instant();
     const found = await this.#records.get(HEADS_PREFIX + id);
-    return found.map((entry) => isNone(entry) ? none : parseHead(entry.value));
+    return found.map((entry) => ({
+      state: isNone(entry) ? none : parseHead(entry.value),
+      sentAt,
+    }));
   }
 
   /** The heads of all stored batches. */
@@ -339,8 +357,9 @@
     const deadline = this.#clock.now() + (options.timeoutMs ?? Infinity);
     let unknown = false;
     for (;;) {
+      const sentAt = this.#clock.instant();
       const done = await this.#records.commit(change);
-      if (done.ok) return settled(done.val, next);
+      if (done.ok) return settled(done.val, { next, sentAt });
       const { fault, message } = done.val;
       if (fault === Fault.Unknown) unknown = true;
       log("change not acknowledged", { id: next.id, fault, message });
@@ -348,7 +367,7 @@
         options.signal?.aborted === true;
       if (expired || (!unknown && options.signal === undefined)) {
         const changed = unknown ? ChangeStatus.Unknown : ChangeStatus.Refused;
-        return { changed, now: none, message };
+        return { changed, now: none, message, sentAt };
       }
       await this.#clock.sleep(
         RETRY_DELAY_MS * (1 + Math.random()),
@@ -359,10 +378,13 @@
 }
 
 /** The outcome of an answered change. */
-function settled(commit: TransactionResult, next: BatchHead): ChangeOutcome {
+function settled(commit: TransactionResult, { next, sentAt }: {
+  next: BatchHead;
+  sentAt: Instant;
+}): ChangeOutcome {
   if (commit.applied) {
     const now = some({ head: next, revision: commit.revision });
-    return { changed: ChangeStatus.Applied, now, message: "" };
+    return { changed: ChangeStatus.Applied, now, message: "", sentAt };
   }
   const [entry] = commit.current;
   const found = entry === undefined ? none : parseHead(entry);
@@ -372,6 +394,7 @@
     changed: own ? ChangeStatus.Applied : ChangeStatus.Conflict,
     now: found,
     message: "",
+    sentAt,
   };
 }
 
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -43,6 +43,7 @@
   type ItemResult,
   type Page,
 } from "./mod.ts";
+import { Ownership } from "./ownership.ts";
 import { partialOutputKey, PartialOutputs } from "./partial_outputs.ts";
 import { UpstreamSpeeds } from "./upstream_speeds.ts";
 
@@ -324,13 +325,19 @@
 
   // Running
 
-  readonly #handleOwn: PeerHandler = (body) => {
+  readonly #handleOwn: PeerHandler = (body, from) => {
     const { id, ended } = ownBody.parse(body);
     const run = this.#runs.get(id);
+    const running = run?.running ?? false;
+    // Notices that change nothing come every second and are not logged.
+    if (ended || !running) {
+      const starting = this.#starting.has(id);
+      log("notified of batch", { id, from, ended, running, starting });
+    }
     if (ended) {
       this.#runs.delete(id);
       void run?.stop("ended");
-    } else if (run === undefined || !run.running) {
+    } else if (!running) {
       void this.#run(id);
     }
     return Promise.resolve(true);
@@ -350,11 +357,15 @@
   }
 
   async #startRun(id: string): Promise<void> {
-    const found = await this.#store.head(id);
-    if (found.err || isNone(found.val)) return;
-    const state = found.val.value;
+    const found = await this.#store.readHead(id);
+    if (found.err || isNone(found.val.state)) return;
+    const state = found.val.state.value;
     if (state.head.ended || state.head.listed >= state.head.total) return;
-    const taken = await this.#takeOwnership(state);
+    const ownership = new Ownership({
+      clock: this.#kernel.clock,
+      confirmedAt: found.val.sentAt,
+    });
+    const taken = await this.#takeOwnership(state, ownership);
     if (isNone(taken)) return;
     const { head } = taken.value;
     const route = this.#routeNamed(head.route);
@@ -372,6 +383,7 @@
       kernel: this.#kernel,
       store: this.#store,
       state: taken.value,
+      ownership,
       submission,
       route,
       results: results.val.flat(),
@@ -399,7 +411,10 @@
   }
 
   /** Makes this incarnation of the daemon the owner unless it already is. */
-  async #takeOwnership(state: VersionedHead): Promise<Option<VersionedHead>> {
+  async #takeOwnership(
+    state: VersionedHead,
+    ownership: Ownership,
+  ): Promise<Option<VersionedHead>> {
     const { vm, incarnation } = this.#peers.self;
     const { head } = state;
     if (head.owner === vm && head.run === incarnation) return some(state);
@@ -413,7 +428,9 @@
       outcome: outcome.changed,
       listed: head.listed,
     });
-    return outcome.changed === ChangeStatus.Applied ? outcome.now : none;
+    if (outcome.changed !== ChangeStatus.Applied) return none;
+    ownership.confirm(outcome.sentAt);
+    return outcome.now;
   }
 
   #routeNamed(name: string): ExchangeRoute | undefined {
--- a/src/batches/fixture_test.ts
+++ b/src/batches/fixture_test.ts
@@ -6,9 +6,10 @@
 
 import { isNone } from "fp-ts/Option";
 import { MemoryTransactionalKeyValue } from "../../stand_ins/memory_transactional_key_value.ts";
-import { SystemClock } from "../kernel/mod.ts";
+import { type Clock, SystemClock } from "../kernel/mod.ts";
 import { BatchStore, type VersionedHead } from "./batch_store.ts";
 import { type BatchSubmission, ItemOutcome, type ItemResult } from "./mod.ts";
+import { Ownership } from "./ownership.ts";
 
 /** The owner of the batches created here. */
 export const OWNER = { owner: "a", run: "a1" };
@@ -59,6 +60,11 @@
   };
 }
 
+/** Ownership confirmed just now. */
+export function ownership(clock: Clock = new SystemClock()): Ownership {
+  return new Ownership({ clock, confirmedAt: clock.instant() });
+}
+
 /** Stores a new batch. */
 export async function createBatch(batches: BatchStore): Promise<VersionedHead> {
   const outcome = await batches.create(submission(), {
--- a/src/batches/result_log.ts
+++ b/src/batches/result_log.ts
@@ -14,6 +14,7 @@
   type VersionedHead,
 } from "./batch_store.ts";
 import type { BatchSubmission, ItemResult } from "./mod.ts";
+import type { Ownership } from "./ownership.ts";
 
 const log = logger("batches");
 
@@ -27,6 +28,7 @@
 export class ResultLog {
   readonly #clock: Clock;
   readonly #store: BatchStore;
+  readonly #ownership: Ownership;
   readonly #signal: AbortSignal;
   readonly #groups: ReadonlyMap<string, string>;
   /** Number of unlisted items by group. */
@@ -41,6 +43,8 @@
   constructor(options: {
     clock: Clock;
     store: BatchStore;
+    /** Confirmed by each write. */
+    ownership: Ownership;
     state: VersionedHead;
     submission: BatchSubmission;
     /** Results listed before this run. */
@@ -51,6 +55,7 @@
     const { submission, results, signal } = options;
     this.#clock = options.clock;
     this.#store = options.store;
+    this.#ownership = options.ownership;
     this.#state = options.state;
     this.#signal = signal;
     this.#results = [...results];
@@ -96,6 +101,7 @@
       if (outcome.changed !== ChangeStatus.Applied || isNone(outcome.now)) {
         return outcome.changed;
       }
+      this.#ownership.confirm(outcome.sentAt);
       this.#listed(results, outcome.now.value);
       if (this.#results.length >= this.#state.head.total) return "complete";
     }
--- a/src/batches/result_log_test.ts
+++ b/src/batches/result_log_test.ts
@@ -5,6 +5,7 @@
   createBatch,
   createStore,
   OWNER,
+  ownership,
   result,
   submission,
 } from "./fixture_test.ts";
@@ -17,6 +18,7 @@
   const resultLog = new ResultLog({
     clock: new SystemClock(),
     store: batches,
+    ownership: ownership(),
     state,
     submission: submission(),
     results: [],
--- a/src/kernel/clock.ts
+++ b/src/kernel/clock.ts
@@ -1,10 +1,17 @@
 /**
  * Sources of time. Deadlines, leases and silence timeouts are measured on the
- * monotonic clock only; wall time is used only to determine usage windows.
+ * monotonic clock. Wall time is used to determine usage windows, and beside the
+ * monotonic clock where a suspended VM must not take a lease for valid.
  *
  * @module
  */
 
+/** A point in time on both clocks, for `Clock.elapsedMs`. */
+export interface Instant {
+  readonly now: number;
+  readonly wall: number;
+}
+
 /** A source of time and of timers. */
 export abstract class Clock {
   /** Monotonic time in milliseconds; its origin is arbitrary. */
@@ -16,6 +23,19 @@
   /** Runs `task` once after `delayMs`; the returned function cancels it. */
   abstract after(delayMs: number, task: () => void): () => void;
 
+  /** The current time. */
+  instant(): Instant {
+    return { now: this.now(), wall: this.wall() };
+  }
+
+  /**
+   * Milliseconds since `instant`, never fewer than have passed: the monotonic
+   * clock stands still while the VM is suspended, wall time may be set back.
+   */
+  elapsedMs({ now, wall }: Instant): number {
+    return Math.max(this.now() - now, this.wall() - wall);
+  }
+
   /** Resolves after `delayMs`, or at once when `signal` aborts. */
   sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) return Promise.resolve();
--- a/src/kernel/clock_test.ts
+++ b/src/kernel/clock_test.ts
@@ -28,3 +28,28 @@
   await sleep;
   expect(clock.now()).toEqual(0);
 });
+
+/** A manual clock whose wall time is `shiftMs` ahead of the monotonic time. */
+class ShiftedClock extends ManualClock {
+  shiftMs = 0;
+
+  override wall(): number {
+    return super.wall() + this.shiftMs;
+  }
+}
+
+test("time for which the VM was suspended counts as elapsed", () => {
+  const clock = new ShiftedClock();
+  const start = clock.instant();
+  clock.advance(10);
+  clock.shiftMs = 4000;
+  expect(clock.elapsedMs(start)).toEqual(4010);
+});
+
+test("wall time that is set back doesn't hide elapsed time", () => {
+  const clock = new ShiftedClock();
+  const start = clock.instant();
+  clock.advance(2500);
+  clock.shiftMs = -5000;
+  expect(clock.elapsedMs(start)).toEqual(2500);
+});
