Batches: an owner sends only while a recent proof of ownership holds

Callers saw items of a batch reach upstreams up to 5.9 s after the batch's end was acknowledged, where 3 s are allowed.

Cause: an owner's authority had no bound in time. Ownership was checked only by the compare-and-swap that lists a result; an owner that was replaced, or that missed the one notice of the end, acquired permits and sent items and reward requests until it next wanted to list something. Class of fault: acting on a belief whose age nothing limits, with a message that is assumed to arrive.

Now a confirmation (the read that a run starts from, the write that took the batch over, each listing, or a read of the head every third of its validity) holds for two thirds of the grace after an end, counted from before its call was sent. An end is stored before it is acknowledged, so a proof older than the end expires within the grace, whatever is lost or delayed. Permits, sends and reward requests need a valid proof; it is checked once more when the request is about to be written, after a wait for a connection. Streams that have begun go on, and moves off slow upstreams wait. A read that shows another owner or the end stops the run, also when nothing is left to list.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -16,7 +16,13 @@
   Outcome as PermitOutcome,
   type Permit,
 } from "../dispatch/mod.ts";
-import { type Kernel, logger, Reason, type Refusal } from "../kernel/mod.ts";
+import {
+  type Instant,
+  type Kernel,
+  logger,
+  Reason,
+  type Refusal,
+} from "../kernel/mod.ts";
 import {
   Loss,
   type LostRequest,
@@ -39,7 +45,7 @@
   ItemOutcome,
   type ItemResult,
 } from "./mod.ts";
-import type { Ownership } from "./ownership.ts";
+import { Ownership } from "./ownership.ts";
 import { partialOutputKey, type PartialOutputs } from "./partial_outputs.ts";
 import { ResultLog } from "./result_log.ts";
 import type { UpstreamSpeeds } from "./upstream_speeds.ts";
@@ -80,6 +86,17 @@
 /** Limit on a batch's stored partial outputs, which share one value. */
 const MAX_SAVED_BYTES = 500_000;
 
+/** Time allowed after the end of a batch if the settings give none. */
+const DEFAULT_END_GRACE_MS = 3000;
+
+/**
+ * Share of that time for which a confirmation of ownership is valid. The rest
+ * covers the way of a request to its upstream, and clocks of unequal rate.
+ */
+const OWNERSHIP_TTL_PER_GRACE = 2 / 3;
+
+const RENEWALS_PER_TTL = 3;
+
 /** A batch that runs on this daemon. */
 export class BatchRun {
   readonly #kernel: Kernel;
@@ -96,6 +113,7 @@
   readonly #resultLog: ResultLog;
   /** Median of the items' expected tokens. */
   readonly #medianTokens: number;
+  readonly #renewalIntervalMs: number;
   /** Settles when all tasks have ended. */
   #done: Promise<unknown> = Promise.resolve();
 
@@ -103,7 +121,8 @@
     kernel: Kernel;
     store: BatchStore;
     state: VersionedHead;
-    ownership: Ownership;
+    /** When the call was sent that showed this daemon as the owner. */
+    confirmedAt: Instant;
     submission: BatchSubmission;
     route: ExchangeRoute;
     /** Results listed before this run. */
@@ -117,7 +136,6 @@
     this.#dispatch = options.kernel.get(dispatchKey);
     this.#relay = options.kernel.get(relayKey);
     this.#store = options.store;
-    this.#ownership = options.ownership;
     this.#submission = options.submission;
     this.#route = options.route;
     this.#speeds = options.speeds;
@@ -127,9 +145,21 @@
     );
     // Every item of the batch adds listeners.
     setMaxListeners(0, this.#abort.signal);
+    const { clock, settings } = options.kernel;
+    const graceMs = settings.timing.batchEndGraceMs ?? DEFAULT_END_GRACE_MS;
+    const ttlMs = graceMs * OWNERSHIP_TTL_PER_GRACE;
+    this.#renewalIntervalMs = ttlMs / RENEWALS_PER_TTL;
+    this.#ownership = new Ownership({
+      clock,
+      batch: options.submission.id,
+      ttlMs,
+      confirmedAt: options.confirmedAt,
+      signal: this.#abort.signal,
+    });
     this.#resultLog = new ResultLog({
       ...options,
-      clock: options.kernel.clock,
+      clock,
+      ownership: this.#ownership,
       signal: this.#abort.signal,
     });
   }
@@ -172,6 +202,7 @@
     this.#done = Promise.all([
       this.#resultLog.run().then((reason) => void this.stop(reason)),
       this.#savePeriodically(),
+      this.#renewPeriodically(),
       ...items.map((item) => this.#runItem(item)),
     ]);
   }
@@ -212,6 +243,30 @@
     log("partial outputs saved", { id: this.#submission.id, bytes, kept });
   }
 
+  /** Each read is independent: an earlier one may still lack its answer. */
+  async #renewPeriodically(): Promise<void> {
+    while (!this.#signal.aborted) {
+      if (this.#ownership.ageMs >= this.#renewalIntervalMs) void this.#renew();
+      await this.#kernel.clock.sleep(this.#renewalIntervalMs, this.#signal);
+    }
+  }
+
+  /** Confirms ownership by a read, or stops if the batch isn't run here now. */
+  async #renew(): Promise<void> {
+    const read = await this.#store.readHead(this.#submission.id);
+    // If reads keep failing, the ownership lapses, which is logged.
+    if (read.err) return;
+    const { state, sentAt } = read.val;
+    if (isNone(state)) return await this.stop("removed");
+    const { head } = state.value;
+    const { owner, run } = this.state.head;
+    if (head.ended) return await this.stop("ended");
+    if (head.owner !== owner || head.run !== run) {
+      return await this.stop("replaced");
+    }
+    this.#ownership.confirm(sentAt);
+  }
+
   async #savePeriodically(): Promise<void> {
     while (!this.#signal.aborted) {
       await this.#kernel.clock.sleep(OUTPUT_SAVE_INTERVAL_MS, this.#signal);
@@ -262,12 +317,16 @@
       }
       const leftMs = this.#giveUpAt - this.#kernel.clock.wall();
       if (leftMs <= 0) return this.#giveUp(task, "retention");
+      if (!this.#ownership.valid) {
+        await this.#ownership.waitUntilValid();
+        continue;
+      }
       const exclusionMs = waitingSince + MAX_EXCLUSION_MS -
         this.#kernel.clock.now();
       const permit = await this.#acquire(task, { leftMs, exclusionMs });
-      if (this.#signal.aborted) {
+      if (!this.#ownership.valid) {
         if (permit.ok) permit.val.release(PermitOutcome.Cancelled, 0);
-        return;
+        continue;
       }
       if (permit.err) {
         if (permit.val.reason === Reason.NoUpstream) task.excluded = [];
@@ -303,19 +362,20 @@
     exclusionMs: number;
   }): Promise<Result<Permit, Refusal>> {
     const demand = this.#demand(task, leftMs);
+    const { signal: owned } = this.#ownership;
     if (demand.exclude.length === 0) {
-      return await this.#dispatch.acquire(demand, this.#signal);
+      return await this.#dispatch.acquire(demand, owned);
     }
     if (exclusionMs <= 0) {
       task.excluded = [];
       task.disableMoves();
       const avoid = [...demand.avoid ?? [], ...demand.exclude];
       const all = { ...demand, exclude: [], avoid };
-      return await this.#dispatch.acquire(all, this.#signal);
+      return await this.#dispatch.acquire(all, owned);
     }
     const expiry = new AbortController();
     const cancel = this.#kernel.clock.after(exclusionMs, () => expiry.abort());
-    const signal = AbortSignal.any([this.#signal, expiry.signal]);
+    const signal = AbortSignal.any([owned, expiry.signal]);
     const permit = await this.#dispatch.acquire(demand, signal);
     cancel();
     return permit;
@@ -361,7 +421,8 @@
       if (events > 0) speeds.recordInterval(target.id, now - lastEventAt);
       lastEventAt = now;
       events += 1;
-      if (task.canMove && speeds.isSlow(target.id)) {
+      const move = task.canMove && this.#ownership.valid;
+      if (move && speeds.isSlow(target.id)) {
         lost = { loss: Loss.Cancelled, message: "The upstream is slow" };
         break;
       }
@@ -411,6 +472,10 @@
     }
     let failures = 0;
     while (!this.#signal.aborted) {
+      if (!this.#ownership.valid) {
+        await this.#ownership.waitUntilValid();
+        continue;
+      }
       const route = this.#relay.route(reward.host, reward.path);
       if (this.#giveUpAt <= this.#kernel.clock.wall()) {
         this.#giveUp(task, "retention");
@@ -436,7 +501,8 @@
         fields: [],
         body: Buffer.from(reward.body, "base64"),
         remainingMs: REWARD_TIMEOUT_MS,
-      }, this.#signal);
+        mayStart: this.#mayStart,
+      }, this.#ownership.signal);
       if (this.#signal.aborted) return;
       const { answer: rewardResult } = served;
       const answer = rewardResult.ok ? rewardResult.val : undefined;
@@ -563,8 +629,11 @@
       after: output.last,
       silenceMs: this.#kernel.settings.timing.upstreamSilenceMs,
       urgency: Math.min(9, this.#route.exchange.rank + 2),
+      mayStart: this.#mayStart,
     };
   }
+
+  readonly #mayStart = () => this.#ownership.valid;
 }
 
 function medianOf(values: readonly number[]): number {
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { isNone, none, type Option, some } from "fp-ts/Option";
+import { isNone, type Option } from "fp-ts/Option";
 import { setMaxListeners } from "node:events";
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
@@ -14,6 +14,7 @@
 import { peerFallbackKey } from "../detour/mod.ts";
 import { dispatchKey } from "../dispatch/mod.ts";
 import {
+  type Instant,
   type Kernel,
   logger,
   type PeerHandler,
@@ -43,7 +44,6 @@
   type ItemResult,
   type Page,
 } from "./mod.ts";
-import { Ownership } from "./ownership.ts";
 import { partialOutputKey, PartialOutputs } from "./partial_outputs.ts";
 import { UpstreamSpeeds } from "./upstream_speeds.ts";
 
@@ -100,6 +100,12 @@
   results: resultsSchema,
 });
 
+/** A batch that this daemon owned when a call was sent. */
+interface OwnedBatch {
+  readonly state: VersionedHead;
+  readonly confirmedAt: Instant;
+}
+
 /** Batches stored in the platform's key-value service. */
 export class StoredBatches extends Batches {
   override readonly props: Props;
@@ -361,13 +367,9 @@
     if (found.err || isNone(found.val.state)) return;
     const state = found.val.state.value;
     if (state.head.ended || state.head.listed >= state.head.total) return;
-    const ownership = new Ownership({
-      clock: this.#kernel.clock,
-      confirmedAt: found.val.sentAt,
-    });
-    const taken = await this.#takeOwnership(state, ownership);
-    if (isNone(taken)) return;
-    const { head } = taken.value;
+    const taken = await this.#takeOwnership(state, found.val.sentAt);
+    if (taken === undefined) return;
+    const { head } = taken.state;
     const route = this.#routeNamed(head.route);
     const results = await this.#store.results(id, 0);
     if (state.head.listed > 0 || state.head.run !== head.run) {
@@ -382,8 +384,7 @@
     const run = new BatchRun({
       kernel: this.#kernel,
       store: this.#store,
-      state: taken.value,
-      ownership,
+      ...taken,
       submission,
       route,
       results: results.val.flat(),
@@ -413,11 +414,13 @@
   /** Makes this incarnation of the daemon the owner unless it already is. */
   async #takeOwnership(
     state: VersionedHead,
-    ownership: Ownership,
-  ): Promise<Option<VersionedHead>> {
+    readAt: Instant,
+  ): Promise<OwnedBatch | undefined> {
     const { vm, incarnation } = this.#peers.self;
     const { head } = state;
-    if (head.owner === vm && head.run === incarnation) return some(state);
+    if (head.owner === vm && head.run === incarnation) {
+      return { state, confirmedAt: readAt };
+    }
     const outcome = await this.#store.takeOwnership(state, {
       owner: vm,
       run: incarnation,
@@ -428,9 +431,9 @@
       outcome: outcome.changed,
       listed: head.listed,
     });
-    if (outcome.changed !== ChangeStatus.Applied) return none;
-    ownership.confirm(outcome.sentAt);
-    return outcome.now;
+    const { changed, now, sentAt } = outcome;
+    if (changed !== ChangeStatus.Applied || isNone(now)) return undefined;
+    return { state: now.value, confirmedAt: sentAt };
   }
 
   #routeNamed(name: string): ExchangeRoute | undefined {
--- a/src/batches/fixture_test.ts
+++ b/src/batches/fixture_test.ts
@@ -61,8 +61,19 @@
 }
 
 /** Ownership confirmed just now. */
-export function ownership(clock: Clock = new SystemClock()): Ownership {
-  return new Ownership({ clock, confirmedAt: clock.instant() });
+export function ownership(options: {
+  clock?: Clock;
+  ttlMs?: number;
+  signal?: AbortSignal;
+} = {}): Ownership {
+  const clock = options.clock ?? new SystemClock();
+  return new Ownership({
+    clock,
+    batch: "batch",
+    ttlMs: options.ttlMs ?? 2000,
+    confirmedAt: clock.instant(),
+    signal: options.signal ?? new AbortController().signal,
+  });
 }
 
 /** Stores a new batch. */
--- a/src/batches/result_log_test.ts
+++ b/src/batches/result_log_test.ts
@@ -18,7 +18,7 @@
   const resultLog = new ResultLog({
     clock: new SystemClock(),
     store: batches,
-    ownership: ownership(),
+    ownership: ownership({ signal: abort.signal }),
     state,
     submission: submission(),
     results: [],
--- a/src/outside/http_endpoint.ts
+++ b/src/outside/http_endpoint.ts
@@ -130,17 +130,33 @@
       "content-type": text ? "application/octet-stream" : "application/json",
       "content-length": `${content.length}`,
     },
-    // undici accepts async iterables too, but its types don't include them.
     body: signal
-      ? contentUnlessExpired(content, signal) as unknown as Readable
+      ? contentUnlessExpired(content, () => isExpired(signal))
       : content,
   };
 }
 
-/** Yields the content when it is about to be written, unless expired. */
-async function* contentUnlessExpired(content: Buffer, signal: AbortSignal) {
-  if (isExpired(signal)) throw new Error("Call expired before it was sent");
-  yield content;
+/** Fails a call whose time was over when it was about to be written. */
+export class ExpiredCall extends Error {
+  constructor() {
+    super("Call expired before it was sent");
+  }
+}
+
+/**
+ * Yields the content when it is about to be written; if the call has expired by
+ * then, nothing of it is written. Needs a content-length header.
+ */
+export function contentUnlessExpired(
+  content: Buffer,
+  expired: () => boolean,
+): Readable {
+  async function* check() {
+    if (expired()) throw new ExpiredCall();
+    yield content;
+  }
+  // undici accepts async iterables too, but its types don't include them.
+  return check() as unknown as Readable;
 }
 
 /**
--- a/src/outside/upstream_transport.ts
+++ b/src/outside/upstream_transport.ts
@@ -31,6 +31,11 @@
   readonly silenceMs?: number;
   /** 0 is the most urgent; absent if the upstream is to ignore urgency. */
   readonly urgency?: number;
+  /**
+   * Checked right before the request is written. If it is false, the request
+   * isn't sent and counts as cancelled.
+   */
+  readonly mayStart?: () => boolean;
 }
 
 /** A complete response. */
--- a/src/relay/attempts.ts
+++ b/src/relay/attempts.ts
@@ -154,6 +154,7 @@
       after: progress.after,
       silenceMs: retryable ? upstreamSilenceMs : undefined,
       urgency: Math.min(MAX_URGENCY, rank ?? route.exchange.rank),
+      mayStart: request.mayStart,
     };
   }
 
--- a/src/relay/mod.ts
+++ b/src/relay/mod.ts
@@ -25,6 +25,8 @@
   readonly after?: number;
   /** The model and the size of the prompt, if the request names a model. */
   readonly prompt?: Prompt;
+  /** Checked right before each send; the request isn't sent if it is false. */
+  readonly mayStart?: () => boolean;
 }
 
 /** The model and prompt size of a request. */
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -68,4 +68,6 @@
   readonly claimRetentionMs: number;
   /** Retention period of a batch's results from its submission on. */
   readonly batchRetentionMs?: number;
+  /** Time after the end of a batch in which its requests may still start. */
+  readonly batchEndGraceMs?: number;
 }
