Batches: an end still reaches a run while its daemon leaves

A daemon that shuts down forgot its runs before it had stored their partial outputs, which takes seconds while the store is slow. The runs now stay known until they have stopped.

Test: "a leaving owner stops when its batch is ended" (store silent, the end acknowledged by another daemon): failed before, passes now.

--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -166,8 +166,8 @@
   /** Stops all runs and hands them over to other daemons. */
   override async leave(): Promise<void> {
     this.#leaving = true;
+    // The runs stay known until they stop, so that an end still reaches them.
     const runs = [...this.#runs.values()];
-    this.#runs.clear();
     await Promise.all(runs.map((run) => run.savePartialOutputs()));
     await Promise.all(runs.map((run) => run.stop("leaving")));
     await Promise.all(runs.map(({ state }) => this.#handOver(state.head)));
