--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -394,7 +394,6 @@
     }
     const { target, leaving, release } = permit;
     task.upstream = target.id;
-    const signal = AbortSignal.any([this.#signal, leaving]);
     const request = this.#request(task);
     const { clock } = this.#kernel;
     const speeds = this.#speeds(task.pool);
@@ -408,7 +407,14 @@
       after: request.after,
       confirmedMsAgo: this.#confirmedMsAgo,
     });
+    // Until the answer begins, the request may still be on its way.
+    const opening = new AbortController();
+    const abortOpening = () => opening.abort();
+    const { signal: owned } = this.#ownership;
+    owned.addEventListener("abort", abortOpening, { once: true });
+    const signal = AbortSignal.any([this.#signal, leaving, opening.signal]);
     const flow = await upstreamTransport.stream(target, request, signal);
+    owned.removeEventListener("abort", abortOpening);
     let lost = flow.err ? flow.val : undefined;
     for await (const event of flow.ok ? flow.val.events : []) {
       if (event.err) {
--- a/src/outside/http_endpoint.ts
+++ b/src/outside/http_endpoint.ts
@@ -165,7 +165,9 @@
  * starts one timer turn after connecting: if the process was paused meanwhile,
  * overdue timers run first and abort the call.
  */
-function resettingConnector(timeoutMs: number): buildConnector.connector {
+export function resettingConnector(
+  timeoutMs: number,
+): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs });
   return (options, callback) =>
     connect(options, (...[error, socket]) => {
