Batches: an end that arrives while a run starts keeps it from starting

A start reads the store several times, for seconds while the store is slow. A notice of the batch's end in that time met no run and was dropped, and the run started after the end; only the first confirmation of ownership stopped it. Starts are now known by batch, and an end aborts them.

The scan's repeated notices of ends go: they stopped 10 s after the submission of a batch, not after its end, so most ends had none, and owners read the head by themselves.

--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -58,9 +58,6 @@
 /** Number of daemons that scan all batches: one may be dead or cut off. */
 const SCANNING_DAEMONS = 2;
 
-/** Age of an ended batch up to which its owner is still notified. */
-const ENDED_NOTICE_MS = 10_000;
-
 /** Retention of batches if the settings give none. */
 const DEFAULT_RETENTION_MS = 120_000;
 
@@ -115,7 +112,8 @@
   readonly #retentionMs: number;
   readonly #cache = new BatchCache();
   readonly #runs = new Map<string, BatchRun>();
-  readonly #starting = new Set<string>();
+  /** Starts under way; aborted if the batch ends meanwhile. */
+  readonly #starts = new Map<string, AbortController>();
   readonly #speedsByPool = new Map<string, UpstreamSpeeds>();
   readonly #partialOutputs = new PartialOutputs();
   readonly #stop = new AbortController();
@@ -313,7 +311,7 @@
     await this.#notify(this.#runnerOf(head), head);
   }
 
-  /** Not retried: the scanning daemons notify owners again. */
+  /** Not retried: scans repeat it, and owners confirm their ownership. */
   async #notify(vm: string, { id, ended }: BatchHead): Promise<void> {
     const sent = await this.#peers.ask(vm, Message.Own, { id, ended }, {
       timeoutMs: NOTIFY_OWNER_TIMEOUT_MS,
@@ -337,10 +335,11 @@
     const running = run?.running ?? false;
     // Notices that change nothing come every second and are not logged.
     if (ended || !running) {
-      const starting = this.#starting.has(id);
+      const starting = this.#starts.has(id);
       log("notified of batch", { id, from, ended, running, starting });
     }
     if (ended) {
+      this.#starts.get(id)?.abort();
       this.#runs.delete(id);
       void run?.stop("ended");
     } else if (!running) {
@@ -351,18 +350,19 @@
 
   /** Starts a run unless one of the batch is being started. */
   async #run(id: string): Promise<void> {
-    if (this.#leaving || this.#starting.has(id)) return;
-    this.#starting.add(id);
+    if (this.#leaving || this.#starts.has(id)) return;
+    const start = new AbortController();
+    this.#starts.set(id, start);
     try {
-      await this.#startRun(id);
+      await this.#startRun(id, start.signal);
     } catch (error) {
       log("run failed to start", { id, reason: String(error) });
     } finally {
-      this.#starting.delete(id);
+      this.#starts.delete(id);
     }
   }
 
-  async #startRun(id: string): Promise<void> {
+  async #startRun(id: string, signal: AbortSignal): Promise<void> {
     const found = await this.#store.readHead(id);
     if (found.err || isNone(found.val.state)) return;
     const state = found.val.state.value;
@@ -391,7 +391,7 @@
       speeds: (pool) => this.#speedsOf(pool),
       partialOutputs: this.#partialOutputs,
     });
-    if (this.#leaving) return;
+    if (this.#leaving || signal.aborted) return;
     this.#runs.set(id, run);
     run.start();
     void run.ended.then(() => this.#retire(id, run));
@@ -484,8 +484,8 @@
       log("batch removed", { id: head.id, ageMs: Math.round(ageMs) });
       return;
     }
-    if (head.listed >= head.total) return;
-    if (head.ended && ageMs > ENDED_NOTICE_MS) return;
+    // An owner that missed the end learns of it when it confirms ownership.
+    if (head.ended || head.listed >= head.total) return;
     void this.#notifyOwner(head);
   }
 
