--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -17,9 +17,9 @@
   type Permit,
 } from "../dispatch/mod.ts";
 import {
-  type Instant,
   type Kernel,
   logger,
+  type Moment,
   Reason,
   type Refusal,
 } from "../kernel/mod.ts";
@@ -122,7 +122,7 @@
     store: BatchStore;
     state: VersionedHead;
     /** When the call was sent that showed this daemon as the owner. */
-    confirmedAt: Instant;
+    confirmedAt: Moment;
     submission: BatchSubmission;
     route: ExchangeRoute;
     /** Results listed before this run. */
--- a/src/batches/batch_store.ts
+++ b/src/batches/batch_store.ts
@@ -11,7 +11,7 @@
 import { randomUUID } from "node:crypto";
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
-import { type Clock, type Instant, logger } from "../kernel/mod.ts";
+import { type Clock, logger, type Moment } from "../kernel/mod.ts";
 import {
   type Failure,
   Fault,
@@ -74,7 +74,7 @@
 /** A head that was read, and when the read was sent: it was current then. */
 export interface HeadReading {
   readonly state: Option<VersionedHead>;
-  readonly sentAt: Instant;
+  readonly sentAt: Moment;
 }
 
 const headSchema: z.ZodType<BatchHead> = z.object({
@@ -121,7 +121,7 @@
   readonly now: Option<VersionedHead>;
   readonly message: string;
   /** When the call was sent that gave this outcome. */
-  readonly sentAt: Instant;
+  readonly sentAt: Moment;
 }
 
 /** Batches in the key-value service. */
@@ -161,7 +161,7 @@
         changed: ChangeStatus.Refused,
         now: none,
         message: "The batch is larger than the service holds",
-        sentAt: this.#clock.instant(),
+        sentAt: this.#clock.moment(),
       };
     }
     return await this.#change(
@@ -187,7 +187,7 @@
 
   /** Like `head`, with the time of the read. */
   async readHead(id: string): Promise<Result<HeadReading, Failure>> {
-    const sentAt = this.#clock.instant();
+    const sentAt = this.#clock.moment();
     const found = await this.#records.get(HEADS_PREFIX + id);
     return found.map((entry) => ({
       state: isNone(entry) ? none : parseHead(entry.value),
@@ -357,7 +357,7 @@
     const deadline = this.#clock.now() + (options.timeoutMs ?? Infinity);
     let unknown = false;
     for (;;) {
-      const sentAt = this.#clock.instant();
+      const sentAt = this.#clock.moment();
       const done = await this.#records.commit(change);
       if (done.ok) return settled(done.val, { next, sentAt });
       const { fault, message } = done.val;
@@ -380,7 +380,7 @@
 /** The outcome of an answered change. */
 function settled(commit: TransactionResult, { next, sentAt }: {
   next: BatchHead;
-  sentAt: Instant;
+  sentAt: Moment;
 }): ChangeOutcome {
   if (commit.applied) {
     const now = some({ head: next, revision: commit.revision });
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -14,9 +14,9 @@
 import { peerFallbackKey } from "../detour/mod.ts";
 import { dispatchKey } from "../dispatch/mod.ts";
 import {
-  type Instant,
   type Kernel,
   logger,
+  type Moment,
   type PeerHandler,
   type Props,
   Reason,
@@ -100,7 +100,7 @@
 /** A batch that this daemon owned when a call was sent. */
 interface OwnedBatch {
   readonly state: VersionedHead;
-  readonly confirmedAt: Instant;
+  readonly confirmedAt: Moment;
 }
 
 /** Batches stored in the platform's key-value service. */
@@ -414,7 +414,7 @@
   /** Makes this incarnation of the daemon the owner unless it already is. */
   async #takeOwnership(
     state: VersionedHead,
-    readAt: Instant,
+    readAt: Moment,
   ): Promise<OwnedBatch | undefined> {
     const { vm, incarnation } = this.#peers.self;
     const { head } = state;
--- a/src/batches/fixture_test.ts
+++ b/src/batches/fixture_test.ts
@@ -71,7 +71,7 @@
     clock,
     batch: "batch",
     ttlMs: options.ttlMs ?? 2000,
-    confirmedAt: clock.instant(),
+    confirmedAt: clock.moment(),
     signal: options.signal ?? new AbortController().signal,
   });
 }
--- a/src/batches/ownership.ts
+++ b/src/batches/ownership.ts
@@ -8,7 +8,7 @@
  */
 
 import { setMaxListeners } from "node:events";
-import { type Clock, type Instant, logger } from "../kernel/mod.ts";
+import { type Clock, logger, type Moment } from "../kernel/mod.ts";
 
 const log = logger("batches");
 
@@ -19,7 +19,7 @@
   readonly #ttlMs: number;
   readonly #outer: AbortSignal;
   readonly #waiters = new Set<() => void>();
-  #confirmedAt: Instant;
+  #confirmedAt: Moment;
   #abort: AbortController;
   #cancelTimer = () => {};
 
@@ -29,7 +29,7 @@
     /** Validity of a confirmation. */
     ttlMs: number;
     /** When the call was sent by which ownership was confirmed last. */
-    confirmedAt: Instant;
+    confirmedAt: Moment;
     /** Aborts when the run ends. */
     signal: AbortSignal;
   }) {
@@ -60,7 +60,7 @@
   }
 
   /** Records a confirmation by a call that was sent at `sentAt`. */
-  confirm(sentAt: Instant): void {
+  confirm(sentAt: Moment): void {
     if (this.#outer.aborted) return;
     const lastAgeMs = this.ageMs;
     if (this.#clock.elapsedMs(sentAt) >= lastAgeMs) return;
--- a/src/batches/ownership_test.ts
+++ b/src/batches/ownership_test.ts
@@ -16,7 +16,7 @@
   const clock = new ManualClock();
   const owned = ownership({ clock, ttlMs: 2000 });
   clock.advance(500);
-  const sentAt = clock.instant();
+  const sentAt = clock.moment();
   clock.advance(1400);
   owned.confirm(sentAt);
   clock.advance(599);
@@ -28,9 +28,9 @@
 test("a late answer to an earlier read doesn't shorten ownership", () => {
   const clock = new ManualClock();
   const owned = ownership({ clock, ttlMs: 2000 });
-  const early = clock.instant();
+  const early = clock.moment();
   clock.advance(1000);
-  owned.confirm(clock.instant());
+  owned.confirm(clock.moment());
   owned.confirm(early);
   clock.advance(1500);
   expect(owned.valid).toEqual(true);
@@ -41,7 +41,7 @@
   const owned = ownership({ clock, ttlMs: 2000 });
   clock.advance(5000);
   const wait = owned.waitUntilValid();
-  owned.confirm(clock.instant());
+  owned.confirm(clock.moment());
   await wait;
   expect([owned.valid, owned.signal.aborted]).toEqual([true, false]);
 });
@@ -54,6 +54,6 @@
   const wait = owned.waitUntilValid();
   run.abort();
   await wait;
-  owned.confirm(clock.instant());
+  owned.confirm(clock.moment());
   expect([owned.valid, owned.signal.aborted]).toEqual([false, true]);
 });
--- a/src/kernel/clock.ts
+++ b/src/kernel/clock.ts
@@ -1,14 +1,14 @@
 /**
- * Sources of time. Deadlines, leases and silence timeouts are measured on the
- * monotonic clock. Wall time is used to determine usage windows, and beside the
- * monotonic clock where a suspended VM must not take a lease for valid.
+ * Sources of time. Deadlines and silence timeouts are measured on the monotonic
+ * clock only. It stands still while the VM is suspended, so leases are measured
+ * on the wall clock too; otherwise that only determines usage windows.
  *
  * @module
  */
 
-/** A point in time on both clocks, for `Clock.elapsedMs`. */
-export interface Instant {
-  readonly now: number;
+/** A point in time on both clocks. */
+export interface Moment {
+  readonly monotonic: number;
   readonly wall: number;
 }
 
@@ -20,22 +20,25 @@
   /** Wall time in milliseconds since the Unix epoch. */
   abstract wall(): number;
 
-  /** Runs `task` once after `delayMs`; the returned function cancels it. */
-  abstract after(delayMs: number, task: () => void): () => void;
-
-  /** The current time. */
-  instant(): Instant {
-    return { now: this.now(), wall: this.wall() };
+  /** The current moment. */
+  moment(): Moment {
+    return { monotonic: this.now(), wall: this.wall() };
   }
 
   /**
-   * Milliseconds since `instant`, never fewer than have passed: the monotonic
-   * clock stands still while the VM is suspended, wall time may be set back.
+   * Milliseconds since `moment`, by the clock that counts more. A suspension of
+   * the VM thus counts, and a wall clock that is set back shortens nothing.
    */
-  elapsedMs({ now, wall }: Instant): number {
-    return Math.max(this.now() - now, this.wall() - wall);
+  elapsedMs(moment: Moment): number {
+    return Math.max(
+      this.now() - moment.monotonic,
+      this.wall() - moment.wall,
+    );
   }
 
+  /** Runs `task` once after `delayMs`; the returned function cancels it. */
+  abstract after(delayMs: number, task: () => void): () => void;
+
   /** Resolves after `delayMs`, or at once when `signal` aborts. */
   sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) return Promise.resolve();
--- a/src/kernel/clock_test.ts
+++ b/src/kernel/clock_test.ts
@@ -40,7 +40,7 @@
 
 test("time for which the VM was suspended counts as elapsed", () => {
   const clock = new ShiftedClock();
-  const start = clock.instant();
+  const start = clock.moment();
   clock.advance(10);
   clock.shiftMs = 4000;
   expect(clock.elapsedMs(start)).toEqual(4010);
@@ -48,7 +48,7 @@
 
 test("wall time that is set back doesn't hide elapsed time", () => {
   const clock = new ShiftedClock();
-  const start = clock.instant();
+  const start = clock.moment();
   clock.advance(2500);
   clock.shiftMs = -5000;
   expect(clock.elapsedMs(start)).toEqual(2500);
