A lease does not outlive a suspension of its holder's VM

The monotonic clock stands still while a VM is suspended, so a holder that was suspended for longer than its lease held it still by its own count, and acted until its next renewal met the successor's write.

Leases are measured from a moment on both clocks, and the clock that counts more decides. A wall clock set forward ends a lease early, and it is acquired again under the same or a newer term; one set back changes nothing. What remains is a wall clock that is set back by as long as the VM was suspended.

The clock of the tests gained suspend(); the existing property test draws from the same actions as before.

--- a/src/kernel/clock.ts
+++ b/src/kernel/clock.ts
@@ -1,10 +1,17 @@
 /**
- * Sources of time. Deadlines, leases and silence timeouts are measured on the
- * monotonic clock only; wall time is used only to determine usage windows.
+ * Sources of time. Deadlines and silence timeouts are measured on the monotonic
+ * clock only. It stands still while the VM is suspended, so leases are measured
+ * on the wall clock too; otherwise that only determines usage windows.
  *
  * @module
  */
 
+/** A point in time on both clocks. */
+export interface Moment {
+  readonly monotonic: number;
+  readonly wall: number;
+}
+
 /** A source of time and of timers. */
 export abstract class Clock {
   /** Monotonic time in milliseconds; its origin is arbitrary. */
@@ -13,6 +20,22 @@
   /** Wall time in milliseconds since the Unix epoch. */
   abstract wall(): number;
 
+  /** The current moment. */
+  moment(): Moment {
+    return { monotonic: this.now(), wall: this.wall() };
+  }
+
+  /**
+   * Milliseconds since `moment`, by the clock that counts more. A suspension of
+   * the VM thus counts, and a wall clock that is set back shortens nothing.
+   */
+  elapsedMs(moment: Moment): number {
+    return Math.max(
+      this.now() - moment.monotonic,
+      this.wall() - moment.wall,
+    );
+  }
+
   /** Runs `task` once after `delayMs`; the returned function cancels it. */
   abstract after(delayMs: number, task: () => void): () => void;
 
--- a/src/kernel/mod.ts
+++ b/src/kernel/mod.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-export { Clock, ManualClock, SystemClock } from "./clock.ts";
+export { Clock, ManualClock, type Moment, SystemClock } from "./clock.ts";
 export { parseJson } from "./json.ts";
 export { Kernel } from "./kernel.ts";
 export { type Log, logger, logTo, type Sink } from "./log.ts";
--- a/src/orders/duty_lease.ts
+++ b/src/orders/duty_lease.ts
@@ -2,8 +2,9 @@
  * A lease on a duty that one process at a time performs for the cluster. It is
  * one value of the key-value service; its term serves as the fencing token.
  *
- * The holder measures the lease on its own monotonic clock, starting before it
- * sends the write that is applied, and stops `marginMs` before the lease ends.
+ * The holder measures the lease on its own clocks, starting before it sends the
+ * write that is applied, and stops `marginMs` before the lease ends. Both clocks
+ * count, as the monotonic one stands still while the VM is suspended.
  * A successor measures the whole lease from when it first reads that write.
  * Requests of the old holder thus have `marginMs` to arrive before the
  * successor acts, and no clocks have to be synchronized.
@@ -15,7 +16,7 @@
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import { z } from "zod";
-import { type Clock, logger, parseJson } from "../kernel/mod.ts";
+import { type Clock, logger, type Moment, parseJson } from "../kernel/mod.ts";
 import type { Peers } from "../peers/mod.ts";
 import { setExpiryCheck } from "../outside/expiry.ts";
 import { Fault, type KeyValue, type KeyValueEntry } from "../outside/mod.ts";
@@ -93,12 +94,12 @@
   readonly #marginMs: number;
   readonly #candidate: () => boolean;
   /** Send times of own writes that may be the current value, by attempt. */
-  #sentAt: ReadonlyMap<string, number> = new Map();
+  #sentAt: ReadonlyMap<string, Moment> = new Map();
   #revision = 0;
   /** VM of the previous holder, as stored in the record. */
   #previousHolder = "";
   /** Send time of the own write that is the current value. */
-  #currentSentAt = -Infinity;
+  #currentSentAt: Moment = { monotonic: -Infinity, wall: -Infinity };
 
   constructor(options: {
     keyValue: KeyValue;
@@ -140,7 +141,8 @@
       clock: this.#clock,
       term: term.value,
       signal,
-      deadline: this.#deadline(),
+      since: this.#currentSentAt,
+      durationMs: this.#durationMs,
     });
     log("lease acquired", { name: this.#name, term: lease.term });
     const renewals = this.#renew(lease);
@@ -161,8 +163,9 @@
     await this.#write(lease.term, { released: true });
   }
 
-  #deadline(): number {
-    return this.#currentSentAt + this.#leaseMs - this.#marginMs;
+  /** Time after its last write for which the holder may act. */
+  get #durationMs(): number {
+    return this.#leaseMs - this.#marginMs;
   }
 
   #renewalIntervalMs(): number {
@@ -213,7 +216,7 @@
     const term = renewed ? record?.term ?? 1 : (record?.term ?? 0) + 1;
     this.#previousHolder = previousVmOf(record, this.#holder);
     const outcome = await this.#write(term, { released: false });
-    const fresh = this.#clock.now() < this.#deadline();
+    const fresh = this.#clock.elapsedMs(this.#currentSentAt) < this.#durationMs;
     return outcome === WriteOutcome.Applied && fresh ? term : undefined;
   }
 
@@ -232,7 +235,7 @@
         lease.revoke();
         return true;
       }
-      if (outcome === WriteOutcome.Applied) lease.extend(this.#deadline());
+      if (outcome === WriteOutcome.Applied) lease.extend(this.#currentSentAt);
     }
     return false;
   }
@@ -250,7 +253,7 @@
       released: options.released,
       before: this.#previousHolder,
     };
-    const sentAt = this.#clock.now();
+    const sentAt = this.#clock.moment();
     this.#sentAt = new Map([...this.#sentAt, [attempt, sentAt]]);
     const answer = await this.#keyValue.swap(this.#key(), {
       value: JSON.stringify(record),
@@ -294,7 +297,7 @@
 
   #applied(
     revision: number,
-    write: { attempt: string; sentAt: number },
+    write: { attempt: string; sentAt: Moment },
   ): void {
     this.#revision = revision;
     this.#currentSentAt = write.sentAt;
@@ -320,7 +323,8 @@
   readonly #abort = new AbortController();
   readonly #revoked = new AbortController();
   readonly #end = () => this.end();
-  #deadline: number;
+  readonly #durationMs: number;
+  #since: Moment;
   #runningCount = 0;
   #lastRunAt = -Infinity;
   #cancelTimer = () => {};
@@ -329,17 +333,21 @@
     clock: Clock;
     term: number;
     signal: AbortSignal;
-    deadline: number;
+    /** When the write that acquired or renewed the lease was sent. */
+    since: Moment;
+    /** Time from then for which the holder may act. */
+    durationMs: number;
   }) {
     this.term = options.term;
     this.#clock = options.clock;
     this.#outerSignal = options.signal;
-    this.#deadline = options.deadline;
+    this.#since = options.since;
+    this.#durationMs = options.durationMs;
     // Each running action adds a listener.
     setMaxListeners(0, this.#revoked.signal);
     this.#outerSignal.addEventListener("abort", this.#end, { once: true });
     if (this.#outerSignal.aborted) this.end();
-    else this.extend(options.deadline);
+    else this.extend(options.since);
   }
 
   /** Aborts when the lease ends, for whatever reason. */
@@ -348,7 +356,7 @@
   }
 
   get held(): boolean {
-    return !this.signal.aborted && this.#clock.now() < this.#deadline;
+    return !this.signal.aborted && this.#leftMs(this.#since) > 0;
   }
 
   /**
@@ -363,9 +371,9 @@
     if (!this.held) return none;
     const abort = new AbortController();
     const end = () => abort.abort();
-    const deadline = this.#deadline;
-    setExpiryCheck(abort.signal, () => this.#clock.now() >= deadline);
-    const cancel = this.#clock.after(this.#deadline - this.#clock.now(), end);
+    const since = this.#since;
+    setExpiryCheck(abort.signal, () => this.#leftMs(since) <= 0);
+    const cancel = this.#clock.after(this.#leftMs(since), end);
     this.#revoked.signal.addEventListener("abort", end, { once: true });
     this.#runningCount += 1;
     try {
@@ -383,13 +391,13 @@
     return this.#runningCount > 0 ? this.#clock.now() : this.#lastRunAt;
   }
 
-  /** Extends the lease after a renewal. */
-  extend(deadline: number): void {
+  /** Extends the lease after a renewal that was sent at `since`. */
+  extend(since: Moment): void {
     if (this.signal.aborted) return;
-    this.#deadline = deadline;
+    this.#since = since;
     this.#cancelTimer();
     this.#cancelTimer = this.#clock.after(
-      deadline - this.#clock.now(),
+      this.#leftMs(since),
       () => this.end(),
     );
   }
@@ -400,6 +408,10 @@
     this.#revoked.abort();
   }
 
+  #leftMs(since: Moment): number {
+    return this.#durationMs - this.#clock.elapsedMs(since);
+  }
+
   /** Ends the lease; running actions continue until their own deadline. */
   end(): void {
     this.#cancelTimer();
--- a/src/orders/duty_lease_test.ts
+++ b/src/orders/duty_lease_test.ts
@@ -20,11 +20,19 @@
 const MAX_DELIVERY_MS = 190;
 const STEP_MS = 20;
 
-/** A process's clock, which keeps running while the process is paused. */
+/**
+ * A process's clock, which keeps running while the process is paused. While its
+ * VM is suspended, only the wall clock runs.
+ */
 class ProcessClock extends Clock {
   readonly #worldClock: ManualClock;
   #paused = false;
   #due: (() => void)[] = [];
+  /** Start of the present suspension, in the world's time. */
+  #suspendedAt: number | undefined;
+  #suspendedMs = 0;
+  /** By how much the wall clock was set forward. */
+  wallOffsetMs = 0;
 
   constructor(worldClock: ManualClock) {
     super();
@@ -32,19 +40,25 @@
   }
 
   now(): number {
-    return this.#worldClock.now();
+    return (this.#suspendedAt ?? this.#worldClock.now()) - this.#suspendedMs;
   }
 
   wall(): number {
-    return this.#worldClock.wall();
+    return this.#worldClock.wall() + this.wallOffsetMs;
   }
 
   after(delayMs: number, task: () => void): () => void {
     let cancelled = false;
+    const at = this.now() + delayMs;
     const run = () => {
-      if (!cancelled) task();
+      if (cancelled) return;
+      const leftMs = at - this.now();
+      if (leftMs > 0) wait(leftMs);
+      else task();
     };
-    this.#worldClock.after(delayMs, () => this.deliver(run));
+    const wait = (ms: number) =>
+      this.#worldClock.after(ms, () => this.deliver(run));
+    wait(delayMs);
     return () => cancelled = true;
   }
 
@@ -58,8 +72,16 @@
     this.#paused = true;
   }
 
+  suspend(): void {
+    this.pause();
+    this.#suspendedAt ??= this.#worldClock.now();
+  }
+
   /** Resumes; due tasks run in order, or in reverse order. */
   resume(options: { reversed: boolean }): void {
+    const suspendedAt = this.#suspendedAt ?? this.#worldClock.now();
+    this.#suspendedMs += this.#worldClock.now() - suspendedAt;
+    this.#suspendedAt = undefined;
     this.#paused = false;
     const due = options.reversed ? this.#due.reverse() : this.#due;
     this.#due = [];
@@ -312,6 +334,35 @@
   await contenders.stop();
 });
 
+test("a holder whose VM was suspended does not act on its old lease", async () => {
+  const contenders = new Contenders();
+  await contenders.run(LEASE_MS);
+  contenders.processes[0].suspend();
+  await contenders.run(3 * LEASE_MS);
+  contenders.processes[0].resume({ reversed: true });
+  await contenders.run(LEASE_MS);
+  expect(contenders.turns()).toEqual("ab");
+  expect(contenders.overtaken()).toEqual([]);
+  await contenders.stop();
+});
+
+test("a wall clock that is set keeps one holder at a time", async () => {
+  for (const offsetMs of [-10 * LEASE_MS, 10 * LEASE_MS]) {
+    const contenders = new Contenders();
+    await contenders.run(LEASE_MS);
+    contenders.processes[0].wallOffsetMs = offsetMs;
+    await contenders.run(3 * LEASE_MS);
+    contenders.processes[0].pause();
+    await contenders.run(3 * LEASE_MS);
+    contenders.processes[0].resume({ reversed: true });
+    await contenders.run(LEASE_MS);
+    expect(contenders.overtaken()).toEqual([]);
+    expect(contenders.shared()).toEqual([]);
+    expect([contenders.maxHolders, contenders.turns()]).toEqual([1, "ab"]);
+    await contenders.stop();
+  }
+});
+
 test("a holder keeps the lease when answers to renewals are lost", async () => {
   const contenders = new Contenders();
   await contenders.run(LEASE_MS);
@@ -379,18 +430,33 @@
   down: fc.boolean(),
 }).map((drawn) => ({ ...drawn, down: drawn.down && drawn.lost }));
 
-const disturbance = fc.record({
-  process: fc.nat({ max: 2 }),
-  action: fc.constantFrom("pause", "resume", "reversed", "none"),
-  conditions: fc.oneof(fc.constant(NORMAL), callConditions),
-  deliveryMs: fc.constantFrom(0, MAX_DELIVERY_MS),
-  forMs: fc.integer({ min: 1, max: 30 }).map((steps) => steps * STEP_MS),
-});
+/** What may happen to a process. */
+type Action = "pause" | "suspend" | "resume" | "reversed" | "none";
+
+interface Disturbance {
+  readonly process: number;
+  readonly action: Action;
+  readonly conditions: CallConditions;
+  readonly deliveryMs: number;
+  readonly forMs: number;
+}
+
+function disturbancesOf(
+  actions: readonly Action[],
+): fc.Arbitrary<readonly Disturbance[]> {
+  const disturbance = fc.record({
+    process: fc.nat({ max: 2 }),
+    action: fc.constantFrom(...actions),
+    conditions: fc.oneof(fc.constant(NORMAL), callConditions),
+    deliveryMs: fc.constantFrom(0, MAX_DELIVERY_MS),
+    forMs: fc.integer({ min: 1, max: 30 }).map((steps) => steps * STEP_MS),
+  });
+  return fc.array(disturbance, { minLength: 10, maxLength: 40 });
+}
 
 /** Whether actions arrived in term order, one holder per term and at a time. */
 async function arriveInOrder(
-  disturbances: readonly (typeof disturbance extends fc.Arbitrary<infer T> ? T
-    : never)[],
+  disturbances: readonly Disturbance[],
   options: { marginMs?: number },
 ): Promise<boolean> {
   const contenders = new Contenders(options);
@@ -399,6 +465,7 @@
   ) {
     const hit = contenders.processes[process];
     if (action === "pause") hit.pause();
+    if (action === "suspend") hit.suspend();
     if (action === "resume") hit.resume({ reversed: false });
     if (action === "reversed") hit.resume({ reversed: true });
     contenders.service.conditions = conditions;
@@ -411,7 +478,7 @@
     contenders.maxHolders <= 1;
 }
 
-const disturbances = fc.array(disturbance, { minLength: 10, maxLength: 40 });
+const disturbances = disturbancesOf(["pause", "resume", "reversed", "none"]);
 
 test("actions arrive in term order under pauses, delays and lost answers", async () => {
   await fc.assert(
@@ -420,6 +487,14 @@
   );
 });
 
+test("actions arrive in term order when VMs are suspended", async () => {
+  const drawn = disturbancesOf(["suspend", "pause", "resume", "reversed"]);
+  await fc.assert(
+    fc.asyncProperty(drawn, (list) => arriveInOrder(list, {})),
+    { seed: 1, numRuns: 200 },
+  );
+});
+
 test("without the margin an action arrives after its successor's", async () => {
   const found = await fc.check(
     fc.asyncProperty(
