A step that was cancelled is not resumed from a former owner's copy

When a step's owner changes, the trainer may submit and cancel the step at the new owner before the former one looks for steps to transfer, or while it is cut off. The cancellation was told to the new owner only; the former one then transferred its copy, the new owner took it for a step that it had never seen, and ran it until it was abandoned, 15 minutes later. Nobody pulled it; it took slots from the steps that trainers wait for.

An owner now keeps the names of cancelled steps for as long as a copy can exist, ABANDON_AFTER_MS, and refuses a transfer of one; the former owner drops its copy then, as after any transfer. A step cancelled before its new owner knows it is remembered too; that call is still answered step_unknown. A step that is submitted again runs.

--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -402,18 +402,20 @@
   }
 }
 
-function plugin<T extends Plugin>(
+/** A registration without requirements, so in the order of the list. */
+export function plugin<T extends Plugin>(
   key: PluginKey<T>,
   create: (kernel: Kernel) => T,
 ): Registration {
   return { key, requires: [], create };
 }
 
-function settings(
-  options: { drainMs?: number; silenceMs?: number },
+/** Settings of a daemon that listens on any port of the loopback interface. */
+export function settings(
+  options: { vm?: string; drainMs?: number; silenceMs?: number },
 ): Settings {
   return {
-    vm: "vm1",
+    vm: options.vm ?? "vm1",
     availabilityZone: "az1",
     region: "r1",
     http: { host: "127.0.0.1", port: 0 },
--- a/src/steps/steps.ts
+++ b/src/steps/steps.ts
@@ -96,6 +96,11 @@
   readonly #usage: Usage;
   readonly #codec: CursorCodec;
   readonly #steps = new Map<string, Step>();
+  /**
+   * When steps were cancelled, by name. A former owner may transfer a copy as
+   * long as it has not abandoned it.
+   */
+  readonly #cancelledAt = new Map<string, number>();
   readonly #ended = new AbortController();
   readonly #samplesHandedOver;
   readonly #staleTokens;
@@ -323,6 +328,7 @@
       const message = `Step "${spec.id}" was submitted with other contents`;
       return Promise.resolve({ refusal: badRequest(message) });
     }
+    this.#cancelledAt.delete(name);
     const step = existing ?? this.#open(spec);
     if (step === undefined) {
       return Promise.resolve({ refusal: noRoute(spec.route) });
@@ -397,6 +403,7 @@
   }
 
   #onCancel(body: { name: string }): Promise<unknown> {
+    this.#cancelledAt.set(body.name, this.#kernel.clock.now());
     const step = this.#steps.get(body.name);
     if (step === undefined) return Promise.resolve({ refusal: stepUnknown() });
     this.#dropStep(step, "cancelled");
@@ -411,8 +418,12 @@
 
   #onAdopt(state: StepState): Promise<unknown> {
     if (this.#kernel.draining) return Promise.resolve({ taken: false });
-    if (this.#steps.has(stepName(state.spec))) {
-      return Promise.resolve({ taken: true });
+    const name = stepName(state.spec);
+    if (this.#steps.has(name)) return Promise.resolve({ taken: true });
+    // The former owner may not know yet that the step has ended.
+    if (this.#cancelledAt.has(name)) {
+      log("step_refused", { step: name });
+      return Promise.resolve({ taken: false });
     }
     const step = this.#open(state.spec, state);
     return Promise.resolve({ taken: step !== undefined });
@@ -492,6 +503,9 @@
         } else if (!this.#owns(step)) await this.#transfer(step);
         else step.startSamples();
       }
+      for (const [name, at] of this.#cancelledAt) {
+        if (clock.now() - at > ABANDON_AFTER_MS) this.#cancelledAt.delete(name);
+      }
     }
   }
 
