A step is not resumed from a former owner's copy once its key is withdrawn

A step is dropped when the configuration that withdraws its key arrives. A former owner that has not seen that revision transferred its copy to a daemon that had, and the new owner ran it: it looks for withdrawn keys at a change of the configuration only. It now checks the key as it takes a step over.

--- a/src/steps/steps.ts
+++ b/src/steps/steps.ts
@@ -421,7 +421,7 @@
     const name = stepName(state.spec);
     if (this.#steps.has(name)) return Promise.resolve({ taken: true });
     // The former owner may not know yet that the step has ended.
-    if (this.#cancelledAt.has(name)) {
+    if (this.#cancelledAt.has(name) || this.#isWithdrawn(state.spec)) {
       log("step_refused", { step: name });
       return Promise.resolve({ taken: false });
     }
@@ -486,13 +486,16 @@
 
   #dropWithdrawn(): void {
     for (const step of this.#steps.values()) {
-      const { route, keyId } = step.spec;
-      if (keyId !== "" && isNone(this.#config.granted(route, keyId))) {
+      if (this.#isWithdrawn(step.spec)) {
         this.#dropStep(step, Reason.KeyWithdrawn);
       }
     }
   }
 
+  #isWithdrawn({ route, keyId }: StepSpec): boolean {
+    return keyId !== "" && isNone(this.#config.granted(route, keyId));
+  }
+
   async #sweep(): Promise<void> {
     const { clock } = this.#kernel;
     while (!this.#ended.signal.aborted) {
--- a/src/steps/steps_test.ts
+++ b/src/steps/steps_test.ts
@@ -160,6 +160,13 @@
   expect(await stepsAfterTransfer(moved)).toEqual([]);
 });
 
+test("a step is not resumed once its key is withdrawn", async (t) => {
+  const moved = await startMovedSteps(t);
+  moved.second.config.withdraw();
+  await sleep(SWEEP_MS);
+  expect([running(moved.first), running(moved.second)]).toEqual([0, 0]);
+});
+
 test("a cancelled step that is submitted again runs", async (t) => {
   const moved = await startMovedSteps(t);
   const [step] = moved.steps;
