Test: a batch that is refused is never stored, however its calls end

Whether a submission can be answered 503 while its write is applied later: the calls of one submission, its own to the service and those of two peers, end in each of the 125 ways (answered, lost, late, refused, without an answer). None is refused and stored, applied and not stored, or a conflict with itself.

--- a/src/detour/peer_fallback_test.ts
+++ b/src/detour/peer_fallback_test.ts
@@ -1,15 +1,19 @@
 import { expect } from "earl";
 import { isNone } from "fp-ts/Option";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   CallOutcome,
+  LATE_CALL_DELAY_MS,
   MemoryTransactionalKeyValue,
 } from "../../stand_ins/memory_transactional_key_value.ts";
 import {
   InProcessPeers,
   PeerNetwork,
 } from "../../stand_ins/in_process_peers.ts";
-import { Kernel } from "../kernel/mod.ts";
+import { BatchStore, ChangeStatus } from "../batches/batch_store.ts";
+import { OWNER, submission } from "../batches/fixture_test.ts";
+import { Kernel, SystemClock } from "../kernel/mod.ts";
 import { type Platform, type TransactionalKeyValue } from "../outside/mod.ts";
 import { type Peers, peersKey } from "../peers/mod.ts";
 import { DEFAULT_TIMING } from "../settings/load.ts";
@@ -104,3 +108,42 @@
   const failed = await isolated.commit({ expected: [], writes: [] });
   expect(failed.err && failed.val.fault).toEqual("unknown" as never);
 });
+
+/** Submits a batch whose calls to the service end as listed, one after another. */
+async function submitWith(outcomes: readonly CallOutcome[]) {
+  const { records, daemons: [first] } = startDaemons({
+    a: answered,
+    b: answered,
+    c: answered,
+  });
+  const rest = [...outcomes];
+  records.outcomeFor = () => rest.shift() ?? CallOutcome.Answered;
+  const store = new BatchStore({ records: first, clock: new SystemClock() });
+  const { changed } = await store.create(submission(), {
+    ...OWNER,
+    timeoutMs: 0,
+  });
+  await sleep(2 * LATE_CALL_DELAY_MS);
+  const stored = records.entriesUnder("").length > 0;
+  return { outcomes, calls: outcomes.length - rest.length, changed, stored };
+}
+
+test("a batch that is refused is never stored, however its calls end", async () => {
+  const all = Object.values(CallOutcome);
+  const submitted = await Promise.all(
+    all.flatMap((own) =>
+      all.flatMap((peer) => all.map((other) => submitWith([own, peer, other])))
+    ),
+  );
+  const wrong = submitted.filter(({ changed, stored }) =>
+    changed === ChangeStatus.Conflict ||
+    changed === ChangeStatus.Refused && stored ||
+    changed === ChangeStatus.Applied && !stored
+  );
+  expect(wrong).toEqual([]);
+  expect(new Set(submitted.map(({ calls }) => calls)))
+    .toEqual(new Set([1, 2, 3]));
+  expect(new Set(submitted.map(({ changed }) => changed))).toEqual(
+    new Set([ChangeStatus.Applied, ChangeStatus.Refused, ChangeStatus.Unknown]),
+  );
+});
