A leader that was paused does not grant the slots in use again

Permits are leased for 5 s and renewed each second. A shard leader that was paused for longer counted the pause against them: its first tick ran before it read the renewals that had arrived, so all permits of the shard expired at once and their slots were granted to the requests that waited. Until the holders' next renewal, up to a second, each upstream of the shard could get twice its slots.

A tick that comes a renewal interval late or more now extends the leases by that time, in which no renewal could be read. A permit whose holder is gone expires later by as much, and never later than 5 s after the leader goes on.

shard_leader_test.ts, "a leader that was paused does not grant the slots in use again", failed before: the second request got the only slot. "a permit that is not renewed expires" let 6 s pass with a single tick, which is such a pause; it now ticks as a daemon does, and also checks that the permit lasts 4.9 s. It passed before the change too.

--- a/src/dispatch/permits.ts
+++ b/src/dispatch/permits.ts
@@ -89,6 +89,13 @@
     });
   }
 
+  /** Extends all leases by the time up to `now` in which no renewal arrived. */
+  extendAll(byMs: number, now: number): void {
+    for (const [permit, renewedAt] of this.#renewedAt) {
+      this.#renewedAt.set(permit, Math.min(now, renewedAt + byMs));
+    }
+  }
+
   /** Permits whose lease has expired by `now`. */
   expired(now: number): readonly ActivePermit[] {
     return [...this.#holdings.values()].filter(({ permit }) =>
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -17,7 +17,11 @@
 import { Headroom } from "./headroom.ts";
 import { CircuitBreaker } from "./circuit_breaker.ts";
 import { type Demand, Outcome, type Pressure } from "./mod.ts";
-import { type ActivePermit, ActivePermits } from "./permits.ts";
+import {
+  type ActivePermit,
+  ActivePermits,
+  RENEWAL_INTERVAL_MS,
+} from "./permits.ts";
 import { Quarantine, Suspicion } from "./quarantine.ts";
 import {
   type Capacity,
@@ -92,6 +96,7 @@
   readonly #reservations = new Map<string, string>();
   #states: ReadonlyMap<string, UpstreamState> = new Map();
   #granting: boolean;
+  #tickedAt: number;
   #count = 0;
 
   constructor(options: {
@@ -118,6 +123,7 @@
     this.#headroom = options.headroom;
     this.#onConnectionBroken = options.onConnectionBroken ?? (() => {});
     this.#granting = options.granting ?? true;
+    this.#tickedAt = options.clock.now();
   }
 
   /** The load of each organisation: slots in use and requests waiting. */
@@ -250,6 +256,12 @@
   /** Ends expired permits and waits; must be called several times a second. */
   tick(): void {
     const now = this.#clock.now();
+    const sinceTickMs = now - this.#tickedAt;
+    this.#tickedAt = now;
+    // After a pause of this daemon, renewals have arrived but were not read.
+    if (sinceTickMs >= RENEWAL_INTERVAL_MS) {
+      this.#permits.extendAll(sinceTickMs, now);
+    }
     for (const { permit } of this.#permits.expired(now)) {
       this.release(permit, Outcome.Cancelled, 0);
     }
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -10,6 +10,8 @@
 import { Quarantine, Suspicion } from "./quarantine.ts";
 import type { Upstream } from "./shards.ts";
 
+const TICK_MS = 100;
+
 function shard(upstreams: readonly Upstream[], headroom?: Headroom) {
   const clock = new ManualClock();
   const quarantine = new Quarantine({ clock });
@@ -23,6 +25,14 @@
   return { clock, quarantine, leader, ask };
 }
 
+/** Lets time pass with the ticks of a running daemon. */
+function pass(leader: ShardLeader, clock: ManualClock, ms: number): void {
+  for (let passedMs = 0; passedMs < ms; passedMs += TICK_MS) {
+    clock.advance(TICK_MS);
+    leader.tick();
+  }
+}
+
 function permit(wait: { answer?: WaitResult }): string {
   return wait.answer && "permit" in wait.answer ? wait.answer.permit : "";
 }
@@ -41,8 +51,22 @@
   const { clock, leader, ask } = shard([upstream({ slots: 1 })]);
   ask();
   const second = ask();
+  pass(leader, clock, 4900);
+  expect(upstreamOf(second)).toEqual("");
+  pass(leader, clock, 1100);
+  expect(upstreamOf(second)).toEqual("up-1");
+});
+
+test("a leader that was paused does not grant the slots in use again", () => {
+  const { clock, leader, ask } = shard([upstream({ slots: 1 })]);
+  const first = ask();
+  const second = ask();
+  pass(leader, clock, 1000);
   clock.advance(6000);
   leader.tick();
+  expect(upstreamOf(second)).toEqual("");
+  expect(leader.renew([permit(first)])).toEqual([]);
+  pass(leader, clock, 5200);
   expect(upstreamOf(second)).toEqual("up-1");
 });
 
