Usage: a window is sealed once it has ended on every daemon's clock

Each daemon assigns a request to a window by its own wall clock. The holder of the duty lease sealed a window 1.2 s after its end by the holder's clock alone. Where that clock was ahead, other daemons still counted requests in the window after it was sealed, and a sealed window is final: they were never reported.

Daemons now send their wall clock with their counts, and the holder waits for those by whose clock the window is not due yet, for 5 s at most by its own, so that a clock that is far behind delays no report beyond the time it is due.

--- a/src/metering/window_metering.ts
+++ b/src/metering/window_metering.ts
@@ -40,6 +40,9 @@
 /** Delay after a window's end for counts in flight to arrive. */
 const SETTLE_DELAY_MS = 1200;
 
+/** Longest wait for daemons by whose wall clock a window has not ended. */
+const MAX_CLOCK_WAIT_MS = 5000;
+
 /** A daemon that doesn't answer in time is counted as last received. */
 const COLLECT_TIMEOUT_MS = 1000;
 
@@ -56,6 +59,10 @@
 const share = z.object({ run: z.string(), window: z.number(), counts });
 const shares = z.object({ shares: z.array(share) });
 const collectBody = z.object({ window: z.number() });
+const collectAnswer = shares.extend({
+  /** The daemon's wall clock, by which it assigns requests to windows. */
+  wallMs: z.number().optional(),
+});
 const seal = z.object({ counts });
 
 /** Counts by usage window of the wall clock. */
@@ -144,9 +151,9 @@
     log("duty lease changed", { held: true, term: lease.term });
     let next = this.#current() - RECHECKED_WINDOWS;
     while (!lease.signal.aborted) {
-      const endMs = (next + 1) * this.#windowMs + SETTLE_DELAY_MS;
-      if (clock.wall() < endMs) await clock.sleep(POLL_MS, lease.signal);
-      else if (await this.#reportWindow(next, lease)) next += 1;
+      if (clock.wall() < this.#dueAt(next)) {
+        await clock.sleep(POLL_MS, lease.signal);
+      } else if (await this.#reportWindow(next, lease)) next += 1;
       else await clock.sleep(POLL_MS, lease.signal);
       this.#dropOldWindows();
     }
@@ -157,6 +164,11 @@
     return Math.floor(this.#kernel.clock.wall() / this.#windowMs);
   }
 
+  /** When a window can be reported, by the wall clock of each daemon. */
+  #dueAt(window: number): number {
+    return (window + 1) * this.#windowMs + SETTLE_DELAY_MS;
+  }
+
   #dropOldWindows(): void {
     const before = this.#current() - RETAINED_WINDOWS;
     this.#windowCounts.dropBefore(before);
@@ -202,7 +214,10 @@
     const found = await keyValue.get(key);
     if (found.err) return undefined;
     if (!isNone(found.val)) return parseSeal(found.val.value.value);
-    await this.#collect(window);
+    const clocks = await this.#collect(window);
+    const dueAt = this.#dueAt(window);
+    const waits = this.#kernel.clock.wall() < dueAt + MAX_CLOCK_WAIT_MS;
+    if (waits && clocks.some((wallMs) => wallMs < dueAt)) return undefined;
     const counts = this.#windowCounts.sum(window);
     const value = JSON.stringify({ counts });
     const swap = await keyValue.swap(key, { value, expected: 0 });
@@ -211,23 +226,29 @@
     return undefined;
   }
 
-  async #collect(window: number): Promise<void> {
+  /** Gets the counts of all daemons; returns the wall clocks of those. */
+  async #collect(window: number): Promise<readonly number[]> {
     const requests = this.#peers.members().map(async ({ vm }) => {
       const answer = await this.#peers.ask(vm, COLLECT_MESSAGE, { window }, {
         timeoutMs: COLLECT_TIMEOUT_MS,
       });
       if (answer.err) {
         log("counts missing", { window, vm, reason: answer.val.reason });
-        return;
+        return [];
       }
       this.#accept(answer.val);
+      const { wallMs } = collectAnswer.parse(answer.val);
+      return wallMs === undefined ? [] : [wallMs];
     });
-    await Promise.all(requests);
+    return (await Promise.all(requests)).flat();
   }
 
   readonly #handleCollect: PeerHandler = (body) => {
     const { window } = collectBody.parse(body);
-    return Promise.resolve({ shares: this.#windowCounts.shares(window) });
+    return Promise.resolve({
+      shares: this.#windowCounts.shares(window),
+      wallMs: this.#kernel.clock.wall(),
+    });
   };
 
   #offer(peer: string): { shares: readonly RunCounts[] } | undefined {
