A list of VMs that was held up on its way does not count as new

The gossip of the list gives its age when the message was written. The receiver counted from the arrival: a message that a link had held up, or that waited in a buffer while the receiver was paused, made an old list look as new as when it was sent, and the receiver read no other for up to 1.1 s. In that time it sent requests to upstreams that had said that they leave.

Messages now echo the receiver's last one, as those of the configuration do, so that the receiver knows when a message was written at the earliest. A message without an echo counts as before: the first between two daemons, and those to a daemon that has no recent list of its own to offer. The age now includes the latency of the echoed message too.

directory_gossip_test.ts: a list that arrived 3 s late had an age of 0 before, and has at least 3 s now.

--- a/src/directory/directory_gossip.ts
+++ b/src/directory/directory_gossip.ts
@@ -11,6 +11,7 @@
 import { createHash } from "node:crypto";
 import { z } from "zod";
 import {
+  type Clock,
   type Kernel,
   Plugin,
   PluginKey,
@@ -56,16 +57,32 @@
   revision: z.number(),
   ageMs: z.number(),
   vms: z.array(vm).optional(),
+  /** The incarnation of the sender, and the time on its monotonic clock. */
+  run: z.string().optional(),
+  at: z.number().optional(),
+  /** The receiver's last message, and for how long the sender has had it. */
+  echo: z.object({ run: z.string(), at: z.number(), heldMs: z.number() })
+    .optional(),
 });
 
+/** A message from a peer, as it is echoed to that peer. */
+interface ReceivedMessage {
+  readonly run: string;
+  readonly at: number;
+  readonly receivedAt: number;
+}
+
 /** Exchanges the list with the other daemons. */
 export class DirectoryGossip extends Plugin {
   override readonly props: Props = {
     gossip: {
       [GOSSIP_SECTION]: {
         offer: (peer) => this.#offer(peer),
-        forget: (peer) => this.#lastSentDigests.delete(peer),
-        accept: (body) => this.#accept(listingUpdate.parse(body)),
+        forget: (peer) => {
+          this.#lastSentDigests.delete(peer);
+          this.#lastReceived.delete(peer);
+        },
+        accept: (body, peer) => this.#accept(listingUpdate.parse(body), peer),
       },
     },
     status: () => {
@@ -73,16 +90,23 @@
       return { revision, ageMs: Math.round(ageMs), vms: vms.length };
     },
   };
+  readonly #clock: Clock;
   readonly #peers: Peers;
   readonly #directory: CachedDirectory;
   readonly #lastSentDigests = new Map<string, string>();
+  readonly #lastReceived = new Map<string, ReceivedMessage>();
   #cachedDigest: { vms: readonly Vm[]; digest: string } = {
     vms: [],
     digest: "",
   };
 
-  constructor(options: { peers: Peers; directory: CachedDirectory }) {
+  constructor(options: {
+    clock: Clock;
+    peers: Peers;
+    directory: CachedDirectory;
+  }) {
     super();
+    this.#clock = options.clock;
     this.#peers = options.peers;
     this.#directory = options.directory;
     this.#directory.maxAgeMs = () =>
@@ -102,17 +126,49 @@
     const digest = this.#digest(vms);
     const alreadySent = this.#lastSentDigests.get(peer) === digest;
     this.#lastSentDigests.set(peer, digest);
-    return { digest, revision, ageMs, ...alreadySent ? {} : { vms: [...vms] } };
+    return {
+      digest,
+      revision,
+      ageMs,
+      run: this.#peers.self.incarnation,
+      at: this.#clock.now(),
+      echo: this.#echo(peer),
+      ...alreadySent ? {} : { vms: [...vms] },
+    };
+  }
+
+  #echo(peer: string): z.infer<typeof listingUpdate>["echo"] {
+    const last = this.#lastReceived.get(peer);
+    if (last === undefined) return undefined;
+    const { run, at, receivedAt } = last;
+    return { run, at, heldMs: this.#clock.now() - receivedAt };
   }
 
   /** Applies an update, and forwards it if the list is now much newer. */
-  #accept(update: z.infer<typeof listingUpdate>): void {
+  #accept(update: z.infer<typeof listingUpdate>, peer: string): void {
     const before = this.#directory.newest.ageMs;
-    this.#apply(update);
+    this.#apply({ ...update, ageMs: update.ageMs + this.#latencyMs(update) });
+    const { run, at } = update;
+    if (run !== undefined && at !== undefined) {
+      this.#lastReceived.set(peer, {
+        run,
+        at,
+        receivedAt: this.#clock.now(),
+      });
+    }
     const gainMs = before - this.#directory.newest.ageMs;
     if (gainMs >= MIN_FORWARDED_GAIN_MS) this.#peers.gossipNow(GOSSIP_SECTION);
   }
 
+  /**
+   * How long ago a message was written at most; 0 if it echoes no message of
+   * this daemon. A link, or a pause of this daemon, may hold it up for long.
+   */
+  #latencyMs({ echo }: z.infer<typeof listingUpdate>): number {
+    if (echo?.run !== this.#peers.self.incarnation) return 0;
+    return Math.max(0, this.#clock.now() - echo.at - echo.heldMs);
+  }
+
   #apply(
     { digest, revision, ageMs, vms }: z.infer<typeof listingUpdate>,
   ): void {
@@ -158,6 +214,8 @@
         "The platform's directory is not a CachedDirectory and can't be shared",
       );
     }
-    return new DirectoryGossip({ peers: kernel.get(peersKey), directory });
+    const { clock } = kernel;
+    const peers = kernel.get(peersKey);
+    return new DirectoryGossip({ clock, peers, directory });
   },
 });
--- a/src/directory/directory_gossip_test.ts
+++ b/src/directory/directory_gossip_test.ts
@@ -41,10 +41,21 @@
   }
 }
 
-/** Daemons that share a list; `sent.lists` counts full lists sent. */
+/**
+ * Daemons that share a list; `sent.lists` counts full lists sent. While
+ * `held.messages` is set, messages wait there for `held.deliver`.
+ */
 function startDaemons(size: number) {
   const clock = new ManualClock();
   const network = new PeerNetwork();
+  const held = {
+    messages: undefined as (() => void)[] | undefined,
+    deliver: () => {
+      const messages = held.messages ?? [];
+      held.messages = undefined;
+      for (const deliver of messages) deliver();
+    },
+  };
   const sent = { lists: 0 };
   const daemons = Array.from({ length: size }, (_, n) => {
     const peers = new InProcessPeers({ vm: `vm-${n}`, network });
@@ -55,9 +66,13 @@
       maxAgeMs: 300,
       outageGraceMs: 2000,
     });
-    const gossip = new DirectoryGossip({ peers, directory });
+    const gossip = new DirectoryGossip({ clock, peers, directory });
     const section = gossip.props.gossip?.directory as GossipSection;
-    const { offer } = section;
+    const { offer, accept } = section;
+    section.accept = (body, from) => {
+      if (held.messages === undefined) accept(body, from);
+      else held.messages.push(() => accept(body, from));
+    };
     section.offer = (peer) => {
       const update = offer(peer) as { vms?: unknown } | undefined;
       if (update?.vms !== undefined) sent.lists += 1;
@@ -72,7 +87,7 @@
     for (const { source } of daemons) source.listing = listing;
     for (const { directory } of daemons) await directory.list();
   };
-  return { clock, daemons, sent, reads, publish };
+  return { clock, daemons, sent, held, reads, publish };
 }
 
 test("only two daemons read the list from the platform", async () => {
@@ -111,3 +126,20 @@
   );
   expect(new Set(known)).toEqual(new Set([VmState.Leaving]));
 });
+
+test("a list is as old as it is, however long its message was held up", async () => {
+  const { clock, daemons, held, publish } = startDaemons(2);
+  const [first, second] = daemons;
+  await publish({ vms: [upstream("u")], revision: 1 });
+  clock.advance(500);
+  await publish({ vms: [upstream("u")], revision: 2 });
+  clock.advance(500);
+  held.messages = [];
+  first.source.listing = { vms: [upstream("u")], revision: 3 };
+  await first.directory.list();
+  expect(held.messages.length).toEqual(1);
+  clock.advance(3000);
+  held.deliver();
+  expect(second.directory.newest.revision).toEqual(3);
+  expect(second.directory.newest.ageMs >= 3000).toEqual(true);
+});
--- a/src/outside/cached_directory.ts
+++ b/src/outside/cached_directory.ts
@@ -28,9 +28,9 @@
 
 /**
  * Entries expire without a new revision, so lists of one revision can differ.
- * The age in a gossip message does not include the message's latency. A list
- * that differs must therefore be newer by more than the latency, or two daemons
- * would replace each other's list forever.
+ * The age of a received list may lack the latency of its message, or include
+ * that of another one. A list that differs must therefore be newer by more than
+ * the latency, or two daemons would replace each other's list forever.
  */
 const SAME_REVISION_MARGIN_MS = 100;
 
