--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -64,6 +64,9 @@
 /** Batches are removed this long after the end of their retention. */
 const REMOVAL_MARGIN_MS = 30_000;
 
+/** Batches that are never ended are removed this long after submission. */
+const MAX_OPEN_MS = 24 * 60 * 60 * 1000;
+
 /** Time to determine the outcome of a submission. */
 const SUBMIT_TIMEOUT_MS = 1500;
 
@@ -479,7 +482,10 @@
   async #checkBatch(state: VersionedHead): Promise<void> {
     const { head } = state;
     const ageMs = this.#kernel.clock.wall() - head.submittedAt;
-    if (ageMs > this.#retentionMs + REMOVAL_MARGIN_MS) {
+    const keptMs = head.ended
+      ? this.#retentionMs + REMOVAL_MARGIN_MS
+      : MAX_OPEN_MS;
+    if (ageMs > keptMs) {
       await this.#store.remove(state);
       log("batch removed", { id: head.id, ageMs: Math.round(ageMs) });
       return;
