Crash tests: a request can't break on an upstream that is gone

"a request resent after 0 ms crashes two upstreams at most" failed now and then. Where the resend comes before the shard's leader reads the list of VMs again, the leader may grant the suspect the upstream that has just fallen, as it is the first idle one. The fixture broke the request there a second time, the leader quarantined it as one that broke in isolation, and the test saw one upstream instead of two.

A request that is sent to an upstream that is gone can't connect. The fixture now says so, and the request goes on until it has crashed a second upstream. What is expected is the same: refused as quarantined after exactly two.

Forced with a list that is read once a minute: "a request resent before the list changes crashes two upstreams at most" fails with the old fixture (1 instead of 2) and passes with this one.

--- a/src/dispatch/crash_test.ts
+++ b/src/dispatch/crash_test.ts
@@ -13,13 +13,14 @@
     cluster: DispatchCluster,
     entries: readonly Dispatcher[],
   ) => Promise<void>,
+  options: { directoryMs?: number } = {},
 ): Promise<void> {
   const vms = Array.from(
     { length: 40 },
     (_, index) =>
       vm({ id: `up-${index}`, availabilityZone: `zone-${index % 4}` }),
   );
-  const sim = new DispatchCluster({ vms });
+  const sim = new DispatchCluster({ vms, ...options });
   const entries = ["e1", "e2", "e3"].map((id) => sim.add(id));
   await sim.start();
   try {
@@ -36,15 +37,20 @@
   return (await entry.acquire(demand(part), idle)).unwrap();
 }
 
-/** Removes an upstream, and breaks every request that runs on it. */
+/**
+ * Removes an upstream, and breaks every request that runs on it. None runs on
+ * one that is gone, which a leader may grant until it reads the list again.
+ */
 function crash(
   sim: DispatchCluster,
   upstream: string,
   permits: readonly Permit[],
 ) {
+  const gone = sim.vms.every(({ id }) => id !== upstream);
+  const outcome = gone ? Outcome.Unreachable : Outcome.Broken;
   sim.vms = sim.vms.filter(({ id }) => id !== upstream);
   for (const permit of permits) {
-    if (permit.target.id === upstream) permit.release(Outcome.Broken, 0);
+    if (permit.target.id === upstream) permit.release(outcome, 0);
   }
 }
 
@@ -52,34 +58,46 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
+/** Resends one request through all entries until it is refused. */
+async function resend(
+  sim: DispatchCluster,
+  options: { entries: readonly Dispatcher[]; pauseMs: number },
+): Promise<void> {
+  const { entries, pauseMs } = options;
+  const beside = await Promise.all(
+    Array.from(
+      { length: 20 },
+      (_, index) =>
+        granted(entries[index % 3], { fingerprint: `innocent-${index}` }),
+    ),
+  );
+  const crashed = new Set<string>();
+  let reason: Reason | undefined;
+  for (let resend = 0; resend < 10 && reason === undefined; resend++) {
+    const part = { fingerprint: "bad", remainingMs: 3000 };
+    const entry = entries[resend % 3];
+    const given = await entry.acquire(demand(part), idle);
+    if (given.err) reason = given.val.reason;
+    else {
+      crashed.add(given.val.target.id);
+      crash(sim, given.val.target.id, [given.val, ...beside]);
+    }
+    await pause(pauseMs);
+  }
+  expect(reason).toEqual(Reason.Quarantined);
+  expect(crashed.size).toEqual(2);
+}
+
 for (const pauseMs of [0, 20, 700]) {
   test(`a request resent after ${pauseMs} ms crashes two upstreams at most`, () =>
-    cluster(async (sim, entries) => {
-      const beside = await Promise.all(
-        Array.from(
-          { length: 20 },
-          (_, index) =>
-            granted(entries[index % 3], { fingerprint: `innocent-${index}` }),
-        ),
-      );
-      const crashed = new Set<string>();
-      let reason: Reason | undefined;
-      for (let resend = 0; resend < 10 && reason === undefined; resend++) {
-        const part = { fingerprint: "bad", remainingMs: 3000 };
-        const entry = entries[resend % 3];
-        const given = await entry.acquire(demand(part), idle);
-        if (given.err) reason = given.val.reason;
-        else {
-          crashed.add(given.val.target.id);
-          crash(sim, given.val.target.id, [given.val, ...beside]);
-        }
-        await pause(pauseMs);
-      }
-      expect(reason).toEqual(Reason.Quarantined);
-      expect(crashed.size).toEqual(2);
-    }));
+    cluster((sim, entries) => resend(sim, { entries, pauseMs })));
 }
 
+test("a request resent before the list changes crashes two upstreams at most", () =>
+  cluster((sim, entries) => resend(sim, { entries, pauseMs: 0 }), {
+    directoryMs: 60_000,
+  }));
+
 test("equal requests sent at once crash one upstream, then one more", () =>
   cluster(async (sim, entries) => {
     const part = { fingerprint: "bad", remainingMs: 3000 };
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -152,14 +152,17 @@
   vms: readonly Vm[];
   /** Kinds of message whose next answer is lost. */
   readonly droppedAnswers = new Set<string>();
+  /** How often the daemons read the list of VMs. */
+  readonly #directoryMs: number;
 
-  constructor(options: { vms: readonly Vm[] }) {
+  constructor(options: { vms: readonly Vm[]; directoryMs?: number }) {
     this.vms = options.vms;
+    this.#directoryMs = options.directoryMs ?? 20;
   }
 
   add(id: string): Dispatcher {
     const kernel = new Kernel({
-      settings: settings(id),
+      settings: settings(id, this.#directoryMs),
       platform: this.#platform(),
       incarnation: `${id}-1`,
       clock: new SystemClock(),
@@ -312,11 +315,11 @@
   };
 }
 
-function settings(id: string): Settings {
+function settings(id: string, directoryMs: number): Settings {
   const part = {
     vm: id,
     availabilityZone: "zone-1",
-    timing: { directoryMs: 20, loadMs: 50 },
+    timing: { directoryMs, loadMs: 50 },
   };
   return part as unknown as Settings;
 }
