Dispatch: a served request's late release doesn't clear a crash's suspects

Cause: a break opens an episode at the shard's leader, and a release as served within it ended the episode as a mere break and cleared every suspect. Releases come from several daemons. One that a daemon sent before the crash can arrive after another daemon's report of the break; the crash is then forgotten, the request runs beside others once more, and only the next crash makes it a suspect.

Ruled out: a change of leader (none was logged) and lost findings (all daemons agree on the stamps).

A served request now just leaves the episode. Whether the upstream still runs is shown by a load that can be read after the break; the leader reads it at once. A break beside served requests still suspects nobody.

"a release that crosses a crash doesn't clear what caused it" fails on the code before ("none" instead of "suspect") and passes now.

--- a/src/dispatch/crash_detector.ts
+++ b/src/dispatch/crash_detector.ts
@@ -4,7 +4,8 @@
  *
  * A broken connection opens an episode. It ends as a crash if the upstream's
  * load cannot be read or every request that ran there broke, and without one if
- * one of them is served or the load can be read while others still run.
+ * the load can be read while others still run. A request that is served isn't
+ * part of it: its release may have crossed the break.
  *
  * @module
  */
@@ -35,8 +36,8 @@
 interface Episode {
   readonly upstream: Upstream;
   readonly startedAt: number;
-  /** Everything that ran on the upstream when the episode began. */
-  readonly holdings: readonly ActivePermit[];
+  /** What ran on the upstream when it began, but for what was served since. */
+  holdings: readonly ActivePermit[];
   readonly broken: Set<string>;
   readonly ended: Set<string>;
 }
@@ -76,8 +77,10 @@
     if (outcome === Outcome.Broken) this.#connectionBroke(holding, options);
     const episode = this.#episode(upstream.id, now);
     if (episode === undefined) return;
-    episode.ended.add(holding.permit);
-    if (outcome === Outcome.Served) return this.#dismiss(episode);
+    if (outcome === Outcome.Served) {
+      episode.holdings = episode.holdings
+        .filter(({ permit }) => permit !== holding.permit);
+    } else episode.ended.add(holding.permit);
     const all = episode.holdings.every(({ permit }) =>
       episode.ended.has(permit)
     );
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -153,6 +153,28 @@
   expect(quarantine.suspicion("unlucky")).toEqual(Suspicion.None);
 });
 
+test("a release that crosses a crash doesn't clear what caused it", () => {
+  const { leader, ask, quarantine } = shard([upstream({ slots: 3 })]);
+  const finished = ask();
+  ask();
+  const bad = ask({ fingerprint: "bad" });
+  leader.release(permit(bad), Outcome.Broken, 0);
+  leader.release(permit(finished), Outcome.Served, 10);
+  leader.probed("up-1", ProbeResult.Gone);
+  expect(quarantine.suspicion("bad")).toEqual(Suspicion.Suspect);
+});
+
+test("a connection broken beside a served request suspects nobody", () => {
+  const { leader, ask, quarantine } = shard([upstream()]);
+  const broken = ask({ fingerprint: "unlucky" });
+  const served = ask({ fingerprint: "served" });
+  leader.release(permit(broken), Outcome.Broken, 0);
+  leader.release(permit(served), Outcome.Served, 10);
+  leader.probed("up-1", ProbeResult.Alive, load());
+  expect(["unlucky", "served"].map((one) => quarantine.suspicion(one)))
+    .toEqual([Suspicion.None, Suspicion.None]);
+});
+
 /** Two upstreams crash, each with its own request. */
 function crashTogether(reclaimable: boolean) {
   const { leader, ask, quarantine } = shard([
