Batches: a head that can't be parsed doesn't end the daemon

The periodic read of the head isn't awaited, so an answer of a peer that fails its schema would have been an unhandled rejection. It is logged, and left to the next read.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -36,7 +36,7 @@
 } from "../relay/mod.ts";
 import { outcomeOfLoss } from "../relay/attempts.ts";
 import { priorityOf } from "../tables/mod.ts";
-import type { BatchStore, VersionedHead } from "./batch_store.ts";
+import type { BatchStore, HeadReading, VersionedHead } from "./batch_store.ts";
 import type { ItemOutput } from "./item_output.ts";
 import { ItemTask } from "./item_task.ts";
 import {
@@ -251,12 +251,20 @@
     }
   }
 
-  /** Confirms ownership by a read, or stops if the batch isn't run here now. */
+  /** Confirms ownership by a read; a failure is left to the next one. */
   async #renew(): Promise<void> {
-    const read = await this.#store.readHead(this.#submission.id);
-    // If reads keep failing, the ownership lapses, which is logged.
-    if (read.err) return;
-    const { state, sentAt } = read.val;
+    const { id } = this.#submission;
+    try {
+      const read = await this.#store.readHead(id);
+      // If reads keep failing, the ownership lapses, which is logged.
+      if (read.ok) await this.#applyReading(read.val);
+    } catch (error) {
+      log("ownership not read", { id, reason: String(error) });
+    }
+  }
+
+  /** Stops if the batch isn't this daemon's to run, or confirms ownership. */
+  async #applyReading({ state, sentAt }: HeadReading): Promise<void> {
     if (isNone(state)) return await this.stop("removed");
     const { head } = state.value;
     const { owner, run } = this.state.head;
