--- a/src/batches/item_task.ts
+++ b/src/batches/item_task.ts
@@ -83,7 +83,7 @@
     if (loss === Loss.Cancelled) this.moves += 1;
     if (loss === Loss.Failed) this.failures += 1;
     const avoid = isNotExecuted(loss) || loss === Loss.Broken ||
-      loss === Loss.Silent;
+      loss === Loss.Silent || loss === Loss.Excessive;
     if (avoid) this.excluded = [...this.excluded.slice(-2), upstream];
   }
 
--- a/src/outside/upstream_transport.ts
+++ b/src/outside/upstream_transport.ts
@@ -27,7 +27,7 @@
   readonly remainingMs: number;
   /** Resumes a stream after the event of this number; absent for a new one. */
   readonly after?: number;
-  /** Silence timeout of a stream; absent for none. */
+  /** Longest time without an event of a stream; absent for no limit. */
   readonly silenceMs?: number;
   /** 0 is the most urgent; absent if the upstream is to ignore urgency. */
   readonly urgency?: number;
@@ -80,7 +80,9 @@
   Impossible = "impossible",
   /** The connection broke, or the response does not match the request. */
   Broken = "broken",
-  /** No data arrived within the silence timeout. */
+  /** The answer exceeded a limit, and its connection was closed. */
+  Excessive = "excessive",
+  /** No event arrived within the silence timeout. */
   Silent = "silent",
   /** The caller or a time limit cancelled it. */
   Cancelled = "cancelled",
--- a/src/relay/attempts.ts
+++ b/src/relay/attempts.ts
@@ -198,6 +198,8 @@
     case Loss.Broken:
       return Outcome.Broken;
     case Loss.Silent:
+    // Closed on this side, so the request is not suspected of a crash.
+    case Loss.Excessive:
       return Outcome.Silent;
     case Loss.Cancelled:
       return Outcome.Cancelled;
--- a/src/relay/request_progress.ts
+++ b/src/relay/request_progress.ts
@@ -212,6 +212,7 @@
   [Loss.Failed]: Reason.UpstreamCrashed,
   [Loss.Impossible]: Reason.UpstreamCrashed,
   [Loss.Broken]: Reason.Truncated,
+  [Loss.Excessive]: Reason.Truncated,
   [Loss.Silent]: Reason.UpstreamSilent,
   [Loss.Cancelled]: Reason.Cancelled,
 };
