--- a/stand_ins/endless_server.ts
+++ b/stand_ins/endless_server.ts
@@ -23,6 +23,8 @@
   readonly intervalMs?: number;
   /** Bytes of pieces after which it falls silent. */
   readonly maxBytes?: number;
+  /** Whether it closes the connection then, as an answer without a length. */
+  readonly ends?: boolean;
 }
 
 /** A connection with the bytes that were sent on it. */
@@ -98,10 +100,14 @@
 
   async #repeat(connection: Connection): Promise<void> {
     const { socket } = connection;
-    const { piece, intervalMs = 0, maxBytes = MAX_ANSWER_BYTES } = this.#answer;
+    const { piece, intervalMs = 0, maxBytes = MAX_ANSWER_BYTES, ends } =
+      this.#answer;
     const endsAt = Date.now() + MAX_ANSWER_MS;
     while (!socket.destroyed && Date.now() < endsAt) {
-      if (connection.sentBytes + piece.length > maxBytes) return;
+      if (connection.sentBytes + piece.length > maxBytes) {
+        if (ends) socket.end();
+        return;
+      }
       const taken = socket.write(piece);
       connection.sentBytes += piece.length;
       if (intervalMs > 0) await sleep(intervalMs);
