Answers to calls have a limit

Clients of the platform's key-value service and control plane, load reports and orders to engines read a body whole. Only its time was bounded: within the 1 s of a call an answer without end took 64 MiB on loopback, all that the test's server sends, for each call at once.

A page of the key-value service has about 1 MB, or one value of 1 MiB in base64; an answer to a watch may have several versions of the manifest. A cut answer is a failure with an unknown effect, as one without an answer.

--- a/src/outside/endless_answers_test.ts
+++ b/src/outside/endless_answers_test.ts
@@ -75,6 +75,26 @@
   expect(server.openConnections).toEqual(0);
 }
 
+test("an answer without end is cut at the limit of a call", async () => {
+  const { reply, server } = await call({
+    head: answerHead("200 OK"),
+    piece: FLOOD,
+  });
+  expect(reply.err && reply.val.fault).toEqual(Fault.Unknown);
+  await closed(server);
+  expect(server.readBytes < 24 * MIB).toEqual(true);
+});
+
+test("a refusal without end is cut at the limit of a call", async () => {
+  const { reply, server } = await call({
+    head: answerHead("503 Busy"),
+    piece: FLOOD,
+  });
+  expect(reply.err && reply.val.fault).toEqual(Fault.Unknown);
+  await closed(server);
+  expect(server.readBytes < 24 * MIB).toEqual(true);
+});
+
 for (
   const [name, head] of [
     ["an answer", answerHead("200 OK")],
--- a/src/outside/http_endpoint.ts
+++ b/src/outside/http_endpoint.ts
@@ -11,6 +11,7 @@
 import { buildConnector, errors, Pool } from "undici";
 import type { ZodType } from "zod";
 import { parseJson } from "../kernel/mod.ts";
+import { AnswerLimits } from "./answer_limits.ts";
 import { isExpired } from "./expiry.ts";
 import { type Failure, Fault } from "./mod.ts";
 
@@ -18,6 +19,12 @@
 const CALL_TIMEOUT_MS = 1000;
 const IDLE_TIMEOUT_MS = 4000;
 
+/**
+ * Limit on the answer to a call. A page of the platform's key-value service has
+ * up to 1 MB or one value of 1 MiB, and a watch the history of seconds.
+ */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
 /** A request to an endpoint. */
 export interface HttpRequest {
   readonly method: "GET" | "POST" | "DELETE";
@@ -41,14 +48,23 @@
   readonly text: string;
 }
 
+/** Where a service is, and what its answers may hold. */
+export interface EndpointOptions {
+  readonly url: string;
+  /** Shared with the other clients of the daemon. */
+  readonly limits?: AnswerLimits;
+}
+
 /** An HTTP service and its connections. */
 export class HttpEndpoint {
   readonly #base: URL;
+  readonly #limits: AnswerLimits;
   readonly #maxConnections: number | null;
   #pool: Pool;
 
-  constructor(options: { url: string; connections?: number | null }) {
+  constructor(options: EndpointOptions & { connections?: number | null }) {
     this.#base = new URL(options.url);
+    this.#limits = options.limits ?? new AnswerLimits();
     this.#maxConnections = options.connections ?? null;
     this.#pool = this.#connect();
   }
@@ -73,6 +89,7 @@
     try {
       return Ok(await this.#send(request, timeout.signal));
     } catch (error) {
+      this.#limits.report(error, this.#base.host);
       if (timeout.timedOut) this.#replacePool();
       return Err(failure(error, timeout.timedOut));
     } finally {
@@ -94,8 +111,8 @@
       body,
       signal,
     });
-    const text = await response.body.text();
-    return { status: response.statusCode, text };
+    const content = await this.#limits.read(response.body, MAX_ANSWER_BYTES);
+    return { status: response.statusCode, text: content.toString() };
   }
 
   #connect(): Pool {
--- a/src/outside/http_key_value.ts
+++ b/src/outside/http_key_value.ts
@@ -7,7 +7,7 @@
 import { fromNullable, type Option } from "fp-ts/Option";
 import type { Result } from "ts-results";
 import { z } from "zod";
-import { HttpEndpoint } from "./http_endpoint.ts";
+import { type EndpointOptions, HttpEndpoint } from "./http_endpoint.ts";
 import {
   type Failure,
   KeyValue,
@@ -41,11 +41,15 @@
   readonly #watchEndpoint: HttpEndpoint;
   readonly #timeoutMs: number | undefined;
 
-  constructor(options: { url: string; timeoutMs?: number }) {
+  constructor(options: EndpointOptions & { timeoutMs?: number }) {
     super();
-    const { url } = options;
-    this.#endpoint = new HttpEndpoint({ url, connections: MAX_CONNECTIONS });
-    this.#watchEndpoint = new HttpEndpoint({ url });
+    const { url, limits } = options;
+    this.#endpoint = new HttpEndpoint({
+      url,
+      limits,
+      connections: MAX_CONNECTIONS,
+    });
+    this.#watchEndpoint = new HttpEndpoint({ url, limits });
     this.#timeoutMs = options.timeoutMs;
   }
 
--- a/src/outside/http_platform.ts
+++ b/src/outside/http_platform.ts
@@ -9,7 +9,8 @@
 import { z } from "zod";
 import { SystemClock } from "../kernel/mod.ts";
 import type { Settings } from "../settings/mod.ts";
-import { HttpEndpoint } from "./http_endpoint.ts";
+import { AnswerLimits } from "./answer_limits.ts";
+import { type EndpointOptions, HttpEndpoint } from "./http_endpoint.ts";
 import { HttpEngine } from "./http_engine.ts";
 import { HttpKeyValue } from "./http_key_value.ts";
 import {
@@ -60,7 +61,7 @@
 export class HttpDirectory extends Directory {
   readonly #endpoint: HttpEndpoint;
 
-  constructor(options: { url: string }) {
+  constructor(options: EndpointOptions) {
     super();
     this.#endpoint = new HttpEndpoint(options);
   }
@@ -80,7 +81,7 @@
 export class HttpOrderService extends OrderService {
   readonly #endpoint: HttpEndpoint;
 
-  constructor(options: { url: string }) {
+  constructor(options: EndpointOptions) {
     super();
     this.#endpoint = new HttpEndpoint(options);
   }
@@ -114,7 +115,7 @@
 export class HttpReportService extends ReportService {
   readonly #endpoint: HttpEndpoint;
 
-  constructor(options: { url: string }) {
+  constructor(options: EndpointOptions) {
     super();
     this.#endpoint = new HttpEndpoint(options);
   }
@@ -147,7 +148,7 @@
 export class HttpWeightStore extends WeightStore {
   readonly #endpoint: HttpEndpoint;
 
-  constructor(options: { url: string }) {
+  constructor(options: EndpointOptions) {
     super();
     this.#endpoint = new HttpEndpoint(options);
   }
@@ -193,11 +194,12 @@
 /** Creates clients of all external services at the settings' addresses. */
 export function httpPlatform(settings: Settings): HttpPlatform {
   const urls = settings.platform;
-  const keyValue = new HttpKeyValue({ url: urls.keyValue });
-  const directory = new HttpDirectory({ url: urls.directory });
-  const orders = new HttpOrderService({ url: urls.orders });
-  const reports = new HttpReportService({ url: urls.reports });
-  const weights = new HttpWeightStore({ url: urls.weights });
+  const limits = new AnswerLimits();
+  const keyValue = new HttpKeyValue({ url: urls.keyValue, limits });
+  const directory = new HttpDirectory({ url: urls.directory, limits });
+  const orders = new HttpOrderService({ url: urls.orders, limits });
+  const reports = new HttpReportService({ url: urls.reports, limits });
+  const weights = new HttpWeightStore({ url: urls.weights, limits });
   const engine = new HttpEngine({
     silenceMs: settings.timing.upstreamSilenceMs,
   });
