A generation's stream is bounded by its events

At an engine of the product's own interface each piece of a stream restarted the silence timeout, also lines that are no event; the text of a refusal was read whole until the silence timeout, 64 MiB in the test; and after the last chunk the rest of the stream was awaited without a limit of time, which kept the connection as long as anything dripped.

Silence is time without an event. Of a refusal the first 200 bytes are read, or what arrives of them in 200 ms, and its connection is closed if it goes on. The rest after the last chunk has the same 200 ms and 128 KiB as that of other refusals.

--- a/src/outside/answer_limits.ts
+++ b/src/outside/answer_limits.ts
@@ -143,6 +143,29 @@
   body.dump({ limit: MAX_DISCARDED_BYTES, signal }).catch(() => undefined);
 }
 
+/**
+ * The start of a body as text: its first bytes, or what arrived of them in a
+ * short time. Closes the connection of a longer body.
+ */
+export async function readStart(
+  body: Readable,
+  maxBytes: number,
+): Promise<string> {
+  const pieces = new Pieces();
+  const timer = setTimeout(() => body.destroy(), DISCARD_TIMEOUT_MS);
+  try {
+    for await (const piece of body) {
+      pieces.add(piece);
+      if (pieces.bytes >= maxBytes) break;
+    }
+  } catch {
+    // What arrived before the body broke off is enough for a message.
+  } finally {
+    clearTimeout(timer);
+  }
+  return pieces.join().subarray(0, maxBytes).toString();
+}
+
 /** The pieces of a body. */
 class Pieces {
   bytes = 0;
--- a/src/outside/endless_answers_test.ts
+++ b/src/outside/endless_answers_test.ts
@@ -133,3 +133,43 @@
   await closed(server);
   expect(server.readBytes < 8 * MIB).toEqual(true);
 });
+
+for (const [name, piece] of [["bytes", "x"], ["lines", ": comment\n"]]) {
+  test(`${name} without an event are silence of a generation`, async () => {
+    const { fault, server, tookMs } = await generate({
+      head: answerHead("200 OK"),
+      piece,
+      intervalMs: 20,
+    });
+    expect(fault).toEqual(EngineFault.Silent);
+    expect(tookMs < 3 * SILENCE_MS).toEqual(true);
+    await closed(server);
+  });
+}
+
+test("a refused generation's body without end is cut", async () => {
+  const { fault, server } = await generate({
+    head: answerHead("400 Bad"),
+    piece: FLOOD,
+  });
+  expect(fault).toEqual(EngineFault.Refused);
+  await closed(server);
+  expect(server.readBytes < 8 * MIB).toEqual(true);
+});
+
+test("bytes after a generation's last chunk keep no connection open", async () => {
+  const chunk = JSON.stringify({
+    id: "r1",
+    text: "t",
+    tokens: 1,
+    weight_version: 1,
+    finish_reason: "stop",
+  });
+  const { chunks, server } = await generate({
+    head: (id) => answerHead("200 OK")(id) + `data: ${chunk}\n\n`,
+    piece: "x",
+    intervalMs: 20,
+  });
+  expect(chunks).toEqual(1);
+  await closed(server, 2000);
+});
--- a/src/outside/http_engine.ts
+++ b/src/outside/http_engine.ts
@@ -10,6 +10,14 @@
 import { type Dispatcher, Pool } from "undici";
 import { z } from "zod";
 import { type Clock, SystemClock } from "../kernel/mod.ts";
+import {
+  AnswerLimits,
+  discard,
+  Excess,
+  ExcessiveAnswerError,
+  IncompleteText,
+  readStart,
+} from "./answer_limits.ts";
 import {
   HttpEndpoint,
   isConnectError,
@@ -34,6 +42,9 @@
 /** Connections to an upstream unused for this long are closed. */
 const UNUSED_UPSTREAM_MS = 15_000;
 const MAX_EVENT_CHARS = 1 << 20;
+const BYTES_PER_CHAR = 2;
+/** What is read of a refusal, for its message. */
+const MAX_REFUSAL_BYTES = 200;
 
 const load = z.object({
   running: z.number(),
@@ -57,11 +68,15 @@
 export class HttpEngine extends Engine {
   readonly #silenceTimeoutMs: number;
   readonly #clock: Clock;
+  readonly #limits: AnswerLimits;
   readonly #upstreams = new Map<string, UpstreamConnections>();
   #lastSweepAt = -Infinity;
 
-  constructor(options: { silenceMs?: number; clock?: Clock } = {}) {
+  constructor(
+    options: { silenceMs?: number; clock?: Clock; limits?: AnswerLimits } = {},
+  ) {
     super();
+    this.#limits = options.limits ?? new AnswerLimits();
     this.#silenceTimeoutMs = options.silenceMs ?? SILENCE_TIMEOUT_MS;
     this.#clock = options.clock ?? new SystemClock();
   }
@@ -84,13 +99,17 @@
       const response = await upstream.send(generation, stream.signal);
       body = response.body;
       const status = response.statusCode;
-      if (status !== 200) return yield await refused(status, body, stream);
+      if (status !== 200) return yield await refused(status, body);
       const parser = new EventParser();
       stream.startSilenceTimer();
       const reading = body.iterator({ destroyOnReturn: false });
       for await (const data of reading) {
+        const events = parser.push(data as Buffer);
+        this.#limits.hold(body, parser.heldBytes);
+        // Bytes without an event are silence.
+        if (events.length === 0) continue;
         stream.stopSilenceTimer();
-        for (const event of parser.push(data as Buffer)) {
+        for (const event of events) {
           const chunk = parseChunk(event);
           if (chunk === undefined) return yield broken("Chunk is malformed");
           if (chunk.id !== generation.id) {
@@ -108,14 +127,16 @@
         message: "Stream ended without its last chunk",
       });
     } catch (error) {
+      this.#limits.report(error, target.id);
       // If one connection went silent, idle ones may be silent too.
       if (stream.silent) upstream.replacePool();
       yield Err(stream.failure(error));
     } finally {
+      if (body !== undefined) this.#limits.release(body);
       stream.end();
       // A response read to its end leaves the connection reusable. Otherwise
       // the connection is closed, which cancels the generation at the engine.
-      if (complete) body?.dump().catch(() => stream.abort());
+      if (complete && body !== undefined) discard(body);
       else stream.abort();
     }
   }
@@ -172,7 +193,8 @@
     const now = this.#clock.now();
     const { address } = target;
     const known = this.#upstreams.get(address);
-    const upstream = known ?? new UpstreamConnections(address);
+    const upstream = known ??
+      new UpstreamConnections({ address, limits: this.#limits });
     upstream.usedAt = now;
     if (known === undefined) this.#upstreams.set(address, upstream);
     if (now - this.#lastSweepAt > UNUSED_UPSTREAM_MS) this.#closeUnused(now);
@@ -197,9 +219,9 @@
   /** Created by the first generation, as many daemons only read loads. */
   #pool: Pool | undefined;
 
-  constructor(address: string) {
+  constructor({ address, limits }: { address: string; limits: AnswerLimits }) {
     this.#origin = `http://${address}`;
-    this.endpoint = new HttpEndpoint({ url: this.#origin });
+    this.endpoint = new HttpEndpoint({ url: this.#origin, limits });
   }
 
   send(
@@ -322,14 +344,24 @@
 /** Extracts the data of server-sent events from a stream. */
 class EventParser {
   readonly #decoder = new StringDecoder("utf8");
-  #partialLine = "";
+  readonly #partialLine = new IncompleteText();
+
+  /** Memory for the incomplete line. */
+  get heldBytes(): number {
+    return BYTES_PER_CHAR * this.#partialLine.chars;
+  }
 
+  /** Throws an `ExcessiveAnswerError` if a line is too long. */
   push(data: Buffer): readonly string[] {
-    const lines = (this.#partialLine + this.#decoder.write(data)).split("\n");
-    this.#partialLine = lines.pop() ?? "";
-    if (this.#partialLine.length > MAX_EVENT_CHARS) {
-      throw new RangeError("Event is too long");
+    const text = this.#decoder.write(data);
+    this.#partialLine.add(text);
+    const size = this.#partialLine.chars;
+    if (!text.includes("\n")) {
+      if (size <= MAX_EVENT_CHARS) return [];
+      throw new ExcessiveAnswerError({ excess: Excess.Event, size });
     }
+    const lines = this.#partialLine.take().split("\n");
+    this.#partialLine.add(lines.pop() ?? "");
     return lines
       .filter((line) => line.startsWith("data:"))
       .map((line) => line.slice("data:".length).trim())
@@ -375,10 +407,8 @@
 async function refused(
   status: number,
   body: Dispatcher.ResponseData["body"],
-  stream: StreamGuard,
 ): Promise<Result<Chunk, EngineFailure>> {
-  stream.startSilenceTimer();
-  const text = (await body.text()).slice(0, 200);
+  const text = await readStart(body, MAX_REFUSAL_BYTES);
   const kind = isRejectedStatus(status)
     ? EngineFault.Refused
     : EngineFault.Broken;
--- a/src/outside/http_platform.ts
+++ b/src/outside/http_platform.ts
@@ -202,6 +202,7 @@
   const weights = new HttpWeightStore({ url: urls.weights, limits });
   const engine = new HttpEngine({
     silenceMs: settings.timing.upstreamSilenceMs,
+    limits,
   });
   const all = [keyValue, directory, orders, reports, weights, engine];
   return {
