Answers that were cut are counted and logged

toucanwind_answers_cut_total counts them by what they had too much of (body, event, memory, head, interim); the log line "answer cut" names the upstream or service and the size.

--- a/src/outside/http_platform.ts
+++ b/src/outside/http_platform.ts
@@ -212,6 +212,7 @@
     reports,
     weights,
     engine,
+    answerLimits: limits,
     close: async () => {
       await Promise.all(all.map((service) => service.close()));
     },
--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -7,6 +7,7 @@
 
 import { fromNullable, type Option } from "fp-ts/Option";
 import type { Result } from "ts-results";
+import type { AnswerLimits } from "./answer_limits.ts";
 import type { UpstreamTransport } from "./upstream_transport.ts";
 
 /** How a call to an external service failed. */
@@ -410,6 +411,8 @@
   readonly records?: TransactionalKeyValue;
   /** Forwards requests unmodified, for routes that need it. */
   readonly upstreamTransport?: UpstreamTransport;
+  /** Limits that the clients share; absent if they need none. */
+  readonly answerLimits?: AnswerLimits;
 }
 
 export {
--- a/src/plugins.ts
+++ b/src/plugins.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import "./outside/answer_metrics.ts";
 import "./peers/mesh.ts";
 import "./config/replicated_configuration.ts";
 import "./admin/admin_pages.ts";
