--- a/src/config/replicated_configuration.ts
+++ b/src/config/replicated_configuration.ts
@@ -59,9 +59,6 @@
 const FALLBACK_AGE_FRACTION = 0.6;
 /** With a large or infinite freshness bound, edits must still take effect. */
 const MAX_FALLBACK_AGE_MS = 1500;
-/** Age at which a stand-in reads, as a fraction of a watcher's, and its range. */
-const STAND_IN_AGE_FRACTION = 0.95;
-const STAND_IN_AGE_RANGE = 0.2;
 /** Smallest gain in freshness that is gossiped at once. */
 const GOSSIP_GAIN_MS = 400;
 /** Backoff before an unusable revision is fetched again. */
@@ -102,13 +99,6 @@
   ageMs: z.number().nullable(),
 });
 
-/** The last read of a daemon that stands in for the watchers. */
-interface StandInRead {
-  readonly sentAt: number;
-  /** Age of the view at which it reads again. */
-  readonly nextAgeMs: number;
-}
-
 interface ReceivedMessage {
   readonly run: string;
   readonly at: number;
@@ -163,7 +153,6 @@
   #entryValid = false;
   #highestSeenRevision = 0;
   #gossipedFreshAt = -Infinity;
-  #standInRead: StandInRead | undefined;
   #fetching = false;
   #lastUnusable = { revision: 0, at: -Infinity };
   #viewKnown = false;
@@ -319,29 +308,12 @@
       this.#freshness.updateMembers(this.#vms(), now);
       this.#forgetRemovedMembers();
       this.#age.set(Math.min(this.ageMs() / 1000, Number.MAX_SAFE_INTEGER));
-      const dueInMs = this.#readAgeMs() - this.ageMs();
-      if (dueInMs < 0 || this.#needsFallback()) void this.#read();
-      // A stand-in reads alone: nobody else's poll would come earlier.
-      const delayMs = this.#standsIn() && dueInMs >= 0
-        ? Math.min(POLL_INTERVAL_MS, dueInMs + 1)
-        : POLL_INTERVAL_MS;
-      await this.#kernel.clock.sleep(delayMs, this.#signal);
+      const due = this.ageMs() > this.#maxWatcherAgeMs;
+      if ((this.#watching() && due) || this.#needsFallback()) void this.#read();
+      await this.#kernel.clock.sleep(POLL_INTERVAL_MS, this.#signal);
     }
   }
 
-  /** Age of the view at which this daemon reads, apart from the fallback. */
-  #readAgeMs(): number {
-    if (this.#watching()) return this.#maxWatcherAgeMs;
-    if (!this.#standsIn()) return Infinity;
-    return this.#standInRead?.nextAgeMs ?? Infinity;
-  }
-
-  // A daemon whose fallback read was answered reads on like a watcher, until
-  // gossip brings a later view than its own reads do.
-  #standsIn(): boolean {
-    return this.#standInRead?.sentAt === this.#freshness.freshAt;
-  }
-
   // A watch confirms the view only when it is answered, so a watcher also reads
   // once the view reaches this age.
   get #maxWatcherAgeMs(): number {
@@ -370,16 +342,7 @@
       timeoutMs: READ_TIMEOUT_MS,
       signal: this.#signal,
     });
-    // Before the first view nothing shows that the watchers bring none.
-    const standsIn = !this.#watching() && this.#freshness.freshAt > -Infinity;
     this.#handleAnswer(answer, askedAt, "read");
-    if (!standsIn || this.#freshness.freshAt !== askedAt) return;
-    // Random, so that of several one reads first, and the others end.
-    const fraction = STAND_IN_AGE_FRACTION + Math.random() * STAND_IN_AGE_RANGE;
-    this.#standInRead = {
-      sentAt: askedAt,
-      nextAgeMs: this.#maxWatcherAgeMs * fraction,
-    };
   }
 
   async #watch(): Promise<void> {
