Log the findings on requests that crash upstreams

Nothing told why an item or a request got no permit any more once it was quarantined, nor what had made it a suspect. Each change of a finding is now one line (suspected, quarantined, cleared, lifted) with the fingerprint, the upstream, the number of crashes, how long the run took and whether it was isolated. A refused request gets one line, with its id and fingerprint.

--- a/src/dispatch/crash_detector.ts
+++ b/src/dispatch/crash_detector.ts
@@ -114,18 +114,16 @@
   }): void {
     const { upstream, running, now } = options;
     const { fingerprint } = holding.demand;
-    if (now < holding.isolatedUntil) {
-      if (!upstream.leaving) {
-        this.#quarantine.quarantine(fingerprint, upstream.id);
-      }
+    const isolated = now < holding.isolatedUntil;
+    const ranMs = now - holding.grantedAt;
+    const run = { upstream: upstream.id, ranMs, isolated };
+    if (isolated) {
+      if (!upstream.leaving) this.#quarantine.quarantine(fingerprint, run);
       this.#recordCrash({ upstream, at: now, fingerprints: [fingerprint] });
       return;
     }
     if (upstream.leaving) return;
-    this.#quarantine.suspect(fingerprint, {
-      upstream: upstream.id,
-      ranMs: now - holding.grantedAt,
-    });
+    this.#quarantine.suspect(fingerprint, run);
     const episode = this.#episode(upstream.id, now) ??
       newEpisode(upstream, { holdings: [holding, ...running], now });
     episode.broken.add(holding.permit);
@@ -146,10 +144,11 @@
     if (episode.upstream.leaving) return;
     const fingerprints = episode.holdings
       .map(({ demand }) => demand.fingerprint);
-    for (const { demand, grantedAt } of episode.holdings) {
+    for (const { demand, grantedAt, isolatedUntil } of episode.holdings) {
       this.#quarantine.suspect(demand.fingerprint, {
         upstream: episode.upstream.id,
         ranMs: episode.startedAt - grantedAt,
+        isolated: episode.startedAt < isolatedUntil,
       });
     }
     this.#recordCrash({ upstream: episode.upstream, at: now, fingerprints });
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -15,6 +15,7 @@
 import {
   type GossipSection,
   type Kernel,
+  logger,
   type PeerHandler,
   type Props,
   Reason,
@@ -53,6 +54,8 @@
 import { ShardSummaries } from "./summaries.ts";
 import { HeldPermits } from "./held_permits.ts";
 
+const log = logger("dispatch");
+
 /** How often leaders end expired permits and waits. */
 const TICK_INTERVAL_MS = 100;
 
@@ -189,7 +192,9 @@
     const permit = await this.#entry.acquire(demand, signal);
     const { priority } = demand;
     if (permit.err) {
-      this.#refusals.inc({ reason: permit.val.reason });
+      const { reason } = permit.val;
+      this.#refusals.inc({ reason });
+      if (reason === Reason.Quarantined) this.#logRefusal(demand);
       return permit;
     }
     this.#grants.inc({ priority });
@@ -198,6 +203,18 @@
     return permit;
   }
 
+  #logRefusal({ id, route, fingerprint, attempt }: Demand): void {
+    const { crashes, upstream } = this.#quarantine.finding(fingerprint) ?? {};
+    log("quarantined request refused", {
+      id,
+      route,
+      attempt,
+      fingerprint,
+      crashes,
+      upstream,
+    });
+  }
+
   upstreams(pool: string): readonly UpstreamStatus[] {
     return this.#fleet.shardsOfPool(pool).flatMap((shard) => {
       const summary = this.#summaries.latest(shard.name);
--- a/src/dispatch/held_permits.ts
+++ b/src/dispatch/held_permits.ts
@@ -161,14 +161,13 @@
     if (outcome !== Outcome.Broken) return;
     const { upstream, demand, isolated, grantedAt } = held;
     if (this.#fleet.upstream(upstream)?.leaving) return;
+    const ranMs = this.#clock.now() - grantedAt;
+    const run = { upstream, ranMs, isolated };
     if (isolated && this.#suspected(demand)) {
-      this.#quarantine.quarantine(demand.fingerprint, upstream);
+      this.#quarantine.quarantine(demand.fingerprint, run);
       return;
     }
-    this.#quarantine.suspect(demand.fingerprint, {
-      upstream,
-      ranMs: this.#clock.now() - grantedAt,
-    });
+    this.#quarantine.suspect(demand.fingerprint, run);
   }
 
   #suspected({ fingerprint }: Demand): boolean {
--- a/src/dispatch/quarantine.ts
+++ b/src/dispatch/quarantine.ts
@@ -5,7 +5,9 @@
  * @module
  */
 
-import type { Clock } from "../kernel/mod.ts";
+import { type Clock, logger } from "../kernel/mod.ts";
+
+const log = logger("dispatch");
 
 /** How strongly a request's fingerprint is suspected. */
 export enum Suspicion {
@@ -41,6 +43,14 @@
   readonly until: number;
 }
 
+/** A run that ended with the crash of its upstream. */
+export interface CrashedRun {
+  readonly upstream: string;
+  readonly ranMs: number;
+  /** Whether nothing else ran there. */
+  readonly isolated: boolean;
+}
+
 /** The findings known to one daemon. */
 export class Quarantine {
   readonly #clock: Clock;
@@ -64,41 +74,49 @@
   }
 
   /** Suspects a request that was running on `upstream` when it failed. */
-  suspect(fingerprint: string, options: {
-    upstream: string;
-    ranMs: number;
-  }): void {
+  suspect(fingerprint: string, run: CrashedRun): void {
     const known = this.finding(fingerprint);
     if (known?.suspicion === Suspicion.Quarantined) return;
     const suspected = known?.suspicion === Suspicion.Suspect;
-    if (suspected && known.upstream === options.upstream) return;
-    this.#change(fingerprint, {
+    if (suspected && known.upstream === run.upstream) return;
+    const finding = this.#change(fingerprint, {
       suspicion: Suspicion.Suspect,
       crashes: (known?.crashes ?? 0) + 1,
-      ranMs: Math.max(known?.ranMs ?? 0, options.ranMs),
-      upstream: options.upstream,
+      ranMs: Math.max(known?.ranMs ?? 0, run.ranMs),
+      upstream: run.upstream,
     });
+    logChange("request suspected", finding, run);
   }
 
   /** Quarantines a request that crashed an upstream while running isolated. */
-  quarantine(fingerprint: string, upstream: string): void {
-    this.#change(fingerprint, { suspicion: Suspicion.Quarantined, upstream });
+  quarantine(fingerprint: string, run: CrashedRun): void {
+    const { upstream } = run;
+    const known = this.suspicion(fingerprint);
+    const finding = this.#change(fingerprint, {
+      suspicion: Suspicion.Quarantined,
+      upstream,
+    });
+    if (known === Suspicion.Quarantined) return;
+    logChange("request quarantined", finding, run);
   }
 
   /** Drops a suspicion and its crash count: the request was not the cause. */
   clear(fingerprint: string): void {
-    if (this.finding(fingerprint) === undefined) return;
+    const known = this.finding(fingerprint);
+    if (known === undefined) return;
     this.#change(fingerprint, {
       suspicion: Suspicion.None,
       crashes: 0,
       ranMs: 0,
     });
+    if (known.crashes > 0) logChange("request cleared", known);
   }
 
   /** Drops a suspicion but not the count: it may run beside others again. */
   lift(fingerprint: string): void {
     if (this.suspicion(fingerprint) !== Suspicion.Suspect) return;
-    this.#change(fingerprint, { suspicion: Suspicion.None });
+    const finding = this.#change(fingerprint, { suspicion: Suspicion.None });
+    logChange("suspicion lifted", finding);
   }
 
   /** All findings, each with its remaining time. */
@@ -124,7 +142,7 @@
     this.#listeners.push(listener);
   }
 
-  #change(fingerprint: string, change: Partial<Finding>): void {
+  #change(fingerprint: string, change: Partial<Finding>): Finding {
     const known = this.finding(fingerprint);
     const finding = {
       fingerprint,
@@ -139,6 +157,7 @@
     };
     this.#store(finding);
     for (const listener of this.#listeners) listener(finding);
+    return finding;
   }
 
   #store(finding: Finding): void {
@@ -147,6 +166,18 @@
   }
 }
 
+/** Logs a change of a finding, and the crashed run that caused it, if any. */
+function logChange(event: string, finding: Finding, run?: CrashedRun): void {
+  const { fingerprint, crashes, upstream } = finding;
+  log(event, {
+    fingerprint,
+    crashes,
+    upstream,
+    ranMs: Math.round(run?.ranMs ?? finding.ranMs),
+    isolated: run?.isolated,
+  });
+}
+
 const SEVERITY: Readonly<Record<Suspicion, number>> = {
   [Suspicion.None]: 0,
   [Suspicion.Suspect]: 1,
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -114,7 +114,11 @@
 
 test("a suspect that ran isolated for long shares its upstream again", () => {
   const { clock, leader, ask, quarantine } = shard([upstream()]);
-  quarantine.suspect("maybe", { upstream: "up-0", ranMs: 100 });
+  quarantine.suspect("maybe", {
+    upstream: "up-0",
+    ranMs: 100,
+    isolated: false,
+  });
   ask({ fingerprint: "maybe" });
   const beside = ask();
   expect(upstreamOf(beside)).toEqual("");
@@ -138,7 +142,7 @@
 
 test("a suspect that is served is cleared", () => {
   const { leader, ask, quarantine } = shard([upstream()]);
-  quarantine.suspect("maybe", { upstream: "up-0", ranMs: 10 });
+  quarantine.suspect("maybe", { upstream: "up-0", ranMs: 10, isolated: false });
   const alone = ask({ fingerprint: "maybe" });
   leader.release(permit(alone), Outcome.Served, 10);
   expect(quarantine.suspicion("maybe")).toEqual(Suspicion.None);
