Items are tried again after their upstreams crashed twice

Cause: the second crash, with the item isolated, quarantines its fingerprint for 600 s; the entry and the leader then refuse each of its demands. For a caller's request that is the end wanted; an item is owed until its batch ends.

A demand now has a crash limit. Below it quarantined means: isolated, after a back-off of 0.5 s that doubles up to 3 s. Items and reward requests have no limit, samples of steps are given up after five crashes, callers' requests are refused as before. Quarantined requests that run, reservations and upstreams that are just down take a third of a shard at most. A finding counts a crash once, whoever reports it, and a finding that is passed on has the age that it has.

Found on the way: a request that was queued when its fingerprint was quarantined was still granted an upstream, beside others. It is refused now.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -13,6 +13,7 @@
   type Demand,
   type Dispatch,
   dispatchKey,
+  NO_CRASH_LIMIT,
   Outcome as PermitOutcome,
   type Permit,
 } from "../dispatch/mod.ts";
@@ -408,6 +409,7 @@
         fields: [],
         body: Buffer.from(reward.body, "base64"),
         remainingMs: REWARD_TIMEOUT_MS,
+        crashLimit: NO_CRASH_LIMIT,
       }, this.#signal);
       if (this.#signal.aborted) return;
       const { answer: rewardResult } = served;
@@ -499,6 +501,7 @@
         ? this.#speeds(task.pool).laggingUpstreams()
         : [],
       fingerprint: task.fingerprint(organisation),
+      crashLimit: NO_CRASH_LIMIT,
       attempt: task.lostAttempts,
     };
   }
--- a/src/dispatch/crash_detector.ts
+++ b/src/dispatch/crash_detector.ts
@@ -51,8 +51,8 @@
 export class CrashDetector {
   readonly #quarantine: Quarantine;
   readonly #episodes = new Map<string, Episode>();
-  /** Upstreams that crashed and have not answered since. */
-  readonly #down = new Set<string>();
+  /** When upstreams that have not answered since crashed. */
+  readonly #down = new Map<string, number>();
   #recentCrashes: readonly Crash[] = [];
   #upstreams: readonly Upstream[] = [];
 
@@ -65,6 +65,13 @@
     this.#upstreams = upstreams;
   }
 
+  /** Upstreams that crashed after `since` and have not answered yet. */
+  crashedSince(since: number): number {
+    return this.#upstreams.filter(({ id }) =>
+      (this.#down.get(id) ?? -Infinity) > since
+    ).length;
+  }
+
   /** Records how a request ended; `running` are permits still in use there. */
   ended(holding: ActivePermit, options: {
     outcome: Outcome;
@@ -168,7 +175,7 @@
   /** Records a crash; if its zone was reclaimed, no request is suspected. */
   #recordCrash(crash: Crash): void {
     if (this.#down.has(crash.upstream.id)) return;
-    this.#down.add(crash.upstream.id);
+    this.#down.set(crash.upstream.id, crash.at);
     const recent = this.#recentCrashes.filter(({ at, upstream }) =>
       crash.at - at <= ZONE_OUTAGE_WINDOW_MS &&
       upstream.id !== crash.upstream.id
--- a/src/dispatch/crash_test.ts
+++ b/src/dispatch/crash_test.ts
@@ -3,7 +3,7 @@
 import { Reason } from "../kernel/mod.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import { demand, DispatchCluster, vm } from "./fixtures_test.ts";
-import { type Demand, Outcome, type Permit } from "./mod.ts";
+import { type Demand, NO_CRASH_LIMIT, Outcome, type Permit } from "./mod.ts";
 
 const idle = new AbortController().signal;
 
@@ -126,3 +126,25 @@
     const given = await fresh.acquire(demand({ fingerprint: "bad" }), idle);
     expect(given.err && given.val.reason).toEqual(Reason.Quarantined);
   }));
+
+test("owed work runs again after two crashes, isolated, and equal requests don't", () =>
+  cluster(async (sim, entries) => {
+    const owed = { fingerprint: "owed", crashLimit: NO_CRASH_LIMIT };
+    let crashedAt = 0;
+    for (const entry of entries.slice(0, 2)) {
+      const permit = await granted(entry, owed);
+      crashedAt = Date.now();
+      crash(sim, permit.target.id, [permit]);
+      await pause(20);
+    }
+    const again = granted(entries[2], owed);
+    const equal = await entries[0].acquire(
+      demand({ fingerprint: "owed" }),
+      idle,
+    );
+    expect(equal.err && equal.val.reason).toEqual(Reason.Quarantined);
+    (await again).release(Outcome.Served, 1);
+    const waitedMs = Date.now() - crashedAt;
+    expect(waitedMs).toBeGreaterThanOrEqual(450);
+    expect(waitedMs).toBeLessThan(3000);
+  }));
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -22,7 +22,7 @@
   notRun,
 } from "./messages.ts";
 import { type Demand, Outcome, type Permit } from "./mod.ts";
-import { type Quarantine, Suspicion } from "./quarantine.ts";
+import { Admission, type Quarantine } from "./quarantine.ts";
 import { selectShard } from "./shard_selection.ts";
 import { thinPrefixes } from "./prefixes.ts";
 import type { ShardSummaries } from "./summaries.ts";
@@ -130,8 +130,7 @@
 
   /** Why a request is refused without asking a leader, if it is. */
   #refusal(demand: Demand, signal: AbortSignal): Refusal | undefined {
-    const suspicion = this.#quarantine.suspicion(demand.fingerprint);
-    if (suspicion === Suspicion.Quarantined) {
+    if (this.#quarantine.admission(demand) === Admission.Refused) {
       return notRun(Reason.Quarantined, "The request crashes upstreams");
     }
     if (signal.aborted) {
--- a/src/dispatch/fair_queue.ts
+++ b/src/dispatch/fair_queue.ts
@@ -202,13 +202,14 @@
 
   take(
     capacity: Capacity,
-    { open, fits }: StartConditions,
+    { open, ready, fits }: StartConditions,
   ): Ticket | undefined {
     const heads = this.#heads(capacity).filter(({ urgency }) => open(urgency));
     while (heads.length > 0) {
       const { organisation, queue } = removeFirst(heads);
       let scanned = 0;
       for (const ticket of queue.waiting()) {
+        if (!ready(ticket)) continue;
         if (++scanned > MAX_SCANNED_REQUESTS) break;
         if (!fits(ticket)) continue;
         this.#dequeue(ticket, organisation);
--- a/src/dispatch/fair_queue_test.ts
+++ b/src/dispatch/fair_queue_test.ts
@@ -11,7 +11,7 @@
   return { now, slots, freeSlots: 0 };
 }
 
-const anything = { open: () => true, fits: () => true };
+const anything = { open: () => true, ready: () => true, fits: () => true };
 
 function push(queue: FairQueue, times: number, part: Partial<Demand>): void {
   for (let i = 0; i < times; i++) queue.push(ticket(part), at(0));
--- a/src/dispatch/held_permits.ts
+++ b/src/dispatch/held_permits.ts
@@ -15,7 +15,7 @@
   type ReportedPermit,
 } from "./messages.ts";
 import { type Demand, Outcome, type Permit } from "./mod.ts";
-import { type Quarantine, Suspicion } from "./quarantine.ts";
+import { mustIsolate, type Quarantine, Suspicion } from "./quarantine.ts";
 
 /** Timeout of messages about permits in use. */
 const NOTIFICATION_TIMEOUT_MS = 1000;
@@ -40,7 +40,7 @@
 
 interface HeldPermit extends PermitGrant {
   readonly grantedAt: number;
-  /** Whether the request was a suspect when granted, and so ran isolated. */
+  /** Whether the request ran isolated. */
   readonly isolated: boolean;
   readonly leaving: AbortController;
 }
@@ -86,7 +86,7 @@
     this.#permits.set(grant.permit, {
       ...grant,
       leaving,
-      isolated: this.#suspected(grant.demand),
+      isolated: mustIsolate(this.#quarantine.admission(grant.demand)),
       grantedAt: this.#clock.now(),
     });
     if (this.#fleet.upstream(grant.upstream)?.leaving) leaving.abort();
@@ -171,7 +171,7 @@
   }
 
   #suspected({ fingerprint }: Demand): boolean {
-    return this.#quarantine.suspicion(fingerprint) === Suspicion.Suspect;
+    return this.#quarantine.suspicion(fingerprint) !== Suspicion.None;
   }
 
   /** Queues a release; one message at a time carries all that are queued. */
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -46,6 +46,7 @@
   exclude: z.array(z.string()),
   avoid: z.array(z.string()).optional(),
   fingerprint: z.string(),
+  crashLimit: z.number().optional(),
   attempt: z.number(),
 });
 
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -42,10 +42,19 @@
   readonly avoid?: readonly string[];
   /** Equal for all resends of a request; identifies what crashes upstreams. */
   readonly fingerprint: string;
+  /**
+   * Crashes after which a quarantined request is refused. Until then it runs
+   * isolated, after a back-off that grows with its crashes. Without it, a
+   * quarantined request is refused immediately.
+   */
+  readonly crashLimit?: number;
   /** 0 for the first attempt. */
   readonly attempt: number;
 }
 
+/** The `crashLimit` of work that is owed however often upstreams crash. */
+export const NO_CRASH_LIMIT = Number.MAX_SAFE_INTEGER;
+
 /** How a request that held a permit ended. */
 export enum Outcome {
   Served = "served",
--- a/src/dispatch/quarantine.ts
+++ b/src/dispatch/quarantine.ts
@@ -15,10 +15,31 @@
   None = "none",
   /** It ran on an upstream that crashed: it runs isolated next. */
   Suspect = "suspect",
-  /** An upstream that ran it isolated crashed as well: it is refused. */
+  /** An upstream that ran it isolated crashed as well. */
   Quarantined = "quarantined",
 }
 
+/** Whether and how a request may run, by what is known about it. */
+export enum Admission {
+  /** Beside other requests. */
+  Shared = "shared",
+  /** Alone on an upstream. */
+  Isolated = "isolated",
+  /** Alone on an upstream, once its back-off has passed. */
+  Delayed = "delayed",
+  /** Not any more. */
+  Refused = "refused",
+}
+
+/** Whether a request that is admitted like this runs alone. */
+export function mustIsolate(admission: Admission): boolean {
+  return admission === Admission.Isolated || admission === Admission.Delayed;
+}
+
+/** Back-off of a quarantined request after two crashes; it doubles with each. */
+const MIN_BACKOFF_MS = 500;
+const MAX_BACKOFF_MS = 3000;
+
 /** How long a finding is valid after its last change. */
 export const FINDING_TTL_MS = 600_000;
 
@@ -69,14 +90,37 @@
   /** The finding on a fingerprint, if there is one. */
   finding(fingerprint: string): Finding | undefined {
     const kept = this.#findings.get(fingerprint);
-    if (kept === undefined || kept.until <= this.#clock.now()) return undefined;
-    return kept.finding;
+    if (kept === undefined) return undefined;
+    const remainingMs = kept.until - this.#clock.now();
+    return remainingMs <= 0 ? undefined : { ...kept.finding, remainingMs };
+  }
+
+  /** Whether and how a request may run now. */
+  admission({ fingerprint, crashLimit = 0 }: {
+    fingerprint: string;
+    crashLimit?: number;
+  }): Admission {
+    const finding = this.finding(fingerprint);
+    switch (finding?.suspicion) {
+      case undefined:
+      case Suspicion.None:
+        return Admission.Shared;
+      case Suspicion.Suspect:
+        return Admission.Isolated;
+      case Suspicion.Quarantined:
+        if (finding.crashes >= crashLimit) return Admission.Refused;
+        return ageMsOf(finding) < backoffMs(finding.crashes)
+          ? Admission.Delayed
+          : Admission.Isolated;
+    }
   }
 
   /** Suspects a request that was running on `upstream` when it failed. */
   suspect(fingerprint: string, run: CrashedRun): void {
     const known = this.finding(fingerprint);
-    if (known?.suspicion === Suspicion.Quarantined) return;
+    if (known?.suspicion === Suspicion.Quarantined) {
+      return this.quarantine(fingerprint, run);
+    }
     const suspected = known?.suspicion === Suspicion.Suspect;
     if (suspected && known.upstream === run.upstream) return;
     const finding = this.#change(fingerprint, {
@@ -90,13 +134,17 @@
 
   /** Quarantines a request that crashed an upstream while running isolated. */
   quarantine(fingerprint: string, run: CrashedRun): void {
-    const { upstream } = run;
-    const known = this.suspicion(fingerprint);
+    const known = this.finding(fingerprint);
+    // Both the entry and the leader report a crash, in either order.
+    const counted = known !== undefined && known.upstream === run.upstream &&
+      known.suspicion !== Suspicion.None && ageMsOf(known) <= run.ranMs;
+    if (counted && known.suspicion === Suspicion.Quarantined) return;
     const finding = this.#change(fingerprint, {
       suspicion: Suspicion.Quarantined,
-      upstream,
+      crashes: (known?.crashes ?? 0) + (counted ? 0 : 1),
+      ranMs: Math.max(known?.ranMs ?? 0, run.ranMs),
+      upstream: run.upstream,
     });
-    if (known === Suspicion.Quarantined) return;
     logChange("request quarantined", finding, run);
   }
 
@@ -166,6 +214,17 @@
   }
 }
 
+/** Time since a finding changed. */
+function ageMsOf({ remainingMs }: Finding): number {
+  return FINDING_TTL_MS - remainingMs;
+}
+
+/** Time after a crash before a quarantined request runs again. */
+function backoffMs(crashes: number): number {
+  const doublings = Math.max(0, crashes - 2);
+  return Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** doublings);
+}
+
 /** Logs a change of a finding, and the crashed run that caused it, if any. */
 function logChange(event: string, finding: Finding, run?: CrashedRun): void {
   const { fingerprint, crashes, upstream } = finding;
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -43,6 +43,8 @@
 export interface StartConditions {
   /** Whether requests of this urgency get a slot now. */
   readonly open: (urgency: Urgency) => boolean;
+  /** Whether the request waits for an upstream only; must be cheap. */
+  readonly ready: (ticket: Ticket) => boolean;
   /** Whether an upstream can take this request. */
   readonly fits: (ticket: Ticket) => boolean;
 }
@@ -132,9 +134,12 @@
     return Ok(true);
   }
 
-  take(_capacity: Capacity, { fits }: StartConditions): Ticket | undefined {
+  take(
+    _capacity: Capacity,
+    { ready, fits }: StartConditions,
+  ): Ticket | undefined {
     for (const ticket of this.#tickets.values()) {
-      if (!fits(ticket)) continue;
+      if (!ready(ticket) || !fits(ticket)) continue;
       this.#tickets.delete(ticket.id);
       return ticket;
     }
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -7,7 +7,7 @@
  */
 
 import type { Result } from "ts-results";
-import { type Clock, Reason, Refusal, Verdict } from "../kernel/mod.ts";
+import { type Clock, logger, Reason, Refusal, Verdict } from "../kernel/mod.ts";
 import type { CacheEvent, Load } from "../outside/mod.ts";
 import { Priority } from "../tables/mod.ts";
 import { AffinitySelector } from "./affinity_selector.ts";
@@ -18,7 +18,7 @@
 import { CircuitBreaker } from "./circuit_breaker.ts";
 import { type Demand, Outcome, type Pressure } from "./mod.ts";
 import { type ActivePermit, ActivePermits } from "./permits.ts";
-import { Quarantine, Suspicion } from "./quarantine.ts";
+import { Admission, mustIsolate, Quarantine, Suspicion } from "./quarantine.ts";
 import {
   type Capacity,
   type OrganisationLoad,
@@ -29,6 +29,8 @@
 } from "./queue.ts";
 import type { Upstream } from "./shards.ts";
 
+const log = logger("dispatch");
+
 /** Retry delay for callers when the shard has no usable upstream. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 1000;
 
@@ -44,6 +46,8 @@
 /** Largest share of slots reserved for organisations that may return. */
 const MAX_ANTICIPATED_SLOTS_FRACTION = 0.06;
 
+const CRASHES_UPSTREAMS = "The request crashes upstreams";
+
 const NO_RESERVED_SLOTS: Readonly<Record<Urgency, number>> = {
   [Urgency.Highest]: 0,
   [Urgency.High]: 0,
@@ -56,6 +60,9 @@
 /** One upstream in this many may be reserved for suspects; at least one. */
 const UPSTREAMS_PER_RESERVATION = 3;
 
+/** An upstream that is back later than this after a crash is replaced. */
+const MAX_RESTART_MS = 4000;
+
 /** How a wait ended. */
 export type WaitResult =
   | { readonly permit: string; readonly upstream: Upstream }
@@ -164,12 +171,21 @@
     const pushed: Result<true, Refusal> = this.#queue.push(ticket, capacity);
     if (pushed.err) return answer({ refusal: pushed.val });
     this.#answers.set(ticket.id, answer);
+    this.#logIfQuarantined(ticket);
     if (this.#queue.urgency(ticket, capacity) === Urgency.Highest) {
       this.#headroom?.arrived(this.#clock.now());
     }
     this.#grantWaiting();
   }
 
+  #logIfQuarantined({ demand: { id, route, fingerprint } }: Ticket): void {
+    if (this.#quarantine.suspicion(fingerprint) !== Suspicion.Quarantined) {
+      return;
+    }
+    const crashes = this.#quarantine.finding(fingerprint)?.crashes;
+    log("quarantined request queued", { id, route, fingerprint, crashes });
+  }
+
   /** Ends a wait that its caller cancelled, also if it was granted since. */
   cancel(id: string): boolean {
     const ticket = this.#queue.remove(id);
@@ -211,8 +227,9 @@
     for (const holding of holdings) {
       if (this.#permits.get(holding.permit) !== undefined) continue;
       if (!this.#states.has(holding.upstream)) continue;
-      const suspect = this.#suspected(holding.demand);
-      const isolatedUntil = suspect ? Infinity : -Infinity;
+      const isolatedUntil = this.#runsIsolated(holding.demand)
+        ? Infinity
+        : -Infinity;
       this.#permits.add({ ...holding, isolatedUntil }, now);
       this.#queue.started(holding.demand, now);
       this.#updatePeak(holding.upstream);
@@ -259,6 +276,7 @@
       if (finding?.crashes === 1) this.#quarantine.lift(demand.fingerprint);
     }
     for (const ticket of [...this.#queue.waiting()]) this.#expire(ticket, now);
+    for (const ticket of [...this.#queue.waiting()]) this.#review(ticket);
     this.#grantWaiting();
   }
 
@@ -276,6 +294,18 @@
     }
   }
 
+  /** Applies findings that changed while the request waits. */
+  #review(ticket: Ticket): void {
+    switch (this.#quarantine.admission(ticket.demand)) {
+      case Admission.Refused:
+        return this.#refuse(ticket, Reason.Quarantined, CRASHES_UPSTREAMS);
+      case Admission.Shared:
+      case Admission.Delayed:
+        return this.#dropReservations(ticket);
+      case Admission.Isolated:
+    }
+  }
+
   /** Ends all waits with `moved`, as the shard has another leader. */
   close(): void {
     this.#granting = false;
@@ -316,6 +346,7 @@
       let picked: Candidate | undefined;
       const ticket = this.#queue.take(capacity, {
         open: (urgency) => capacity.freeSlots > reserved[urgency],
+        ready: (ticket) => this.#isReady(ticket, free),
         fits: (ticket) => {
           picked = this.#selectUpstream(ticket, free);
           return picked !== undefined;
@@ -349,12 +380,51 @@
     this.#answer(ticket.id, { permit, upstream });
   }
 
+  /** Whether a request may start now if an upstream suits it. */
+  #isReady({ id, demand }: Ticket, free: readonly Candidate[]): boolean {
+    const admission = this.#quarantine.admission(demand);
+    if (admission === Admission.Shared) return true;
+    if (admission !== Admission.Isolated) return false;
+    const holdsReservation = [...this.#reservations.values()].includes(id);
+    if (this.#quarantined(demand) && !holdsReservation && !this.#mayTry()) {
+      return false;
+    }
+    return this.#mayReserve() ||
+      free.some(({ upstream, inFlight }) =>
+        inFlight === 0 &&
+        (this.#reservations.get(upstream.id) ?? id) === id
+      );
+  }
+
+  /**
+   * Whether one more quarantined request may run. Those that run, and upstreams
+   * that crashed and aren't back, take no more of the shard than reservations.
+   */
+  #mayTry(): boolean {
+    const running = [...this.#permits.all()]
+      .filter(({ demand }) => this.#quarantined(demand)).length;
+    const crashed = this.#crashes
+      .crashedSince(this.#clock.now() - MAX_RESTART_MS);
+    return running + crashed + this.#reservations.size < this.#maxReservations;
+  }
+
+  #mayReserve(): boolean {
+    return this.#reservations.size < this.#maxReservations;
+  }
+
+  get #maxReservations(): number {
+    return Math.max(
+      1,
+      Math.floor(this.#states.size / UPSTREAMS_PER_RESERVATION),
+    );
+  }
+
   /** The upstream that a request can run on now, if any. */
   #selectUpstream(
     ticket: Ticket,
     free: readonly Candidate[],
   ): Candidate | undefined {
-    if (this.#suspected(ticket.demand)) return this.#isolate(ticket, free);
+    if (this.#runsIsolated(ticket.demand)) return this.#isolate(ticket, free);
     const trialUpstream = this.#trialUpstream(ticket.demand);
     const fitting = free.filter((candidate) =>
       !this.#reservations.has(candidate.upstream.id) &&
@@ -404,15 +474,8 @@
     );
     const empty = fitting.find(({ inFlight }) => inFlight === 0);
     if (empty !== undefined) return empty;
-    const maxReservations = Math.max(
-      1,
-      Math.floor(this.#states.size / UPSTREAMS_PER_RESERVATION),
-    );
     const reserved = [...this.#reservations.values()].includes(ticket.id);
-    if (
-      fitting.length === 0 || reserved ||
-      this.#reservations.size >= maxReservations
-    ) {
+    if (fitting.length === 0 || reserved || !this.#mayReserve()) {
       return undefined;
     }
     const leastLoaded = fitting
@@ -422,15 +485,18 @@
   }
 
   #isolationEnd(demand: Demand, now: number): number {
-    if (!this.#suspected(demand)) return -Infinity;
+    if (!this.#runsIsolated(demand)) return -Infinity;
     const finding = this.#quarantine.finding(demand.fingerprint);
     if (finding === undefined || finding.crashes > 1) return Infinity;
     return now + finding.ranMs * 1.5 + ISOLATION_MARGIN_MS;
   }
 
-  #suspected(demand: Demand): boolean {
-    return this.#quarantine.suspicion(demand.fingerprint) ===
-      Suspicion.Suspect;
+  #runsIsolated(demand: Demand): boolean {
+    return mustIsolate(this.#quarantine.admission(demand));
+  }
+
+  #quarantined({ fingerprint }: Demand): boolean {
+    return this.#quarantine.suspicion(fingerprint) === Suspicion.Quarantined;
   }
 
   /** Upstreams with a free slot. */
@@ -464,11 +530,9 @@
 
   /** Why a request is refused before it waits, if it is. */
   #refusal(ticket: Ticket): Refusal | undefined {
-    const { fingerprint, exclude, remainingMs } = ticket.demand;
-    if (
-      this.#quarantine.suspicion(fingerprint) === Suspicion.Quarantined
-    ) {
-      return refusalOf(Reason.Quarantined, "The request crashes upstreams");
+    const { exclude, remainingMs } = ticket.demand;
+    if (this.#quarantine.admission(ticket.demand) === Admission.Refused) {
+      return refusalOf(Reason.Quarantined, CRASHES_UPSTREAMS);
     }
     if (remainingMs <= 0) {
       return refusalOf(Reason.DeadlineExceeded, "The deadline passed");
@@ -524,8 +588,12 @@
       upstream: state.upstream,
       running: this.#permits.on(holding.upstream),
     });
-    if (outcome === Outcome.Served && this.#suspected(holding.demand)) {
-      this.#quarantine.clear(holding.demand.fingerprint);
+    const { fingerprint } = holding.demand;
+    const suspicion = this.#quarantine.suspicion(fingerprint);
+    const innocent = suspicion === Suspicion.Suspect ||
+      suspicion === Suspicion.Quarantined && holding.isolatedUntil > now;
+    if (outcome === Outcome.Served && innocent) {
+      this.#quarantine.clear(fingerprint);
     }
     if (outcome === Outcome.Broken || outcome === Outcome.Unreachable) {
       this.#onConnectionBroken(holding.upstream);
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -6,7 +6,7 @@
 import { load, ticket, upstream } from "./fixtures_test.ts";
 import { Headroom } from "./headroom.ts";
 import { ShardLeader, type WaitResult } from "./shard_leader.ts";
-import { type Demand, Outcome } from "./mod.ts";
+import { type Demand, NO_CRASH_LIMIT, Outcome } from "./mod.ts";
 import { Quarantine, Suspicion } from "./quarantine.ts";
 import type { Upstream } from "./shards.ts";
 
@@ -148,6 +148,87 @@
   expect(quarantine.suspicion("maybe")).toEqual(Suspicion.None);
 });
 
+/** Upstreams of one shard, each in its own availability zone. */
+function upstreams(count: number): readonly Upstream[] {
+  return Array.from(
+    { length: count },
+    (_, n) => upstream({ id: `up-${n}`, availabilityZone: `zone-${n}` }),
+  );
+}
+
+/** Findings as after a crash beside other requests and an isolated one. */
+function quarantineAll(
+  quarantine: Quarantine,
+  fingerprints: readonly string[],
+): void {
+  for (const fingerprint of fingerprints) {
+    const run = { upstream: "gone", ranMs: 10, isolated: true };
+    quarantine.suspect(fingerprint, { ...run, isolated: false });
+    quarantine.quarantine(fingerprint, { ...run, upstream: "gone-too" });
+  }
+}
+
+test("owed work that is quarantined runs isolated after its back-off", () => {
+  const { clock, leader, ask, quarantine } = shard(upstreams(1));
+  quarantineAll(quarantine, ["owed"]);
+  const owed = ask({ fingerprint: "owed", crashLimit: NO_CRASH_LIMIT });
+  expect(owed.answer).toEqual(undefined);
+  clock.advance(500);
+  leader.tick();
+  expect(upstreamOf(owed)).toEqual("up-0");
+  const beside = ask();
+  expect(upstreamOf(beside)).toEqual("");
+  leader.release(permit(owed), Outcome.Served, 10);
+  expect(quarantine.suspicion("owed")).toEqual(Suspicion.None);
+  expect(upstreamOf(beside)).toEqual("up-0");
+});
+
+test("requests behind many quarantined ones start without them", () => {
+  const { leader, ask, quarantine } = shard(upstreams(3));
+  const names = Array.from({ length: 20 }, (_, n) => `owed-${n}`);
+  quarantineAll(quarantine, names);
+  for (const fingerprint of names) {
+    ask({ fingerprint, crashLimit: NO_CRASH_LIMIT });
+  }
+  expect(upstreamOf(ask())).not.toEqual("");
+  leader.tick();
+  expect(upstreamOf(ask())).not.toEqual("");
+});
+
+test("quarantined requests and what they crash take a third of a shard", () => {
+  const { clock, leader, ask, quarantine } = shard(upstreams(9));
+  const names = Array.from({ length: 20 }, (_, n) => `owed-${n}`);
+  quarantineAll(quarantine, names);
+  const waits = names.map((fingerprint) =>
+    ask({ fingerprint, crashLimit: NO_CRASH_LIMIT })
+  );
+  const granted = () => waits.filter((wait) => upstreamOf(wait) !== "");
+  clock.advance(500);
+  leader.tick();
+  expect(granted().length).toEqual(3);
+  for (const wait of granted()) {
+    leader.release(permit(wait), Outcome.Broken, 0);
+    leader.probed(upstreamOf(wait), ProbeResult.Gone);
+  }
+  clock.advance(2000);
+  leader.tick();
+  expect(granted().length).toEqual(3);
+  leader.probed(upstreamOf(granted()[0]), ProbeResult.Alive, load());
+  expect(granted().length).toEqual(4);
+  clock.advance(2000);
+  leader.tick();
+  expect(granted().length).toEqual(6);
+});
+
+test("a request that waits while its fingerprint is quarantined is refused", () => {
+  const { leader, ask, quarantine } = shard([upstream({ slots: 1 })]);
+  ask();
+  const waiting = ask({ fingerprint: "bad" });
+  quarantineAll(quarantine, ["bad"]);
+  leader.tick();
+  expect(reason(waiting)).toEqual(Reason.Quarantined);
+});
+
 test("one broken connection beside a running request suspects nobody", () => {
   const { leader, ask, quarantine } = shard([upstream()]);
   const first = ask({ fingerprint: "unlucky" });
--- a/src/relay/attempts.ts
+++ b/src/relay/attempts.ts
@@ -240,6 +240,7 @@
     minVersion: 0,
     exclude: [],
     fingerprint: fingerprintOf(organisation, request),
+    crashLimit: request.crashLimit,
     attempt: 0,
   };
 }
--- a/src/relay/mod.ts
+++ b/src/relay/mod.ts
@@ -23,6 +23,8 @@
   readonly remainingMs: number;
   /** Number of the last event the caller has, to resume a stream after it. */
   readonly after?: number;
+  /** See `Demand.crashLimit`. */
+  readonly crashLimit?: number;
   /** The model and the size of the prompt, if the request names a model. */
   readonly prompt?: Prompt;
 }
--- a/src/steps/step.ts
+++ b/src/steps/step.ts
@@ -70,6 +70,9 @@
   readonly waste: DiscardedSamples;
 }
 
+/** Crashes after which a sample is given up, so that its step can end. */
+const MAX_SAMPLE_CRASHES = 5;
+
 /** Finish reason of a sample that crashed upstreams; such a sample is empty. */
 export const QUARANTINED_FINISH_REASON = "quarantined";
 
@@ -388,6 +391,7 @@
       minVersion: Math.max(0, this.#version - this.spec.stalenessBound),
       exclude: [],
       fingerprint: `${this.name}/${slot.number}`,
+      crashLimit: MAX_SAMPLE_CRASHES,
       attempt: 0,
     };
   }
--- a/src/steps/step_test.ts
+++ b/src/steps/step_test.ts
@@ -7,6 +7,7 @@
 import type { Chunk, Generation } from "../outside/mod.ts";
 import { Priority } from "../tables/mod.ts";
 import type { Demand } from "../dispatch/mod.ts";
+import { Admission, Quarantine } from "../dispatch/quarantine.ts";
 import { Bitmap } from "./cursor.ts";
 import { LongestFirst } from "./sequence.ts";
 import { EMPTY_SAMPLE } from "./sample.ts";
@@ -18,11 +19,11 @@
   readonly runs: ScriptedRun[] = [];
 
   override async *run(
-    _demand: Demand,
+    demand: Demand,
     generation: Generation,
     signal: AbortSignal,
   ): AsyncGenerator<Result<Chunk, Refusal>, void, void> {
-    const run = new ScriptedRun(generation, signal);
+    const run = new ScriptedRun({ demand, generation, signal });
     this.runs.push(run);
     for (;;) {
       const item = await run.next();
@@ -39,15 +40,21 @@
 }
 
 class ScriptedRun {
+  readonly demand: Demand;
   readonly generation: Generation;
   readonly signal: AbortSignal;
   #items: Result<Chunk, Refusal>[] = [];
   #wake = () => {};
 
-  constructor(generation: Generation, signal: AbortSignal) {
-    this.generation = generation;
-    this.signal = signal;
-    signal.addEventListener("abort", () => this.#wake());
+  constructor(options: {
+    demand: Demand;
+    generation: Generation;
+    signal: AbortSignal;
+  }) {
+    this.demand = options.demand;
+    this.generation = options.generation;
+    this.signal = options.signal;
+    this.signal.addEventListener("abort", () => this.#wake());
   }
 
   async next(): Promise<Result<Chunk, Refusal> | undefined> {
@@ -207,6 +214,22 @@
   ]);
 });
 
+test("a sample on two crashed upstreams is not given up, nor tried for ever", () => {
+  const { generator } = fixture();
+  const clock = new ManualClock();
+  const quarantine = new Quarantine({ clock });
+  const { demand } = generator.runs[0];
+  const crash = (number: number) => {
+    const run = { upstream: `up-${number}`, ranMs: 10, isolated: true };
+    quarantine.quarantine(demand.fingerprint, run);
+    clock.advance(3000);
+  };
+  [1, 2, 3, 4].forEach(crash);
+  expect(quarantine.admission(demand)).toEqual(Admission.Isolated);
+  crash(5);
+  expect(quarantine.admission(demand)).toEqual(Admission.Refused);
+});
+
 test("a successor resumes partial samples", async () => {
   const { step, generator } = fixture();
   await generator.runs[0].emit(1);
--- a/stand_ins/platform_protocol.ts
+++ b/stand_ins/platform_protocol.ts
@@ -57,6 +57,8 @@
   Hang = "hang",
   /** Answers that the request can never be executed. */
   Impossible = "impossible",
+  /** Ends all connections of the upstream, which is back after a while. */
+  Crash = "crash",
 }
 
 /** An upstream that speaks the platform's protocol. */
@@ -77,12 +79,17 @@
   listed = "";
   /** Decides how a request is handled. */
   handlingFor: (request: ExecutedRequest) => Handling = () => Handling.Serve;
+  /** Ids of the requests that crashed this upstream. */
+  readonly crashes: string[] = [];
+  /** Time from a crash until the upstream is back. */
+  restartMs = 300;
   /** Number of events in a streamed response. */
   events = 4;
   /** Time between two events. */
   eventIntervalMs = 2;
   versions: Record<string, number> = {};
   readonly #server: Server;
+  #stopped = false;
 
   constructor(options: { id: string; service: string; models?: string[] }) {
     this.id = options.id;
@@ -121,6 +128,7 @@
   }
 
   async stop(): Promise<void> {
+    this.#stopped = true;
     this.#server.close();
     this.#server.closeAllConnections();
     await Promise.resolve();
@@ -154,6 +162,7 @@
       if (!response.writableFinished) this.abandoned.push(request.id);
     });
     if (kind === Handling.Hang) return;
+    if (kind === Handling.Crash) return await this.#crash(request.id);
     const id = kind === Handling.Foreign ? "another" : request.id;
     const head = {
       "x-request-id": id,
@@ -171,6 +180,15 @@
     await this.#stream(request, { kind, response, head });
   }
 
+  async #crash(id: string): Promise<void> {
+    const { port } = this.#server.address() as AddressInfo;
+    this.crashes.push(id);
+    this.#server.close();
+    this.#server.closeAllConnections();
+    await sleep(this.restartMs);
+    if (!this.#stopped) this.#server.listen(port, "127.0.0.1");
+  }
+
   async #stream(request: ExecutedRequest, { kind, response, head }: {
     kind: Handling;
     response: ServerResponse;
