--- a/src/dispatch/crash_detector.ts
+++ b/src/dispatch/crash_detector.ts
@@ -51,8 +51,8 @@
 export class CrashDetector {
   readonly #quarantine: Quarantine;
   readonly #episodes = new Map<string, Episode>();
-  /** Upstreams that crashed and have not answered since. */
-  readonly #down = new Set<string>();
+  /** When upstreams that have not answered since crashed. */
+  readonly #down = new Map<string, number>();
   #recentCrashes: readonly Crash[] = [];
   #upstreams: readonly Upstream[] = [];
 
@@ -65,6 +65,13 @@
     this.#upstreams = upstreams;
   }
 
+  /** Upstreams that crashed after `since` and have not answered yet. */
+  crashedSince(since: number): number {
+    return this.#upstreams.filter(({ id }) =>
+      (this.#down.get(id) ?? -Infinity) > since
+    ).length;
+  }
+
   /** Records how a request ended; `running` are permits still in use there. */
   ended(holding: ActivePermit, options: {
     outcome: Outcome;
@@ -114,18 +121,16 @@
   }): void {
     const { upstream, running, now } = options;
     const { fingerprint } = holding.demand;
-    if (now < holding.isolatedUntil) {
-      if (!upstream.leaving) {
-        this.#quarantine.quarantine(fingerprint, upstream.id);
-      }
+    const isolated = now < holding.isolatedUntil;
+    const ranMs = now - holding.grantedAt;
+    const run = { upstream: upstream.id, ranMs, isolated };
+    if (isolated) {
+      if (!upstream.leaving) this.#quarantine.quarantine(fingerprint, run);
       this.#recordCrash({ upstream, at: now, fingerprints: [fingerprint] });
       return;
     }
     if (upstream.leaving) return;
-    this.#quarantine.suspect(fingerprint, {
-      upstream: upstream.id,
-      ranMs: now - holding.grantedAt,
-    });
+    this.#quarantine.suspect(fingerprint, run);
     const episode = this.#episode(upstream.id, now) ??
       newEpisode(upstream, { holdings: [holding, ...running], now });
     episode.broken.add(holding.permit);
@@ -146,10 +151,11 @@
     if (episode.upstream.leaving) return;
     const fingerprints = episode.holdings
       .map(({ demand }) => demand.fingerprint);
-    for (const { demand, grantedAt } of episode.holdings) {
+    for (const { demand, grantedAt, isolatedUntil } of episode.holdings) {
       this.#quarantine.suspect(demand.fingerprint, {
         upstream: episode.upstream.id,
         ranMs: episode.startedAt - grantedAt,
+        isolated: episode.startedAt < isolatedUntil,
       });
     }
     this.#recordCrash({ upstream: episode.upstream, at: now, fingerprints });
@@ -169,7 +175,7 @@
   /** Records a crash; if its zone was reclaimed, no request is suspected. */
   #recordCrash(crash: Crash): void {
     if (this.#down.has(crash.upstream.id)) return;
-    this.#down.add(crash.upstream.id);
+    this.#down.set(crash.upstream.id, crash.at);
     const recent = this.#recentCrashes.filter(({ at, upstream }) =>
       crash.at - at <= ZONE_OUTAGE_WINDOW_MS &&
       upstream.id !== crash.upstream.id
