Only crashes of isolated requests hold back quarantined ones

What bounds poison items is the number of upstreams that isolated requests crashed: only those count, for 3 s at most. shard_leader_test.ts "take a third of a shard" holds as before.

--- a/src/dispatch/crash_detector.ts
+++ b/src/dispatch/crash_detector.ts
@@ -51,8 +51,10 @@
 export class CrashDetector {
   readonly #quarantine: Quarantine;
   readonly #episodes = new Map<string, Episode>();
-  /** When upstreams that have not answered since crashed. */
-  readonly #down = new Map<string, number>();
+  /** Upstreams that crashed and have not answered since. */
+  readonly #down = new Set<string>();
+  /** When isolated requests crashed upstreams that have not answered since. */
+  readonly #isolatedCrashes = new Map<string, number>();
   #recentCrashes: readonly Crash[] = [];
   #upstreams: readonly Upstream[] = [];
 
@@ -65,11 +67,12 @@
     this.#upstreams = upstreams;
   }
 
-  /** Upstreams that crashed after `since` and have not answered yet. */
-  crashedSince(since: number): number {
-    return this.#upstreams.filter(({ id }) =>
-      (this.#down.get(id) ?? -Infinity) > since
-    ).length;
+  /** Upstreams that isolated requests crashed after `since`, if still down. */
+  isolatedCrashesSince(since: number): number {
+    for (const [id, at] of this.#isolatedCrashes) {
+      if (at <= since) this.#isolatedCrashes.delete(id);
+    }
+    return this.#isolatedCrashes.size;
   }
 
   /** Records how a request ended; `running` are permits still in use there. */
@@ -106,6 +109,7 @@
       return;
     }
     this.#down.delete(upstream.id);
+    this.#isolatedCrashes.delete(upstream.id);
     if (episode === undefined) return;
     const running = episode.holdings.some(({ permit }) =>
       !episode.ended.has(permit)
@@ -125,6 +129,7 @@
     const ranMs = now - holding.grantedAt;
     const run = { upstream: upstream.id, ranMs, isolated };
     if (isolated) {
+      this.#isolatedCrashes.set(upstream.id, now);
       if (!upstream.leaving) this.#quarantine.quarantine(fingerprint, run);
       this.#recordCrash({ upstream, at: now, fingerprints: [fingerprint] });
       return;
@@ -175,7 +180,7 @@
   /** Records a crash; if its zone was reclaimed, no request is suspected. */
   #recordCrash(crash: Crash): void {
     if (this.#down.has(crash.upstream.id)) return;
-    this.#down.set(crash.upstream.id, crash.at);
+    this.#down.add(crash.upstream.id);
     const recent = this.#recentCrashes.filter(({ at, upstream }) =>
       crash.at - at <= ZONE_OUTAGE_WINDOW_MS &&
       upstream.id !== crash.upstream.id
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -60,8 +60,8 @@
 /** One upstream in this many may be reserved for suspects; at least one. */
 const UPSTREAMS_PER_RESERVATION = 3;
 
-/** An upstream that is back later than this after a crash is replaced. */
-const MAX_RESTART_MS = 4000;
+/** Time for which a crashed upstream holds quarantined requests back. */
+const MAX_RESTART_MS = 3000;
 
 /** How a wait ended. */
 export type WaitResult =
@@ -398,13 +398,13 @@
 
   /**
    * Whether one more quarantined request may run. Those that run, and upstreams
-   * that crashed and aren't back, take no more of the shard than reservations.
+   * that isolated ones crashed, take no more of the shard than reservations.
    */
   #mayTry(): boolean {
     const running = [...this.#permits.all()]
       .filter(({ demand }) => this.#quarantined(demand)).length;
     const crashed = this.#crashes
-      .crashedSince(this.#clock.now() - MAX_RESTART_MS);
+      .isolatedCrashesSince(this.#clock.now() - MAX_RESTART_MS);
     return running + crashed + this.#reservations.size < this.#maxReservations;
   }
 
