Revert "Upstreams whose address another one has get few requests"

What is seen there stays true: a restarted upstream has another id, its former one stays listed for 2 to 3 s and answers 421. A load read that can be answered for a former id would close the breaker each time; that is a supposition, not shown.

--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -62,7 +62,7 @@
   Cancelled = "cancelled",
   /** The upstream refused it before running it. */
   Refused = "refused",
-  /** No connection could be made, or another upstream has its address. */
+  /** No connection could be made. */
   Unreachable = "unreachable",
   /** The connection broke while it ran. */
   Broken = "broken",
--- a/src/relay/attempts.ts
+++ b/src/relay/attempts.ts
@@ -188,9 +188,9 @@
 export function outcomeOfLoss(loss: Loss): Outcome {
   switch (loss) {
     case Loss.Unreachable:
-    case Loss.Misdirected:
       return Outcome.Unreachable;
     case Loss.NotRun:
+    case Loss.Misdirected:
       return Outcome.Refused;
     case Loss.Failed:
     case Loss.Impossible:
--- a/stand_ins/platform_protocol.ts
+++ b/stand_ins/platform_protocol.ts
@@ -79,8 +79,6 @@
   listed = "";
   /** Decides how a request is handled. */
   handlingFor: (request: ExecutedRequest) => Handling = () => Handling.Serve;
-  /** Paths of the requests that were meant for another upstream. */
-  readonly misdirected: string[] = [];
   /** Ids of the requests that crashed this upstream. */
   readonly crashes: string[] = [];
   /** Time from a crash until the upstream is back. */
@@ -142,7 +140,6 @@
   ): Promise<void> {
     const body = await readBody(message);
     if (message.headers["x-expect-instance"] !== this.id) {
-      this.misdirected.push(message.url ?? "");
       return void response.writeHead(421, { "x-instance-id": "other" }).end();
     }
     if (message.url === "/-/report") return this.#report(response);
