A quarantined request that crashes its upstream leaves others a turn

A crash of an isolated request held the shard's other quarantined requests back for 3 s, as long as the longest back-off. The hold is 1 s now.

--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -60,8 +60,11 @@
 /** One upstream in this many may be reserved for suspects; at least one. */
 const UPSTREAMS_PER_RESERVATION = 3;
 
-/** Time for which a crashed upstream holds quarantined requests back. */
-const MAX_RESTART_MS = 3000;
+/**
+ * Time for which a crashed upstream holds quarantined requests back; less than
+ * their longest back-off, so that one that crashes them all leaves others a turn.
+ */
+const CRASH_HOLD_MS = 1000;
 
 /** How a wait ended. */
 export type WaitResult =
@@ -404,7 +407,7 @@
     const running = [...this.#permits.all()]
       .filter(({ demand }) => this.#quarantined(demand)).length;
     const crashed = this.#crashes
-      .isolatedCrashesSince(this.#clock.now() - MAX_RESTART_MS);
+      .isolatedCrashesSince(this.#clock.now() - CRASH_HOLD_MS);
     return running + crashed + this.#reservations.size < this.#maxReservations;
   }
 
