--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -13,6 +13,7 @@
   type Demand,
   type Dispatch,
   dispatchKey,
+  NO_CRASH_LIMIT,
   Outcome as PermitOutcome,
   type Permit,
 } from "../dispatch/mod.ts";
@@ -515,6 +516,7 @@
         fields: [],
         body: Buffer.from(reward.body, "base64"),
         remainingMs: REWARD_TIMEOUT_MS,
+        crashLimit: NO_CRASH_LIMIT,
         mayStart: this.#mayStart,
       }, this.#ownership.signal);
       if (this.#signal.aborted) return;
@@ -607,6 +609,7 @@
         ? this.#speeds(task.pool).laggingUpstreams()
         : [],
       fingerprint: task.fingerprint(organisation),
+      crashLimit: NO_CRASH_LIMIT,
       attempt: task.lostAttempts,
     };
   }
--- a/src/dispatch/crash_detector.ts
+++ b/src/dispatch/crash_detector.ts
@@ -54,6 +54,8 @@
   readonly #episodes = new Map<string, Episode>();
   /** Upstreams that crashed and have not answered since. */
   readonly #down = new Set<string>();
+  /** When isolated requests crashed upstreams that have not answered since. */
+  readonly #isolatedCrashes = new Map<string, number>();
   #recentCrashes: readonly Crash[] = [];
   #upstreams: readonly Upstream[] = [];
 
@@ -66,6 +68,14 @@
     this.#upstreams = upstreams;
   }
 
+  /** Upstreams that isolated requests crashed after `since`, if still down. */
+  isolatedCrashesSince(since: number): number {
+    for (const [id, at] of this.#isolatedCrashes) {
+      if (at <= since) this.#isolatedCrashes.delete(id);
+    }
+    return this.#isolatedCrashes.size;
+  }
+
   /** Records how a request ended; `running` are permits still in use there. */
   ended(holding: ActivePermit, options: {
     outcome: Outcome;
@@ -102,6 +112,7 @@
       return;
     }
     this.#down.delete(upstream.id);
+    this.#isolatedCrashes.delete(upstream.id);
     if (episode === undefined) return;
     const running = episode.holdings.some(({ permit }) =>
       !episode.ended.has(permit)
@@ -117,18 +128,17 @@
   }): void {
     const { upstream, running, now } = options;
     const { fingerprint } = holding.demand;
-    if (now < holding.isolatedUntil) {
-      if (!upstream.leaving) {
-        this.#quarantine.quarantine(fingerprint, upstream.id);
-      }
+    const isolated = now < holding.isolatedUntil;
+    const ranMs = now - holding.grantedAt;
+    const run = { upstream: upstream.id, ranMs, isolated };
+    if (isolated) {
+      this.#isolatedCrashes.set(upstream.id, now);
+      if (!upstream.leaving) this.#quarantine.quarantine(fingerprint, run);
       this.#recordCrash({ upstream, at: now, fingerprints: [fingerprint] });
       return;
     }
     if (upstream.leaving) return;
-    this.#quarantine.suspect(fingerprint, {
-      upstream: upstream.id,
-      ranMs: now - holding.grantedAt,
-    });
+    this.#quarantine.suspect(fingerprint, run);
     const episode = this.#episode(upstream.id, now) ??
       newEpisode(upstream, { holdings: [holding, ...running], now });
     episode.broken.add(holding.permit);
@@ -149,10 +159,11 @@
     if (episode.upstream.leaving) return;
     const fingerprints = episode.holdings
       .map(({ demand }) => demand.fingerprint);
-    for (const { demand, grantedAt } of episode.holdings) {
+    for (const { demand, grantedAt, isolatedUntil } of episode.holdings) {
       this.#quarantine.suspect(demand.fingerprint, {
         upstream: episode.upstream.id,
         ranMs: episode.startedAt - grantedAt,
+        isolated: episode.startedAt < isolatedUntil,
       });
     }
     this.#recordCrash({ upstream: episode.upstream, at: now, fingerprints });
