Stand-ins: relays keep the callers' addresses; upstreams record senders and ends

A relay connects from the address that its caller came from, so that an upstream behind it can tell daemons apart, and can silence the connections of one host. An upstream's record of a request has its sender, when its run ended and whether it was finished or answered with an error. The soak needs both in order to judge which daemon sent what, and how long an item was at no upstream.

--- a/stand_ins/platform_protocol.ts
+++ b/stand_ins/platform_protocol.ts
@@ -30,8 +30,14 @@
   readonly organisation: string | undefined;
   readonly fields: Readonly<Record<string, string>>;
   readonly body: string;
+  /** Address that the request came from. */
+  readonly sender: string;
   /** Unix time in milliseconds. */
   readonly at: number;
+  /** When the response ended or its sender disconnected. */
+  endedAt: number | undefined;
+  /** Whether it was finished, or answered with an error. */
+  done: boolean;
 }
 
 /** An event that an engine generated. */
@@ -82,6 +88,7 @@
   /** Time between two events. */
   eventIntervalMs = 2;
   versions: Record<string, number> = {};
+  readonly slots = 4;
   readonly #server: Server;
 
   constructor(options: { id: string; service: string; models?: string[] }) {
@@ -107,7 +114,7 @@
       address: this.listed === "" ? this.address : this.listed,
       zone: "a",
       version: "v1",
-      slots: 4,
+      slots: this.slots,
       state,
       cold_ms: 0,
       sequence: this.orders.length,
@@ -143,7 +150,10 @@
       organisation: message.headers["x-tenant"] as string | undefined,
       fields: message.headers as Record<string, string>,
       body,
+      sender: message.socket.remoteAddress ?? "",
       at: Date.now(),
+      endedAt: undefined,
+      done: false,
     };
     const kind = this.handlingFor(request);
     if (kind === Handling.Refuse) {
@@ -151,6 +161,7 @@
     }
     this.executed.push(request);
     response.on("close", () => {
+      request.endedAt = Date.now();
       if (!response.writableFinished) this.abandoned.push(request.id);
     });
     if (kind === Handling.Hang) return;
@@ -159,13 +170,15 @@
       "x-request-id": id,
       "x-response-seal": `seal-${request.id}`,
     };
-    if (kind === Handling.Fail) return void response.writeHead(500, head).end();
-    if (kind === Handling.Impossible) {
-      return void response.writeHead(422, head).end();
+    if (kind === Handling.Fail || kind === Handling.Impossible) {
+      request.done = true;
+      const status = kind === Handling.Fail ? 500 : 422;
+      return void response.writeHead(status, head).end();
     }
     if (message.headers["x-model"] === undefined) {
       response.writeHead(200, head).write("answer to ");
       if (kind === Handling.Break) return void response.destroy();
+      request.done = true;
       return void response.end(request.path);
     }
     await this.#stream(request, { kind, response, head });
@@ -206,6 +219,7 @@
       response.write(event);
       await sleep(this.eventIntervalMs);
     }
+    request.done = !response.destroyed;
     response.end();
   }
 
--- a/stand_ins/tcp_relay.ts
+++ b/stand_ins/tcp_relay.ts
@@ -1,6 +1,7 @@
 /**
  * A relay in front of a TCP server that emulates network faults: it closes
- * connections, delays their bytes or stops forwarding them.
+ * connections, delays their bytes or stops forwarding them. The server sees the
+ * address that a connection came from.
  *
  * @module
  */
@@ -13,6 +14,8 @@
   readonly outbound: Socket;
 }
 
+const LOOPBACK = { host: "127.0.0.1", port: 0 };
+
 /** Which bytes are forwarded. */
 export enum RelayMode {
   Open = "open",
@@ -31,6 +34,7 @@
   readonly #target: { host: string; port: number };
   readonly #pairs = new Set<ConnectionPair>();
   readonly #silenced = new WeakSet<Socket>();
+  readonly #ignoredHosts = new Set<string>();
   #cut = false;
 
   constructor(options: { host: string; port: number }) {
@@ -38,8 +42,10 @@
   }
 
   /** Listens on loopback; returns the port. */
-  async listen(): Promise<number> {
-    this.#server.listen(0, "127.0.0.1");
+  async listen(
+    { host, port }: { host: string; port: number } = LOOPBACK,
+  ): Promise<number> {
+    this.#server.listen(port, host);
     await once(this.#server, "listening");
     return (this.#server.address() as AddressInfo).port;
   }
@@ -70,13 +76,22 @@
    * read any more, so neither end learns that the other one has closed.
    */
   silence(): void {
-    for (const { inbound, outbound } of this.#pairs) {
-      this.#silenced.add(inbound).add(outbound);
-      inbound.pause();
-      outbound.pause();
+    for (const pair of this.#pairs) this.#silence(pair);
+  }
+
+  /** Silences connections from a host, new ones too, until `acceptFrom`. */
+  ignore(host: string): void {
+    this.#ignoredHosts.add(host);
+    for (const pair of this.#pairs) {
+      if (pair.inbound.remoteAddress === host) this.#silence(pair);
     }
   }
 
+  /** New connections from a host work again. */
+  acceptFrom(host: string): void {
+    this.#ignoredHosts.delete(host);
+  }
+
   /** Closes the relay and its connections. */
   async close(): Promise<void> {
     const closed = once(this.#server, "close");
@@ -90,7 +105,8 @@
       inbound.destroy();
       return;
     }
-    const outbound = connect(this.#target);
+    const localAddress = inbound.remoteAddress;
+    const outbound = connect({ ...this.#target, localAddress });
     const pair = { inbound, outbound };
     this.#pairs.add(pair);
     for (const socket of [inbound, outbound]) {
@@ -100,6 +116,13 @@
     }
     this.#forward(inbound, outbound, () => this.mode !== RelayMode.Silent);
     this.#forward(outbound, inbound, () => this.mode === RelayMode.Open);
+    if (this.#ignoredHosts.has(localAddress ?? "")) this.#silence(pair);
+  }
+
+  #silence({ inbound, outbound }: ConnectionPair): void {
+    this.#silenced.add(inbound).add(outbound);
+    inbound.pause();
+    outbound.pause();
   }
 
   /** Forwards bytes in order, whatever the delay of each chunk. */
