--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -119,6 +119,7 @@
     for (let n = 1; n <= this.#daemonCount; n++) {
       const daemon = new DaemonProcess({
         node: `front-${n}`,
+        host: `127.0.0.${n + 1}`,
         folder: this.#folder,
         store: this.#platform.address,
       });
