Soak: batches that are ended, and items that no upstream gets

The soak ended no batch, so it could not see items that are sent after the end of theirs. Three trainers now submit batches of 10 to 120 items to a service of their own whose items take 1.1 s, and end each at a drawn time up to 14 s after its 202, at any daemon, up to three times.

New checks: - nothing of an ended batch, reward requests included, runs later than 3 s after the acknowledgement, if its sender has been in touch for 3 s. A sender that was paused, started or cut off just before can't know of the end; the rule excludes it, and so do faults of the store and of the link to the upstream. How much all daemons together sent late is printed as `late`; - each end is acknowledged in the end, and what was listed is still listed by each daemon at the end of the run; - an item that is not finished is at an upstream within 5 s while under half of the slots are in use and for as long as no fault is on or has ended in the last 3 s.

--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -37,6 +37,16 @@
   readonly target: number;
 }
 
+/** Which daemons and upstreams a fault held up, and when. */
+export interface Disturbance {
+  readonly from: number;
+  readonly to: number;
+  /** Addresses of daemons that were not running or were cut off. */
+  readonly daemons: readonly string[];
+  /** Ids of upstreams whose connections were harmed. */
+  readonly upstreams: readonly string[];
+}
+
 const ALL_FAULTS = Object.values(SoakFault);
 const MIN_FAULT_MS = 200;
 const FAULT_SPREAD_MS = 3500;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -24,7 +24,7 @@
   const first = Number(values.from);
   for (let seed = first; seed < first + Number(values.count); seed++) {
     const plan = drawFaultPlan({ seed, count: Number(values.faults), runMs });
-    const soak = new Soak({ daemons: Number(values.daemons) });
+    const soak = new Soak({ daemons: Number(values.daemons), seed });
     const { violations, ...outcome } = await soak.run(plan, runMs);
     const kinds = plan.map(({ kind }) => kind);
     console.log(JSON.stringify({ seed, ...outcome, kinds, violations }));
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -17,10 +17,14 @@
   PlatformProtocolStandIn,
   type PlatformUpstreamStandIn,
 } from "../stand_ins/platform_protocol.ts";
-import { findViolations } from "./invariants.ts";
+import { findViolations, lateRequests, type RunRecord } from "./invariants.ts";
 import { DaemonProcess } from "./daemons.ts";
-import { type PlannedFault, SoakFault } from "./fault_plan.ts";
-import { SoakWorkload } from "./soak_workload.ts";
+import {
+  type Disturbance,
+  type PlannedFault,
+  SoakFault,
+} from "./fault_plan.ts";
+import { LONG_PREFIX, SLOW_SERVICE, SoakWorkload } from "./soak_workload.ts";
 
 /** All daemons serve again within this time after the last fault. */
 const RECOVERY_TIMEOUT_MS = 10_000;
@@ -28,6 +32,8 @@
 /** Long enough for a fault to interrupt a stream. */
 const EVENTS_PER_ITEM = 12;
 const EVENT_INTERVAL_MS = 25;
+/** At this pace, long batches are under way for over 10 s. */
+const SLOW_EVENT_INTERVAL_MS = 90;
 
 /** The result of a run. */
 export interface SoakOutcome {
@@ -36,6 +42,10 @@
   readonly served: number;
   readonly batches: number;
   readonly results: number;
+  /** Batches whose end was acknowledged. */
+  readonly ended: number;
+  /** Late requests of ended batches, those of daemons out of touch included. */
+  readonly late: number;
   /** Folder with the daemons' logs; kept if there are violations. */
   readonly logs: string;
 }
@@ -51,11 +61,14 @@
   readonly #daemons: DaemonProcess[] = [];
   readonly #upstreams: SoakUpstream[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), "toucanwind-soak-"));
+  readonly #disturbances: Disturbance[] = [];
   readonly #daemonCount: number;
+  readonly #seed: number;
   #version = 1;
 
-  constructor(options: { daemons?: number } = {}) {
+  constructor(options: { daemons?: number; seed: number }) {
     this.#daemonCount = options.daemons ?? 3;
+    this.#seed = options.seed;
   }
 
   async run(
@@ -63,18 +76,21 @@
     runMs: number,
   ): Promise<SoakOutcome> {
     await this.#start();
-    const workload = new SoakWorkload({ daemons: this.#daemons });
+    const workload = new SoakWorkload({
+      daemons: this.#daemons,
+      seed: this.#seed,
+    });
     workload.start();
     const startedAt = Date.now();
     const faults = plan.map(async (fault) => {
       await sleep(startedAt + fault.atMs - Date.now());
-      await this.#inject(fault);
+      await this.#recordFault(fault);
     });
     await sleep(runMs);
     await Promise.all(faults);
     const unrecovered = await this.#awaitRecovery(workload);
     await workload.stop();
-    await this.#readAllBatches(workload);
+    await workload.readAllBatches();
     const violations = [
       ...unrecovered,
       ...findViolations(this.#runRecord(workload)),
@@ -84,12 +100,15 @@
     return outcome;
   }
 
-  #runRecord(workload: SoakWorkload) {
+  #runRecord(workload: SoakWorkload): RunRecord {
     return {
       attempts: workload.attempts,
       observedResults: workload.observedResults,
+      finalReads: workload.finalReads,
       batches: workload.batches,
       missing: workload.missing,
+      stoppedAt: workload.stoppedAt,
+      disturbances: this.#disturbances,
       upstreams: this.#upstreams.map(({ standIn }) => standIn),
       platform: this.#platform,
       crashes: this.#daemons.flatMap(({ crashes }) => crashes),
@@ -107,15 +126,21 @@
           `${batch}/${position}`
         ),
       ).size,
+      ended: workload.batches.filter(({ endedAt }) => endedAt !== undefined)
+        .length,
+      late: lateRequests(this.#runRecord(workload)).length,
       logs: this.#folder,
     };
   }
 
   async #start(): Promise<void> {
     await this.#platform.start();
-    this.#platform.records.put("op/config", JSON.stringify(manifest()));
+    this.#platform.records.put("op/config", JSON.stringify(soakManifest(1)));
     for (const id of ["app-1", "app-2"]) await this.#addUpstream(id, "app", []);
-    for (const id of ["lm-1", "lm-2"]) await this.#addUpstream(id, "lm", ["m"]);
+    for (const service of ["lm", SLOW_SERVICE]) {
+      await this.#addUpstream(`${service}-1`, service, ["m"]);
+      await this.#addUpstream(`${service}-2`, service, ["m"]);
+    }
     for (let n = 1; n <= this.#daemonCount; n++) {
       const daemon = new DaemonProcess({
         node: `front-${n}`,
@@ -136,7 +161,9 @@
   ): Promise<void> {
     const standIn = await this.#platform.add({ id, service, models });
     standIn.events = EVENTS_PER_ITEM;
-    standIn.eventIntervalMs = EVENT_INTERVAL_MS;
+    standIn.eventIntervalMs = service === SLOW_SERVICE
+      ? SLOW_EVENT_INTERVAL_MS
+      : EVENT_INTERVAL_MS;
     const [host, port] = standIn.address.split(":");
     const relay = new TcpRelay({ host, port: Number(port) });
     standIn.listed = `127.0.0.1:${await relay.listen()}`;
@@ -148,6 +175,39 @@
     this.#platform.records.put(`servers/${standIn.id}`, standIn.entry(state));
   }
 
+  async #recordFault(fault: PlannedFault): Promise<void> {
+    const from = Date.now();
+    await this.#inject(fault);
+    this.#disturbances.push({ from, to: Date.now(), ...this.#reach(fault) });
+  }
+
+  /** The daemons and the upstreams' connections that a fault holds up. */
+  #reach({ kind, target }: PlannedFault) {
+    const daemons = this.#daemons.map(({ host }) => host);
+    switch (kind) {
+      case SoakFault.KillDaemon:
+      case SoakFault.PauseDaemon:
+      case SoakFault.RestartDaemon:
+      case SoakFault.CutStore:
+      case SoakFault.SilentStore:
+      case SoakFault.StoreOneWay:
+        return { daemons: [pick(daemons, target)], upstreams: [] };
+      case SoakFault.KillAll:
+      case SoakFault.SlowStore:
+      case SoakFault.StoreRefuses:
+      case SoakFault.StoreLosesAnswers:
+        return { daemons, upstreams: [] };
+      case SoakFault.ResetUpstream:
+      case SoakFault.SilentUpstream:
+      case SoakFault.SlowUpstream: {
+        const { standIn } = pick(this.#upstreams, target);
+        return { daemons: [], upstreams: [standIn.id] };
+      }
+      default:
+        return { daemons: [], upstreams: [] };
+    }
+  }
+
   async #inject({ kind, durationMs, target }: PlannedFault): Promise<void> {
     const daemon = pick(this.#daemons, target);
     const upstream = pick(this.#upstreams, target);
@@ -203,7 +263,7 @@
         this.#version += 1;
         return records.put(
           "op/config",
-          JSON.stringify(manifest(this.#version)),
+          JSON.stringify(soakManifest(this.#version)),
         );
     }
     await sleep(durationMs);
@@ -250,19 +310,6 @@
     return unrecovered;
   }
 
-  /** Reads every accepted batch from the start, at each daemon. */
-  async #readAllBatches(workload: SoakWorkload): Promise<void> {
-    for (const { id, items, accepted } of workload.batches) {
-      if (!accepted) continue;
-      for (const daemon of this.#daemons) {
-        let after = 0;
-        for (let reads = 0; reads < 20 && after < items.length; reads++) {
-          after = await workload.readOnce(daemon, { id, after });
-        }
-      }
-    }
-  }
-
   async #end(keepLogs: boolean): Promise<void> {
     await Promise.all(this.#daemons.map((daemon) => daemon.end()));
     await Promise.all(this.#upstreams.map(({ relay }) => relay.close()));
@@ -271,6 +318,23 @@
   }
 }
 
+/** The fixture's manifest with a route and a service for long batches. */
+function soakManifest(version: number) {
+  const { routes, services, ...rest } = manifest(version);
+  const rollouts = routes.find(({ name }) => name === "rollouts");
+  const engines = services.find(({ name }) => name === "lm");
+  const long = {
+    name: "epics",
+    prefix: LONG_PREFIX,
+    service: SLOW_SERVICE,
+  };
+  return {
+    ...rest,
+    routes: [...routes, { ...rollouts, ...long }],
+    services: [...services, { ...engines, name: SLOW_SERVICE }],
+  };
+}
+
 /** Draws how a faulty upstream handles one request. */
 function drawHandling(): Handling {
   const draw = Math.random();
