Soak: daemons cut off from all, owners killed or cut off, kills in turn

The owner is the daemon that sent the last item of a long batch. Upstreams of long batches have drawn paces, 1 to 10 s for an item.

--- a/soak/fault_plan.ts
+++ b/soak/fault_plan.ts
@@ -12,6 +12,12 @@
   PauseDaemon = "pause daemon",
   RestartDaemon = "restart daemon",
   KillAll = "kill all daemons",
+  /** The owner is the daemon that sent the last item of a long batch. */
+  KillOwner = "kill the owner of batches",
+  KillInTurn = "kill daemons one after the other",
+  RestartAll = "restart all daemons",
+  CutOffDaemon = "cut one daemon off from store and peers",
+  CutOffOwner = "cut the owner of batches off from store and peers",
   CutStore = "cut one daemon from the store",
   SilentStore = "store silent for one daemon",
   StoreOneWay = "answers of the store lost for one daemon",
@@ -21,6 +27,7 @@
   ResetUpstream = "connections to an upstream reset",
   SilentUpstream = "connections to an upstream silent",
   SlowUpstream = "link to an upstream slow",
+  CrashUpstream = "an upstream crashes",
   BrokenAnswers = "an upstream spoils answers",
   UpstreamLeaves = "an upstream leaves",
   Reload = "settings reloaded",
@@ -39,6 +46,7 @@
 
 /** Which daemons and upstreams a fault held up, and when. */
 export interface Disturbance {
+  readonly kind: SoakFault;
   readonly from: number;
   readonly to: number;
   /** Addresses of daemons that were not running or were cut off. */
--- a/soak/invariants_test.ts
+++ b/soak/invariants_test.ts
@@ -5,7 +5,7 @@
   PlatformProtocolStandIn,
   PlatformUpstreamStandIn,
 } from "../stand_ins/platform_protocol.ts";
-import type { Disturbance } from "./fault_plan.ts";
+import { type Disturbance, SoakFault } from "./fault_plan.ts";
 import { findViolations, type RunRecord } from "./invariants.ts";
 import type { SubmittedBatch } from "./soak_workload.ts";
 
@@ -73,7 +73,9 @@
 });
 
 test("a late item of a daemon out of touch is no violation", () => {
-  const cut = { from: 8000, to: 12_000, daemons: [DAEMON], upstreams: [] };
+  const kind = SoakFault.CutOffDaemon;
+  const span = { kind, from: 8000, to: 12_000 };
+  const cut = { ...span, daemons: [DAEMON], upstreams: [] };
   const other = { ...cut, daemons: ["127.0.0.3"] };
   const harmed = { ...cut, daemons: [], upstreams: ["lm-1"] };
   const late = [run({ at: 14_900 })];
@@ -137,7 +139,8 @@
     run({ id: `c.${n}`, at: 11_000, endedAt: 18_000 });
   expect(idle({ ran: [other(0), other(1)] })).toEqual([]);
   expect(idle({ ran: [other(0)] }).length).toEqual(1);
-  const fault = { from: 12_000, to: 13_000, daemons: [], upstreams: [] };
+  const span = { kind: SoakFault.Reload, from: 12_000, to: 13_000 };
+  const fault = { ...span, daemons: [], upstreams: [] };
   expect(idle({ disturbances: [fault] })).toEqual([]);
   expect(idle({ batch: { endAskedAt: 14_500, endedAt: 14_500 } })).toEqual([]);
 });
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { mkdtempSync, rmSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { manifest } from "../platform/fixture_test.ts";
@@ -18,6 +18,7 @@
   type PlatformUpstreamStandIn,
 } from "../stand_ins/platform_protocol.ts";
 import { findViolations, lateRequests, type RunRecord } from "./invariants.ts";
+import { uniform } from "../stand_ins/hash_random.ts";
 import { DaemonProcess } from "./daemons.ts";
 import {
   type Disturbance,
@@ -32,8 +33,11 @@
 /** Long enough for a fault to interrupt a stream. */
 const EVENTS_PER_ITEM = 12;
 const EVENT_INTERVAL_MS = 25;
-/** At this pace, long batches are under way for over 10 s. */
-const SLOW_EVENT_INTERVAL_MS = 90;
+/** Paces of the service of long batches; they are under way for over 10 s. */
+const SLOW_EVENT_INTERVALS_MS = [90, 300, 800];
+
+/** Silent peers have been replaced as owners after this time. */
+const REPLACED_AFTER_MS = 2000;
 
 /** The result of a run. */
 export interface SoakOutcome {
@@ -55,6 +59,14 @@
   readonly relay: TcpRelay;
 }
 
+/** Where a fault is injected. */
+interface FaultTargets {
+  readonly daemon: DaemonProcess;
+  readonly upstream: SoakUpstream;
+}
+
+const OWNER_FAULTS = [SoakFault.KillOwner, SoakFault.CutOffOwner];
+
 /** Runs daemons while the faults of a plan are injected. */
 export class Soak {
   readonly #platform = new PlatformProtocolStandIn();
@@ -96,6 +108,7 @@
       ...findViolations(this.#runRecord(workload)),
     ];
     const outcome = this.#outcome(workload, violations);
+    if (violations.length > 0) this.#writeRecord(workload);
     await this.#end(violations.length > 0);
     return outcome;
   }
@@ -138,8 +151,9 @@
     this.#platform.records.put("op/config", JSON.stringify(soakManifest(1)));
     for (const id of ["app-1", "app-2"]) await this.#addUpstream(id, "app", []);
     for (const service of ["lm", SLOW_SERVICE]) {
-      await this.#addUpstream(`${service}-1`, service, ["m"]);
-      await this.#addUpstream(`${service}-2`, service, ["m"]);
+      for (const n of [1, 2, 3]) {
+        await this.#addUpstream(`${service}-${n}`, service, ["m"]);
+      }
     }
     for (let n = 1; n <= this.#daemonCount; n++) {
       const daemon = new DaemonProcess({
@@ -162,7 +176,7 @@
     const standIn = await this.#platform.add({ id, service, models });
     standIn.events = EVENTS_PER_ITEM;
     standIn.eventIntervalMs = service === SLOW_SERVICE
-      ? SLOW_EVENT_INTERVAL_MS
+      ? pick(SLOW_EVENT_INTERVALS_MS, uniform(this.#seed, id))
       : EVENT_INTERVAL_MS;
     const [host, port] = standIn.address.split(":");
     const relay = new TcpRelay({ host, port: Number(port) });
@@ -177,54 +191,95 @@
 
   async #recordFault(fault: PlannedFault): Promise<void> {
     const from = Date.now();
-    await this.#inject(fault);
-    this.#disturbances.push({ from, to: Date.now(), ...this.#reach(fault) });
+    const targets = {
+      daemon: OWNER_FAULTS.includes(fault.kind)
+        ? this.#owner()
+        : pick(this.#daemons, fault.target),
+      upstream: pick(this.#upstreams, fault.target),
+    };
+    await this.#inject(fault, targets);
+    const reach = this.#reach(fault.kind, targets);
+    this.#disturbances.push({
+      kind: fault.kind,
+      from,
+      to: Date.now(),
+      ...reach,
+    });
+  }
+
+  /** The daemon that sent the last item of a long batch. */
+  #owner(): DaemonProcess {
+    const last = this.#upstreams
+      .filter(({ standIn }) => standIn.service === SLOW_SERVICE)
+      .flatMap(({ standIn }) => standIn.executed.slice(-1))
+      .sort((a, b) => a.at - b.at).at(-1);
+    return this.#daemons.find(({ host }) => host === last?.sender) ??
+      this.#daemons[0];
   }
 
   /** The daemons and the upstreams' connections that a fault holds up. */
-  #reach({ kind, target }: PlannedFault) {
+  #reach(kind: SoakFault, { daemon, upstream }: FaultTargets) {
     const daemons = this.#daemons.map(({ host }) => host);
     switch (kind) {
       case SoakFault.KillDaemon:
+      case SoakFault.KillOwner:
+      case SoakFault.CutOffDaemon:
+      case SoakFault.CutOffOwner:
       case SoakFault.PauseDaemon:
       case SoakFault.RestartDaemon:
       case SoakFault.CutStore:
       case SoakFault.SilentStore:
       case SoakFault.StoreOneWay:
-        return { daemons: [pick(daemons, target)], upstreams: [] };
+        return { daemons: [daemon.host], upstreams: [] };
       case SoakFault.KillAll:
+      case SoakFault.KillInTurn:
+      case SoakFault.RestartAll:
       case SoakFault.SlowStore:
       case SoakFault.StoreRefuses:
       case SoakFault.StoreLosesAnswers:
         return { daemons, upstreams: [] };
       case SoakFault.ResetUpstream:
       case SoakFault.SilentUpstream:
-      case SoakFault.SlowUpstream: {
-        const { standIn } = pick(this.#upstreams, target);
-        return { daemons: [], upstreams: [standIn.id] };
-      }
+      case SoakFault.SlowUpstream:
+      case SoakFault.CrashUpstream:
+        return { daemons: [], upstreams: [upstream.standIn.id] };
       default:
         return { daemons: [], upstreams: [] };
     }
   }
 
-  async #inject({ kind, durationMs, target }: PlannedFault): Promise<void> {
-    const daemon = pick(this.#daemons, target);
-    const upstream = pick(this.#upstreams, target);
+  async #inject(
+    { kind, durationMs }: PlannedFault,
+    { daemon, upstream }: FaultTargets,
+  ): Promise<void> {
     const { records } = this.#platform;
     switch (kind) {
       case SoakFault.KillDaemon:
+      case SoakFault.KillOwner:
         return await this.#killAndRestart([daemon], durationMs);
       case SoakFault.KillAll:
         return await this.#killAndRestart(this.#daemons, durationMs / 4);
+      case SoakFault.KillInTurn:
+        for (const one of this.#daemons) {
+          await this.#killAndRestart([one], durationMs / 4);
+        }
+        return;
       case SoakFault.PauseDaemon:
         daemon.signal("SIGSTOP");
         await sleep(durationMs);
         return daemon.signal("SIGCONT");
       case SoakFault.RestartDaemon:
-        daemon.signal("SIGTERM");
-        await daemon.exited();
-        return daemon.start();
+        return await restart(daemon);
+      case SoakFault.RestartAll:
+        await Promise.all(this.#daemons.map(restart));
+        return;
+      case SoakFault.CutOffDaemon:
+      case SoakFault.CutOffOwner: {
+        const peers = this.#daemons.filter((one) => one !== daemon);
+        daemon.cutOff(peers);
+        await sleep(REPLACED_AFTER_MS + durationMs);
+        return daemon.reconnect(peers);
+      }
       case SoakFault.Reload:
         return daemon.signal("SIGHUP");
       case SoakFault.CutStore:
@@ -253,6 +308,9 @@
       case SoakFault.SlowUpstream:
         upstream.relay.delayMs = 60;
         break;
+      case SoakFault.CrashUpstream:
+        upstream.relay.cut();
+        break;
       case SoakFault.BrokenAnswers:
         upstream.standIn.handlingFor = () => drawHandling();
         break;
@@ -310,6 +368,14 @@
     return unrecovered;
   }
 
+  /** Writes the faults, the batches and what ran late beside the logs. */
+  #writeRecord(workload: SoakWorkload): void {
+    const late = lateRequests(this.#runRecord(workload));
+    const { batches } = workload;
+    const record = { disturbances: this.#disturbances, batches, late };
+    writeFileSync(join(this.#folder, "record.json"), JSON.stringify(record));
+  }
+
   async #end(keepLogs: boolean): Promise<void> {
     await Promise.all(this.#daemons.map((daemon) => daemon.end()));
     await Promise.all(this.#upstreams.map(({ relay }) => relay.close()));
@@ -318,6 +384,13 @@
   }
 }
 
+/** Ends a daemon in order and starts it again. */
+async function restart(daemon: DaemonProcess): Promise<void> {
+  daemon.signal("SIGTERM");
+  await daemon.exited();
+  daemon.start();
+}
+
 /** The fixture's manifest with a route and a service for long batches. */
 function soakManifest(version: number) {
   const { routes, services, ...rest } = manifest(version);
