Soak: a fault waits for the process that it ended

Kills in turn and a restart of all overlapped; one started a daemon again before the other, which polled every 20 ms, had seen that it was gone, and then waited for the new process. Each now waits for the process that it found.

--- a/soak/daemons.ts
+++ b/soak/daemons.ts
@@ -112,9 +112,13 @@
     }
   }
 
-  /** Resolves when the process has exited. */
+  /** Resolves when the present process has exited. */
   async exited(): Promise<void> {
-    while (this.alive) await new Promise((resolve) => setTimeout(resolve, 20));
+    const child = this.#child;
+    // An overlapping fault may have started the next one.
+    while (child !== undefined && this.#child === child) {
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
   }
 
   async end(): Promise<void> {
