Soak: runs print for how long the harness itself stood

Upstreams, store and relays are in one process; when the machine is overloaded it can look like an upstream or a store without an answer. stallMs is the longest delay of its event loop.

--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -8,6 +8,7 @@
 
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { join } from "node:path";
 import { manifest } from "../platform/fixture_test.ts";
 import { CallOutcome } from "../stand_ins/memory_transactional_key_value.ts";
@@ -50,6 +51,8 @@
   readonly ended: number;
   /** Late requests of ended batches, those of daemons out of touch included. */
   readonly late: number;
+  /** Longest time for which this process, upstreams and store included, stood. */
+  readonly stallMs: number;
   /** Folder with the daemons' logs; kept if there are violations. */
   readonly logs: string;
 }
@@ -74,6 +77,7 @@
   readonly #upstreams: SoakUpstream[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), "toucanwind-soak-"));
   readonly #disturbances: Disturbance[] = [];
+  readonly #delays = monitorEventLoopDelay();
   readonly #daemonCount: number;
   readonly #seed: number;
   #version = 1;
@@ -93,6 +97,7 @@
       seed: this.#seed,
     });
     workload.start();
+    this.#delays.enable();
     const startedAt = Date.now();
     const faults = plan.map(async (fault) => {
       await sleep(startedAt + fault.atMs - Date.now());
@@ -102,6 +107,7 @@
     await Promise.all(faults);
     const unrecovered = await this.#awaitRecovery(workload);
     await workload.stop();
+    this.#delays.disable();
     await workload.readAllBatches();
     const violations = [
       ...unrecovered,
@@ -142,6 +148,7 @@
       ended: workload.batches.filter(({ endedAt }) => endedAt !== undefined)
         .length,
       late: lateRequests(this.#runRecord(workload)).length,
+      stallMs: Math.round(this.#delays.max / 1e6),
       logs: this.#folder,
     };
   }
