--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -46,3 +46,10 @@
   ];
   expect(await findViolations({ seed: 3, count: 3, kinds })).toEqual([]);
 });
+
+test("nothing of an ended batch runs late after its owner was cut off", async () => {
+  const kind = SoakFault.CutOffOwner;
+  const cut = { kind, atMs: 2500, durationMs: 1500, target: 0 };
+  const { violations } = await new Soak({ seed: 2 }).run([cut], 8000);
+  expect(violations).toEqual([]);
+});
