--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -6,8 +6,9 @@
  * @module
  */
 
-import { mkdtempSync, rmSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { join } from "node:path";
 import { manifest } from "../platform/fixture_test.ts";
 import { CallOutcome } from "../stand_ins/memory_transactional_key_value.ts";
@@ -17,10 +18,15 @@
   PlatformProtocolStandIn,
   type PlatformUpstreamStandIn,
 } from "../stand_ins/platform_protocol.ts";
-import { findViolations } from "./invariants.ts";
+import { findViolations, lateRequests, type RunRecord } from "./invariants.ts";
+import { uniform } from "../stand_ins/hash_random.ts";
 import { DaemonProcess } from "./daemons.ts";
-import { type PlannedFault, SoakFault } from "./fault_plan.ts";
-import { SoakWorkload } from "./soak_workload.ts";
+import {
+  type Disturbance,
+  type PlannedFault,
+  SoakFault,
+} from "./fault_plan.ts";
+import { LONG_PREFIX, SLOW_SERVICE, SoakWorkload } from "./soak_workload.ts";
 
 /** All daemons serve again within this time after the last fault. */
 const RECOVERY_TIMEOUT_MS = 10_000;
@@ -28,6 +34,11 @@
 /** Long enough for a fault to interrupt a stream. */
 const EVENTS_PER_ITEM = 12;
 const EVENT_INTERVAL_MS = 25;
+/** Paces of the service of long batches; they are under way for over 10 s. */
+const SLOW_EVENT_INTERVALS_MS = [90, 300, 800];
+
+/** Silent peers have been replaced as owners after this time. */
+const REPLACED_AFTER_MS = 2000;
 
 /** The result of a run. */
 export interface SoakOutcome {
@@ -36,6 +47,12 @@
   readonly served: number;
   readonly batches: number;
   readonly results: number;
+  /** Batches whose end was acknowledged. */
+  readonly ended: number;
+  /** Late requests of ended batches, those of daemons out of touch included. */
+  readonly late: number;
+  /** Longest time for which this process, upstreams and store included, stood. */
+  readonly stallMs: number;
   /** Folder with the daemons' logs; kept if there are violations. */
   readonly logs: string;
 }
@@ -45,17 +62,29 @@
   readonly relay: TcpRelay;
 }
 
+/** Where a fault is injected. */
+interface FaultTargets {
+  readonly daemon: DaemonProcess;
+  readonly upstream: SoakUpstream;
+}
+
+const OWNER_FAULTS = [SoakFault.KillOwner, SoakFault.CutOffOwner];
+
 /** Runs daemons while the faults of a plan are injected. */
 export class Soak {
   readonly #platform = new PlatformProtocolStandIn();
   readonly #daemons: DaemonProcess[] = [];
   readonly #upstreams: SoakUpstream[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), "toucanwind-soak-"));
+  readonly #disturbances: Disturbance[] = [];
+  readonly #delays = monitorEventLoopDelay();
   readonly #daemonCount: number;
+  readonly #seed: number;
   #version = 1;
 
-  constructor(options: { daemons?: number } = {}) {
+  constructor(options: { daemons?: number; seed: number }) {
     this.#daemonCount = options.daemons ?? 3;
+    this.#seed = options.seed;
   }
 
   async run(
@@ -63,33 +92,42 @@
     runMs: number,
   ): Promise<SoakOutcome> {
     await this.#start();
-    const workload = new SoakWorkload({ daemons: this.#daemons });
+    const workload = new SoakWorkload({
+      daemons: this.#daemons,
+      seed: this.#seed,
+    });
     workload.start();
+    this.#delays.enable();
     const startedAt = Date.now();
     const faults = plan.map(async (fault) => {
       await sleep(startedAt + fault.atMs - Date.now());
-      await this.#inject(fault);
+      await this.#recordFault(fault);
     });
     await sleep(runMs);
     await Promise.all(faults);
     const unrecovered = await this.#awaitRecovery(workload);
     await workload.stop();
-    await this.#readAllBatches(workload);
+    this.#delays.disable();
+    await workload.readAllBatches();
     const violations = [
       ...unrecovered,
       ...findViolations(this.#runRecord(workload)),
     ];
     const outcome = this.#outcome(workload, violations);
+    if (violations.length > 0) this.#writeRecord(workload);
     await this.#end(violations.length > 0);
     return outcome;
   }
 
-  #runRecord(workload: SoakWorkload) {
+  #runRecord(workload: SoakWorkload): RunRecord {
     return {
       attempts: workload.attempts,
       observedResults: workload.observedResults,
+      finalReads: workload.finalReads,
       batches: workload.batches,
       missing: workload.missing,
+      stoppedAt: workload.stoppedAt,
+      disturbances: this.#disturbances,
       upstreams: this.#upstreams.map(({ standIn }) => standIn),
       platform: this.#platform,
       crashes: this.#daemons.flatMap(({ crashes }) => crashes),
@@ -107,18 +145,27 @@
           `${batch}/${position}`
         ),
       ).size,
+      ended: workload.batches.filter(({ endedAt }) => endedAt !== undefined)
+        .length,
+      late: lateRequests(this.#runRecord(workload)).length,
+      stallMs: Math.round(this.#delays.max / 1e6),
       logs: this.#folder,
     };
   }
 
   async #start(): Promise<void> {
     await this.#platform.start();
-    this.#platform.records.put("op/config", JSON.stringify(manifest()));
+    this.#platform.records.put("op/config", JSON.stringify(soakManifest(1)));
     for (const id of ["app-1", "app-2"]) await this.#addUpstream(id, "app", []);
-    for (const id of ["lm-1", "lm-2"]) await this.#addUpstream(id, "lm", ["m"]);
+    for (const service of ["lm", SLOW_SERVICE]) {
+      for (const n of [1, 2, 3]) {
+        await this.#addUpstream(`${service}-${n}`, service, ["m"]);
+      }
+    }
     for (let n = 1; n <= this.#daemonCount; n++) {
       const daemon = new DaemonProcess({
         node: `front-${n}`,
+        host: `127.0.0.${n + 1}`,
         folder: this.#folder,
         store: this.#platform.address,
       });
@@ -135,7 +182,9 @@
   ): Promise<void> {
     const standIn = await this.#platform.add({ id, service, models });
     standIn.events = EVENTS_PER_ITEM;
-    standIn.eventIntervalMs = EVENT_INTERVAL_MS;
+    standIn.eventIntervalMs = service === SLOW_SERVICE
+      ? pick(SLOW_EVENT_INTERVALS_MS, uniform(this.#seed, id))
+      : EVENT_INTERVAL_MS;
     const [host, port] = standIn.address.split(":");
     const relay = new TcpRelay({ host, port: Number(port) });
     standIn.listed = `127.0.0.1:${await relay.listen()}`;
@@ -147,23 +196,97 @@
     this.#platform.records.put(`servers/${standIn.id}`, standIn.entry(state));
   }
 
-  async #inject({ kind, durationMs, target }: PlannedFault): Promise<void> {
-    const daemon = pick(this.#daemons, target);
-    const upstream = pick(this.#upstreams, target);
+  async #recordFault(fault: PlannedFault): Promise<void> {
+    const from = Date.now();
+    const targets = {
+      daemon: OWNER_FAULTS.includes(fault.kind)
+        ? this.#owner()
+        : pick(this.#daemons, fault.target),
+      upstream: pick(this.#upstreams, fault.target),
+    };
+    await this.#inject(fault, targets);
+    const reach = this.#reach(fault.kind, targets);
+    this.#disturbances.push({
+      kind: fault.kind,
+      from,
+      to: Date.now(),
+      ...reach,
+    });
+  }
+
+  /** The daemon that sent the last item of a long batch. */
+  #owner(): DaemonProcess {
+    const last = this.#upstreams
+      .filter(({ standIn }) => standIn.service === SLOW_SERVICE)
+      .flatMap(({ standIn }) => standIn.executed.slice(-1))
+      .sort((a, b) => a.at - b.at).at(-1);
+    return this.#daemons.find(({ host }) => host === last?.sender) ??
+      this.#daemons[0];
+  }
+
+  /** The daemons and the upstreams' connections that a fault holds up. */
+  #reach(kind: SoakFault, { daemon, upstream }: FaultTargets) {
+    const daemons = this.#daemons.map(({ host }) => host);
+    switch (kind) {
+      case SoakFault.KillDaemon:
+      case SoakFault.KillOwner:
+      case SoakFault.CutOffDaemon:
+      case SoakFault.CutOffOwner:
+      case SoakFault.PauseDaemon:
+      case SoakFault.RestartDaemon:
+      case SoakFault.CutStore:
+      case SoakFault.SilentStore:
+      case SoakFault.StoreOneWay:
+        return { daemons: [daemon.host], upstreams: [] };
+      case SoakFault.KillAll:
+      case SoakFault.KillInTurn:
+      case SoakFault.RestartAll:
+      case SoakFault.SlowStore:
+      case SoakFault.StoreRefuses:
+      case SoakFault.StoreLosesAnswers:
+        return { daemons, upstreams: [] };
+      case SoakFault.ResetUpstream:
+      case SoakFault.SilentUpstream:
+      case SoakFault.SlowUpstream:
+      case SoakFault.CrashUpstream:
+        return { daemons: [], upstreams: [upstream.standIn.id] };
+      default:
+        return { daemons: [], upstreams: [] };
+    }
+  }
+
+  async #inject(
+    { kind, durationMs }: PlannedFault,
+    { daemon, upstream }: FaultTargets,
+  ): Promise<void> {
     const { records } = this.#platform;
     switch (kind) {
       case SoakFault.KillDaemon:
+      case SoakFault.KillOwner:
         return await this.#killAndRestart([daemon], durationMs);
       case SoakFault.KillAll:
         return await this.#killAndRestart(this.#daemons, durationMs / 4);
+      case SoakFault.KillInTurn:
+        for (const one of this.#daemons) {
+          await this.#killAndRestart([one], durationMs / 4);
+        }
+        return;
       case SoakFault.PauseDaemon:
         daemon.signal("SIGSTOP");
         await sleep(durationMs);
         return daemon.signal("SIGCONT");
       case SoakFault.RestartDaemon:
-        daemon.signal("SIGTERM");
-        await daemon.exited();
-        return daemon.start();
+        return await restart(daemon);
+      case SoakFault.RestartAll:
+        await Promise.all(this.#daemons.map(restart));
+        return;
+      case SoakFault.CutOffDaemon:
+      case SoakFault.CutOffOwner: {
+        const peers = this.#daemons.filter((one) => one !== daemon);
+        daemon.cutOff(peers);
+        await sleep(REPLACED_AFTER_MS + durationMs);
+        return daemon.reconnect(peers);
+      }
       case SoakFault.Reload:
         return daemon.signal("SIGHUP");
       case SoakFault.CutStore:
@@ -192,6 +315,9 @@
       case SoakFault.SlowUpstream:
         upstream.relay.delayMs = 60;
         break;
+      case SoakFault.CrashUpstream:
+        upstream.relay.cut();
+        break;
       case SoakFault.BrokenAnswers:
         upstream.standIn.handlingFor = () => drawHandling();
         break;
@@ -202,7 +328,7 @@
         this.#version += 1;
         return records.put(
           "op/config",
-          JSON.stringify(manifest(this.#version)),
+          JSON.stringify(soakManifest(this.#version)),
         );
     }
     await sleep(durationMs);
@@ -249,17 +375,12 @@
     return unrecovered;
   }
 
-  /** Reads every accepted batch from the start, at each daemon. */
-  async #readAllBatches(workload: SoakWorkload): Promise<void> {
-    for (const { id, items, accepted } of workload.batches) {
-      if (!accepted) continue;
-      for (const daemon of this.#daemons) {
-        let after = 0;
-        for (let reads = 0; reads < 20 && after < items.length; reads++) {
-          after = await workload.readOnce(daemon, { id, after });
-        }
-      }
-    }
+  /** Writes the faults, the batches and what ran late beside the logs. */
+  #writeRecord(workload: SoakWorkload): void {
+    const late = lateRequests(this.#runRecord(workload));
+    const { batches } = workload;
+    const record = { disturbances: this.#disturbances, batches, late };
+    writeFileSync(join(this.#folder, "record.json"), JSON.stringify(record));
   }
 
   async #end(keepLogs: boolean): Promise<void> {
@@ -270,6 +391,30 @@
   }
 }
 
+/** Ends a daemon in order and starts it again. */
+async function restart(daemon: DaemonProcess): Promise<void> {
+  daemon.signal("SIGTERM");
+  await daemon.exited();
+  daemon.start();
+}
+
+/** The fixture's manifest with a route and a service for long batches. */
+function soakManifest(version: number) {
+  const { routes, services, ...rest } = manifest(version);
+  const rollouts = routes.find(({ name }) => name === "rollouts");
+  const engines = services.find(({ name }) => name === "lm");
+  const long = {
+    name: "epics",
+    prefix: LONG_PREFIX,
+    service: SLOW_SERVICE,
+  };
+  return {
+    ...rest,
+    routes: [...routes, { ...rollouts, ...long }],
+    services: [...services, { ...engines, name: SLOW_SERVICE }],
+  };
+}
+
 /** Draws how a faulty upstream handles one request. */
 function drawHandling(): Handling {
   const draw = Math.random();
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -12,7 +12,7 @@
   kinds?: readonly SoakFault[];
 }): Promise<readonly string[]> {
   const plan = drawFaultPlan({ ...options, runMs: RUN_MS });
-  return (await new Soak().run(plan, RUN_MS)).violations;
+  return (await new Soak(options).run(plan, RUN_MS)).violations;
 }
 
 test("the same seed gives the same fault plan", () => {
@@ -46,3 +46,10 @@
   ];
   expect(await findViolations({ seed: 3, count: 3, kinds })).toEqual([]);
 });
+
+test("nothing of an ended batch runs late after its owner was cut off", async () => {
+  const kind = SoakFault.CutOffOwner;
+  const cut = { kind, atMs: 2500, durationMs: 1500, target: 0 };
+  const { violations } = await new Soak({ seed: 2 }).run([cut], 8000);
+  expect(violations).toEqual([]);
+});
