Batches: ownership is read again a third of its validity after the last proof

The loop that renews ownership looked at its age once in each third of the validity, and skipped the read where the age was just short of a third: after a listing in between, and where a timer fired a fraction early. The read then came up to two thirds after the proof, and if it was lost the next one came too late: all sends of the batch stopped, and requests without an answer so far were aborted, though the daemon was the owner and reached the service.

The loop now waits for the rest of the third. There is still at most one read in each third.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -246,8 +246,10 @@
   /** Each read is independent: an earlier one may still lack its answer. */
   async #renewPeriodically(): Promise<void> {
     while (!this.#signal.aborted) {
-      if (this.#ownership.ageMs >= this.#renewalIntervalMs) void this.#renew();
-      await this.#kernel.clock.sleep(this.#renewalIntervalMs, this.#signal);
+      const dueInMs = this.#renewalIntervalMs - this.#ownership.ageMs;
+      if (dueInMs <= 0) void this.#renew();
+      const waitMs = dueInMs > 0 ? dueInMs : this.#renewalIntervalMs;
+      await this.#kernel.clock.sleep(waitMs, this.#signal);
     }
   }
 
--- /dev/null
+++ b/src/batches/batch_run_test.ts
@@ -0,0 +1,133 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { Err, Ok } from "ts-results";
+import { CallOutcome } from "../../stand_ins/memory_transactional_key_value.ts";
+import { type Dispatch, dispatchKey } from "../dispatch/mod.ts";
+import { Kernel, ManualClock, type PluginKey } from "../kernel/mod.ts";
+import { Loss, type Platform, type UpstreamTransport } from "../outside/mod.ts";
+import { type ExchangeRoute, relayKey } from "../relay/mod.ts";
+import { DEFAULT_TIMING } from "../settings/load.ts";
+import type { Settings } from "../settings/mod.ts";
+import { BatchRun } from "./batch_run.ts";
+import { createBatch, createStore, submission } from "./fixture_test.ts";
+import { PartialOutputs } from "./partial_outputs.ts";
+import { UpstreamSpeeds } from "./upstream_speeds.ts";
+
+const GRACE_MS = 3000;
+
+/** Two thirds of the grace. */
+const TTL_MS = 2000;
+
+/** Time that the key-value service takes for a read. */
+const READ_MS = 100;
+
+const ROUTE = {
+  name: "rollouts",
+  exchange: { pools: [{ pool: "p", weight: 1 }], rank: 0, maxAttempts: 2 },
+} as unknown as ExchangeRoute;
+
+const { signal: never } = new AbortController();
+
+/** Grants a permit to every demand. */
+const dispatch = {
+  acquire: () =>
+    Promise.resolve(Ok({
+      target: { id: "up", address: "" },
+      leaving: never,
+      release: () => {},
+    })),
+} as unknown as Dispatch;
+
+/** An upstream at which item "one" ends when asked to and others never do. */
+function upstream() {
+  let finish = () => {};
+  const finished = new Promise<void>((resolve) => finish = resolve);
+  const aborted = { count: 0 };
+  const transport = {
+    stream: async (
+      _target: unknown,
+      { id }: { id: string },
+      signal: AbortSignal,
+    ) => {
+      if (id === "one") {
+        await finished;
+        return Ok({ events: (async function* () {})() });
+      }
+      await new Promise((resolve) =>
+        signal.addEventListener("abort", resolve, { once: true })
+      );
+      aborted.count += 1;
+      return Err({ loss: Loss.Cancelled, message: "Aborted" });
+    },
+  } as unknown as UpstreamTransport;
+  return { transport, aborted, finish };
+}
+
+/** A batch of two groups that runs since now. */
+async function startRun() {
+  const clock = new ManualClock();
+  const { records, store } = createStore({ clock });
+  const state = await createBatch(store);
+  const { transport, aborted, finish } = upstream();
+  const plugin = <T>(key: PluginKey, value: T) => ({
+    key,
+    requires: [],
+    create: () => value as never,
+  });
+  const kernel = new Kernel({
+    settings: {
+      vm: "a",
+      timing: { ...DEFAULT_TIMING, batchEndGraceMs: GRACE_MS },
+    } as Settings,
+    platform: { upstreamTransport: transport } as Platform,
+    incarnation: "a1",
+    clock,
+    registrations: [plugin(dispatchKey, dispatch), plugin(relayKey, {})],
+  });
+  const { items } = submission();
+  const run = new BatchRun({
+    kernel,
+    store,
+    state,
+    confirmedAt: clock.moment(),
+    submission: submission({
+      items: items.map((item) => ({ ...item, group: item.id })),
+    }),
+    route: ROUTE,
+    results: [],
+    speeds: () => new UpstreamSpeeds({ clock }),
+    partialOutputs: new PartialOutputs(),
+  });
+  run.start();
+  return { run, records, clock, aborted, finish };
+}
+
+/** Advances the time in steps in which calls are answered. */
+async function pass(clock: ManualClock, ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 10) {
+    clock.advance(10);
+    for (let turn = 0; turn < 5; turn++) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+}
+
+test("one lost read after a listing doesn't let ownership lapse", async () => {
+  const { run, records, clock, aborted, finish } = await startRun();
+  const get = records.get.bind(records);
+  records.get = async (key) => {
+    await clock.sleep(READ_MS);
+    return await get(key);
+  };
+  let reads = 0;
+  records.outcomeFor = (call) =>
+    call === "get" && ++reads === 1 ? CallOutcome.Silent : CallOutcome.Answered;
+  finish();
+  await pass(clock, 50);
+  const listed = run.results.length;
+  await pass(clock, 2 * TTL_MS);
+  const lapses = aborted.count;
+  await run.stop("ended");
+  expect({ listed, lapses, lost: reads > 1 })
+    .toEqual({ listed: 1, lapses: 0, lost: true });
+});
--- a/src/batches/fixture_test.ts
+++ b/src/batches/fixture_test.ts
@@ -52,12 +52,11 @@
 }
 
 /** A store of batches on an in-memory key-value service. */
-export function createStore() {
+export function createStore(
+  { clock = new SystemClock() }: { clock?: Clock } = {},
+) {
   const records = new MemoryTransactionalKeyValue();
-  return {
-    records,
-    store: new BatchStore({ records, clock: new SystemClock() }),
-  };
+  return { records, store: new BatchStore({ records, clock }) };
 }
 
 /** Ownership confirmed just now. */
