--- a/src/dispatch/crash_detector.ts
+++ b/src/dispatch/crash_detector.ts
@@ -118,7 +118,10 @@
       !episode.ended.has(permit)
     );
     // If none of several still runs, it may have crashed and restarted.
-    if (running || episode.holdings.length === 1) this.#dismiss(episode);
+    if (running) this.#dismiss(episode, "others still run there");
+    else if (episode.holdings.length === 1) {
+      this.#dismiss(episode, "its upstream reports its load");
+    }
   }
 
   #connectionBroke(holding: ActivePermit, options: {
@@ -150,7 +153,7 @@
     if (episode === undefined || now - episode.startedAt <= MAX_EPISODE_MS) {
       return episode;
     }
-    this.#dismiss(episode);
+    this.#dismiss(episode, "no crash was found in time");
     return undefined;
   }
 
@@ -170,13 +173,14 @@
   }
 
   /** Ends an episode without a crash, and drops the suspicions from it. */
-  #dismiss(episode: Episode): void {
+  #dismiss(episode: Episode, reason: string): void {
     this.#episodes.delete(episode.upstream.id);
     for (const { demand } of episode.holdings) {
       const finding = this.#quarantine.finding(demand.fingerprint);
       if (finding?.upstream !== episode.upstream.id) continue;
-      if (finding.crashes > 1) this.#quarantine.lift(demand.fingerprint);
-      else this.#quarantine.clear(demand.fingerprint);
+      if (finding.crashes > 1) {
+        this.#quarantine.lift(demand.fingerprint, reason);
+      } else this.#quarantine.clear(demand.fingerprint, reason);
     }
   }
 
@@ -198,7 +202,7 @@
       // stays quarantined: two such requests at once look like a zone outage.
       const suspicion = this.#quarantine.suspicion(fingerprint);
       if (suspicion === Suspicion.Quarantined) continue;
-      this.#quarantine.clear(fingerprint);
+      this.#quarantine.clear(fingerprint, "its zone was lost");
     }
   }
 
--- a/src/dispatch/quarantine.ts
+++ b/src/dispatch/quarantine.ts
@@ -129,7 +129,7 @@
       ranMs: Math.max(known?.ranMs ?? 0, run.ranMs),
       upstream: run.upstream,
     });
-    logChange("request suspected", finding, run);
+    logChange("request suspected", finding, { run });
   }
 
   /** Quarantines a request that crashed an upstream while running isolated. */
@@ -145,11 +145,11 @@
       ranMs: Math.max(known?.ranMs ?? 0, run.ranMs),
       upstream: run.upstream,
     });
-    logChange("request quarantined", finding, run);
+    logChange("request quarantined", finding, { run });
   }
 
   /** Drops a suspicion and its crash count: the request was not the cause. */
-  clear(fingerprint: string): void {
+  clear(fingerprint: string, reason: string): void {
     const known = this.finding(fingerprint);
     if (known === undefined) return;
     this.#change(fingerprint, {
@@ -157,14 +157,16 @@
       crashes: 0,
       ranMs: 0,
     });
-    if (known.crashes > 0) logChange("request cleared", known);
+    if (known.crashes > 0) {
+      logChange("request cleared", known, { reason });
+    }
   }
 
   /** Drops a suspicion but not the count: it may run beside others again. */
-  lift(fingerprint: string): void {
+  lift(fingerprint: string, reason: string): void {
     if (this.suspicion(fingerprint) !== Suspicion.Suspect) return;
     const finding = this.#change(fingerprint, { suspicion: Suspicion.None });
-    logChange("suspicion lifted", finding);
+    logChange("suspicion lifted", finding, { reason });
   }
 
   /** All findings, each with its remaining time. */
@@ -225,8 +227,11 @@
   return Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** doublings);
 }
 
-/** Logs a change of a finding, and the crashed run that caused it, if any. */
-function logChange(event: string, finding: Finding, run?: CrashedRun): void {
+/** Logs a change of a finding, and the crashed run or reason that caused it. */
+function logChange(event: string, finding: Finding, { run, reason }: {
+  run?: CrashedRun;
+  reason?: string;
+}): void {
   const { fingerprint, crashes, upstream } = finding;
   log(event, {
     fingerprint,
@@ -234,6 +239,7 @@
     upstream,
     ranMs: Math.round(run?.ranMs ?? finding.ranMs),
     isolated: run?.isolated,
+    reason,
   });
 }
 
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -288,7 +288,8 @@
     for (const { demand, isolatedUntil } of this.#permits.all()) {
       if (isolatedUntil > now || isolatedUntil === -Infinity) continue;
       const finding = this.#quarantine.finding(demand.fingerprint);
-      if (finding?.crashes === 1) this.#quarantine.lift(demand.fingerprint);
+      if (finding?.crashes !== 1) continue;
+      this.#quarantine.lift(demand.fingerprint, "it ran isolated for long");
     }
     for (const ticket of [...this.#queue.waiting()]) this.#expire(ticket, now);
     for (const ticket of [...this.#queue.waiting()]) this.#review(ticket);
@@ -608,7 +609,7 @@
     const innocent = suspicion === Suspicion.Suspect ||
       suspicion === Suspicion.Quarantined && holding.isolatedUntil > now;
     if (outcome === Outcome.Served && innocent) {
-      this.#quarantine.clear(fingerprint);
+      this.#quarantine.clear(fingerprint, "it was served");
     }
     if (outcome === Outcome.Broken || outcome === Outcome.Unreachable) {
       this.#onConnectionBroken(holding.upstream);
