--- a/stand_ins/platform_protocol.ts
+++ b/stand_ins/platform_protocol.ts
@@ -65,6 +65,11 @@
   Impossible = "impossible",
   /** Ends all connections of the upstream, which is back after a while. */
   Crash = "crash",
+  /**
+   * Answers nothing any more; connections stay open until the upstream is back
+   * after a while.
+   */
+  Dark = "dark",
 }
 
 /** An upstream that speaks the platform's protocol. */
@@ -96,10 +101,21 @@
   versions: Record<string, number> = {};
   readonly slots = 4;
   readonly #server: Server;
+  readonly #onRestart: () => void;
+  #bornAt = Date.now();
+  #port = 0;
   #stopped = false;
+  #dark = false;
 
-  constructor(options: { id: string; service: string; models?: string[] }) {
+  constructor(options: {
+    id: string;
+    service: string;
+    models?: string[];
+    /** Called when the upstream is back after a crash. */
+    onRestart?: () => void;
+  }) {
     this.id = options.id;
+    this.#onRestart = options.onRestart ?? (() => {});
     this.service = options.service;
     for (const model of options.models ?? []) this.versions[model] = 1;
     this.#server = createServer((message, response) =>
@@ -108,8 +124,7 @@
   }
 
   get address(): string {
-    const { port } = this.#server.address() as AddressInfo;
-    return `127.0.0.1:${port}`;
+    return `127.0.0.1:${this.#port}`;
   }
 
   /** The upstream's entry in the platform's key-value service. */
@@ -125,6 +140,7 @@
       state,
       cold_ms: 0,
       sequence: this.orders.length,
+      born: this.#bornAt,
       ...models.length === 0 ? {} : { stage: "combined", models },
     });
   }
@@ -132,6 +148,7 @@
   async start(): Promise<void> {
     this.#server.listen(0, "127.0.0.1");
     await once(this.#server, "listening");
+    this.#port = (this.#server.address() as AddressInfo).port;
   }
 
   async stop(): Promise<void> {
@@ -146,10 +163,14 @@
     response: ServerResponse,
   ): Promise<void> {
     const body = await readBody(message);
+    if (this.#dark) return;
     if (message.headers["x-expect-instance"] !== this.id) {
       return void response.writeHead(421, { "x-instance-id": "other" }).end();
     }
     if (message.url === "/-/report") return this.#report(response);
+    if (message.url === "/health") {
+      return void response.writeHead(200, { "x-instance-id": this.id }).end();
+    }
     if (message.url === "/-/order") return this.#order(response, body);
     const request: ExecutedRequest = {
       id: `${message.headers["x-request-id"]}`,
@@ -174,6 +195,7 @@
     });
     if (kind === Handling.Hang) return;
     if (kind === Handling.Crash) return await this.#crash(request.id);
+    if (kind === Handling.Dark) return await this.#goDark(request.id);
     const id = kind === Handling.Foreign ? "another" : request.id;
     const head = {
       "x-request-id": id,
@@ -194,12 +216,28 @@
   }
 
   async #crash(id: string): Promise<void> {
-    const { port } = this.#server.address() as AddressInfo;
     this.crashes.push(id);
+    if (!this.#server.listening) return;
     this.#server.close();
     this.#server.closeAllConnections();
     await sleep(this.restartMs);
-    if (!this.#stopped) this.#server.listen(port, "127.0.0.1");
+    if (this.#stopped) return;
+    this.#server.listen(this.#port, "127.0.0.1");
+    this.#restarted();
+  }
+
+  async #goDark(id: string): Promise<void> {
+    this.crashes.push(id);
+    this.#dark = true;
+    await sleep(this.restartMs);
+    this.#server.closeAllConnections();
+    this.#dark = false;
+    if (!this.#stopped) this.#restarted();
+  }
+
+  #restarted(): void {
+    this.#bornAt = Date.now();
+    this.#onRestart();
   }
 
   async #stream(request: ExecutedRequest, { kind, response, head }: {
@@ -301,10 +339,15 @@
     service: string;
     models?: string[];
   }): Promise<PlatformUpstreamStandIn> {
-    const upstream = new PlatformUpstreamStandIn(options);
+    const register = () =>
+      this.records.put(`servers/${upstream.id}`, upstream.entry());
+    const upstream = new PlatformUpstreamStandIn({
+      ...options,
+      onRestart: register,
+    });
     await upstream.start();
     this.#upstreams.push(upstream);
-    this.records.put(`servers/${upstream.id}`, upstream.entry());
+    register();
     return upstream;
   }
 
