--- a/src/dispatch/circuit_breaker.ts
+++ b/src/dispatch/circuit_breaker.ts
@@ -53,7 +53,9 @@
 
   /** Records how a request ended. */
   ended(outcome: Outcome, now: number): void {
-    if (outcome === Outcome.Served) return this.#close();
+    if (outcome === Outcome.Served || outcome === Outcome.Failed) {
+      return this.#close();
+    }
     this.#probeInFlight = false;
     if (outcome === Outcome.Cancelled || outcome === Outcome.Refused) return;
     this.#failures += 1;
@@ -62,7 +64,7 @@
     this.#open(now);
   }
 
-  /** Records whether a load report could be read. */
+  /** Records whether an upstream that was probed could be reached. */
   probed(ok: boolean, now: number): void {
     this.#probeFailures = ok ? 0 : this.#probeFailures + 1;
     if (this.#probeFailures >= FAILURE_LIMIT) this.#open(now);
--- a/src/dispatch/crash_detector.ts
+++ b/src/dispatch/crash_detector.ts
@@ -1,37 +1,64 @@
 /**
- * Distinguishes the crash of an upstream from a single broken connection, and a
- * crash caused by a request from the reclaim of an availability zone.
+ * Collects the evidence on requests that crash upstreams: runs whose connection
+ * broke or that got no answer, and what is found of their upstreams after it.
  *
- * A broken connection opens an episode. It ends as a crash if the upstream's
- * load cannot be read or every request that ran there broke, and without one if
- * the load can be read while others still run. A request that is served isn't
- * part of it: its release may have crossed the break.
+ * A broken connection opens an episode. Its upstream crashed if nothing listens
+ * there any more or every request that ran there broke; it survived if it
+ * reports its load while others still run. Without either, only the runs that
+ * broke are held against their requests. Nothing but an answer of the upstream
+ * itself counts as a sign of life.
  *
  * @module
  */
 
+import { logger } from "../kernel/mod.ts";
 import type { ActivePermit } from "./permits.ts";
 import { Outcome } from "./mod.ts";
-import { type Quarantine, Suspicion } from "./quarantine.ts";
+import { type Quarantine, RunEnd, Suspicion } from "./quarantine.ts";
 import type { Upstream } from "./shards.ts";
 
-/** The result of an attempt to read an upstream's load. */
+const log = logger("dispatch");
+
+/** What an attempt to reach an upstream showed. */
 export enum ProbeResult {
+  /** The upstream itself answered. */
   Alive = "alive",
+  /** Something accepts connections there, maybe its successor. */
+  Reachable = "reachable",
   /** No answer arrived before the timeout. */
   Silent = "silent",
-  /** Nothing listens at its address. */
+  /** Nothing, or another instance, listens at its address. */
   Gone = "gone",
+  /** It was not asked. */
+  NotAsked = "not_asked",
 }
 
 /** Connections that break further apart than this are not of one crash. */
 const MAX_EPISODE_MS = 2000;
 
+/** An answer later than this may come from an upstream that was restarted. */
+const MAX_SURVIVAL_ANSWER_MS = 300;
+
 /** Crashes in one zone within this time may be due to its reclaim. */
 const ZONE_OUTAGE_WINDOW_MS = 2000;
 
-/** Fewest upstreams lost at once that indicate a network partition. */
-const MIN_PARTITIONED_UPSTREAMS = 3;
+/** Shortest silence of an upstream that counts against what it runs. */
+const MIN_SILENCE_MS = 250;
+
+/**
+ * Least part of a run for which its upstream must have been silent: it may
+ * have answered others before the run crashed it.
+ */
+const MIN_SILENT_FRACTION = 0.5;
+
+/** Time after an unanswered run in which its upstream may be found gone. */
+const SILENCE_MEMORY_MS = 5000;
+
+/** Time in which a sign of life shows that this daemon isn't cut off. */
+const LIFE_SIGN_WINDOW_MS = 2000;
+
+/** Most fingerprints of one crash in the log. */
+const MAX_LOGGED_FINGERPRINTS = 16;
 
 interface Episode {
   readonly upstream: Upstream;
@@ -45,7 +72,16 @@
 interface Crash {
   readonly upstream: Upstream;
   readonly at: number;
-  readonly fingerprints: readonly string[];
+  readonly holdings: readonly ActivePermit[];
+}
+
+/** A run without an answer. */
+interface UnansweredRun {
+  readonly holding: ActivePermit;
+  readonly upstream: Upstream;
+  readonly endedAt: number;
+  /** Whether it is held against its request. */
+  recorded: boolean;
 }
 
 /** Detects crashes of a shard's upstreams, and suspects the requests. */
@@ -56,6 +92,10 @@
   readonly #down = new Set<string>();
   /** When isolated requests crashed upstreams that have not answered since. */
   readonly #isolatedCrashes = new Map<string, number>();
+  /** When each upstream answered last. */
+  readonly #answeredAt = new Map<string, number>();
+  #lastLifeSignAt = -Infinity;
+  #unanswered: readonly UnansweredRun[] = [];
   #recentCrashes: readonly Crash[] = [];
   #upstreams: readonly Upstream[] = [];
 
@@ -66,6 +106,10 @@
   /** Replaces the shard's upstreams. */
   setUpstreams(upstreams: readonly Upstream[]): void {
     this.#upstreams = upstreams;
+    const present = new Set(upstreams.map(({ id }) => id));
+    for (const id of this.#answeredAt.keys()) {
+      if (!present.has(id)) this.#answeredAt.delete(id);
+    }
   }
 
   /** Upstreams that isolated requests crashed after `since`, if still down. */
@@ -76,52 +120,79 @@
     return this.#isolatedCrashes.size;
   }
 
-  /** Records how a request ended; `running` are permits still in use there. */
+  /**
+   * Records how a request ended; `running` are permits still in use there.
+   * Returns whether the upstream should be probed.
+   */
   ended(holding: ActivePermit, options: {
     outcome: Outcome;
     upstream: Upstream;
     running: readonly ActivePermit[];
     now: number;
-  }): void {
+  }): boolean {
     const { outcome, upstream, now } = options;
+    if (isAnswer(outcome)) this.#answered(upstream.id, now);
     if (outcome === Outcome.Broken) this.#connectionBroke(holding, options);
+    const silent = outcome === Outcome.Silent ||
+      outcome === Outcome.Cancelled;
+    const suspicious = outcome === Outcome.Broken ||
+      outcome === Outcome.Unreachable ||
+      silent && this.#endedUnanswered(holding, options);
     const episode = this.#episode(upstream.id, now);
-    if (episode === undefined) return;
-    if (outcome === Outcome.Served) {
+    if (episode === undefined) return suspicious;
+    if (outcome === Outcome.Served || outcome === Outcome.Failed) {
       episode.holdings = episode.holdings
         .filter(({ permit }) => permit !== holding.permit);
     } else episode.ended.add(holding.permit);
     const all = episode.holdings.every(({ permit }) =>
       episode.ended.has(permit)
     );
-    if (all && episode.broken.size > 1) this.#endAsCrash(episode, now);
+    if (all && episode.broken.size > 1) {
+      this.#endAsCrash(episode, { now, evidence: "every connection broke" });
+    }
+    return suspicious;
   }
 
-  /** Records the result of a load read; `running` are permits in use. */
+  /** Records the result of a probe; `running` are permits in use. */
   probed(upstream: Upstream, options: {
     result: ProbeResult;
     running: readonly ActivePermit[];
     now: number;
   }): void {
-    const { result, running: holdings, now } = options;
+    const { result, running, now } = options;
     const episode = this.#episode(upstream.id, now);
-    if (result === ProbeResult.Silent && episode === undefined) return;
-    if (result !== ProbeResult.Alive) {
-      // Holders may have failed with the upstream, without a release.
-      this.#endAsCrash(episode ?? newEpisode(upstream, { holdings, now }), now);
-      return;
+    switch (result) {
+      case ProbeResult.NotAsked:
+      case ProbeResult.Silent:
+        return;
+      case ProbeResult.Reachable:
+        return this.#sawLife(now);
+      case ProbeResult.Gone:
+        // Holders may have failed with the upstream, without a release.
+        return this.#endAsCrash(
+          episode ?? newEpisode(upstream, { holdings: running, now }),
+          { now, evidence: "nothing listens there" },
+        );
+      case ProbeResult.Alive:
+        this.#answered(upstream.id, now);
+        this.#down.delete(upstream.id);
+        this.#isolatedCrashes.delete(upstream.id);
+        if (episode !== undefined) this.#reportedAlive(episode, now);
     }
-    this.#down.delete(upstream.id);
-    this.#isolatedCrashes.delete(upstream.id);
-    if (episode === undefined) return;
+  }
+
+  /** Ends an episode if the upstream's answer shows that it survived. */
+  #reportedAlive(episode: Episode, now: number): void {
     const running = episode.holdings.some(({ permit }) =>
       !episode.ended.has(permit)
     );
     // If none of several still runs, it may have crashed and restarted.
-    if (running) this.#dismiss(episode, "others still run there");
-    else if (episode.holdings.length === 1) {
-      this.#dismiss(episode, "its upstream reports its load");
-    }
+    const survived = running ||
+      episode.holdings.length === 1 &&
+        now - episode.startedAt <= MAX_SURVIVAL_ANSWER_MS;
+    if (!survived) return;
+    this.#episodes.delete(episode.upstream.id);
+    this.#record(episode.holdings, { ...episode, end: RunEnd.Survived });
   }
 
   #connectionBroke(holding: ActivePermit, options: {
@@ -130,57 +201,110 @@
     now: number;
   }): void {
     const { upstream, running, now } = options;
-    const { fingerprint } = holding.demand;
-    const isolated = now < holding.isolatedUntil;
-    const ranMs = now - holding.grantedAt;
-    const run = { upstream: upstream.id, ranMs, isolated };
-    if (isolated) {
-      this.#isolatedCrashes.set(upstream.id, now);
-      if (!upstream.leaving) this.#quarantine.quarantine(fingerprint, run);
-      this.#recordCrash({ upstream, at: now, fingerprints: [fingerprint] });
-      return;
-    }
+    if (wasIsolated(holding)) this.#isolatedCrashes.set(upstream.id, now);
+    // One that leaves ends its connections without a crash.
+    const end = upstream.leaving ? RunEnd.Unanswered : RunEnd.Broken;
+    if (upstream.leaving && isOwed(holding)) return;
+    this.#record([holding], { upstream, startedAt: now, end });
     if (upstream.leaving) return;
-    this.#quarantine.suspect(fingerprint, run);
     const episode = this.#episode(upstream.id, now) ??
       newEpisode(upstream, { holdings: [holding, ...running], now });
     episode.broken.add(holding.permit);
     this.#episodes.set(upstream.id, episode);
   }
 
+  /** Notes a run without an answer, if its upstream was silent meanwhile. */
+  #endedUnanswered(holding: ActivePermit, { upstream, now }: {
+    upstream: Upstream;
+    now: number;
+  }): boolean {
+    if (isOwed(holding)) return false;
+    const answeredAt = this.#answeredAt.get(upstream.id) ?? -Infinity;
+    const silentMs = now - Math.max(holding.grantedAt, answeredAt);
+    const ranMs = now - holding.grantedAt;
+    if (silentMs < MIN_SILENCE_MS) return false;
+    if (silentMs < ranMs * MIN_SILENT_FRACTION) return false;
+    const run = { holding, upstream, endedAt: now, recorded: false };
+    this.#unanswered = [...this.#unanswered, run]
+      .filter(({ endedAt }) => now - endedAt <= SILENCE_MEMORY_MS);
+    if (this.#lastLifeSignAt > holding.grantedAt) this.#sawLife(now);
+    return true;
+  }
+
+  #answered(upstream: string, now: number): void {
+    this.#answeredAt.set(upstream, now);
+    this.#sawLife(now);
+    this.#unanswered = this.#unanswered
+      .filter((run) => run.upstream.id !== upstream);
+  }
+
+  /** The shard's upstreams are reachable: silent ones have a cause there. */
+  #sawLife(now: number): void {
+    this.#lastLifeSignAt = now;
+    for (const run of this.#unanswered) {
+      if (run.recorded || now - run.endedAt > LIFE_SIGN_WINDOW_MS) continue;
+      run.recorded = true;
+      const { holding, upstream, endedAt } = run;
+      this.#record([holding], {
+        upstream,
+        startedAt: endedAt,
+        end: RunEnd.Unanswered,
+      });
+    }
+  }
+
   #episode(upstream: string, now: number): Episode | undefined {
     const episode = this.#episodes.get(upstream);
     if (episode === undefined || now - episode.startedAt <= MAX_EPISODE_MS) {
       return episode;
     }
-    this.#dismiss(episode, "no crash was found in time");
+    this.#episodes.delete(upstream);
     return undefined;
   }
 
-  #endAsCrash(episode: Episode, now: number): void {
-    this.#episodes.delete(episode.upstream.id);
-    if (episode.upstream.leaving) return;
-    const fingerprints = episode.holdings
-      .map(({ demand }) => demand.fingerprint);
-    for (const { demand, grantedAt, isolatedUntil } of episode.holdings) {
-      this.#quarantine.suspect(demand.fingerprint, {
-        upstream: episode.upstream.id,
-        ranMs: episode.startedAt - grantedAt,
-        isolated: episode.startedAt < isolatedUntil,
+  #endAsCrash(episode: Episode, { now, evidence }: {
+    now: number;
+    evidence: string;
+  }): void {
+    const { upstream } = episode;
+    this.#episodes.delete(upstream.id);
+    const silent = this.#unanswered
+      .filter((run) => run.upstream.id === upstream.id);
+    this.#unanswered = this.#unanswered
+      .filter((run) => run.upstream.id !== upstream.id);
+    if (upstream.leaving) return;
+    const holdings = [
+      ...episode.holdings,
+      ...silent.map(({ holding }) => holding),
+    ];
+    if (holdings.length > 0) {
+      log("upstream crashed", {
+        upstream: upstream.id,
+        evidence,
+        running: episode.holdings.length,
+        unanswered: silent.length,
+        fingerprints: holdings.slice(0, MAX_LOGGED_FINGERPRINTS)
+          .map(({ demand }) => demand.fingerprint),
       });
     }
-    this.#recordCrash({ upstream: episode.upstream, at: now, fingerprints });
+    this.#record(holdings, { ...episode, end: RunEnd.Crashed });
+    this.#recordCrash({ upstream, at: now, holdings });
   }
 
-  /** Ends an episode without a crash, and drops the suspicions from it. */
-  #dismiss(episode: Episode, reason: string): void {
-    this.#episodes.delete(episode.upstream.id);
-    for (const { demand } of episode.holdings) {
-      const finding = this.#quarantine.finding(demand.fingerprint);
-      if (finding?.upstream !== episode.upstream.id) continue;
-      if (finding.crashes > 1) {
-        this.#quarantine.lift(demand.fingerprint, reason);
-      } else this.#quarantine.clear(demand.fingerprint, reason);
+  #record(holdings: readonly ActivePermit[], { upstream, startedAt, end }: {
+    upstream: Upstream;
+    startedAt: number;
+    end: RunEnd;
+  }): void {
+    for (const holding of holdings) {
+      const { permit, demand, grantedAt } = holding;
+      this.#quarantine.record(demand.fingerprint, {
+        permit,
+        upstream: upstream.id,
+        end,
+        isolated: wasIsolated(holding),
+        ranMs: Math.max(0, startedAt - grantedAt),
+      });
     }
   }
 
@@ -196,30 +320,33 @@
     const zoneCrashes = this.#recentCrashes.filter((other) =>
       sameZone(other, crash)
     );
-    if (!this.#isZoneOutage(crash, zoneCrashes)) return;
-    for (const fingerprint of zoneCrashes.flatMap(fingerprintsOf)) {
+    if (!this.#isReclaim(crash, zoneCrashes)) return;
+    const holdings = zoneCrashes.flatMap(({ holdings }) => holdings);
+    for (const { demand: { fingerprint } } of holdings) {
       // A request that crashed one upstream beside others and another isolated
-      // stays quarantined: two such requests at once look like a zone outage.
+      // stays quarantined: two such requests at once look like a reclaim.
       const suspicion = this.#quarantine.suspicion(fingerprint);
       if (suspicion === Suspicion.Quarantined) continue;
-      this.#quarantine.clear(fingerprint, "its zone was lost");
+      this.#quarantine.excuse(fingerprint, {
+        reason: "its zone was reclaimed",
+        covers: ({ permit }) =>
+          holdings.some((holding) => holding.permit === permit),
+      });
     }
   }
 
-  /** Whether a zone was reclaimed, or this daemon is cut off from all. */
-  #isZoneOutage(crash: Crash, zoneCrashes: readonly Crash[]): boolean {
-    const { upstream, fingerprints } = crash;
-    const standing = this.#upstreams
-      .filter(({ id, leaving }) => !leaving && !this.#down.has(id));
-    const partitioned = standing.length === 0 &&
-      this.#recentCrashes.length >= MIN_PARTITIONED_UPSTREAMS;
-    if (partitioned) return true;
+  /** Whether the reclaimable upstreams of a zone were reclaimed. */
+  #isReclaim(crash: Crash, zoneCrashes: readonly Crash[]): boolean {
+    const { upstream } = crash;
     if (!upstream.reclaimable || zoneCrashes.length < 2) return false;
     // Upstreams that were crashed by one request have that request in common.
+    const fingerprints = fingerprintsOf(crash);
     const unrelated = zoneCrashes.some((other) =>
       other !== crash &&
-      !other.fingerprints.some((name) => fingerprints.includes(name))
+      !fingerprintsOf(other).some((name) => fingerprints.includes(name))
     );
+    const standing = this.#upstreams
+      .filter(({ id, leaving }) => !leaving && !this.#down.has(id));
     return unrelated &&
       !standing.some((other) =>
         other.reclaimable &&
@@ -228,6 +355,21 @@
   }
 }
 
+/** Whether an upstream answered, with whatever result. */
+function isAnswer(outcome: Outcome): boolean {
+  return outcome === Outcome.Served || outcome === Outcome.Failed ||
+    outcome === Outcome.Refused;
+}
+
+function wasIsolated({ isolatedUntil }: ActivePermit): boolean {
+  return isolatedUntil !== -Infinity;
+}
+
+/** Whether the request was handed in for later, and is owed. */
+function isOwed({ demand }: ActivePermit): boolean {
+  return demand.crashLimit !== undefined;
+}
+
 function sameZone(a: Crash, b: Crash): boolean {
   return a.upstream.reclaimable === b.upstream.reclaimable &&
     a.upstream.availabilityZone === b.upstream.availabilityZone;
@@ -247,6 +389,6 @@
   };
 }
 
-function fingerprintsOf(crash: Crash): readonly string[] {
-  return crash.fingerprints;
+function fingerprintsOf({ holdings }: Crash): readonly string[] {
+  return holdings.map(({ demand }) => demand.fingerprint);
 }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -204,14 +204,16 @@
   }
 
   #logRefusal({ id, route, fingerprint, attempt }: Demand): void {
-    const { crashes, upstream } = this.#quarantine.finding(fingerprint) ?? {};
+    const runs = this.#quarantine.finding(fingerprint)?.runs ?? [];
     log("quarantined request refused", {
       id,
       route,
       attempt,
       fingerprint,
-      crashes,
-      upstream,
+      crashes: this.#quarantine.crashes(fingerprint),
+      runs: runs.map(({ upstream, end, ageMs }) =>
+        `${upstream} ${end} ${Math.round(ageMs)}`
+      ),
     });
   }
 
@@ -303,9 +305,9 @@
         const { shard } = shardBody.parse(body);
         return answer(this.#localLeaders.leader(shard)?.pressure());
       },
-      [Message.Findings]: (body) => {
+      [Message.Findings]: (body, from) => {
         for (const finding of findingsBody.parse(body).findings) {
-          this.#quarantine.merge(finding);
+          this.#quarantine.merge(finding, from);
         }
         return answer(true);
       },
@@ -316,7 +318,7 @@
   #handleAcquire(body: unknown, entry: string): Promise<unknown> {
     const { shard, ticket, availabilityZone, demand, findings, insist } =
       acquireBody.parse(body);
-    for (const finding of findings) this.#quarantine.merge(finding);
+    for (const finding of findings) this.#quarantine.merge(finding, entry);
     const leader = this.#localLeaders.leader(shard, insist);
     if (leader === undefined) {
       return Promise.resolve(this.#moved(shard));
@@ -336,7 +338,7 @@
       const { reason, message, retryAfterMs } = answer.refusal;
       return { ending: AcquireEnding.Refused, reason, message, retryAfterMs };
     }
-    const { permit, upstream } = answer;
+    const { permit, upstream, isolated } = answer;
     const { id, address } = upstream;
     return {
       ending: AcquireEnding.Granted,
@@ -344,6 +346,7 @@
       ticket,
       upstream: id,
       address,
+      isolated,
     };
   }
 
@@ -429,7 +432,7 @@
         const all = this.#quarantine.findings();
         const findings = this.#offers.takeUnsent(peer, all, {
           key: ({ fingerprint }) => fingerprint,
-          version: ({ stamp }) => stamp,
+          version: ({ version }) => version,
         });
         return findings.length === 0 ? undefined : { findings };
       },
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -184,6 +184,7 @@
       leader: target.leader,
       upstream: answer.upstream,
       address: answer.address,
+      isolated: answer.isolated,
       demand,
     });
     if (signal.aborted) permit.release(Outcome.Cancelled, 0);
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -21,6 +21,7 @@
   Fault,
   type Load,
   type Platform,
+  Reachability,
   Role,
   type Vm,
   VmState,
@@ -218,6 +219,13 @@
               ? Ok(load())
               : Err({ fault: Fault.NotSent, message: "Gone" }),
           ),
+        reportsLoad: () => true,
+        connect: ({ id }: { id: string }) =>
+          Promise.resolve(
+            this.vms.some((one) => one.id === id)
+              ? Reachability.Connected
+              : Reachability.Refused,
+          ),
         events: () => Promise.resolve(Ok([])),
       },
     };
--- a/src/dispatch/held_permits.ts
+++ b/src/dispatch/held_permits.ts
@@ -15,7 +15,7 @@
   type ReportedPermit,
 } from "./messages.ts";
 import { type Demand, Outcome, type Permit } from "./mod.ts";
-import { mustIsolate, type Quarantine, Suspicion } from "./quarantine.ts";
+import { type Quarantine, RunEnd } from "./quarantine.ts";
 
 /** Timeout of messages about permits in use. */
 const NOTIFICATION_TIMEOUT_MS = 1000;
@@ -36,12 +36,12 @@
   readonly upstream: string;
   readonly address: string;
   readonly demand: Demand;
+  /** Whether the request runs alone on its upstream. */
+  readonly isolated: boolean;
 }
 
 interface HeldPermit extends PermitGrant {
   readonly grantedAt: number;
-  /** Whether the request ran isolated. */
-  readonly isolated: boolean;
   readonly leaving: AbortController;
 }
 
@@ -86,7 +86,6 @@
     this.#permits.set(grant.permit, {
       ...grant,
       leaving,
-      isolated: mustIsolate(this.#quarantine.admission(grant.demand)),
       grantedAt: this.#clock.now(),
     });
     if (this.#fleet.upstream(grant.upstream)?.leaving) leaving.abort();
@@ -159,19 +158,16 @@
   /** Suspects a request immediately, before it is sent to another leader. */
   #suspectRequest(held: HeldPermit, outcome: Outcome): void {
     if (outcome !== Outcome.Broken) return;
-    const { upstream, demand, isolated, grantedAt } = held;
+    const { permit, upstream, demand, isolated, grantedAt } = held;
+    // Connections to an upstream that leaves may end without a crash.
     if (this.#fleet.upstream(upstream)?.leaving) return;
-    const ranMs = this.#clock.now() - grantedAt;
-    const run = { upstream, ranMs, isolated };
-    if (isolated && this.#suspected(demand)) {
-      this.#quarantine.quarantine(demand.fingerprint, run);
-      return;
-    }
-    this.#quarantine.suspect(demand.fingerprint, run);
-  }
-
-  #suspected({ fingerprint }: Demand): boolean {
-    return this.#quarantine.suspicion(fingerprint) !== Suspicion.None;
+    this.#quarantine.record(demand.fingerprint, {
+      permit,
+      upstream,
+      end: RunEnd.Broken,
+      isolated,
+      ranMs: this.#clock.now() - grantedAt,
+    });
   }
 
   /** Queues a release; one message at a time carries all that are queued. */
--- a/src/dispatch/local_leaders.ts
+++ b/src/dispatch/local_leaders.ts
@@ -9,7 +9,13 @@
 import { createHash } from "node:crypto";
 import { type Kernel, type Log, logger } from "../kernel/mod.ts";
 import type { Member, Peers } from "../peers/mod.ts";
-import { type Failure, Fault, type Load, type Target } from "../outside/mod.ts";
+import {
+  type Failure,
+  Fault,
+  type Load,
+  Reachability,
+  type Target,
+} from "../outside/mod.ts";
 import type { Result } from "ts-results";
 import type { Candidate } from "./upstream_selector.ts";
 import { ProbeResult } from "./crash_detector.ts";
@@ -164,8 +170,8 @@
         quarantine: this.#quarantine,
         headroom: new Headroom(),
         granting: false,
-        onConnectionBroken: (upstream) =>
-          void this.#probe(shard.name, upstream),
+        onSuspicion: (upstream) =>
+          void this.#probe(shard.name, upstream, { suspected: true }),
       }),
       abort: new AbortController(),
       readers: new Map(),
@@ -225,7 +231,9 @@
     const parsed = holdingsAnswer.safeParse(answer.val);
     if (!parsed.success) return;
     const { holdings, findings } = parsed.data;
-    for (const finding of findings) this.#quarantine.merge(finding);
+    for (const finding of findings) {
+      this.#quarantine.merge(finding, member.vm);
+    }
     this.adopt(host.shard, member.vm, holdings);
   }
 
@@ -265,18 +273,60 @@
     }
   }
 
-  /** Reads an upstream's load once; returns whether it answered. */
-  async #probe(shard: string, id: string): Promise<boolean> {
+  /**
+   * Probes an upstream by reading its load, and one that reports none by
+   * connecting to it, if there is a reason to; returns whether it answered.
+   */
+  async #probe(shard: string, id: string, { suspected = false } = {}) {
     const upstream = this.#fleet.upstream(id);
-    if (upstream === undefined) return false;
-    const answer = await this.#withTimeout(
-      this.#kernel.platform.engine.load(targetOf(upstream)),
-    );
+    const leader = this.#hosted.get(shard)?.leader;
+    if (upstream === undefined || leader === undefined) return false;
+    const { engine } = this.#kernel.platform;
+    const target = targetOf(upstream);
+    if (!engine.reportsLoad(target)) {
+      if (suspected || leader.isTripped(id)) {
+        leader.probed(id, await this.#connect(target));
+      }
+      return false;
+    }
+    const answer = await this.#withTimeout(engine.load(target));
     const load = answer?.ok ? answer.val : undefined;
-    this.#hosted.get(shard)?.leader.probed(id, probeResultOf(answer), load);
+    leader.probed(id, await this.#probeResult(target, answer), load);
     return answer?.ok === true;
   }
 
+  /** What the answer to a load read, or a timeout, shows. */
+  async #probeResult(
+    target: Target,
+    answer: Result<Load, Failure> | undefined,
+  ): Promise<ProbeResult> {
+    if (answer === undefined) return ProbeResult.Silent;
+    if (answer.ok) return ProbeResult.Alive;
+    switch (answer.val.fault) {
+      case Fault.Refused:
+        return ProbeResult.Reachable;
+      case Fault.Replaced:
+        return ProbeResult.Gone;
+      case Fault.NotSent:
+        return await this.#connect(target);
+      case Fault.Unknown:
+        return ProbeResult.Silent;
+    }
+  }
+
+  /** Connects to an upstream; only a refused connection shows that it ended. */
+  async #connect(target: Target): Promise<ProbeResult> {
+    const { engine } = this.#kernel.platform;
+    switch (await this.#withTimeout(engine.connect(target))) {
+      case Reachability.Connected:
+        return ProbeResult.Reachable;
+      case Reachability.Refused:
+        return ProbeResult.Gone;
+      default:
+        return ProbeResult.Silent;
+    }
+  }
+
   async #events(
     host: HostedLeader,
     upstream: Upstream,
@@ -322,21 +372,6 @@
   };
 }
 
-/** What the answer to a load read, or a timeout, shows. */
-function probeResultOf(answer: Result<Load, Failure> | undefined): ProbeResult {
-  if (answer === undefined) return ProbeResult.Silent;
-  if (answer.ok) return ProbeResult.Alive;
-  switch (answer.val.fault) {
-    // A plain service that refuses to report its load is still reachable.
-    case Fault.Refused:
-      return ProbeResult.Alive;
-    case Fault.NotSent:
-      return ProbeResult.Gone;
-    case Fault.Unknown:
-      return ProbeResult.Silent;
-  }
-}
-
 function targetOf({ id, address }: Upstream): Target {
   return { id, address };
 }
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -8,7 +8,7 @@
 import { Reason, Refusal, Verdict } from "../kernel/mod.ts";
 import { Priority } from "../tables/mod.ts";
 import { Outcome } from "./mod.ts";
-import { Suspicion } from "./quarantine.ts";
+import { RunEnd } from "./quarantine.ts";
 
 /** Kinds of peer requests that this plug-in answers. */
 export enum Message {
@@ -52,12 +52,14 @@
 
 const finding = z.object({
   fingerprint: z.string(),
-  suspicion: z.enum(Suspicion),
-  stamp: z.number(),
-  crashes: z.number(),
-  ranMs: z.number(),
-  upstream: z.string(),
-  remainingMs: z.number(),
+  runs: z.array(z.object({
+    permit: z.string(),
+    upstream: z.string(),
+    end: z.enum(RunEnd),
+    isolated: z.boolean(),
+    ranMs: z.number(),
+    ageMs: z.number(),
+  })),
 });
 
 /** Body of `Message.Findings`, and of the gossip of findings. */
@@ -90,6 +92,7 @@
     ticket: z.string(),
     upstream: z.string(),
     address: z.string(),
+    isolated: z.boolean(),
   }),
   z.object({
     ending: z.literal(AcquireEnding.Refused),
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -58,6 +58,8 @@
 /** How a request that held a permit ended. */
 export enum Outcome {
   Served = "served",
+  /** The upstream answered that it failed. */
+  Failed = "failed",
   /** The caller cancelled it or its deadline passed. */
   Cancelled = "cancelled",
   /** The upstream refused it before running it. */
--- a/src/dispatch/quarantine.ts
+++ b/src/dispatch/quarantine.ts
@@ -1,6 +1,9 @@
 /**
  * Tracks which requests are suspected of crashing upstreams, or quarantined for
- * it. Every daemon holds all findings and merges those of the others.
+ * it. A finding is the set of a request's failed runs. Every daemon holds all
+ * findings and merges those of the others: runs are only added, and what is
+ * known of one run only advances, so that no daemon's belief removes what
+ * another one saw.
  *
  * @module
  */
@@ -13,9 +16,9 @@
 export enum Suspicion {
   /** Not suspected, or no longer. */
   None = "none",
-  /** It ran on an upstream that crashed: it runs isolated next. */
+  /** It ran on an upstream that seems to have crashed: it runs isolated next. */
   Suspect = "suspect",
-  /** An upstream that ran it isolated crashed as well. */
+  /** It ran on several, isolated on one of them. */
   Quarantined = "quarantined",
 }
 
@@ -36,40 +39,97 @@
   return admission === Admission.Isolated || admission === Admission.Delayed;
 }
 
+/** What is known of the end of a failed run. */
+export enum RunEnd {
+  /** It got no answer, and its upstream answered nothing else meanwhile. */
+  Unanswered = "unanswered",
+  /** Its connection broke. */
+  Broken = "broken",
+  /** Its upstream is known to have survived it. */
+  Survived = "survived",
+  /** Its upstream is known to be gone. */
+  Crashed = "crashed",
+  /** The request was served later, or its upstream was reclaimed. */
+  Excused = "excused",
+}
+
+/** Of two accounts of one run, the one with the higher rank holds. */
+const RANK: Readonly<Record<RunEnd, number>> = {
+  [RunEnd.Unanswered]: 0,
+  [RunEnd.Broken]: 1,
+  [RunEnd.Survived]: 2,
+  [RunEnd.Crashed]: 3,
+  [RunEnd.Excused]: 4,
+};
+
+/** How much a run counts against its request. */
+const WEIGHT: Readonly<Record<RunEnd, number>> = {
+  [RunEnd.Unanswered]: 1,
+  [RunEnd.Broken]: 2,
+  [RunEnd.Survived]: 0,
+  [RunEnd.Crashed]: 2,
+  [RunEnd.Excused]: 0,
+};
+
+/** Weight that quarantines a request if one of its failed runs was isolated. */
+const QUARANTINE_WEIGHT = 4;
+
+/** Weight that quarantines a request whether it ran isolated or not. */
+const MAX_SHARED_WEIGHT = 6;
+
 /** Back-off of a quarantined request after two crashes; it doubles with each. */
 const MIN_BACKOFF_MS = 500;
 const MAX_BACKOFF_MS = 3000;
 
-/** How long a finding is valid after its last change. */
+/** How long a failed run counts. */
 export const FINDING_TTL_MS = 600_000;
 
-/** What daemons exchange about one fingerprint. */
+/** Limits on memory; findings that weigh least are dropped first. */
+const MAX_RUNS_PER_FINDING = 16;
+const MAX_FINDINGS = 4096;
+
+/** A run of a request that ended without an answer of its upstream. */
+export interface FailedRun {
+  /** Unique to the run, and the same for its entry and its leader. */
+  readonly permit: string;
+  readonly upstream: string;
+  readonly end: RunEnd;
+  /** Whether it was granted its upstream alone. */
+  readonly isolated: boolean;
+  readonly ranMs: number;
+}
+
+/** What daemons exchange about one run. */
+export interface ReportedRun extends FailedRun {
+  /** Milliseconds since it ended. */
+  readonly ageMs: number;
+}
+
+/** The failed runs of all requests with one fingerprint. */
 export interface Finding {
   readonly fingerprint: string;
-  readonly suspicion: Suspicion;
-  /** Increases with each change; the finding with the larger one wins. */
-  readonly stamp: number;
-  /** Crashes of upstreams that it was running on. */
-  readonly crashes: number;
-  /** Longest time that it ran before a crash, in milliseconds. */
-  readonly ranMs: number;
-  /** The upstream whose failure caused the finding; it is counted once. */
-  readonly upstream: string;
-  /** Milliseconds until the finding expires. */
-  readonly remainingMs: number;
+  readonly runs: readonly ReportedRun[];
+}
+
+/** A finding and the number of its changes on this daemon. */
+export interface VersionedFinding extends Finding {
+  readonly version: number;
+}
+
+interface StoredRun extends FailedRun {
+  readonly endedAt: number;
 }
 
 interface StoredFinding {
-  readonly finding: Finding;
-  readonly until: number;
+  readonly runs: ReadonlyMap<string, StoredRun>;
+  readonly version: number;
 }
 
-/** A run that ended with the crash of its upstream. */
-export interface CrashedRun {
-  readonly upstream: string;
-  readonly ranMs: number;
-  /** Whether nothing else ran there. */
+/** The weight of the failed runs of one crash. */
+interface CrashRecord {
+  readonly weight: number;
   readonly isolated: boolean;
+  readonly endedAt: number;
 }
 
 /** The findings known to one daemon. */
@@ -84,15 +144,32 @@
 
   /** How strongly a fingerprint is suspected now. */
   suspicion(fingerprint: string): Suspicion {
-    return this.finding(fingerprint)?.suspicion ?? Suspicion.None;
+    const crashes = this.#crashes(fingerprint);
+    if (crashes.length === 0) return Suspicion.None;
+    const weight = crashes.reduce((sum, { weight }) => sum + weight, 0);
+    const isolated = crashes.some(({ isolated }) => isolated);
+    const limit = isolated ? QUARANTINE_WEIGHT : MAX_SHARED_WEIGHT;
+    return weight >= limit ? Suspicion.Quarantined : Suspicion.Suspect;
+  }
+
+  /** Number of upstreams that seem to have crashed under a fingerprint. */
+  crashes(fingerprint: string): number {
+    return this.#crashes(fingerprint).length;
   }
 
   /** The finding on a fingerprint, if there is one. */
   finding(fingerprint: string): Finding | undefined {
-    const kept = this.#findings.get(fingerprint);
-    if (kept === undefined) return undefined;
-    const remainingMs = kept.until - this.#clock.now();
-    return remainingMs <= 0 ? undefined : { ...kept.finding, remainingMs };
+    const now = this.#clock.now();
+    const runs = this.#runs(fingerprint);
+    if (runs.length === 0) return undefined;
+    return { fingerprint, runs: runs.map((run) => reportOf(run, now)) };
+  }
+
+  /** Longest time that a request ran before an upstream seemed to crash. */
+  longestRunMs(fingerprint: string): number {
+    return this.#runs(fingerprint)
+      .filter(({ end }) => WEIGHT[end] > 0)
+      .reduce((longest, { ranMs }) => Math.max(longest, ranMs), 0);
   }
 
   /** Whether and how a request may run now. */
@@ -100,91 +177,56 @@
     fingerprint: string;
     crashLimit?: number;
   }): Admission {
-    const finding = this.finding(fingerprint);
-    switch (finding?.suspicion) {
-      case undefined:
+    switch (this.suspicion(fingerprint)) {
       case Suspicion.None:
         return Admission.Shared;
       case Suspicion.Suspect:
         return Admission.Isolated;
-      case Suspicion.Quarantined:
-        if (finding.crashes >= crashLimit) return Admission.Refused;
-        return ageMsOf(finding) < backoffMs(finding.crashes)
+      case Suspicion.Quarantined: {
+        const crashes = this.#crashes(fingerprint);
+        if (crashes.length >= crashLimit) return Admission.Refused;
+        const last = Math.max(...crashes.map(({ endedAt }) => endedAt));
+        return this.#clock.now() - last < backoffMs(crashes.length)
           ? Admission.Delayed
           : Admission.Isolated;
+      }
     }
   }
 
-  /** Suspects a request that was running on `upstream` when it failed. */
-  suspect(fingerprint: string, run: CrashedRun): void {
-    const known = this.finding(fingerprint);
-    if (known?.suspicion === Suspicion.Quarantined) {
-      return this.quarantine(fingerprint, run);
-    }
-    const suspected = known?.suspicion === Suspicion.Suspect;
-    if (suspected && known.upstream === run.upstream) return;
-    const finding = this.#change(fingerprint, {
-      suspicion: Suspicion.Suspect,
-      crashes: (known?.crashes ?? 0) + 1,
-      ranMs: Math.max(known?.ranMs ?? 0, run.ranMs),
-      upstream: run.upstream,
-    });
-    logChange("request suspected", finding, { run });
-  }
-
-  /** Quarantines a request that crashed an upstream while running isolated. */
-  quarantine(fingerprint: string, run: CrashedRun): void {
-    const known = this.finding(fingerprint);
-    // Both the entry and the leader report a crash, in either order.
-    const counted = known !== undefined && known.upstream === run.upstream &&
-      known.suspicion !== Suspicion.None && ageMsOf(known) <= run.ranMs;
-    if (counted && known.suspicion === Suspicion.Quarantined) return;
-    const finding = this.#change(fingerprint, {
-      suspicion: Suspicion.Quarantined,
-      crashes: (known?.crashes ?? 0) + (counted ? 0 : 1),
-      ranMs: Math.max(known?.ranMs ?? 0, run.ranMs),
-      upstream: run.upstream,
-    });
-    logChange("request quarantined", finding, { run });
+  /** Records a failed run, or what became known of one that is recorded. */
+  record(fingerprint: string, run: FailedRun): void {
+    const endedAt = this.#clock.now();
+    this.#add(fingerprint, [{ ...run, endedAt }], { origin: "here" });
   }
 
-  /** Drops a suspicion and its crash count: the request was not the cause. */
-  clear(fingerprint: string, reason: string): void {
-    const known = this.finding(fingerprint);
-    if (known === undefined) return;
-    this.#change(fingerprint, {
-      suspicion: Suspicion.None,
-      crashes: 0,
-      ranMs: 0,
-    });
-    if (known.crashes > 0) {
-      logChange("request cleared", known, { reason });
-    }
+  /** Excuses all failed runs that ended before `before`, for `reason`. */
+  excuse(fingerprint: string, { reason, covers }: {
+    reason: string;
+    covers: (run: { permit: string; endedAt: number }) => boolean;
+  }): void {
+    const excused = this.#runs(fingerprint)
+      .filter((run) => run.end !== RunEnd.Excused && covers(run))
+      .map((run) => ({ ...run, end: RunEnd.Excused }));
+    this.#add(fingerprint, excused, { origin: "here", reason });
   }
 
-  /** Drops a suspicion but not the count: it may run beside others again. */
-  lift(fingerprint: string, reason: string): void {
-    if (this.suspicion(fingerprint) !== Suspicion.Suspect) return;
-    const finding = this.#change(fingerprint, { suspicion: Suspicion.None });
-    logChange("suspicion lifted", finding, { reason });
-  }
-
-  /** All findings, each with its remaining time. */
-  findings(): readonly Finding[] {
-    const now = this.#clock.now();
-    const findings: Finding[] = [];
-    for (const [fingerprint, { finding, until }] of this.#findings) {
-      if (until <= now) this.#findings.delete(fingerprint);
-      else findings.push({ ...finding, remainingMs: until - now });
+  /** All findings, with their versions on this daemon. */
+  findings(): readonly VersionedFinding[] {
+    const findings: VersionedFinding[] = [];
+    for (const [fingerprint, { version }] of this.#findings) {
+      const finding = this.finding(fingerprint);
+      if (finding === undefined) this.#findings.delete(fingerprint);
+      else findings.push({ ...finding, version });
     }
     return findings;
   }
 
-  /** Merges another daemon's finding, unless a newer one is known. */
-  merge(finding: Finding): void {
-    const known = this.finding(finding.fingerprint);
-    if (known !== undefined && !supersedes(finding, known)) return;
-    this.#store(finding);
+  /** Adds what another daemon knows; `origin` is where it came from. */
+  merge({ fingerprint, runs }: Finding, origin = "a peer"): void {
+    const now = this.#clock.now();
+    const stored = runs
+      .map(({ ageMs, ...run }) => ({ ...run, endedAt: now - ageMs }));
+    this.#add(fingerprint, stored, { origin });
   }
 
   /** Calls `listener` after each local change, but not for merged findings. */
@@ -192,65 +234,142 @@
     this.#listeners.push(listener);
   }
 
-  #change(fingerprint: string, change: Partial<Finding>): Finding {
-    const known = this.finding(fingerprint);
-    const finding = {
-      fingerprint,
-      suspicion: Suspicion.None,
-      crashes: 0,
-      ranMs: 0,
-      upstream: "",
-      ...known,
-      ...change,
-      stamp: (known?.stamp ?? 0) + 1,
-      remainingMs: FINDING_TTL_MS,
-    };
-    this.#store(finding);
+  #add(fingerprint: string, added: readonly StoredRun[], options: {
+    origin: string;
+    reason?: string;
+  }): void {
+    const known = this.#findings.get(fingerprint);
+    const before = this.suspicion(fingerprint);
+    const runs = new Map(known?.runs);
+    const changed = added.filter((run) => {
+      const old = runs.get(run.permit);
+      const merged = old === undefined ? run : mergeRuns(old, run);
+      if (merged === old) return false;
+      runs.set(run.permit, merged);
+      return true;
+    });
+    if (changed.length === 0) return;
+    this.#findings.set(fingerprint, {
+      runs: limitRuns(runs),
+      version: (known?.version ?? 0) + 1,
+    });
+    this.#logChange(fingerprint, { changed, before, ...options });
+    this.#limitFindings();
+    if (options.origin !== "here") return;
+    const finding = this.finding(fingerprint);
+    if (finding === undefined) return;
     for (const listener of this.#listeners) listener(finding);
-    return finding;
   }
 
-  #store(finding: Finding): void {
-    const until = this.#clock.now() + finding.remainingMs;
-    this.#findings.set(finding.fingerprint, { finding, until });
+  #runs(fingerprint: string): readonly StoredRun[] {
+    const since = this.#clock.now() - FINDING_TTL_MS;
+    const stored = this.#findings.get(fingerprint)?.runs.values() ?? [];
+    return [...stored].filter(({ endedAt }) => endedAt > since);
   }
-}
 
-/** Time since a finding changed. */
-function ageMsOf({ remainingMs }: Finding): number {
-  return FINDING_TTL_MS - remainingMs;
+  /** The crashes that failed runs show: equal requests may share one. */
+  #crashes(fingerprint: string): readonly CrashRecord[] {
+    if (!this.#findings.has(fingerprint)) return [];
+    const counted = this.#runs(fingerprint)
+      .filter(({ end }) => WEIGHT[end] > 0)
+      .sort((a, b) => a.endedAt - b.endedAt);
+    const crashes: CrashRecord[] = [];
+    const lastOn = new Map<string, number>();
+    for (const { upstream, end, isolated, ranMs, endedAt } of counted) {
+      const index = lastOn.get(upstream);
+      const last = index === undefined ? undefined : crashes[index];
+      const weight = WEIGHT[end];
+      if (
+        index === undefined || last === undefined ||
+        endedAt - ranMs > last.endedAt
+      ) {
+        lastOn.set(upstream, crashes.length);
+        crashes.push({ weight, isolated, endedAt });
+        continue;
+      }
+      crashes[index] = {
+        weight: Math.max(last.weight, weight),
+        isolated: last.isolated || isolated,
+        endedAt,
+      };
+    }
+    return crashes;
+  }
+
+  /** Drops findings that say least, the oldest first, beyond the limit. */
+  #limitFindings(): void {
+    if (this.#findings.size <= MAX_FINDINGS) return;
+    this.findings();
+    const bySuspicion = (wanted: Suspicion) =>
+      [...this.#findings.keys()]
+        .filter((fingerprint) => this.suspicion(fingerprint) === wanted);
+    const excess = this.#findings.size - MAX_FINDINGS;
+    const dropped = [
+      ...bySuspicion(Suspicion.None),
+      ...bySuspicion(Suspicion.Suspect),
+      ...bySuspicion(Suspicion.Quarantined),
+    ].slice(0, Math.max(0, excess));
+    for (const fingerprint of dropped) this.#findings.delete(fingerprint);
+  }
+
+  #logChange(fingerprint: string, { changed, before, origin, reason }: {
+    changed: readonly StoredRun[];
+    before: Suspicion;
+    origin: string;
+    reason?: string;
+  }): void {
+    const suspicion = this.suspicion(fingerprint);
+    // What is merged is logged where it began, unless it changes a decision.
+    if (origin !== "here" && suspicion === before) return;
+    const { permit, upstream, end, isolated, ranMs, endedAt } =
+      changed[changed.length - 1];
+    log(EVENTS[suspicion], {
+      fingerprint,
+      crashes: this.crashes(fingerprint),
+      before,
+      origin,
+      reason,
+      permit,
+      upstream,
+      end,
+      isolated,
+      ranMs: Math.round(ranMs),
+      ageMs: Math.round(this.#clock.now() - endedAt),
+    });
+  }
 }
 
-/** Time after a crash before a quarantined request runs again. */
-function backoffMs(crashes: number): number {
-  const doublings = Math.max(0, crashes - 2);
-  return Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** doublings);
+const EVENTS: Readonly<Record<Suspicion, string>> = {
+  [Suspicion.None]: "request cleared",
+  [Suspicion.Suspect]: "request suspected",
+  [Suspicion.Quarantined]: "request quarantined",
+};
+
+/** The union of two accounts of one run; `a` itself if `b` adds nothing. */
+function mergeRuns(a: StoredRun, b: StoredRun): StoredRun {
+  const end = RANK[b.end] > RANK[a.end] ? b.end : a.end;
+  const isolated = a.isolated || b.isolated;
+  if (end === a.end && isolated === a.isolated) return a;
+  return { ...a, end, isolated };
 }
 
-/** Logs a change of a finding, and the crashed run or reason that caused it. */
-function logChange(event: string, finding: Finding, { run, reason }: {
-  run?: CrashedRun;
-  reason?: string;
-}): void {
-  const { fingerprint, crashes, upstream } = finding;
-  log(event, {
-    fingerprint,
-    crashes,
-    upstream,
-    ranMs: Math.round(run?.ranMs ?? finding.ranMs),
-    isolated: run?.isolated,
-    reason,
-  });
+/** Keeps the runs that count, and of the others the newest. */
+function limitRuns(
+  runs: ReadonlyMap<string, StoredRun>,
+): ReadonlyMap<string, StoredRun> {
+  if (runs.size <= MAX_RUNS_PER_FINDING) return runs;
+  const kept = [...runs.values()]
+    .sort((a, b) => WEIGHT[b.end] - WEIGHT[a.end] || b.endedAt - a.endedAt)
+    .slice(0, MAX_RUNS_PER_FINDING);
+  return new Map(kept.map((run) => [run.permit, run]));
 }
 
-const SEVERITY: Readonly<Record<Suspicion, number>> = {
-  [Suspicion.None]: 0,
-  [Suspicion.Suspect]: 1,
-  [Suspicion.Quarantined]: 2,
-};
+function reportOf({ endedAt, ...run }: StoredRun, now: number): ReportedRun {
+  return { ...run, ageMs: now - endedAt };
+}
 
-/** Whether `a` replaces `b`; if the stamps are equal, the more severe wins. */
-function supersedes(a: Finding, b: Finding): boolean {
-  if (a.stamp !== b.stamp) return a.stamp > b.stamp;
-  return SEVERITY[a.suspicion] > SEVERITY[b.suspicion];
+/** Time after a crash before a quarantined request runs again. */
+function backoffMs(crashes: number): number {
+  const doublings = Math.max(0, crashes - 2);
+  return Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** doublings);
 }
--- a/src/dispatch/quarantine_test.ts
+++ b/src/dispatch/quarantine_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { ManualClock } from "../kernel/mod.ts";
 import { NO_CRASH_LIMIT } from "./mod.ts";
-import { Admission, Quarantine } from "./quarantine.ts";
+import { Admission, Quarantine, RunEnd, Suspicion } from "./quarantine.ts";
 
 const demand = { fingerprint: "bad", crashLimit: NO_CRASH_LIMIT };
 
@@ -17,9 +17,13 @@
     crash(isolated = true): void {
       crashes += 1;
       clock.advance(10);
-      const run = { upstream: `up-${crashes % 2}`, ranMs: 10, isolated };
-      if (isolated) quarantine.quarantine("bad", run);
-      else quarantine.suspect("bad", run);
+      quarantine.record("bad", {
+        permit: `run-${crashes}`,
+        upstream: `up-${crashes % 2}`,
+        end: RunEnd.Broken,
+        ranMs: 10,
+        isolated,
+      });
     },
     /** Milliseconds until a request that waits may run, in steps of 100. */
     delayMs(): number {
@@ -61,18 +65,118 @@
 
 test("a crash that its entry and its leader report counts once", () => {
   const { clock, quarantine, crash, delayMs } = fixture();
-  const crashes = () => quarantine.finding("bad")?.crashes;
+  const crashes = () => quarantine.crashes("bad");
   crash(false);
   crash();
   delayMs();
   clock.advance(300);
-  const run = { upstream: "up-0", ranMs: 300, isolated: true };
-  quarantine.suspect("bad", run);
+  const run = {
+    permit: "run-3",
+    upstream: "up-0",
+    end: RunEnd.Broken,
+    ranMs: 300,
+    isolated: true,
+  };
+  quarantine.record("bad", run);
   clock.advance(20);
-  quarantine.quarantine("bad", { ...run, ranMs: 320 });
+  quarantine.record("bad", { ...run, end: RunEnd.Crashed, ranMs: 320 });
   expect(crashes()).toEqual(3);
   delayMs();
   clock.advance(300);
-  quarantine.quarantine("bad", run);
+  quarantine.record("bad", { ...run, permit: "run-4" });
   expect(crashes()).toEqual(4);
 });
+
+test("equal requests that one crash ended count as one", () => {
+  const { clock, quarantine } = fixture();
+  const run = {
+    upstream: "up-0",
+    end: RunEnd.Crashed,
+    ranMs: 100,
+    isolated: false,
+  };
+  for (const permit of ["run-1", "run-2", "run-3"]) {
+    clock.advance(5);
+    quarantine.record("bad", { ...run, permit });
+  }
+  expect(quarantine.crashes("bad")).toEqual(1);
+  clock.advance(500);
+  quarantine.record("bad", { ...run, permit: "run-4" });
+  expect(quarantine.crashes("bad")).toEqual(2);
+});
+
+test("a daemon that excuses one run doesn't remove what others saw", () => {
+  const { clock, quarantine: here } = fixture();
+  const there = new Quarantine({ clock });
+  const run = {
+    upstream: "up-0",
+    end: RunEnd.Broken,
+    ranMs: 10,
+    isolated: false,
+  };
+  here.record("bad", { ...run, permit: "run-1" });
+  there.merge(here.finding("bad")!);
+  here.excuse("bad", { reason: "it was served", covers: () => true });
+  there.record("bad", {
+    ...run,
+    permit: "run-2",
+    upstream: "up-1",
+    isolated: true,
+  });
+  here.merge(there.finding("bad")!);
+  there.merge(here.finding("bad")!);
+  for (const quarantine of [here, there]) {
+    expect(quarantine.crashes("bad")).toEqual(1);
+    expect(quarantine.suspicion("bad")).toEqual(Suspicion.Suspect);
+  }
+});
+
+test("findings that daemons make at the same time add up", () => {
+  const { clock, quarantine: here } = fixture();
+  const there = new Quarantine({ clock });
+  for (const [number, quarantine] of [here, there].entries()) {
+    quarantine.record("bad", {
+      permit: `run-${number}`,
+      upstream: `up-${number}`,
+      end: RunEnd.Crashed,
+      ranMs: 10,
+      isolated: true,
+    });
+  }
+  here.merge(there.finding("bad")!);
+  expect(here.suspicion("bad")).toEqual(Suspicion.Quarantined);
+});
+
+test("four isolated runs without an answer quarantine a request", () => {
+  const { clock, quarantine } = fixture();
+  const suspicions = ["run-1", "run-2", "run-3", "run-4"].map((permit) => {
+    clock.advance(1000);
+    const end = RunEnd.Unanswered;
+    const run = { permit, upstream: permit, end, ranMs: 800, isolated: true };
+    quarantine.record("bad", run);
+    return quarantine.suspicion("bad");
+  });
+  expect(suspicions).toEqual([
+    Suspicion.Suspect,
+    Suspicion.Suspect,
+    Suspicion.Suspect,
+    Suspicion.Quarantined,
+  ]);
+});
+
+test("memory of findings is bounded, and the quarantined ones stay", () => {
+  const { quarantine, crash } = fixture();
+  crash(false);
+  crash();
+  for (let number = 0; number < 5000; number++) {
+    quarantine.record(`innocent-${number}`, {
+      permit: `p-${number}`,
+      upstream: "up-9",
+      end: RunEnd.Crashed,
+      ranMs: 10,
+      isolated: false,
+    });
+  }
+  expect(quarantine.findings().length).toEqual(4096);
+  expect(quarantine.suspicion("bad")).toEqual(Suspicion.Quarantined);
+});
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -15,7 +15,7 @@
 import { CrashDetector, ProbeResult } from "./crash_detector.ts";
 import { FairQueue } from "./fair_queue.ts";
 import { Headroom } from "./headroom.ts";
-import { CircuitBreaker } from "./circuit_breaker.ts";
+import { Circuit, CircuitBreaker } from "./circuit_breaker.ts";
 import { type Demand, Outcome, type Pressure } from "./mod.ts";
 import {
   type ActivePermit,
@@ -72,7 +72,12 @@
 
 /** How a wait ended. */
 export type WaitResult =
-  | { readonly permit: string; readonly upstream: Upstream }
+  | {
+    readonly permit: string;
+    readonly upstream: Upstream;
+    /** Whether nothing else runs there. */
+    readonly isolated: boolean;
+  }
   | { readonly refusal: Refusal }
   /** The shard has another leader now. */
   | { readonly moved: true };
@@ -99,7 +104,7 @@
   readonly #quarantine: Quarantine;
   readonly #crashes: CrashDetector;
   readonly #headroom: Headroom | undefined;
-  readonly #onConnectionBroken: (upstream: string) => void;
+  readonly #onSuspicion: (upstream: string) => void;
   readonly #prefix: string;
   readonly #permits = new ActivePermits();
   readonly #answers = new Map<string, (answer: WaitResult) => void>();
@@ -119,8 +124,8 @@
     headroom?: Headroom;
     /** Whether to grant at once; otherwise `startGranting` must be called. */
     granting?: boolean;
-    /** Called when a connection to an upstream broke. */
-    onConnectionBroken?: (upstream: string) => void;
+    /** Called when an upstream may have crashed and should be probed. */
+    onSuspicion?: (upstream: string) => void;
   }) {
     this.#clock = options.clock;
     this.#prefix = options.prefix ?? "";
@@ -131,7 +136,7 @@
       new Quarantine({ clock: options.clock });
     this.#crashes = new CrashDetector({ quarantine: this.#quarantine });
     this.#headroom = options.headroom;
-    this.#onConnectionBroken = options.onConnectionBroken ?? (() => {});
+    this.#onSuspicion = options.onSuspicion ?? (() => {});
     this.#granting = options.granting ?? true;
     this.#tickedAt = options.clock.now();
   }
@@ -191,7 +196,7 @@
     if (this.#quarantine.suspicion(fingerprint) !== Suspicion.Quarantined) {
       return;
     }
-    const crashes = this.#quarantine.finding(fingerprint)?.crashes;
+    const crashes = this.#quarantine.crashes(fingerprint);
     log("quarantined request queued", { id, route, fingerprint, crashes });
   }
 
@@ -219,7 +224,9 @@
     this.#queue.ended(holding.demand, {
       now,
       heldMs: now - holding.grantedAt,
-      tokens: outcome === Outcome.Served ? tokens : 0,
+      tokens: outcome === Outcome.Served || outcome === Outcome.Failed
+        ? tokens
+        : 0,
     });
     this.#recordOutcome(holding, { outcome, now });
     this.#grantWaiting();
@@ -251,12 +258,20 @@
     this.#grantWaiting();
   }
 
-  /** Records the result of reading an upstream's load. */
+  /** Whether an upstream gets fewer requests, or none, after failures. */
+  isTripped(id: string): boolean {
+    const circuit = this.#states.get(id)?.breaker.circuit(this.#clock.now());
+    return circuit !== undefined && circuit !== Circuit.Closed;
+  }
+
+  /** Records the result of probing an upstream. */
   probed(id: string, result: ProbeResult, load?: Load): void {
     const state = this.#states.get(id);
-    if (state === undefined) return;
+    if (state === undefined || result === ProbeResult.NotAsked) return;
     const now = this.#clock.now();
-    state.breaker.probed(result === ProbeResult.Alive, now);
+    const reached = result === ProbeResult.Alive ||
+      result === ProbeResult.Reachable;
+    state.breaker.probed(reached, now);
     const running = this.#permits.on(id);
     this.#crashes.probed(state.upstream, { result, running, now });
     if (load !== undefined) this.#report(state, load);
@@ -285,12 +300,6 @@
     for (const { permit } of this.#permits.expired(now)) {
       this.release(permit, Outcome.Cancelled, 0);
     }
-    for (const { demand, isolatedUntil } of this.#permits.all()) {
-      if (isolatedUntil > now || isolatedUntil === -Infinity) continue;
-      const finding = this.#quarantine.finding(demand.fingerprint);
-      if (finding?.crashes !== 1) continue;
-      this.#quarantine.lift(demand.fingerprint, "it ran isolated for long");
-    }
     for (const ticket of [...this.#queue.waiting()]) this.#expire(ticket, now);
     for (const ticket of [...this.#queue.waiting()]) this.#review(ticket);
     this.#grantWaiting();
@@ -378,6 +387,8 @@
     this.#count += 1;
     const permit = `${this.#prefix}${this.#count.toString(36)}`;
     const { demand } = ticket;
+    const isolated = this.#runsIsolated(demand);
+    if (isolated) this.#logIsolated(ticket, { permit, upstream });
     this.#permits.add({
       permit,
       ticket: ticket.id,
@@ -393,7 +404,23 @@
     state?.breaker.granted(now);
     this.#selector.granted(ticket, upstream.id);
     this.#updatePeak(upstream.id);
-    this.#answer(ticket.id, { permit, upstream });
+    this.#answer(ticket.id, { permit, upstream, isolated });
+  }
+
+  #logIsolated(
+    { demand: { id, route, fingerprint } }: Ticket,
+    { permit, upstream }: { permit: string; upstream: Upstream },
+  ): void {
+    const runs = this.#quarantine.finding(fingerprint)?.runs ?? [];
+    log("suspect granted", {
+      id,
+      route,
+      fingerprint,
+      permit,
+      upstream: upstream.id,
+      crashes: this.#quarantine.crashes(fingerprint),
+      ageMs: Math.round(Math.min(...runs.map(({ ageMs }) => ageMs))),
+    });
   }
 
   /** Whether a request may start now if an upstream suits it. */
@@ -502,9 +529,10 @@
 
   #isolationEnd(demand: Demand, now: number): number {
     if (!this.#runsIsolated(demand)) return -Infinity;
-    const finding = this.#quarantine.finding(demand.fingerprint);
-    if (finding === undefined || finding.crashes > 1) return Infinity;
-    return now + finding.ranMs * 1.5 + ISOLATION_MARGIN_MS;
+    const { fingerprint } = demand;
+    if (this.#quarantine.crashes(fingerprint) > 1) return Infinity;
+    const ranMs = this.#quarantine.longestRunMs(fingerprint);
+    return now + ranMs * 1.5 + ISOLATION_MARGIN_MS;
   }
 
   #runsIsolated(demand: Demand): boolean {
@@ -591,29 +619,30 @@
     const state = this.#states.get(holding.upstream);
     if (state === undefined) return;
     state.breaker.ended(outcome, now);
-    if (outcome === Outcome.Served || outcome === Outcome.Refused) {
+    const answered = outcome === Outcome.Served ||
+      outcome === Outcome.Failed || outcome === Outcome.Refused;
+    if (answered) {
       this.#selector.freed(holding.entry, holding.upstream);
     }
     const { model } = holding.demand;
     if (outcome === Outcome.Refused && model !== undefined) {
       state.refusedUntil.set(model, now + MODEL_REFUSAL_BACKOFF_MS);
     }
-    this.#crashes.ended(holding, {
+    const suspicious = this.#crashes.ended(holding, {
       outcome,
       now,
       upstream: state.upstream,
       running: this.#permits.on(holding.upstream),
     });
-    const { fingerprint } = holding.demand;
-    const suspicion = this.#quarantine.suspicion(fingerprint);
-    const innocent = suspicion === Suspicion.Suspect ||
-      suspicion === Suspicion.Quarantined && holding.isolatedUntil > now;
-    if (outcome === Outcome.Served && innocent) {
-      this.#quarantine.clear(fingerprint, "it was served");
-    }
-    if (outcome === Outcome.Broken || outcome === Outcome.Unreachable) {
-      this.#onConnectionBroken(holding.upstream);
+    if (outcome === Outcome.Served) {
+      this.#quarantine.excuse(holding.demand.fingerprint, {
+        reason: "it was served",
+        // A run that began before says nothing of one that failed after it.
+        covers: ({ permit, endedAt }) =>
+          permit === holding.permit || endedAt <= holding.grantedAt,
+      });
     }
+    if (suspicious) this.#onSuspicion(holding.upstream);
   }
 
   /**
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -7,7 +7,7 @@
 import { Headroom } from "./headroom.ts";
 import { ShardLeader, type WaitResult } from "./shard_leader.ts";
 import { type Demand, NO_CRASH_LIMIT, Outcome } from "./mod.ts";
-import { Quarantine, Suspicion } from "./quarantine.ts";
+import { Quarantine, RunEnd, Suspicion } from "./quarantine.ts";
 import type { Upstream } from "./shards.ts";
 
 const TICK_MS = 100;
@@ -33,6 +33,18 @@
   }
 }
 
+/** Records that a request ran beside others on an upstream that crashed. */
+function suspect(
+  quarantine: Quarantine,
+  fingerprint: string,
+  part: { upstream?: string; ranMs?: number; isolated?: boolean } = {},
+): void {
+  const { upstream = "up-0", ranMs = 10, isolated = false } = part;
+  const permit = `${fingerprint}@${upstream}`;
+  const run = { permit, upstream, ranMs, isolated, end: RunEnd.Crashed };
+  quarantine.record(fingerprint, run);
+}
+
 function permit(wait: { answer?: WaitResult }): string {
   return wait.answer && "permit" in wait.answer ? wait.answer.permit : "";
 }
@@ -138,18 +150,14 @@
 
 test("a suspect that ran isolated for long shares its upstream again", () => {
   const { clock, leader, ask, quarantine } = shard([upstream()]);
-  quarantine.suspect("maybe", {
-    upstream: "up-0",
-    ranMs: 100,
-    isolated: false,
-  });
+  suspect(quarantine, "maybe", { ranMs: 100 });
   ask({ fingerprint: "maybe" });
   const beside = ask();
   expect(upstreamOf(beside)).toEqual("");
   clock.advance(1000);
   leader.tick();
   expect(upstreamOf(beside)).toEqual("up-1");
-  expect(quarantine.suspicion("maybe")).toEqual(Suspicion.None);
+  expect(quarantine.crashes("maybe")).toEqual(1);
 });
 
 test("equal requests start on one upstream until one has run a while", () => {
@@ -164,9 +172,98 @@
   expect(upstreamOf(waits[2])).toEqual("up-2");
 });
 
+test("a suspect whose upstream answers with a failure stays suspected", () => {
+  const { leader, ask, quarantine } = shard([upstream()]);
+  suspect(quarantine, "maybe");
+  const alone = ask({ fingerprint: "maybe" });
+  leader.release(permit(alone), Outcome.Failed, 0);
+  expect(quarantine.suspicion("maybe")).toEqual(Suspicion.Suspect);
+});
+
+test("a run that began before a crash doesn't clear its request when served", () => {
+  const { clock, leader, ask, quarantine } = shard(upstreams(2));
+  const earlier = ask({ fingerprint: "maybe" });
+  clock.advance(10);
+  suspect(quarantine, "maybe", { upstream: "up-1" });
+  leader.release(permit(earlier), Outcome.Served, 10);
+  expect(quarantine.suspicion("maybe")).toEqual(Suspicion.Suspect);
+});
+
+/** One run of "bad" that ends with its upstream silent for `silentMs`. */
+function silentRun(silentMs: number, part: Partial<Demand> = {}) {
+  const fixture = shard(upstreams(2));
+  const { clock, leader, ask, quarantine } = fixture;
+  const bad = ask({ fingerprint: "bad", ...part });
+  clock.advance(1000 - silentMs);
+  leader.probed(upstreamOf(bad), ProbeResult.Alive, load());
+  clock.advance(silentMs);
+  leader.release(permit(bad), Outcome.Cancelled, 0);
+  return { ...fixture, bad, suspicion: () => quarantine.suspicion("bad") };
+}
+
+test("a request without an answer is suspected if its upstream was silent", () => {
+  expect(silentRun(700).suspicion()).toEqual(Suspicion.Suspect);
+  expect(silentRun(200).suspicion()).toEqual(Suspicion.None);
+});
+
+test("owed work without an answer is not suspected", () => {
+  const part = { crashLimit: NO_CRASH_LIMIT };
+  expect(silentRun(700, part).suspicion()).toEqual(Suspicion.None);
+});
+
+test("silence of all upstreams suspects nobody, as this daemon may be cut off", () => {
+  const { clock, leader, ask, quarantine } = shard(upstreams(2));
+  const wait = ask({ fingerprint: "bad" });
+  clock.advance(1000);
+  leader.release(permit(wait), Outcome.Silent, 0);
+  expect(quarantine.suspicion("bad")).toEqual(Suspicion.None);
+  clock.advance(3000);
+  leader.probed("up-1", ProbeResult.Alive, load());
+  expect(quarantine.suspicion("bad")).toEqual(Suspicion.None);
+});
+
+test("an unanswered run whose upstream is then found gone counts as a crash", () => {
+  const { leader, bad, quarantine } = silentRun(700);
+  leader.probed(upstreamOf(bad), ProbeResult.Gone);
+  expect(quarantine.finding("bad")?.runs.map(({ end }) => end))
+    .toEqual([RunEnd.Crashed]);
+});
+
+test("an upstream that accepts connections may be the successor of a crashed one", () => {
+  const { leader, ask, quarantine } = shard(upstreams(2));
+  const bad = ask({ fingerprint: "bad" });
+  leader.release(permit(bad), Outcome.Broken, 0);
+  leader.probed(upstreamOf(bad), ProbeResult.Reachable);
+  leader.probed(upstreamOf(bad), ProbeResult.NotAsked);
+  expect(quarantine.suspicion("bad")).toEqual(Suspicion.Suspect);
+});
+
+test("a late answer doesn't show that an upstream survived its only request", () => {
+  const { clock, leader, ask, quarantine } = shard(upstreams(2));
+  const bad = ask({ fingerprint: "bad" });
+  leader.release(permit(bad), Outcome.Broken, 0);
+  clock.advance(1500);
+  leader.probed(upstreamOf(bad), ProbeResult.Alive, load());
+  clock.advance(3000);
+  leader.tick();
+  leader.probed(upstreamOf(bad), ProbeResult.Alive, load());
+  expect(quarantine.suspicion("bad")).toEqual(Suspicion.Suspect);
+});
+
+test("a request that crashes all upstreams of a shard stays suspected", () => {
+  const { leader, ask, quarantine } = shard(upstreams(3));
+  const names = ["up-0", "up-1", "up-2"];
+  for (const exclude of names.map((own) => names.filter((id) => id !== own))) {
+    const run = ask({ fingerprint: "bad", exclude });
+    if (permit(run) !== "") leader.release(permit(run), Outcome.Broken, 0);
+    leader.probed(upstreamOf(run), ProbeResult.Gone);
+  }
+  expect(quarantine.suspicion("bad")).toEqual(Suspicion.Quarantined);
+});
+
 test("a suspect that is served is cleared", () => {
   const { leader, ask, quarantine } = shard([upstream()]);
-  quarantine.suspect("maybe", { upstream: "up-0", ranMs: 10, isolated: false });
+  suspect(quarantine, "maybe");
   const alone = ask({ fingerprint: "maybe" });
   leader.release(permit(alone), Outcome.Served, 10);
   expect(quarantine.suspicion("maybe")).toEqual(Suspicion.None);
@@ -186,9 +283,8 @@
   fingerprints: readonly string[],
 ): void {
   for (const fingerprint of fingerprints) {
-    const run = { upstream: "gone", ranMs: 10, isolated: true };
-    quarantine.suspect(fingerprint, { ...run, isolated: false });
-    quarantine.quarantine(fingerprint, { ...run, upstream: "gone-too" });
+    suspect(quarantine, fingerprint, { upstream: "gone" });
+    suspect(quarantine, fingerprint, { upstream: "gone-too", isolated: true });
   }
 }
 
@@ -247,12 +343,13 @@
 test("a poison item in a small shard leaves other owed items a turn", () => {
   const { clock, leader, ask, quarantine } = shard(upstreams(2));
   quarantineAll(quarantine, ["poison"]);
-  const crashes = (): void => {
-    const run = { upstream: "gone", ranMs: 0, isolated: true };
-    quarantine.quarantine("poison", run);
+  for (let crash = 0; crash < 4; crash++) {
+    suspect(quarantine, "poison", {
+      upstream: `gone-${crash}`,
+      isolated: true,
+    });
     clock.advance(3000);
-  };
-  for (let crash = 0; crash < 4; crash++) crashes();
+  }
   quarantineAll(quarantine, ["owed"]);
   const part = { crashLimit: NO_CRASH_LIMIT };
   const poison = ask({ ...part, fingerprint: "poison" });
--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -8,14 +8,19 @@
 import { fromNullable, type Option } from "fp-ts/Option";
 import type { Result } from "ts-results";
 import type { AnswerLimits } from "./answer_limits.ts";
+import { connectTo, Reachability } from "./reachability.ts";
 import type { UpstreamTransport } from "./upstream_transport.ts";
 
+export { Reachability };
+
 /** How a call to an external service failed. */
 export enum Fault {
   /** The call was not sent, so it had no effect. */
   NotSent = "not_sent",
   /** The service refused the call; it had no effect. */
   Refused = "refused",
+  /** Another instance answers at the address; the call had no effect. */
+  Replaced = "replaced",
   /** No answer came; the call may have taken effect. */
   Unknown = "unknown",
 }
@@ -380,6 +385,16 @@
 
   abstract load(target: Target): Promise<Result<Load, Failure>>;
 
+  /** Whether an upstream reports its load; a plain service doesn't. */
+  reportsLoad(_target: Target): boolean {
+    return true;
+  }
+
+  /** Opens and closes a connection to an upstream; sends nothing on it. */
+  connect(target: Target): Promise<Reachability> {
+    return connectTo(target.address);
+  }
+
   /** Cache events after `seq`; a gap in `seq` means lost events. */
   abstract events(
     target: Target,
--- a/src/relay/attempts.ts
+++ b/src/relay/attempts.ts
@@ -195,7 +195,7 @@
       return Outcome.Refused;
     case Loss.Failed:
     case Loss.Impossible:
-      return Outcome.Served;
+      return Outcome.Failed;
     case Loss.Broken:
       return Outcome.Broken;
     case Loss.Silent:
--- a/src/steps/step_test.ts
+++ b/src/steps/step_test.ts
@@ -7,7 +7,7 @@
 import type { Chunk, Generation } from "../outside/mod.ts";
 import { Priority } from "../tables/mod.ts";
 import type { Demand } from "../dispatch/mod.ts";
-import { Admission, Quarantine } from "../dispatch/quarantine.ts";
+import { Admission, Quarantine, RunEnd } from "../dispatch/quarantine.ts";
 import { Bitmap } from "./cursor.ts";
 import { LongestFirst } from "./sequence.ts";
 import { EMPTY_SAMPLE } from "./sample.ts";
@@ -220,8 +220,13 @@
   const quarantine = new Quarantine({ clock });
   const { demand } = generator.runs[0];
   const crash = (number: number) => {
-    const run = { upstream: `up-${number}`, ranMs: 10, isolated: true };
-    quarantine.quarantine(demand.fingerprint, run);
+    quarantine.record(demand.fingerprint, {
+      permit: `run-${number}`,
+      upstream: `up-${number}`,
+      end: RunEnd.Broken,
+      ranMs: 10,
+      isolated: true,
+    });
     clock.advance(3000);
   };
   [1, 2, 3, 4].forEach(crash);
