Equal suspects run one at a time, over all shards

Callers saw: resends of one request that arrive together crash one upstream each, since each got an upstream of its own and counted as isolated.

Cause: isolation says that nothing else runs on an upstream, not that the suspect runs nowhere else, and the entry drew a shard for each by load.

Suspects go to the shard that their fingerprint hashes to, and its leader grants the next once the last one ended.

--- a/src/dispatch/crash_test.ts
+++ b/src/dispatch/crash_test.ts
@@ -116,6 +116,25 @@
     expect(crashed.size).toEqual(2);
   }));
 
+test("equal suspects of several entries run one at a time over all shards", () =>
+  cluster(async (sim, entries) => {
+    const part = { fingerprint: "bad", remainingMs: 3000 };
+    const first = await granted(entries[0], part);
+    crash(sim, first.target.id, [first]);
+    await pause(20);
+    const running: Permit[] = [];
+    const waits = [...entries, ...entries, ...entries].map(async (entry) => {
+      const given = await entry.acquire(demand(part), idle);
+      if (given.ok) running.push(given.val);
+      return given;
+    });
+    await pause(100);
+    expect(running.length).toEqual(1);
+    crash(sim, running[0].target.id, running);
+    const ends = await Promise.all(waits);
+    expect(ends.filter(({ err }) => err).length).toEqual(8);
+  }));
+
 test("a retry that overtakes the report of a crash is refused", () =>
   cluster(async (sim, [one]) => {
     const first = await granted(one, { fingerprint: "bad" });
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -23,7 +23,7 @@
 } from "./messages.ts";
 import { type Demand, Outcome, type Permit } from "./mod.ts";
 import { Admission, type Quarantine } from "./quarantine.ts";
-import { selectShard } from "./shard_selection.ts";
+import { preferredShard, selectShard } from "./shard_selection.ts";
 import { thinPrefixes } from "./prefixes.ts";
 import type { ShardSummaries } from "./summaries.ts";
 import type { HeldPermits } from "./held_permits.ts";
@@ -206,8 +206,13 @@
         !leaving && !demand.exclude.includes(id)
       )
     );
+    // Equal suspects meet at one leader, which runs them one at a time.
+    const { fingerprint } = demand;
+    if (this.#quarantine.admission(demand) !== Admission.Shared) {
+      return preferredShard(fingerprint, shards);
+    }
     return selectShard(shards, {
-      key: demand.prefixes.at(-1) ?? demand.fingerprint,
+      key: demand.prefixes.at(-1) ?? fingerprint,
       load: (shard) => this.#load(shard),
       random: this.#random,
     });
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -428,6 +428,9 @@
     const admission = this.#quarantine.admission(demand);
     if (admission === Admission.Shared) return true;
     if (admission !== Admission.Isolated) return false;
+    // Equal suspects run one at a time, so that few upstreams are at risk.
+    const running = this.#permits.withFingerprint(demand.fingerprint);
+    if (running.length > 0) return false;
     const holdsReservation = [...this.#reservations.values()].includes(id);
     if (this.#quarantined(demand) && !holdsReservation && !this.#mayTry()) {
       return false;
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -172,6 +172,17 @@
   expect(upstreamOf(waits[2])).toEqual("up-2");
 });
 
+test("equal suspects run one at a time until one is served", () => {
+  const { leader, ask, quarantine } = shard(upstreams(6));
+  suspect(quarantine, "maybe", { upstream: "gone" });
+  const waits = [1, 2, 3].map(() => ask({ fingerprint: "maybe" }));
+  const granted = () => waits.filter((wait) => upstreamOf(wait) !== "");
+  expect(granted().length).toEqual(1);
+  expect(upstreamOf(ask())).not.toEqual("");
+  leader.release(permit(waits[0]), Outcome.Served, 10);
+  expect(granted().length).toEqual(3);
+});
+
 test("a suspect whose upstream answers with a failure stays suspected", () => {
   const { leader, ask, quarantine } = shard([upstream()]);
   suspect(quarantine, "maybe");
--- a/src/dispatch/shard_selection.ts
+++ b/src/dispatch/shard_selection.ts
@@ -26,14 +26,20 @@
 ): Shard | undefined {
   if (shards.length <= 1) return shards[0];
   const { key, load, random } = options;
-  const preferred = preferredShard(key, shards);
+  const preferred = preferredShard(key, shards) ?? shards[0];
   const drawn = shards[Math.floor(random() * shards.length)];
   return load(preferred) <= load(drawn) + AFFINITY_MARGIN ? preferred : drawn;
 }
 
-function preferredShard(key: string, shards: readonly Shard[]): Shard {
+/** The shard assigned to a key by rendezvous hashing, if there is one. */
+export function preferredShard(
+  key: string,
+  shards: readonly Shard[],
+): Shard | undefined {
   const score = ({ name }: Shard) => hash(`${key}@${name}`);
-  return shards.reduce((best, shard) =>
-    score(shard) > score(best) ? shard : best
+  return shards.reduce<Shard | undefined>(
+    (best, shard) =>
+      best === undefined || score(shard) > score(best) ? shard : best,
+    undefined,
   );
 }
