Findings on refused requests outlast a restart of all daemons

Callers saw: after all daemons restart at once, a request that is refused everywhere runs again and crashes upstreams anew.

Cause: findings lived in the daemons' memory and spread by gossip, which has no copy left then.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -48,6 +48,7 @@
   type Pressure,
   type UpstreamStatus,
 } from "./mod.ts";
+import { FindingStore } from "./finding_store.ts";
 import { GossipOffers } from "./offers.ts";
 import { RENEWAL_INTERVAL_MS } from "./permits.ts";
 import { type Finding, Quarantine } from "./quarantine.ts";
@@ -66,6 +67,9 @@
 /** How long findings are collected before the leaders are notified. */
 const FINDINGS_BATCH_MS = 2;
 
+/** Time that a start waits for the stored findings; they may arrive later. */
+const FINDINGS_TIMEOUT_MS = 500;
+
 /** Gossip section that carries findings. */
 const FINDINGS_SECTION = "dispatch.findings";
 
@@ -87,6 +91,7 @@
   readonly #heldPermits: HeldPermits;
   readonly #entry: EntryClient;
   readonly #offers: GossipOffers;
+  readonly #findingStore: FindingStore;
   readonly #abort = new AbortController();
   readonly #refusals: Counter<"reason">;
   readonly #retries: Counter<"reason">;
@@ -107,6 +112,10 @@
     const gossip = { clock: kernel.clock, peers: this.#peers };
     this.#summaries = new ShardSummaries(gossip);
     this.#offers = new GossipOffers(gossip);
+    this.#findingStore = new FindingStore({
+      clock: kernel.clock,
+      keyValue: kernel.platform.keyValue,
+    });
     const shared = {
       kernel,
       clock: kernel.clock,
@@ -164,6 +173,11 @@
       this.#peers.onChange(() => this.#assign()),
       this.#config.onChange(() => this.#assign()),
     ];
+    const recovered = this.#recoverFindings();
+    await Promise.race([
+      recovered,
+      this.#kernel.clock.sleep(FINDINGS_TIMEOUT_MS, this.#abort.signal),
+    ]);
     await this.#readDirectory();
     const { timing } = this.#kernel.settings;
     this.#repeat(() => timing.directoryMs, () => this.#readDirectory());
@@ -194,7 +208,7 @@
     if (permit.err) {
       const { reason } = permit.val;
       this.#refusals.inc({ reason });
-      if (reason === Reason.Quarantined) this.#logRefusal(demand);
+      if (reason === Reason.Quarantined) this.#refusedQuarantined(demand);
       return permit;
     }
     this.#grants.inc({ priority });
@@ -203,8 +217,17 @@
     return permit;
   }
 
-  #logRefusal({ id, route, fingerprint, attempt }: Demand): void {
-    const runs = this.#quarantine.finding(fingerprint)?.runs ?? [];
+  async #recoverFindings(): Promise<void> {
+    const findings = await this.#findingStore.read(this.#abort.signal);
+    for (const finding of findings) {
+      this.#quarantine.merge(finding, "the key-value service");
+    }
+  }
+
+  #refusedQuarantined({ id, route, fingerprint, attempt }: Demand): void {
+    const finding = this.#quarantine.finding(fingerprint);
+    if (finding !== undefined) void this.#findingStore.write(finding);
+    const runs = finding?.runs ?? [];
     log("quarantined request refused", {
       id,
       route,
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -15,6 +15,7 @@
   SystemClock,
   Verdict,
 } from "../kernel/mod.ts";
+import { MemoryTransactionalKeyValue } from "../../stand_ins/memory_transactional_key_value.ts";
 import { type Member, Peers, peersKey } from "../peers/mod.ts";
 import {
   type Failure,
@@ -149,6 +150,7 @@
 export class DispatchCluster {
   readonly nodes = new Map<string, Kernel>();
   readonly lost = new Set<string>();
+  readonly keyValue = new MemoryTransactionalKeyValue();
   readonly listeners = new Set<() => void>();
   vms: readonly Vm[];
   /** Kinds of message whose next answer is lost. */
@@ -211,6 +213,7 @@
 
   #platform(): Platform {
     const platform = {
+      keyValue: this.keyValue,
       directory: { list: () => Promise.resolve(Ok(this.vms)) },
       engine: {
         load: ({ id }: { id: string }): Promise<Result<Load, Failure>> =>
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -50,7 +50,8 @@
   attempt: z.number(),
 });
 
-const finding = z.object({
+/** A finding as daemons exchange and store it. */
+export const finding = z.object({
   fingerprint: z.string(),
   runs: z.array(z.object({
     permit: z.string(),
