Survival of an upstream is shown by itself, not by what answers in its place

- An answer after a silence longer than a restart takes proves nothing: an upstream that went dark and came back closed its connections and answered at once, and cleared the request that had ended it.
Others that still run a third of a second after the break do prove it.
- Only the runs that broke are marked as survived; those whose end is on its way are judged by it.
- A run that never reached its upstream is excused when it says so: a probe that finds the upstream gone blames whatever holds a permit there.
- Statuses from 500 on count as failures of the upstream, not as service.
- Upstreams that may have crashed are probed ten times a second at most.
- Silence of 150 ms counts, as callers may leave after 300.

--- a/src/dispatch/crash_detector.ts
+++ b/src/dispatch/crash_detector.ts
@@ -36,14 +36,14 @@
 /** Connections that break further apart than this are not of one crash. */
 const MAX_EPISODE_MS = 2000;
 
-/** An answer later than this may come from an upstream that was restarted. */
-const MAX_SURVIVAL_ANSWER_MS = 300;
+/** No upstream restarts in less time than this. */
+const MIN_RESTART_MS = 300;
 
 /** Crashes in one zone within this time may be due to its reclaim. */
 const ZONE_OUTAGE_WINDOW_MS = 2000;
 
 /** Shortest silence of an upstream that counts against what it runs. */
-const MIN_SILENCE_MS = 250;
+const MIN_SILENCE_MS = 150;
 
 /**
  * Least part of a run for which its upstream must have been silent: it may
@@ -63,6 +63,8 @@
 interface Episode {
   readonly upstream: Upstream;
   readonly startedAt: number;
+  /** When the upstream last answered, or the run that broke was granted. */
+  readonly aliveAt: number;
   /** What ran on the upstream when it began, but for what was served since. */
   holdings: readonly ActivePermit[];
   readonly broken: Set<string>;
@@ -88,8 +90,8 @@
 export class CrashDetector {
   readonly #quarantine: Quarantine;
   readonly #episodes = new Map<string, Episode>();
-  /** Upstreams that crashed and have not answered since. */
-  readonly #down = new Set<string>();
+  /** When upstreams crashed that have not answered since. */
+  readonly #down = new Map<string, number>();
   /** When isolated requests crashed upstreams that have not answered since. */
   readonly #isolatedCrashes = new Map<string, number>();
   /** When each upstream answered last. */
@@ -107,8 +109,8 @@
   setUpstreams(upstreams: readonly Upstream[]): void {
     this.#upstreams = upstreams;
     const present = new Set(upstreams.map(({ id }) => id));
-    for (const id of this.#answeredAt.keys()) {
-      if (!present.has(id)) this.#answeredAt.delete(id);
+    for (const known of [this.#answeredAt, this.#down]) {
+      for (const id of known.keys()) if (!present.has(id)) known.delete(id);
     }
   }
 
@@ -131,7 +133,10 @@
     now: number;
   }): boolean {
     const { outcome, upstream, now } = options;
-    if (isAnswer(outcome)) this.#answered(upstream.id, now);
+    if (isAnswer(outcome)) {
+      this.#answered(upstream.id, { now, since: holding.grantedAt });
+    }
+    this.#excuse(holding, outcome);
     if (outcome === Outcome.Broken) this.#connectionBroke(holding, options);
     const silent = outcome === Outcome.Silent ||
       outcome === Outcome.Cancelled;
@@ -174,9 +179,7 @@
           { now, evidence: "nothing listens there" },
         );
       case ProbeResult.Alive:
-        this.#answered(upstream.id, now);
-        this.#down.delete(upstream.id);
-        this.#isolatedCrashes.delete(upstream.id);
+        this.#answered(upstream.id, { now, since: now });
         if (episode !== undefined) this.#reportedAlive(episode, now);
     }
   }
@@ -186,13 +189,17 @@
     const running = episode.holdings.some(({ permit }) =>
       !episode.ended.has(permit)
     );
-    // If none of several still runs, it may have crashed and restarted.
-    const survived = running ||
-      episode.holdings.length === 1 &&
-        now - episode.startedAt <= MAX_SURVIVAL_ANSWER_MS;
+    // After a longer silence it may have crashed and restarted; what still
+    // runs then is unknown until the ends of what broke have arrived.
+    const restarted = now - episode.aliveAt > MIN_RESTART_MS;
+    const survived = running
+      ? !restarted || now - episode.startedAt > MIN_RESTART_MS
+      : !restarted && episode.holdings.length === 1;
     if (!survived) return;
     this.#episodes.delete(episode.upstream.id);
-    this.#record(episode.holdings, { ...episode, end: RunEnd.Survived });
+    const broken = episode.holdings
+      .filter(({ permit }) => episode.broken.has(permit));
+    this.#record(broken, { ...episode, end: RunEnd.Survived });
   }
 
   #connectionBroke(holding: ActivePermit, options: {
@@ -208,7 +215,14 @@
     this.#record([holding], { upstream, startedAt: now, end });
     if (upstream.leaving) return;
     const episode = this.#episode(upstream.id, now) ??
-      newEpisode(upstream, { holdings: [holding, ...running], now });
+      newEpisode(upstream, {
+        holdings: [holding, ...running],
+        now,
+        aliveAt: Math.max(
+          holding.grantedAt,
+          this.#answeredAt.get(upstream.id) ?? -Infinity,
+        ),
+      });
     episode.broken.add(holding.permit);
     this.#episodes.set(upstream.id, episode);
   }
@@ -231,7 +245,33 @@
     return true;
   }
 
-  #answered(upstream: string, now: number): void {
+  /** Excuses runs that an answer, or the lack of a connection, explains. */
+  #excuse({ permit, demand, grantedAt }: ActivePermit, outcome: Outcome): void {
+    const { fingerprint } = demand;
+    if (outcome === Outcome.Served) {
+      this.#quarantine.excuse(fingerprint, {
+        reason: "it was served",
+        // A run that began before says nothing of one that failed after it.
+        covers: (run) => run.permit === permit || run.endedAt <= grantedAt,
+      });
+    } else if (isAnswer(outcome) || outcome === Outcome.Unreachable) {
+      // Its upstream was found gone while this run's end was on its way.
+      this.#quarantine.excuse(fingerprint, {
+        reason: "the run was answered or never began",
+        covers: (run) => run.permit === permit,
+      });
+    }
+  }
+
+  /** Records an answer to a request that was sent after `since`. */
+  #answered(upstream: string, { now, since }: {
+    now: number;
+    since: number;
+  }): void {
+    if (since >= (this.#down.get(upstream) ?? -Infinity)) {
+      this.#down.delete(upstream);
+      this.#isolatedCrashes.delete(upstream);
+    }
     this.#answeredAt.set(upstream, now);
     this.#sawLife(now);
     this.#unanswered = this.#unanswered
@@ -311,7 +351,7 @@
   /** Records a crash; if its zone was reclaimed, no request is suspected. */
   #recordCrash(crash: Crash): void {
     if (this.#down.has(crash.upstream.id)) return;
-    this.#down.add(crash.upstream.id);
+    this.#down.set(crash.upstream.id, crash.at);
     const recent = this.#recentCrashes.filter(({ at, upstream }) =>
       crash.at - at <= ZONE_OUTAGE_WINDOW_MS &&
       upstream.id !== crash.upstream.id
@@ -379,10 +419,12 @@
 function newEpisode(upstream: Upstream, options: {
   holdings: readonly ActivePermit[];
   now: number;
+  aliveAt?: number;
 }): Episode {
   return {
     upstream,
     startedAt: options.now,
+    aliveAt: options.aliveAt ?? options.now,
     holdings: options.holdings,
     broken: new Set(),
     ended: new Set(),
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -227,7 +227,7 @@
           Promise.resolve(
             this.vms.some((one) => one.id === id)
               ? Reachability.Connected
-              : Reachability.Refused,
+              : Reachability.Gone,
           ),
         events: () => Promise.resolve(Ok([])),
       },
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -83,6 +83,7 @@
     reclaimable: vm.reclaimable,
     leaving: vm.standing === VmState.Leaving,
     slots: vm.slots ?? pool?.slots ?? DEFAULT_SLOTS,
+    healthPath: pool?.healthPath,
     weightVersions: vm.weightVersions,
   };
 }
--- a/src/dispatch/local_leaders.ts
+++ b/src/dispatch/local_leaders.ts
@@ -34,6 +34,9 @@
 /** Timeout of reading a load report or cache events. */
 const PROBE_TIMEOUT_MS = 1000;
 
+/** Shortest time between two probes of an upstream that may have crashed. */
+const MIN_PROBE_INTERVAL_MS = 100;
+
 /** Time for which a leader that an entry insisted on is kept open. */
 const INSISTED_LEADER_TTL_MS = 5000;
 
@@ -46,6 +49,8 @@
   readonly abort: AbortController;
   /** The polling task of each upstream, by the upstream's id. */
   readonly readers: Map<string, AbortController>;
+  /** When each upstream was last probed as it may have crashed. */
+  readonly suspectedAt: Map<string, number>;
   insistedAt: number;
   seq: number;
 }
@@ -170,11 +175,11 @@
         quarantine: this.#quarantine,
         headroom: new Headroom(),
         granting: false,
-        onSuspicion: (upstream) =>
-          void this.#probe(shard.name, upstream, { suspected: true }),
+        onSuspicion: (upstream) => this.#probeSuspected(shard.name, upstream),
       }),
       abort: new AbortController(),
       readers: new Map(),
+      suspectedAt: new Map(),
       insistedAt: -Infinity,
       seq: 0,
     };
@@ -202,6 +207,7 @@
       if (present.has(id)) continue;
       reader.abort();
       host.readers.delete(id);
+      host.suspectedAt.delete(id);
     }
     for (const upstream of upstreams) {
       if (host.readers.has(upstream.id)) continue;
@@ -273,9 +279,21 @@
     }
   }
 
+  /** Probes an upstream at once, but not again for each of many failures. */
+  #probeSuspected(shard: string, id: string): void {
+    const host = this.#hosted.get(shard);
+    const now = this.#kernel.clock.now();
+    if (host === undefined) return;
+    const last = host.suspectedAt.get(id) ?? -Infinity;
+    if (now - last < MIN_PROBE_INTERVAL_MS) return;
+    host.suspectedAt.set(id, now);
+    void this.#probe(shard, id, { suspected: true });
+  }
+
   /**
-   * Probes an upstream by reading its load, and one that reports none by
-   * connecting to it, if there is a reason to; returns whether it answered.
+   * Probes an upstream by reading its load. One that reports none is connected
+   * to and asked for its health, if there is a reason to. Returns whether its
+   * load was read.
    */
   async #probe(shard: string, id: string, { suspected = false } = {}) {
     const upstream = this.#fleet.upstream(id);
@@ -284,8 +302,14 @@
     const { engine } = this.#kernel.platform;
     const target = targetOf(upstream);
     if (!engine.reportsLoad(target)) {
-      if (suspected || leader.isTripped(id)) {
-        leader.probed(id, await this.#connect(target));
+      const connected = suspected || leader.isTripped(id)
+        ? await this.#reach(engine.connect(target))
+        : ProbeResult.NotAsked;
+      leader.probed(id, connected);
+      const { healthPath } = upstream;
+      if (connected === ProbeResult.Reachable && healthPath !== undefined) {
+        const health = engine.checkHealth(target, healthPath);
+        leader.probed(id, await this.#reach(health));
       }
       return false;
     }
@@ -300,6 +324,7 @@
     target: Target,
     answer: Result<Load, Failure> | undefined,
   ): Promise<ProbeResult> {
+    const { engine } = this.#kernel.platform;
     if (answer === undefined) return ProbeResult.Silent;
     if (answer.ok) return ProbeResult.Alive;
     switch (answer.val.fault) {
@@ -308,19 +333,20 @@
       case Fault.Replaced:
         return ProbeResult.Gone;
       case Fault.NotSent:
-        return await this.#connect(target);
+        // Only a refused connection shows that it ended.
+        return await this.#reach(engine.connect(target));
       case Fault.Unknown:
         return ProbeResult.Silent;
     }
   }
 
-  /** Connects to an upstream; only a refused connection shows that it ended. */
-  async #connect(target: Target): Promise<ProbeResult> {
-    const { engine } = this.#kernel.platform;
-    switch (await this.#withTimeout(engine.connect(target))) {
+  async #reach(answer: Promise<Reachability>): Promise<ProbeResult> {
+    switch (await this.#withTimeout(answer)) {
+      case Reachability.Alive:
+        return ProbeResult.Alive;
       case Reachability.Connected:
         return ProbeResult.Reachable;
-      case Reachability.Refused:
+      case Reachability.Gone:
         return ProbeResult.Gone;
       default:
         return ProbeResult.Silent;
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -637,14 +637,6 @@
       upstream: state.upstream,
       running: this.#permits.on(holding.upstream),
     });
-    if (outcome === Outcome.Served) {
-      this.#quarantine.excuse(holding.demand.fingerprint, {
-        reason: "it was served",
-        // A run that began before says nothing of one that failed after it.
-        covers: ({ permit, endedAt }) =>
-          permit === holding.permit || endedAt <= holding.grantedAt,
-      });
-    }
     if (suspicious) this.#onSuspicion(holding.upstream);
   }
 
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -261,6 +261,28 @@
   expect(quarantine.suspicion("bad")).toEqual(Suspicion.Suspect);
 });
 
+test("an upstream that answers after a long silence may have been restarted", () => {
+  const { clock, leader, ask, quarantine } = shard(upstreams(2));
+  const bad = ask({ fingerprint: "bad" });
+  clock.advance(600);
+  leader.release(permit(bad), Outcome.Broken, 0);
+  leader.probed(upstreamOf(bad), ProbeResult.Alive, load());
+  expect(quarantine.suspicion("bad")).toEqual(Suspicion.Suspect);
+});
+
+test("a connection broken long after the last answer is explained by what runs on", () => {
+  const { clock, leader, ask, quarantine } = shard([upstream()]);
+  const broken = ask({ fingerprint: "unlucky" });
+  ask();
+  clock.advance(600);
+  leader.release(permit(broken), Outcome.Broken, 0);
+  leader.probed("up-1", ProbeResult.Alive, load());
+  expect(quarantine.suspicion("unlucky")).toEqual(Suspicion.Suspect);
+  clock.advance(500);
+  leader.probed("up-1", ProbeResult.Alive, load());
+  expect(quarantine.suspicion("unlucky")).toEqual(Suspicion.None);
+});
+
 test("a request that crashes all upstreams of a shard stays suspected", () => {
   const { leader, ask, quarantine } = shard(upstreams(3));
   const names = ["up-0", "up-1", "up-2"];
@@ -272,6 +294,14 @@
   expect(quarantine.suspicion("bad")).toEqual(Suspicion.Quarantined);
 });
 
+test("a request that never reached a crashed upstream isn't suspected", () => {
+  const { leader, ask, quarantine } = shard([upstream()]);
+  const late = ask({ fingerprint: "late" });
+  leader.probed("up-1", ProbeResult.Gone);
+  leader.release(permit(late), Outcome.Unreachable, 0);
+  expect(quarantine.suspicion("late")).toEqual(Suspicion.None);
+});
+
 test("a suspect that is served is cleared", () => {
   const { leader, ask, quarantine } = shard([upstream()]);
   suspect(quarantine, "maybe");
@@ -459,6 +489,19 @@
   expect(upstreamOf(wait)).toEqual("up-1");
 });
 
+test("an upstream that was not asked doesn't close its circuit", () => {
+  const { leader, ask } = shard([upstream({ slots: 8 })]);
+  for (let failure = 0; failure < 3; failure++) {
+    leader.release(permit(ask()), Outcome.Unreachable, 0);
+  }
+  const wait = ask();
+  leader.probed("up-1", ProbeResult.NotAsked);
+  expect(upstreamOf(wait)).toEqual("");
+  expect(leader.isTripped("up-1")).toEqual(true);
+  leader.probed("up-1", ProbeResult.Reachable);
+  expect(upstreamOf(wait)).toEqual("up-1");
+});
+
 test("an upstream that refused a model gets none of it for a while", () => {
   const { clock, leader, ask } = shard([
     upstream({ id: "up-1", weightVersions: { m: 1, n: 1 } }),
--- a/src/dispatch/shards.ts
+++ b/src/dispatch/shards.ts
@@ -26,6 +26,8 @@
   readonly leaving: boolean;
   /** Requests that it can run concurrently. */
   readonly slots: number;
+  /** Path of its health check, if its pool has one. */
+  readonly healthPath?: string;
   /** Weight version by model, according to the platform's list. */
   readonly weightVersions?: Readonly<Record<string, number>>;
 }
--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -395,6 +395,11 @@
     return connectTo(target.address);
   }
 
+  /** Asks an upstream that reports no load whether it is alive. */
+  checkHealth(_target: Target, _path: string): Promise<Reachability> {
+    return Promise.resolve(Reachability.Unknown);
+  }
+
   /** Cache events after `seq`; a gap in `seq` means lost events. */
   abstract events(
     target: Target,
--- a/src/outside/reachability.ts
+++ b/src/outside/reachability.ts
@@ -1,22 +1,26 @@
 /**
- * Tests whether something listens at an address, without sending a request.
+ * What is known of an upstream that reports no load, and a test whether
+ * something listens at its address.
  *
  * @module
  */
 
 import { connect } from "node:net";
 
-/** What an attempt to connect showed. */
+/** What an attempt to reach an upstream showed. */
 export enum Reachability {
+  /** The upstream itself answered. */
+  Alive = "alive",
+  /** Something accepts connections, maybe its successor. */
   Connected = "connected",
-  /** The host answers, and nothing listens at the port. */
-  Refused = "refused",
+  /** Nothing listens at the port, or another instance does. */
+  Gone = "gone",
   Unknown = "unknown",
 }
 
 const CONNECT_TIMEOUT_MS = 1000;
 
-/** Opens and closes a connection to an address of the form `host:port`. */
+/** Opens and closes a connection to `host:port`; sends nothing on it. */
 export function connectTo(address: string): Promise<Reachability> {
   const separator = address.lastIndexOf(":");
   const host = address.slice(0, separator);
@@ -31,7 +35,7 @@
     socket.once("timeout", () => settle(Reachability.Unknown));
     socket.once("error", ({ code }: NodeJS.ErrnoException) => {
       const refused = code === "ECONNREFUSED";
-      settle(refused ? Reachability.Refused : Reachability.Unknown);
+      settle(refused ? Reachability.Gone : Reachability.Unknown);
     });
   });
 }
--- a/src/relay/pass_through_relay.ts
+++ b/src/relay/pass_through_relay.ts
@@ -35,6 +35,9 @@
 
 const log = logger("relay");
 
+/** Lowest status with which an upstream reports its own failure. */
+const FIRST_FAILURE_STATUS = 500;
+
 /** Forwards requests and responses byte for byte. */
 export class PassThroughRelay extends RequestRelay {
   readonly #kernel: Kernel;
@@ -145,7 +148,8 @@
       return sent as Result<UpstreamResponse, Refusal>;
     }
     const { answer, permit, sentAt } = sent.val;
-    permit.release(Outcome.Served, 1);
+    const served = answer.status < FIRST_FAILURE_STATUS;
+    permit.release(served ? Outcome.Served : Outcome.Failed, 1);
     runner.count(progress, requester, sentAt);
     return Ok(answer);
   }
--- a/src/tables/schema.ts
+++ b/src/tables/schema.ts
@@ -140,6 +140,7 @@
   models: z.array(z.string().max(200)).optional(),
   versionLag: integerBetween(0, MAX_STALENESS_VERSIONS).optional(),
   scaling: scaling.optional(),
+  healthPath: z.string().optional(),
 }) satisfies z.ZodType<Pool>;
 
 const stamp = {
--- a/src/tables/tables.ts
+++ b/src/tables/tables.ts
@@ -159,6 +159,8 @@
   readonly versionLag?: number;
   /** Limits and prices for ordering upstreams. */
   readonly scaling?: Scaling;
+  /** Path at which an upstream says that it is alive, if it has one. */
+  readonly healthPath?: string;
 }
 
 /** Limits and prices for ordering the upstreams of a pool. */
