Findings: adopted runs keep their isolation, and eviction is rare

- A leader that took a shard over judged whether a run was isolated by what it knew by then, so that a run beside others could quarantine a request.
The holder reports how it was granted.
- A service's answer of 500 or more on the own interface clears nothing.
- Findings beyond the limit are dropped several hundred at a time, as each eviction looks at all of them.

--- a/src/dispatch/held_permits.ts
+++ b/src/dispatch/held_permits.ts
@@ -219,12 +219,13 @@
   }
 
   #reportOf(
-    { permit, ticket, upstream, demand, grantedAt }: HeldPermit,
+    { permit, ticket, upstream, demand, grantedAt, isolated }: HeldPermit,
   ): ReportedPermit {
     return {
       permit,
       ticket,
       upstream,
+      isolated,
       heldMs: this.#clock.now() - grantedAt,
       demand: {
         ...demand,
--- a/src/dispatch/local_leaders.ts
+++ b/src/dispatch/local_leaders.ts
@@ -251,12 +251,9 @@
   ): void {
     const now = this.#kernel.clock.now();
     this.#hosted.get(shard)?.leader.adopt(
-      holdings.map(({ permit, ticket, upstream, heldMs, demand }) => ({
-        permit,
-        ticket,
-        upstream,
+      holdings.map(({ heldMs, ...holding }) => ({
+        ...holding,
         entry,
-        demand,
         grantedAt: now - heldMs,
       })),
     );
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -137,6 +137,7 @@
   upstream: z.string(),
   heldMs: z.number(),
   demand,
+  isolated: z.boolean(),
 });
 
 /** Body of `Message.Adopt`. */
--- a/src/dispatch/quarantine.ts
+++ b/src/dispatch/quarantine.ts
@@ -88,6 +88,9 @@
 const MAX_RUNS_PER_FINDING = 16;
 const MAX_FINDINGS = 4096;
 
+/** Findings kept when the limit is exceeded, so that it is rarely reached. */
+const KEPT_FINDINGS = 3584;
+
 /** A run of a request that ended without an answer of its upstream. */
 export interface FailedRun {
   /** Unique to the run, and the same for its entry and its leader. */
@@ -303,7 +306,7 @@
     const bySuspicion = (wanted: Suspicion) =>
       [...this.#findings.keys()]
         .filter((fingerprint) => this.suspicion(fingerprint) === wanted);
-    const excess = this.#findings.size - MAX_FINDINGS;
+    const excess = this.#findings.size - KEPT_FINDINGS;
     const dropped = [
       ...bySuspicion(Suspicion.None),
       ...bySuspicion(Suspicion.Suspect),
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -82,6 +82,12 @@
   /** The shard has another leader now. */
   | { readonly moved: true };
 
+/** A permit that another leader granted. */
+export interface AdoptedPermit extends Omit<ActivePermit, "isolatedUntil"> {
+  /** Whether it was granted its upstream alone. */
+  readonly isolated: boolean;
+}
+
 /** The mutable state of one upstream. */
 interface UpstreamState {
   readonly upstream: Upstream;
@@ -238,14 +244,12 @@
   }
 
   /** Takes over permits that another leader of the shard granted. */
-  adopt(holdings: readonly Omit<ActivePermit, "isolatedUntil">[]): void {
+  adopt(holdings: readonly AdoptedPermit[]): void {
     const now = this.#clock.now();
-    for (const holding of holdings) {
+    for (const { isolated, ...holding } of holdings) {
       if (this.#permits.get(holding.permit) !== undefined) continue;
       if (!this.#states.has(holding.upstream)) continue;
-      const isolatedUntil = this.#runsIsolated(holding.demand)
-        ? Infinity
-        : -Infinity;
+      const isolatedUntil = isolated ? Infinity : -Infinity;
       this.#permits.add({ ...holding, isolatedUntil }, now);
       this.#queue.started(holding.demand, now);
       this.#updatePeak(holding.upstream);
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -294,6 +294,27 @@
   expect(quarantine.suspicion("bad")).toEqual(Suspicion.Quarantined);
 });
 
+test("a new leader knows which of the runs that it adopts were isolated", () => {
+  const { leader, ask, quarantine } = shard(upstreams(2));
+  const adopted = (fingerprint: string, isolated: boolean) => ({
+    permit: fingerprint,
+    ticket: fingerprint,
+    upstream: "up-0",
+    entry: "entry-1",
+    demand: ticket({ fingerprint }).demand,
+    grantedAt: 0,
+    isolated,
+  });
+  leader.adopt([adopted("alone", true), adopted("beside", false)]);
+  for (const name of ["alone", "beside"]) {
+    suspect(quarantine, name, { upstream: "gone" });
+    leader.release(name, Outcome.Broken, 0);
+  }
+  expect(quarantine.suspicion("alone")).toEqual(Suspicion.Quarantined);
+  expect(quarantine.suspicion("beside")).toEqual(Suspicion.Suspect);
+  expect(reason(ask({ fingerprint: "alone" }))).toEqual(Reason.Quarantined);
+});
+
 test("a request that never reached a crashed upstream isn't suspected", () => {
   const { leader, ask, quarantine } = shard([upstream()]);
   const late = ask({ fingerprint: "late" });
--- a/src/gateway/response_forwarder.ts
+++ b/src/gateway/response_forwarder.ts
@@ -9,6 +9,7 @@
 import type { Dispatcher } from "undici";
 import { Outcome } from "../dispatch/mod.ts";
 import { Reason, Verdict } from "../kernel/mod.ts";
+import { isFailureStatus } from "../outside/http_endpoint.ts";
 import type { ResponseRecorder } from "./idempotency.ts";
 import { BodyRefusedError, responseHeaders } from "./forwarded_request.ts";
 
@@ -49,6 +50,11 @@
     this.ended = new Promise((resolve) => this.#resolve = resolve);
   }
 
+  /** Whether the response reports a failure of the upstream. */
+  get upstreamFailed(): boolean {
+    return isFailureStatus(this.#status);
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController) {
     // A second start is a retry by undici, which would send the request again.
     const isRetry = this.#controller !== undefined;
--- a/src/gateway/service_forwarder.ts
+++ b/src/gateway/service_forwarder.ts
@@ -201,7 +201,9 @@
       let outcome = Outcome.Broken;
       try {
         const end = await this.#attempt(exchange, { target, run });
-        outcome = end?.outcome ?? Outcome.Served;
+        const failed = exchange.relay?.upstreamFailed === true;
+        outcome = end?.outcome ??
+          (failed ? Outcome.Failed : Outcome.Served);
         if (end === undefined) return undefined;
         exchange.verdict = end.verdict === Verdict.MayHaveRun
           ? end.verdict
--- a/src/outside/http_endpoint.ts
+++ b/src/outside/http_endpoint.ts
@@ -230,6 +230,11 @@
   }
 }
 
+/** Whether the status reports a failure of the server. */
+export function isFailureStatus(status: number): boolean {
+  return status >= 500;
+}
+
 /** Whether this status means that the call had no effect. */
 export function isRejectedStatus(status: number): boolean {
   return status >= 400 && status < 500 && status !== 408;
--- a/src/relay/pass_through_relay.ts
+++ b/src/relay/pass_through_relay.ts
@@ -20,6 +20,7 @@
   type Target,
   type UpstreamResponse,
 } from "../outside/mod.ts";
+import { isFailureStatus } from "../outside/http_endpoint.ts";
 import { AttemptRunner } from "./attempts.ts";
 import { ATTEMPT_TIMED_OUT, RequestProgress } from "./request_progress.ts";
 import {
@@ -35,9 +36,6 @@
 
 const log = logger("relay");
 
-/** Lowest status with which an upstream reports its own failure. */
-const FIRST_FAILURE_STATUS = 500;
-
 /** Forwards requests and responses byte for byte. */
 export class PassThroughRelay extends RequestRelay {
   readonly #kernel: Kernel;
@@ -148,8 +146,8 @@
       return sent as Result<UpstreamResponse, Refusal>;
     }
     const { answer, permit, sentAt } = sent.val;
-    const served = answer.status < FIRST_FAILURE_STATUS;
-    permit.release(served ? Outcome.Served : Outcome.Failed, 1);
+    const failed = isFailureStatus(answer.status);
+    permit.release(failed ? Outcome.Failed : Outcome.Served, 1);
     runner.count(progress, requester, sentAt);
     return Ok(answer);
   }
