--- a/src/dispatch/quarantine.ts
+++ b/src/dispatch/quarantine.ts
@@ -202,7 +202,7 @@
     this.#add(fingerprint, [{ ...run, endedAt }], { origin: "here" });
   }
 
-  /** Excuses all failed runs that ended before `before`, for `reason`. */
+  /** Excuses the failed runs that `covers` selects, for `reason`. */
   excuse(fingerprint: string, { reason, covers }: {
     reason: string;
     covers: (run: { permit: string; endedAt: number }) => boolean;
