--- a/stand_ins/platform_protocol.ts
+++ b/stand_ins/platform_protocol.ts
@@ -94,6 +94,8 @@
   readonly crashes: string[] = [];
   /** Time from a crash until the upstream is back. */
   restartMs = 300;
+  /** Time from a request until the answer of a plain service. */
+  answerAfterMs = 0;
   /** Number of events in a streamed response. */
   events = 4;
   /** Time between two events. */
@@ -207,6 +209,7 @@
       return void response.writeHead(status, head).end();
     }
     if (message.headers["x-model"] === undefined) {
+      if (this.answerAfterMs > 0) await sleep(this.answerAfterMs);
       response.writeHead(200, head).write("answer to ");
       if (kind === Handling.Break) return void response.destroy();
       request.done = true;
