Tests: callers' connections outlive their requests, and waits have limits

"No request fails in a rolling restart of all entries" failed with ClientDestroyedError, which undici raises when its own agent is destroyed with requests in flight: the scenario closed the guest's connections when its loop had ended, not when its last requests had. The loop now ends with them. Nothing of what the test checks changes.

--- a/proofs/scenario.ts
+++ b/proofs/scenario.ts
@@ -393,17 +393,22 @@
     }
   }
 
-  /** Starts `task` every `everyMs` until the load ends, without awaiting it. */
+  /**
+   * Starts `task` every `everyMs` until the load ends. Returns when all started
+   * ones have ended, so that their connections can be closed.
+   */
   #repeat(
     everyMs: number,
     task: (n: number) => Promise<unknown>,
   ): Promise<void> {
     return this.#track((async () => {
+      const started: Promise<unknown>[] = [];
       for (let n = 0; !this.#end.signal.aborted; n++) {
-        this.#track(task(n));
+        started.push(this.#track(task(n)));
         await sleep(everyMs, undefined, { signal: this.#end.signal })
           .catch(() => {});
       }
+      await Promise.all(started);
     })());
   }
 
--- a/src/claims/cluster_test.ts
+++ b/src/claims/cluster_test.ts
@@ -13,6 +13,9 @@
 const SECRET = "insurer-secret-of-the-test";
 const SEED = 20261204;
 
+/** Above the route's deadline, so that a daemon that is silent is noticed. */
+const ANSWER_TIMEOUT_MS = 10_000;
+
 const TABLES = tables({
   routes: [route({
     name: "releases",
@@ -82,6 +85,7 @@
     method: "POST",
     headers,
     body: "release",
+    signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
   });
   return { status: response.status, text: await response.text() };
 }
--- a/src/gateway/service_forwarder_test.ts
+++ b/src/gateway/service_forwarder_test.ts
@@ -16,6 +16,8 @@
 import { type Fixture, KEY, serviceRoute, withGateway } from "./fixture.ts";
 import type { RefusalBody } from "./mod.ts";
 
+const ANSWER_TIMEOUT_MS = 10_000;
+
 interface Upstream {
   readonly address: string;
   readonly requests: { raw: IncomingMessage; body: string }[];
@@ -352,8 +354,13 @@
     }, (response) => {
       response.resume();
       response.on("end", () => resolve(response.headers.connection));
+      response.on("close", () => reject(new Error("The response was cut")));
     });
     request.on("socket", (socket) => sockets.push(socket));
+    request.setTimeout(
+      ANSWER_TIMEOUT_MS,
+      () => request.destroy(new Error(`No answer in ${ANSWER_TIMEOUT_MS} ms`)),
+    );
     request.on("error", reject);
     request.end();
   });
