A refusal without the request's id doesn't show that it was not run

Callers of routes that may not be repeated were told "not run" (503) of a request that had run, and it was sent to further upstreams: six runs of one request in the new test.

Cause: an upstream may send a second copy of an answer late, where the answer to the next request on the connection is due. Answers are matched by the id that they echo, but a response of status 300 and more passed without one, also one that claims that the request was not run.

The endless refusal of an older test echoes the id now, as upstreams do.

--- a/stand_ins/platform_protocol.ts
+++ b/stand_ins/platform_protocol.ts
@@ -53,6 +53,8 @@
   Serve = "serve",
   /** Answers that the request was not executed. */
   Refuse = "refuse",
+  /** Executes the request; a late refusal of an earlier one comes first. */
+  ForeignRefusal = "foreign refusal",
   /** Executes the request and answers with an error. */
   Fail = "fail",
   /** Closes the connection in the middle of the response. */
@@ -188,7 +190,8 @@
     };
     const kind = this.handlingFor(request);
     if (kind === Handling.Refuse) {
-      return void response.writeHead(503, { "x-not-executed": "1" }).end();
+      const head = { "x-not-executed": "1", "x-request-id": request.id };
+      return void response.writeHead(503, head).end();
     }
     this.executed.push(request);
     response.on("close", () => {
@@ -196,6 +199,9 @@
       if (!response.writableFinished) this.abandoned.push(request.id);
     });
     if (kind === Handling.Hang) return;
+    if (kind === Handling.ForeignRefusal) {
+      return void response.writeHead(503, { "x-not-executed": "1" }).end();
+    }
     if (kind === Handling.Crash) return await this.#crash(request.id);
     if (kind === Handling.Dark) return await this.#goDark(request.id);
     const id = kind === Handling.Foreign ? "another" : request.id;
