A wait for a permit ends with the link that it came over

Cause: an entry tells a leader once that a wait is over; a cut loses that message. The leader kept the waits of the daemon that was cut off and granted each in turn; a grant that nobody receives holds its slot until its lease of 5 s expires, and the entry's new waits stand behind the old ones. Ruled out: the entry (it asks again after 20 to 500 ms), a lost release (retried).

A handler of peers' requests now learns when the link of a request ends, and the leader drops the wait. No answer can arrive over a link that has ended, so nobody misses it.

--- a/src/claims/sharded_claims_test.ts
+++ b/src/claims/sharded_claims_test.ts
@@ -54,7 +54,11 @@
   ): Promise<Result<unknown, Refusal>> {
     const handlers = this.#net.handlers.get(vm);
     if (handlers === undefined) return Err(lost(Verdict.NotRun));
-    const answer = await handlers[kind](body, this.self.vm);
+    const answer = await handlers[kind](
+      body,
+      this.self.vm,
+      new AbortController().signal,
+    );
     if (this.#net.losesAnswers.has(vm)) return Err(lost(Verdict.MayHaveRun));
     return Ok(answer);
   }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -290,7 +290,8 @@
   #handlers(): Readonly<Record<Message, PeerHandler>> {
     const answer = (body: unknown) => Promise.resolve(body);
     return {
-      [Message.Acquire]: (body, from) => this.#handleAcquire(body, from),
+      [Message.Acquire]: (body, from, linkEnd) =>
+        this.#handleAcquire(body, from, linkEnd),
       [Message.Cancel]: (body) => {
         const { shard, ticket } = cancelBody.parse(body);
         return answer(
@@ -337,8 +338,16 @@
     };
   }
 
-  /** Queues a request from `entry` at a leader on this daemon. */
-  #handleAcquire(body: unknown, entry: string): Promise<unknown> {
+  /**
+   * Queues a request from `entry` at a leader on this daemon. The wait ends with
+   * its link: a permit that can't be delivered would hold a slot until it
+   * expires, and the entry waits again under another ticket.
+   */
+  #handleAcquire(
+    body: unknown,
+    entry: string,
+    linkEnd: AbortSignal,
+  ): Promise<unknown> {
     const { shard, ticket, availabilityZone, demand, findings, insist } =
       acquireBody.parse(body);
     for (const finding of findings) this.#quarantine.merge(finding, entry);
@@ -348,9 +357,17 @@
     }
     const queuedAt = this.#kernel.clock.now();
     return new Promise((resolve) => {
+      const end = () => {
+        if (!leader.cancel(ticket)) return;
+        log("wait ended with its link", { id: demand.id, shard, entry });
+      };
+      linkEnd.addEventListener("abort", end, { once: true });
       leader.submit(
         { id: ticket, entry, availabilityZone, demand, queuedAt },
-        (answer) => resolve(this.#answer(shard, ticket, answer)),
+        (answer) => {
+          linkEnd.removeEventListener("abort", end);
+          resolve(this.#answer(shard, ticket, answer));
+        },
       );
     });
   }
--- a/src/dispatch/dispatcher_test.ts
+++ b/src/dispatch/dispatcher_test.ts
@@ -78,6 +78,21 @@
     await granted(one);
   }));
 
+test("a wait ends with its link, so that no slot is granted to an entry cut off", () =>
+  cluster(async (sim, entries) => {
+    const leader = sim.leaderOf("shard/lm/0");
+    const [cut, other] = entries.filter((_, n) => `e${n + 1}` !== leader);
+    const held = [await granted(other), await granted(other)];
+    for (let n = 0; n < 6; n++) void cut.acquire(demand(), idle);
+    await pause(50);
+    sim.cutOff(`e${entries.indexOf(cut) + 1}`);
+    for (const permit of held) permit.release(Outcome.Served, 10);
+    const startedAt = performance.now();
+    await granted(other);
+    await granted(other);
+    expect(performance.now() - startedAt < 1000).toEqual(true);
+  }));
+
 test("a permit is released if the answer that grants it is lost", () =>
   cluster(async (sim, [one]) => {
     sim.droppedAnswers.add("dispatch.acquire");
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -153,6 +153,8 @@
   readonly keyValue = new MemoryTransactionalKeyValue();
   readonly listeners = new Set<() => void>();
   vms: readonly Vm[];
+  /** Daemons that are cut off from all others, which still count them. */
+  readonly cut = new Set<string>();
   /** Kinds of message whose next answer is lost. */
   readonly droppedAnswers = new Set<string>();
   /** How often the daemons read the list of VMs. */
@@ -201,6 +203,12 @@
     for (const listener of this.listeners) listener();
   }
 
+  /** Cuts a daemon off: its links end, and no new ones come about. */
+  cutOff(id: string): void {
+    this.cut.add(id);
+    for (const listener of this.listeners) listener();
+  }
+
   async stop(): Promise<void> {
     for (const kernel of this.nodes.values()) await kernel.shutdown();
   }
@@ -264,15 +272,16 @@
     options: { timeoutMs: number; signal?: AbortSignal },
   ): Promise<Result<unknown, Refusal>> {
     const kernel = this.#cluster.nodes.get(id);
-    if (kernel === undefined || this.#cluster.lost.has(id)) {
+    if (kernel === undefined || !this.#reaches(id)) {
       return Err(failed(Verdict.NotRun));
     }
     const handler = kernel.get(dispatchKey).props.peerHandlers?.[kind];
     if (handler === undefined) return Err(failed(Verdict.MayHaveRun));
     const copy: unknown = JSON.parse(JSON.stringify(body));
-    const answer = handler(copy, this.self.vm);
+    const link = new AbortController();
+    const answer = handler(copy, this.self.vm, link.signal);
     const dropped = this.#cluster.droppedAnswers.delete(kind);
-    const lost = this.#ends(id, options);
+    const lost = this.#ends(id, { ...options, link });
     const first = await Promise.race([
       answer.then((value) => Ok(value)),
       lost.promise,
@@ -286,13 +295,25 @@
     return () => this.#cluster.listeners.delete(listener);
   }
 
+  #reaches(id: string): boolean {
+    const { lost, cut } = this.#cluster;
+    if (lost.has(id)) return false;
+    return id === this.self.vm || !cut.has(id) && !cut.has(this.self.vm);
+  }
+
   /** Resolves when the link breaks, the caller aborts or the time is over. */
-  #ends(id: string, options: { timeoutMs: number; signal?: AbortSignal }) {
+  #ends(id: string, options: {
+    timeoutMs: number;
+    signal?: AbortSignal;
+    link: AbortController;
+  }) {
     let end = () => {};
     const promise = new Promise<Result<unknown, Refusal>>((resolve) => {
       const settle = () => resolve(Err(failed(Verdict.MayHaveRun)));
       const listener = () => {
-        if (this.#cluster.lost.has(id)) settle();
+        if (this.#reaches(id)) return;
+        options.link.abort();
+        settle();
       };
       const timer = setTimeout(settle, Math.min(options.timeoutMs, 10_000));
       this.#cluster.listeners.add(listener);
--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -19,8 +19,16 @@
   }
 }
 
-/** Handles one kind of request from peers; errors are sent to the peer. */
-export type PeerHandler = (body: unknown, from: string) => Promise<unknown>;
+/**
+ * Handles one kind of request from peers; errors are sent to the peer. `linkEnd`
+ * aborts when the link that the request came over ends, after which no answer
+ * can reach the peer.
+ */
+export type PeerHandler = (
+  body: unknown,
+  from: string,
+  linkEnd: AbortSignal,
+) => Promise<unknown>;
 
 /** A section of the state that neighbours exchange by gossip. */
 export interface GossipSection {
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -6,6 +6,7 @@
  */
 
 import { timingSafeEqual } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import type { Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results";
 import { type Clock, Reason, Refusal, Verdict } from "../kernel/mod.ts";
@@ -91,6 +92,8 @@
   silenceBaselineAt: number;
   /** Whether silence is counted also while no request is pending. */
   isMonitored = false;
+  /** Aborts when the link is closed. */
+  readonly signal: AbortSignal;
   /** Resolves when the link is closed. */
   readonly closed: Promise<EndReason>;
   readonly #socket: Socket;
@@ -104,6 +107,7 @@
   #sent = 0;
   #received = 0;
   #endReason: EndReason | undefined;
+  readonly #end = new AbortController();
   #resolveClosed!: (reason: EndReason) => void;
 
   constructor(options: {
@@ -125,6 +129,9 @@
     this.lastUsedAt = this.lastReceivedAt;
     this.silenceBaselineAt = this.lastReceivedAt;
     this.closed = new Promise((resolve) => this.#resolveClosed = resolve);
+    this.signal = this.#end.signal;
+    // Each request that a peer waits for may add a listener.
+    setMaxListeners(0, this.signal);
     this.#source.reader.maxBytes = MAX_FRAME_BYTES + MAC_BYTES;
   }
 
@@ -256,6 +263,7 @@
     for (const settle of [...this.#pending.values()]) settle(Err(failure));
     this.#metrics.closed(reason);
     this.#resolveClosed(reason);
+    this.#end.abort();
   }
 
   #trySend(message: LinkMessage): Refusal | undefined {
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -66,6 +66,8 @@
 const MAX_SUSPICION_BACKOFF_MS = 60_000;
 /** Maximum number of names whose ranking is cached. */
 const MAX_CACHED_RANKINGS = 20_000;
+/** Of requests to this daemon itself, which use no link. */
+const NO_LINK_END = new AbortController().signal;
 /** Maximum time that the start waits for first contact. */
 const FIRST_CONTACT_TIMEOUT_MS = 1500;
 
@@ -277,7 +279,10 @@
     timeoutMs: number;
     signal?: AbortSignal;
   }): Promise<Result<unknown, Refusal>> {
-    const run = this.#handlers.run(kind, body, this.self.vm);
+    const run = this.#handlers.run(kind, body, {
+      from: this.self.vm,
+      linkEnd: NO_LINK_END,
+    });
     const { clock } = this.#kernel;
     const answer = await withTimeout(run, { ...options, clock });
     if (answer !== undefined) return answer;
--- a/src/peers/request_handlers.ts
+++ b/src/peers/request_handlers.ts
@@ -25,12 +25,12 @@
   async run(
     kind: string,
     body: unknown,
-    from: string,
+    { from, linkEnd }: { from: string; linkEnd: AbortSignal },
   ): Promise<Result<unknown, Refusal>> {
     const handler = this.#handlers.get(kind);
     if (handler === undefined) return Err(unknownKind(kind));
     try {
-      return Ok(await handler(body, from));
+      return Ok(await handler(body, from, linkEnd));
     } catch (error) {
       return Err(error instanceof Refusal ? error : failed(error));
     }
@@ -42,7 +42,10 @@
     request: { id: number; name: string; body: unknown },
   ): Promise<void> {
     const { id, name, body } = request;
-    const answer = await this.run(name, body, link.peer.vm);
+    const answer = await this.run(name, body, {
+      from: link.peer.vm,
+      linkEnd: link.signal,
+    });
     try {
       if (answer.ok) {
         link.send({ kind: FrameKind.Answer, id, body: answer.val });
--- a/stand_ins/in_process_peers.ts
+++ b/stand_ins/in_process_peers.ts
@@ -16,6 +16,9 @@
 import { type Member, Peers } from "../src/peers/mod.ts";
 import { rank } from "../src/peers/rendezvous.ts";
 
+/** Calls in one process use no link. */
+const NO_LINK_END = new AbortController().signal;
+
 /** Daemons in one process; requests between them are function calls. */
 export class PeerNetwork {
   readonly #joined = new Map<string, InProcessPeers>();
@@ -163,7 +166,7 @@
       return Err(refusal(Verdict.NotRun, Reason.PeerFailed));
     }
     try {
-      return Ok(structuredClone(await handler(body, from)));
+      return Ok(structuredClone(await handler(body, from, NO_LINK_END)));
     } catch (error) {
       if (error instanceof Refusal) return Err(error);
       return Err(refusal(Verdict.MayHaveRun, Reason.PeerFailed));
