--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -10,9 +10,11 @@
 import { parse } from "smol-toml";
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
-import type { Settings, TimingSettings } from "./mod.ts";
-
-const MIN_SECRET_CHARS = 8;
+import {
+  MIN_PEER_SECRET_CHARS,
+  type Settings,
+  type TimingSettings,
+} from "./mod.ts";
 
 /** Durations that apply where the settings file has none. */
 export const DEFAULT_TIMING: TimingSettings = {
@@ -59,6 +61,7 @@
   vm: name,
   availability_zone: name,
   region: name,
+  processor_cores: z.number().positive().optional(),
   data_folder: z.string().default(""),
   operator_sha256: z.string().regex(
     /^[0-9a-f]{64}$/,
@@ -124,10 +127,10 @@
   const text = readText(resolve(dirname(path), name));
   if (text.err) return Err(`Key "peer.secret_file": ${text.val}`);
   const secret = text.val.trim();
-  if (secret.length >= MIN_SECRET_CHARS) return Ok(secret);
+  if (secret.length >= MIN_PEER_SECRET_CHARS) return Ok(secret);
   return Err(
     `Key "peer.secret_file": Secret is shorter than ` +
-      `${MIN_SECRET_CHARS} characters`,
+      `${MIN_PEER_SECRET_CHARS} characters`,
   );
 }
 
@@ -158,6 +161,7 @@
       reports: platform.reports,
       weights: platform.weights,
     },
+    processorCores: rest.processor_cores,
     dataFolder: rest.data_folder,
     operatorSha256: rest.operator_sha256,
     timing: {
--- a/src/settings/load_test.ts
+++ b/src/settings/load_test.ts
@@ -53,6 +53,13 @@
   expect(load(VALID_SETTINGS).unwrap().operatorSha256).toEqual(undefined);
 });
 
+test("the processor's cores are a number above 0", () => {
+  const withCores = (value: string) =>
+    load(`processor_cores = ${value}\n${VALID_SETTINGS}`);
+  expect(withCores("0.5").unwrap().processorCores).toEqual(0.5);
+  expect(withCores("0").err).toEqual(true);
+});
+
 test("a duration in the file overrides its default", () => {
   const settings = load(`${VALID_SETTINGS}[timing]\nlease_ms = 1000\n`)
     .unwrap();
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -32,11 +32,16 @@
    * served to the VM itself only.
    */
   readonly operatorSha256?: string;
+  /** Processor time of this daemon, in cores; 1 by default. */
+  readonly processorCores?: number;
   /** Folder for bulk data; empty if the VM stores none. */
   readonly dataFolder: string;
   readonly timing: TimingSettings;
 }
 
+/** Shortest secret that daemons share. */
+export const MIN_PEER_SECRET_CHARS = 8;
+
 /** An address on which a daemon listens. */
 export interface ListenAddress {
   readonly host: string;
