Items stay on an upstream that pauses to load weights

Each cut has the prompt read again elsewhere.

Cause: an engine that loads weights pauses its streams for 0.9 s and goes on. The owner measures upstreams by the time between two events; the pause counted as one interval of 900 ms, which lifts a mean of 40 ms to 255. So the items moved off the upstream when its pause was over, and no item of the batch went there for 3 s.

The first event after a load bears the new version, so that interval is left out.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -410,6 +410,7 @@
     const speeds = this.#speeds(task.pool);
     const startedAt = clock.now();
     let lastEventAt = 0;
+    let lastVersion: number | undefined;
     let events = 0;
     log("item sent", {
       id: task.item.id,
@@ -435,8 +436,13 @@
       lost = task.accept(event.val, this.#terms);
       if (lost !== undefined) break;
       const now = clock.now();
-      if (events > 0) speeds.recordInterval(target.id, now - lastEventAt);
+      const { weightVersion } = event.val;
+      // Loading weights pauses an engine once and says nothing about its speed.
+      if (weightVersion === lastVersion) {
+        speeds.recordInterval(target.id, now - lastEventAt);
+      }
       lastEventAt = now;
+      lastVersion = weightVersion;
       events += 1;
       const move = task.canMove && this.#ownership.valid;
       if (move && speeds.isSlow(target.id)) {
--- a/stand_ins/platform_protocol.ts
+++ b/stand_ins/platform_protocol.ts
@@ -102,6 +102,8 @@
   events = 4;
   /** Time between two events. */
   eventIntervalMs = 2;
+  /** Pause of running streams while other weights are loaded. */
+  weightLoadMs = 0;
   versions: Record<string, number> = {};
   readonly slots = 4;
   readonly #server: Server;
@@ -264,6 +266,7 @@
     const after = Number(request.fields["last-event-id"] ?? 0);
     for (let number = after + 1; number <= this.events; number++) {
       if (response.destroyed) return;
+      if (version() !== lastSent) await sleep(this.weightLoadMs);
       const swapped = version() === lastSent
         ? ""
         : `x-weight-versions: ${version()}\n`;
