Tests: a port that is taken is passed over, as meant

A test with daemons as processes failed with EADDRINUSE when another process held a port of its range: "listening" awaited by `once` rejects on "error" too, and that rejection came before the promise that tells the port to be taken. Test: failed before, passes after.

--- a/stand_ins/cluster.ts
+++ b/stand_ins/cluster.ts
@@ -420,10 +420,7 @@
 async function isFree(port: number): Promise<boolean> {
   const server = createServer();
   server.listen(port, "127.0.0.1");
-  const free = await Promise.race([
-    once(server, "listening").then(() => true),
-    once(server, "error").then(() => false),
-  ]);
+  const free = await once(server, "listening").then(() => true, () => false);
   if (free) await closed(server);
   return free;
 }
--- a/stand_ins/cluster_test.ts
+++ b/stand_ins/cluster_test.ts
@@ -1,10 +1,17 @@
 import { expect } from "earl";
+import { once } from "node:events";
+import { createServer } from "node:net";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { DUTY_LEASE_PREFIX } from "../src/orders/duty_lease.ts";
 import type { Order } from "../src/outside/mod.ts";
 import { pool, tables } from "./builders.ts";
-import { type Cluster, type Daemon, startCluster } from "./cluster.ts";
+import {
+  type Cluster,
+  type Daemon,
+  freePorts,
+  startCluster,
+} from "./cluster.ts";
 
 const LEASE_MS = 900;
 
@@ -105,3 +112,12 @@
     await cluster.stop();
   }
 });
+
+test("ports that are taken are passed over", async (t) => {
+  const [port] = await freePorts(1);
+  const server = createServer();
+  t.after(() => server.close());
+  server.listen(port + 1, "127.0.0.1");
+  await once(server, "listening");
+  expect((await freePorts(2)).includes(port + 1)).toEqual(false);
+});
--- a/stand_ins/in_process_peers.ts
+++ b/stand_ins/in_process_peers.ts
@@ -99,6 +99,7 @@
       http: "127.0.0.1:0",
       availabilityZone: options.availabilityZone ?? "az-1",
       leaving: false,
+      cores: 1,
     };
     this.#network = options.network ?? new PeerNetwork();
     for (const [kind, handler] of Object.entries(options.handlers ?? {})) {
