Duties go to daemons with enough cores

Cause, as far as shown: a route's batches, a shard's queue and the leases fell to any daemon by rendezvous hashing; 49 of 55 have 0.324 of a core, 6 have 1.35.

Daemons announce their cores; a duty goes to those with at least half as many as the strongest has. Copies of usage and the detour to the store stay spread over all.

Settings: processor_cores, the platform's limits.

--- a/experiments/member_state.ts
+++ b/experiments/member_state.ts
@@ -30,6 +30,7 @@
     http: `10.1.${index >> 8}.${index & 255}:8080`,
     availabilityZone: `tt-south-${index % 5}`,
     leaving: false,
+    cores: 1,
   };
 }
 
--- a/src/admin/admin_fixture.ts
+++ b/src/admin/admin_fixture.ts
@@ -111,6 +111,7 @@
       http: "",
       availabilityZone: "a",
       leaving: false,
+      cores: 1,
     }));
   }
 
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -298,7 +298,7 @@
 
   /** The daemon that should run the batches of a route. */
   #ownerOf(route: string): { vm: string; incarnation: string } {
-    return this.#peers.ranked(`batches/${route}`)[0] ?? this.#peers.self;
+    return this.#peers.rankedForDuty(`batches/${route}`)[0] ?? this.#peers.self;
   }
 
   /** The owner if it is alive and not leaving, or else its successor. */
@@ -324,7 +324,7 @@
 
   /** Asks the next daemon in rank to take the batch over. */
   async #handOver(head: BatchHead): Promise<void> {
-    const next = this.#peers.ranked(`batches/${head.route}`)
+    const next = this.#peers.rankedForDuty(`batches/${head.route}`)
       .find(({ vm }) => vm !== this.#peers.self.vm);
     if (next === undefined || head.ended) return;
     await this.#notify(next.vm, head);
@@ -470,7 +470,10 @@
     while (!signal.aborted) {
       await this.#kernel.clock.sleep(waitMs, signal);
       waitMs = SCAN_INTERVAL_MS;
-      const ranked = this.#peers.ranked("batches").slice(0, SCANNING_DAEMONS);
+      const ranked = this.#peers.rankedForDuty("batches").slice(
+        0,
+        SCANNING_DAEMONS,
+      );
       const self = this.#peers.self.vm;
       if (signal.aborted || !ranked.some(({ vm }) => vm === self)) continue;
       const heads = await this.#store.heads();
--- a/src/claims/sharded_claims.ts
+++ b/src/claims/sharded_claims.ts
@@ -270,7 +270,7 @@
    * dead owner stays ranked first until it is detected; any daemon may serve.
    */
   #ownerOf(shard: number, failed = 0): string | undefined {
-    const ranked = this.#peers.ranked(`claims/${shard}`);
+    const ranked = this.#peers.rankedForDuty(`claims/${shard}`);
     return ranked[failed % ranked.length]?.vm;
   }
 
--- a/src/claims/sharded_claims_test.ts
+++ b/src/claims/sharded_claims_test.ts
@@ -76,6 +76,7 @@
     http: "",
     availabilityZone: "",
     leaving: false,
+    cores: 1,
   };
 }
 
--- a/src/config/replicated_configuration.ts
+++ b/src/config/replicated_configuration.ts
@@ -298,7 +298,7 @@
   // Key-value service
 
   #watching(): boolean {
-    return this.#peers.ranked("config-watch").slice(0, WATCHER_COUNT)
+    return this.#peers.rankedForDuty("config-watch").slice(0, WATCHER_COUNT)
       .some((member) => member.vm === this.#vm);
   }
 
--- a/src/directory/directory_gossip.ts
+++ b/src/directory/directory_gossip.ts
@@ -116,7 +116,7 @@
 
   #isReader(): boolean {
     const self = this.#peers.self.vm;
-    return this.#peers.ranked(GOSSIP_SECTION).slice(0, READER_COUNT)
+    return this.#peers.rankedForDuty(GOSSIP_SECTION).slice(0, READER_COUNT)
       .some(({ vm }) => vm === self);
   }
 
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -243,7 +243,7 @@
   upstreams(pool: string): readonly UpstreamStatus[] {
     return this.#fleet.shardsOfPool(pool).flatMap((shard) => {
       const summary = this.#summaries.latest(shard.name);
-      const leader = this.#peers.ranked(shard.name)[0]?.vm ?? "";
+      const leader = this.#peers.rankedForDuty(shard.name)[0]?.vm ?? "";
       return shard.upstreams.map((upstream) => {
         const known = summary?.upstreams.find(({ id }) => id === upstream.id);
         return {
@@ -276,7 +276,7 @@
 
   async #pressureOf(shard: string): Promise<Pressure> {
     const none = { running: 0, queued: 0, urgent: 0, slots: 0 };
-    const leader = this.#peers.ranked(shard)[0]?.vm;
+    const leader = this.#peers.rankedForDuty(shard)[0]?.vm;
     if (leader === undefined) return none;
     const answer = await this.#peers.ask(leader, Message.Pressure, { shard }, {
       timeoutMs: NOTIFICATION_TIMEOUT_MS,
@@ -393,7 +393,7 @@
   /** Names the shard's leader as seen from here, other than this daemon. */
   #moved(shard: string): unknown {
     const self = this.#peers.self.vm;
-    const vm = this.#peers.ranked(shard)
+    const vm = this.#peers.rankedForDuty(shard)
       .find(({ vm }) => vm !== self)?.vm;
     if (vm !== undefined) return { ending: AcquireEnding.Moved, keeper: vm };
     return {
@@ -459,7 +459,7 @@
   #leaderVms(): ReadonlySet<string> {
     const vms = new Set(
       this.#fleet.shards.flatMap(({ name }) =>
-        this.#peers.ranked(name).slice(0, 1).map(({ vm }) => vm)
+        this.#peers.rankedForDuty(name).slice(0, 1).map(({ vm }) => vm)
       ),
     );
     vms.delete(this.#peers.self.vm);
@@ -491,7 +491,7 @@
       permits: this.#heldPermits.size,
       shards: this.#fleet.shards.map(({ name, upstreams }) => ({
         name,
-        keeper: this.#peers.ranked(name)[0]?.vm ?? "",
+        keeper: this.#peers.rankedForDuty(name)[0]?.vm ?? "",
         upstreams: upstreams.map(({ id }) => id),
       })),
       kept: this.#localLeaders.list().map(({ shard, leader }) => ({
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -194,7 +194,7 @@
   #selectTarget(demand: Demand): AcquireTarget | undefined {
     const shard = this.#selectShard(demand);
     if (shard === undefined) return undefined;
-    const leader = this.#peers.ranked(shard.name)[0]?.vm;
+    const leader = this.#peers.rankedForDuty(shard.name)[0]?.vm;
     if (leader === undefined) return undefined;
     return { shard, leader, insist: false };
   }
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -344,6 +344,7 @@
     http: `${vm}:2`,
     availabilityZone: "zone-1",
     leaving: false,
+    cores: 1,
   };
 }
 
--- a/src/dispatch/held_permits.ts
+++ b/src/dispatch/held_permits.ts
@@ -204,7 +204,7 @@
 
   /** The shard's current leader, and the one that granted the permit. */
   #leadersOf(held: HeldPermit): ReadonlySet<string> {
-    const owner = this.#peers.ranked(this.#shardOf(held))[0]?.vm;
+    const owner = this.#peers.rankedForDuty(this.#shardOf(held))[0]?.vm;
     const granter = this.#peers.members()
       .some(({ vm }) => vm === held.leader);
     return new Set([
--- a/src/dispatch/local_leaders.ts
+++ b/src/dispatch/local_leaders.ts
@@ -151,7 +151,7 @@
 
   #isLeaderOf(name: string): boolean {
     if (this.#closed) return false;
-    return this.#peers.ranked(name)[0]?.vm === this.#peers.self.vm;
+    return this.#peers.rankedForDuty(name)[0]?.vm === this.#peers.self.vm;
   }
 
   #wanted(host: HostedLeader): boolean {
--- a/src/orders/duty_lease.ts
+++ b/src/orders/duty_lease.ts
@@ -36,7 +36,7 @@
  * daemons are, so that polling does not grow with the cluster.
  */
 export function isCandidate(peers: Peers, name: string): boolean {
-  return peers.ranked(DUTY_LEASE_PREFIX + name).slice(0, CANDIDATE_COUNT)
+  return peers.rankedForDuty(DUTY_LEASE_PREFIX + name).slice(0, CANDIDATE_COUNT)
     .some(({ vm }) => vm === peers.self.vm);
 }
 
--- a/src/orders/fixtures_test.ts
+++ b/src/orders/fixtures_test.ts
@@ -34,6 +34,7 @@
       http: "",
       availabilityZone: "a",
       leaving: false,
+      cores: 1,
     };
   }
 
--- a/src/peers/membership_list_test.ts
+++ b/src/peers/membership_list_test.ts
@@ -15,6 +15,7 @@
   http: `${vm}:2`,
   availabilityZone: "az-1",
   leaving: false,
+  cores: 1,
 });
 
 const state = (
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -22,7 +22,7 @@
 import { cancelled, type Link, type LinkMessage, unreachable } from "./link.ts";
 import { LinkManager } from "./link_manager.ts";
 import { type Member, Peers, peersKey } from "./mod.ts";
-import { hash, neighbours, rank } from "./rendezvous.ts";
+import { hash, neighbours, rank, rankForDuty } from "./rendezvous.ts";
 import {
   Liveness,
   MembershipList,
@@ -68,6 +68,8 @@
 const MAX_CACHED_RANKINGS = 20_000;
 /** Of requests to this daemon itself, which use no link. */
 const NO_LINK_END = new AbortController().signal;
+/** Cores of a daemon whose settings name none. */
+const DEFAULT_CORES = 1;
 /** Maximum time that the start waits for first contact. */
 const FIRST_CONTACT_TIMEOUT_MS = 1500;
 
@@ -79,6 +81,8 @@
     http: z.string(),
     availabilityZone: z.string(),
     leaving: z.boolean(),
+    // Daemons of earlier versions announce none.
+    cores: z.number().positive().default(DEFAULT_CORES),
   }),
   counter: z.number().int().nonnegative(),
   status: z.number().int().min(Liveness.Alive).max(Liveness.Left),
@@ -117,6 +121,7 @@
   readonly #digestMismatches = new Map<string, number>();
   readonly #listeners = new Set<() => void>();
   readonly #rankings = new Map<string, readonly Member[]>();
+  readonly #dutyRankings = new Map<string, readonly Member[]>();
   readonly #stopping = new AbortController();
   readonly #pendingChanges = new Map<string, MembershipChange>();
   #listed: ReadonlyMap<string, Vm> = new Map();
@@ -160,13 +165,26 @@
   }
 
   ranked(name: string): readonly Member[] {
-    let ranking = this.#rankings.get(name);
-    if (ranking === undefined) {
-      if (this.#rankings.size >= MAX_CACHED_RANKINGS) this.#rankings.clear();
-      const eligible = this.members().filter((member) => !member.leaving);
-      ranking = rank(eligible.length > 0 ? eligible : this.members(), name);
-      this.#rankings.set(name, ranking);
-    }
+    return this.#cachedRanking(this.#rankings, { name, rank });
+  }
+
+  override rankedForDuty(name: string): readonly Member[] {
+    return this.#cachedRanking(this.#dutyRankings, { name, rank: rankForDuty });
+  }
+
+  #cachedRanking(cache: Map<string, readonly Member[]>, { name, rank }: {
+    name: string;
+    rank: (members: readonly Member[], name: string) => readonly Member[];
+  }): readonly Member[] {
+    const known = cache.get(name);
+    if (known !== undefined) return known;
+    if (cache.size >= MAX_CACHED_RANKINGS) cache.clear();
+    const eligible = this.members().filter((member) => !member.leaving);
+    const ranking = rank(
+      eligible.length > 0 ? eligible : this.members(),
+      name,
+    );
+    cache.set(name, ranking);
     return ranking;
   }
 
@@ -260,6 +278,7 @@
       availabilityZone: settings.availabilityZone,
       // Must not own anything until all plug-ins can serve it.
       leaving: true,
+      cores: settings.processorCores ?? DEFAULT_CORES,
     };
     return new MembershipList({ self, now: this.#now() });
   }
@@ -520,6 +539,7 @@
     if (this.#membership.generation === this.#seenGeneration) return;
     this.#seenGeneration = this.#membership.generation;
     this.#rankings.clear();
+    this.#dutyRankings.clear();
     for (const perMember of [this.#suspicions, this.#digestMismatches]) {
       for (const vm of perMember.keys()) {
         if (this.#membership.get(vm) === undefined) perMember.delete(vm);
--- a/src/peers/mod.ts
+++ b/src/peers/mod.ts
@@ -19,6 +19,8 @@
   readonly availabilityZone: string;
   /** Whether it is starting or shutting down, so must not own anything new. */
   readonly leaving: boolean;
+  /** Processor time that the daemon may use, in cores. */
+  readonly cores: number;
 }
 
 /** Membership of the cluster and requests between its daemons. */
@@ -36,6 +38,14 @@
    */
   abstract ranked(name: string): readonly Member[];
 
+  /**
+   * The same for a duty that one daemon performs for many: members with far
+   * fewer cores than the strongest one come last.
+   */
+  rankedForDuty(name: string): readonly Member[] {
+    return this.ranked(name);
+  }
+
   /**
    * Sends a request to `vm`; a request to this daemon is handled locally. A
    * refusal's verdict is `NotRun` only if the request certainly did not run: it
--- a/src/peers/rendezvous.ts
+++ b/src/peers/rendezvous.ts
@@ -53,6 +53,25 @@
     .map(({ member }) => member);
 }
 
+/**
+ * A duty goes to members with at least this share of the most cores that one
+ * has, as it takes about as much processor time on each.
+ */
+const MIN_CORES_SHARE = 0.5;
+
+/** As `rank`, but members with far fewer cores than others come last. */
+export function rankForDuty<
+  T extends { readonly vm: string; readonly cores: number },
+>(members: readonly T[], name: string): readonly T[] {
+  const most = Math.max(...members.map(({ cores }) => cores));
+  const isStrong = ({ cores }: T) => cores >= MIN_CORES_SHARE * most;
+  const ranked = rank(members, name);
+  return [
+    ...ranked.filter(isStrong),
+    ...ranked.filter((member) => !isStrong(member)),
+  ];
+}
+
 /** Up to this many members, all are neighbours of each other. */
 export const FULL_MESH_MAX_MEMBERS = 8;
 
--- a/src/peers/rendezvous_test.ts
+++ b/src/peers/rendezvous_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { test } from "node:test";
-import { hash, neighbours, rank } from "./rendezvous.ts";
+import { hash, neighbours, rank, rankForDuty } from "./rendezvous.ts";
 
 const vms = (count: number) =>
   Array.from({ length: count }, (_, index) => `vm-${index}`);
@@ -60,3 +60,27 @@
   const hashes = new Set(vms(100_000).map((vm) => hash(vm)));
   expect(hashes.size).toEqual(100_000);
 });
+
+test("a duty goes to a small member only if no other is left", () => {
+  const cores = (vm: string) => vm < "vm-2" ? 1.35 : vm < "vm-3" ? 0.8 : 0.324;
+  const mixed = members(10).map(({ vm }) => ({ vm, cores: cores(vm) }));
+  const strong = mixed.filter(({ cores }) => cores > 0.5);
+  const owners = new Set<string>();
+  for (let name = 0; name < 1000; name++) {
+    const ranked = rankForDuty(mixed, `${name}`);
+    owners.add(ranked[0].vm);
+    expect(ranked.length).toEqual(mixed.length);
+    expect(ranked.slice(0, strong.length)).toEqual([
+      ...rank(strong, `${name}`),
+    ]);
+    expect(ranked[strong.length].cores).toEqual(0.324);
+  }
+  expect(owners.size).toEqual(strong.length);
+});
+
+test("equal members share duties as they share names", () => {
+  const equal = members(10).map(({ vm }) => ({ vm, cores: 0.675 }));
+  for (let name = 0; name < 100; name++) {
+    expect(rankForDuty(equal, `${name}`)).toEqual(rank(equal, `${name}`));
+  }
+});
--- a/src/steps/steps.ts
+++ b/src/steps/steps.ts
@@ -310,7 +310,7 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, Refusal>> {
-    const owner = this.#peers.ranked(name)[0] ?? this.#peers.self;
+    const owner = this.#peers.rankedForDuty(name)[0] ?? this.#peers.self;
     const answer = await this.#peers.ask(owner.vm, kind, body, { timeoutMs });
     if (answer.err) return answer;
     const { refusal } = answer.val as { refusal?: Refusal };
@@ -513,7 +513,7 @@
   }
 
   #owns(step: Step): boolean {
-    const owner = this.#peers.ranked(step.name)[0];
+    const owner = this.#peers.rankedForDuty(step.name)[0];
     return owner === undefined || owner.vm === this.#peers.self.vm;
   }
 
@@ -523,7 +523,7 @@
    * refused, and the trainer resubmits the step.
    */
   async #transfer(step: Step): Promise<void> {
-    const successor = this.#peers.ranked(step.name)
+    const successor = this.#peers.rankedForDuty(step.name)
       .find((member) => member.vm !== this.#peers.self.vm);
     if (successor === undefined) return;
     step.stop();
