A cancelled wait for a permit is answered, so that nothing keeps it

The wait is now answered as cancelled, which removes the listener; the answer is dropped by whoever cancelled. Test: no answer before.

--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -211,7 +211,8 @@
     const ticket = this.#queue.remove(id);
     if (ticket !== undefined) {
       this.#dropReservations(ticket);
-      this.#answers.delete(id);
+      const refusal = refusalOf(Reason.Cancelled, "The caller went away");
+      this.#answer(id, { refusal });
       return true;
     }
     for (const { ticket, permit } of this.#permits.all()) {
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -59,6 +59,17 @@
     : undefined;
 }
 
+test("a wait that is cancelled is answered", () => {
+  const { leader } = shard([upstream({ slots: 1 })]);
+  leader.submit(ticket({}), () => {});
+  const wait: { answer?: WaitResult } = {};
+  const second = ticket({});
+  leader.submit(second, (answer) => wait.answer = answer);
+  expect(leader.cancel(second.id)).toEqual(true);
+  expect(reason(wait)).toEqual(Reason.Cancelled);
+  expect(leader.cancel(second.id)).toEqual(false);
+});
+
 test("a permit that is not renewed expires", () => {
   const { clock, leader, ask } = shard([upstream({ slots: 1 })]);
   ask();
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { setMaxListeners } from "node:events";
 import { Err, type Result } from "ts-results";
 import { z } from "zod";
 import {
@@ -68,6 +69,7 @@
 const MAX_CACHED_RANKINGS = 20_000;
 /** Of requests to this daemon itself, which use no link. */
 const NO_LINK_END = new AbortController().signal;
+setMaxListeners(0, NO_LINK_END);
 /** Cores of a daemon whose settings name none. */
 const DEFAULT_CORES = 1;
 /** Maximum time that the start waits for first contact. */
