--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -1,107 +1,106 @@
 /**
- * Case 4: a sampler that was full sends its refusal of a request twice. The
- * second copy arrives where the answer to the same request is expected, which
- * was sent again on the same connection and runs.
+ * Case 4: an item of a batch submission has headers `X-Tenant` and `X-Api-Key`
+ * of its client. The sampler gets both: the first beside the one that the system
+ * sets, and before it.
  *
  * @module
  */
 
 import { call } from "../lib/client.ts";
-import { APP, plainRoute } from "../lib/routes.ts";
-import { answer, RawSampler, type SamplerRequest } from "../lib/sampler.ts";
-import { runCase, type Site, sleep } from "../lib/site.ts";
+import { BATCH_ROUTE, LM } from "../lib/routes.ts";
+import {
+  RawSampler,
+  type SamplerRequest,
+  StreamAnswer,
+} from "../lib/sampler.ts";
+import { API_KEY, runCase, type Site, sleep, until } from "../lib/site.ts";
 
-const REQUESTS = 20;
+const ITEMS = 8;
+const EVENTS = 5;
+const EVENT_INTERVAL_MS = 10;
+const RUN_TIMEOUT_MS = 15_000;
 
-/** Time that a run takes. */
-const RUN_MS = 150;
-
-/** When the second copy of a refusal is sent after the next request arrived. */
-const COPY_AFTER_MS = 5;
-
-/** Time after the last answer in which a request may still run. */
-const LATE_RUN_MS = 1000;
-
-/** A sampler that refuses each request once, and then runs it. */
-class FullSampler {
-  readonly raw = new RawSampler({ id: "app-1" });
-  readonly runs = new Map<string, number>();
-  readonly #site: Site;
-  readonly #sendsCopies: boolean;
-  /** Connection on which each request was refused. */
-  readonly #refusedOn = new Map<string, number>();
-  readonly #copied = new Set<string>();
-  /** Work of each connection, one request after the other. */
-  readonly #work = new Map<number, Promise<void>>();
-
-  constructor(options: { site: Site; sendsCopies: boolean }) {
-    this.#site = options.site;
-    this.#sendsCopies = options.sendsCopies;
-    this.raw.onRequest = (request) => this.#handle(request);
-  }
-
-  #handle(request: SamplerRequest): void {
-    const { id, connection } = request;
-    const refusedOn = this.#refusedOn.get(id);
-    if (refusedOn === undefined) {
-      this.#refusedOn.set(id, connection);
-      this.#site.journal.write(`app-1 is full and refuses ${id}`);
-      return this.#refuse(request);
-    }
-    const copies = this.#sendsCopies && refusedOn === connection &&
-      !this.#copied.has(id);
-    if (copies) void this.#sendCopy(request);
-    const before = this.#work.get(connection) ?? Promise.resolve();
-    this.#work.set(connection, before.then(() => this.#run(request)));
-  }
-
-  #refuse({ id, socket }: SamplerRequest): void {
-    const fields = [`X-Request-Id: ${id}`, "X-Not-Executed: 1"];
-    answer(socket, "503 Service Unavailable", fields, "");
-  }
-
-  async #sendCopy(request: SamplerRequest): Promise<void> {
-    this.#copied.add(request.id);
-    await sleep(COPY_AFTER_MS);
-    this.#site.journal.write(`app-1 sends its refusal of ${request.id} again`);
-    this.#refuse(request);
-  }
-
-  async #run({ id, socket, connection }: SamplerRequest): Promise<void> {
-    if (socket.destroyed) return;
-    this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
-    this.#site.journal.write(`app-1 runs ${id} on connection ${connection}`);
-    await sleep(RUN_MS);
-    const fields = [`X-Request-Id: ${id}`, `X-Response-Seal: seal-${id}`];
-    answer(socket, "200 OK", fields, "done");
-  }
-}
+/** The tenant that holds the client's key, and the one that the client names. */
+const OWN_TENANT = "acme";
+const OTHER_TENANT = "umbrella";
 
 async function run(site: Site, trouble: boolean): Promise<readonly string[]> {
   const { journal } = site;
-  const sampler = new FullSampler({ site, sendsCopies: trouble });
-  const { raw, runs } = sampler;
-  await raw.start();
-  await site.start([plainRoute("orders", "non_idempotent")], [APP]);
-  site.list("app-1", { service: "app", address: raw.address, slots: 6 });
+  const sampler = new RawSampler({ id: "lm-1", model: "m" });
+  const runs = new Map<string, { tenants: readonly string[]; key: boolean }>();
+  sampler.onRequest = (request) => {
+    const tenants = request.fields.filter(([name]) => name === "x-tenant")
+      .map(([, value]) => value);
+    const key = request.fields.some(([, value]) => value === API_KEY);
+    runs.set(request.id, { tenants, key });
+    journal.write(
+      `lm-1 runs ${request.id} with X-Tenant ${tenants.join(", ")} and ` +
+        (key ? "the client's key" : "no key"),
+    );
+    void serve(request);
+  };
+  await sampler.start();
+  await site.start([BATCH_ROUTE], [LM]);
+  site.list("lm-1", {
+    service: "lm",
+    address: sampler.address,
+    slots: 8,
+    model: "m",
+  });
   const [daemon] = await site.startDaemons(1);
-  const statuses = new Map<string, number>();
-  for (let n = 1; n <= REQUESTS; n++) {
-    const id = `request-${n}`;
-    journal.write(`${id} is sent on /orders/`);
-    const { status } = await call(daemon, { id, path: `/orders/${n}` });
-    journal.write(`${id} is answered ${status}`);
-    statuses.set(id, status);
+  journal.write(`a batch submission is sent with the key of ${OWN_TENANT}`);
+  const submitted = await call(daemon, {
+    id: "batch-1",
+    path: "/rollouts/batch-1",
+    body: batch(
+      trouble ? { "X-Tenant": OTHER_TENANT, "X-Api-Key": API_KEY } : {},
+    ),
+    fields: { "content-type": "application/json" },
+  });
+  journal.write(`the batch submission is answered ${submitted.status}`);
+  if (submitted.status !== 202) {
+    sampler.stop();
+    if (trouble && submitted.status === 400) return [];
+    throw new Error("Not accepted");
   }
-  await sleep(LATE_RUN_MS);
-  raw.stop();
-  const served = [...statuses.values()].filter((status) => status === 200);
-  if (!trouble && served.length < REQUESTS) {
-    throw new Error(`Only ${served.length} of ${REQUESTS} were served`);
+  await until(() => runs.size === ITEMS, RUN_TIMEOUT_MS);
+  sampler.stop();
+  return [...runs].flatMap(([id, { tenants, key }]) => [
+    ...tenants.length === 1 && tenants[0] === OWN_TENANT
+      ? []
+      : [`${id} ran with X-Tenant ${tenants.join(", ")}`],
+    ...key ? [`${id} ran with the client's key`] : [],
+  ]);
+}
+
+async function serve(request: SamplerRequest): Promise<void> {
+  const answer = new StreamAnswer(request);
+  for (let n = 1; n <= EVENTS; n++) {
+    answer.send(n);
+    await sleep(EVENT_INTERVAL_MS);
   }
-  return [...statuses.keys()].flatMap((id) => {
-    const times = runs.get(id) ?? 0;
-    return times > 1 ? [`${id} ran ${times} times`] : [];
+  answer.end();
+}
+
+function batch(headers: Readonly<Record<string, string>>): string {
+  return JSON.stringify({
+    step: 0,
+    model: "m",
+    min_version: 1,
+    desired: ITEMS,
+    items: Array.from({ length: ITEMS }, (_, n) => ({
+      id: `item-${n}`,
+      path: `/rollouts/run/${n}`,
+      headers: {
+        "X-Model": "m",
+        "X-Token-Usage": "10,100",
+        "X-Prompt-Prefix": "aa:10",
+        ...headers,
+      },
+      body: Buffer.from(`body of ${n}`).toString("base64"),
+      tokens: 110,
+      group: `g${n}`,
+    })),
   });
 }
 
--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -1,107 +1,104 @@
 /**
- * Case 5: an item of a batch submission has headers `X-Tenant` and `X-Api-Key`
- * of its client. The sampler gets both: the first beside the one that the system
- * sets, and before it.
+ * Case 5: streams that run when their machine gets SIGTERM, and that their
+ * sampler ends before the last sixth of `grace_s`, are cut by the machine.
  *
  * @module
  */
 
-import { call } from "../lib/client.ts";
-import { BATCH_ROUTE, LM } from "../lib/routes.ts";
+import { type ClientAnswer, openStream } from "../lib/client.ts";
+import { LM } from "../lib/routes.ts";
 import {
   RawSampler,
   type SamplerRequest,
   StreamAnswer,
 } from "../lib/sampler.ts";
-import { API_KEY, runCase, type Site, sleep, until } from "../lib/site.ts";
+import { HOST, runCase, type Site, sleep } from "../lib/site.ts";
 
-const ITEMS = 8;
-const EVENTS = 5;
-const EVENT_INTERVAL_MS = 10;
-const RUN_TIMEOUT_MS = 15_000;
+const STREAMS = 4;
 
-/** The tenant that holds the client's key, and the one that the client names. */
-const OWN_TENANT = "acme";
-const OTHER_TENANT = "umbrella";
+const EVENT_INTERVAL_MS = 50;
+
+/** Events of a stream, which thus lasts 6.5 s. */
+const EVENTS = 130;
+
+/** Time from the start of the streams to SIGTERM. */
+const SIGNAL_AFTER_MS = 100;
+
+const GRACE_MS = 8000;
+
+/** In the last sixth of it, a sampler's work is no longer counted. */
+const COUNTED_MS = GRACE_MS * 5 / 6;
+
+const ROUTE = {
+  name: "chats",
+  host: HOST,
+  prefix: "/chats/",
+  type: "stream",
+  timeout_ms: 10_000,
+  latency_goal_ms: 500,
+  priority: 1,
+  service: "lm",
+  max_attempts: 3,
+};
 
 async function run(site: Site, trouble: boolean): Promise<readonly string[]> {
   const { journal } = site;
   const sampler = new RawSampler({ id: "lm-1", model: "m" });
-  const runs = new Map<string, { tenants: readonly string[]; key: boolean }>();
-  sampler.onRequest = (request) => {
-    const tenants = request.fields.filter(([name]) => name === "x-tenant")
-      .map(([, value]) => value);
-    const key = request.fields.some(([, value]) => value === API_KEY);
-    runs.set(request.id, { tenants, key });
-    journal.write(
-      `lm-1 runs ${request.id} with X-Tenant ${tenants.join(", ")} and ` +
-        (key ? "the client's key" : "no key"),
-    );
-    void serve(request);
-  };
+  sampler.onRequest = (request) => void serve(site, request);
   await sampler.start();
-  await site.start([BATCH_ROUTE], [LM]);
+  await site.start([ROUTE], [LM]);
   site.list("lm-1", {
     service: "lm",
     address: sampler.address,
     slots: 8,
     model: "m",
   });
-  const [daemon] = await site.startDaemons(1);
-  journal.write(`a batch submission is sent with the key of ${OWN_TENANT}`);
-  const submitted = await call(daemon, {
-    id: "batch-1",
-    path: "/rollouts/batch-1",
-    body: batch(
-      trouble ? { "X-Tenant": OTHER_TENANT, "X-Api-Key": API_KEY } : {},
-    ),
-    fields: { "content-type": "application/json" },
+  const [daemon] = await site.startDaemons(2);
+  const sentAt = performance.now();
+  const streams = Array.from({ length: STREAMS }, async (_, n) => {
+    const id = `stream-${n + 1}`;
+    journal.write(`${id} is sent to front-1`);
+    const answer = await openStream(daemon, { id, path: `/chats/${n}` });
+    const events = eventsOf(answer);
+    journal.write(
+      `${id} is answered ${answer.status} with ${events} of ${EVENTS} events, ` +
+        `whole by its framing: ${answer.whole}`,
+    );
+    return { id, whole: answer.whole, events };
   });
-  journal.write(`the batch submission is answered ${submitted.status}`);
-  if (submitted.status !== 202) {
-    sampler.stop();
-    if (trouble && submitted.status === 400) return [];
-    throw new Error("Not accepted");
+  await sleep(SIGNAL_AFTER_MS);
+  if (trouble) {
+    daemon.process.kill("SIGTERM");
+    journal.write("front-1 gets SIGTERM");
+    const lasts = sentAt + EVENTS * EVENT_INTERVAL_MS - performance.now();
+    if (lasts >= COUNTED_MS) throw new Error("The streams last too long");
   }
-  await until(() => runs.size === ITEMS, RUN_TIMEOUT_MS);
+  const ended = await Promise.all(streams);
   sampler.stop();
-  return [...runs].flatMap(([id, { tenants, key }]) => [
-    ...tenants.length === 1 && tenants[0] === OWN_TENANT
-      ? []
-      : [`${id} ran with X-Tenant ${tenants.join(", ")}`],
-    ...key ? [`${id} ran with the client's key`] : [],
-  ]);
+  return ended.filter(({ whole, events }) => !whole || events < EVENTS)
+    .map(({ id, events }) => `${id} ended after ${events} of ${EVENTS} events`);
 }
 
-async function serve(request: SamplerRequest): Promise<void> {
+async function serve(
+  { journal }: Site,
+  request: SamplerRequest,
+): Promise<void> {
+  const { id } = request;
+  journal.write(`lm-1 runs ${id}`);
   const answer = new StreamAnswer(request);
-  for (let n = 1; n <= EVENTS; n++) {
+  const startedAt = performance.now();
+  for (let n = 1; n <= EVENTS && answer.open; n++) {
     answer.send(n);
-    await sleep(EVENT_INTERVAL_MS);
+    await sleep(startedAt + n * EVENT_INTERVAL_MS - performance.now());
   }
   answer.end();
+  journal.write(
+    `lm-1 ${answer.open ? "has finished" : "is cut off from"} ${id}`,
+  );
 }
 
-function batch(headers: Readonly<Record<string, string>>): string {
-  return JSON.stringify({
-    step: 0,
-    model: "m",
-    min_version: 1,
-    desired: ITEMS,
-    items: Array.from({ length: ITEMS }, (_, n) => ({
-      id: `item-${n}`,
-      path: `/rollouts/run/${n}`,
-      headers: {
-        "X-Model": "m",
-        "X-Token-Usage": "10,100",
-        "X-Prompt-Prefix": "aa:10",
-        ...headers,
-      },
-      body: Buffer.from(`body of ${n}`).toString("base64"),
-      tokens: 110,
-      group: `g${n}`,
-    })),
-  });
+function eventsOf({ body }: ClientAnswer): number {
+  return body.toString().split("\n\n").length - 1;
 }
 
 void runCase("review/5", run);
