Answers without a length that are reset are not whole

Cause: undici ends a body without a length at ECONNRESET as at FIN, and all readers trust the end of a body. Evidence: a client alone, without a daemon, takes such answers for whole; those in chunks or with a length fail already. Ruled out: the daemon's own framing and the parser of events.

The connector gives each error of an established connection a code of its own, so the error reaches the reader. FIN, and a reset after it, still end an answer. Same cause: calls to the platform and the own gateway's forwarded requests.

--- a/src/gateway/service_forwarder.ts
+++ b/src/gateway/service_forwarder.ts
@@ -21,6 +21,7 @@
   register,
   Verdict,
 } from "../kernel/mod.ts";
+import { faultReportingConnector } from "../outside/http_endpoint.ts";
 import type { Target } from "../outside/mod.ts";
 import { type Route, RouteKind } from "../tables/mod.ts";
 import { claimsKey } from "../claims/mod.ts";
@@ -62,7 +63,7 @@
   readonly #pooledAgent = new Agent({
     connections: MAX_CONNECTIONS_PER_UPSTREAM,
     pipelining: 1,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: faultReportingConnector(CONNECT_TIMEOUT_MS),
   });
   /**
    * Opens a connection for each request that may not be repeated, because a
@@ -70,7 +71,7 @@
    */
   readonly #unpooledAgent = new Agent({
     pipelining: 0,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: faultReportingConnector(CONNECT_TIMEOUT_MS),
   });
 
   constructor(options: { kernel: Kernel; budget?: RetryBudget }) {
--- a/src/gateway/service_forwarder_test.ts
+++ b/src/gateway/service_forwarder_test.ts
@@ -282,6 +282,23 @@
   });
 });
 
+test("a response without a length that is reset breaks off for the caller", async () => {
+  const handle = (socket: Socket) => {
+    socket.once("data", () => {
+      socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+      setTimeout(() => socket.resetAndDestroy(), 100);
+    });
+  };
+  await withTcpServer(handle, async (address) => {
+    const options = { routes: [serviceRoute()], targets: targets(address) };
+    await withGateway(options, async (fixture) => {
+      const response = await call(fixture);
+      expect(response.status).toEqual(200);
+      await expect(response.text()).toBeRejected();
+    });
+  });
+});
+
 test("a path matches the longest prefix that ends at a slash", async () => {
   await withService(echo, async (upstream) => {
     const routes = [
--- a/src/outside/http_endpoint.ts
+++ b/src/outside/http_endpoint.ts
@@ -185,7 +185,7 @@
 export function resettingConnector(
   timeoutMs: number,
 ): buildConnector.connector {
-  const connect = buildConnector({ timeout: timeoutMs });
+  const connect = faultReportingConnector(timeoutMs);
   return (options, callback) =>
     connect(options, (...[error, socket]) => {
       if (error !== null) return callback(error, null);
@@ -194,6 +194,29 @@
     });
 }
 
+/**
+ * Makes connections whose reset is an error to whoever reads an answer. Undici
+ * takes the code of a reset for the end of an answer without a length, which is
+ * whole only if its connection ended with FIN.
+ */
+export function faultReportingConnector(
+  timeoutMs: number,
+): buildConnector.connector {
+  const connect = buildConnector({ timeout: timeoutMs });
+  return (options, callback) =>
+    connect(options, (...[error, socket]) => {
+      if (error !== null) return callback(error, null);
+      // Runs before the listener that undici adds once it has the socket.
+      socket.on("error", (fault: NodeJS.ErrnoException) => {
+        fault.code = BROKEN_CONNECTION_CODE;
+      });
+      callback(null, socket);
+    });
+}
+
+/** Code of each error of an established connection. */
+const BROKEN_CONNECTION_CODE = "ERR_BROKEN_CONNECTION";
+
 /** A Node.js socket with its internal flag to reset when destroyed. */
 type ResettableSocket = Socket & { resetAndClosing: boolean };
 
--- a/src/outside/http_engine.ts
+++ b/src/outside/http_engine.ts
@@ -19,6 +19,7 @@
   readStart,
 } from "./answer_limits.ts";
 import {
+  faultReportingConnector,
   HttpEndpoint,
   isConnectError,
   isRejectedStatus,
@@ -303,7 +304,7 @@
     return new Pool(this.#origin, {
       connections: null,
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: faultReportingConnector(CONNECT_TIMEOUT_MS),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
       headersTimeout: 0,
--- a/src/outside/http_test.ts
+++ b/src/outside/http_test.ts
@@ -11,6 +11,7 @@
 import { startEngine } from "../../stand_ins/engine.ts";
 import { FaultKind } from "../../stand_ins/faults.ts";
 import { startPlatform } from "../../stand_ins/platform.ts";
+import { HttpEndpoint } from "./http_endpoint.ts";
 import { HttpEngine } from "./http_engine.ts";
 import { setExpiryCheck } from "./expiry.ts";
 import { HttpKeyValue } from "./http_key_value.ts";
@@ -113,6 +114,19 @@
   server.close();
 });
 
+test("a reply without a length that is reset is a failure", async (t) => {
+  const server = await startTcpServer((socket) =>
+    socket.once("data", () => {
+      socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n[]");
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    })
+  );
+  const endpoint = new HttpEndpoint({ url: `http://${addressOf(server)}` });
+  t.after(() => Promise.all([endpoint.close(), server.close()]));
+  const reply = await endpoint.request({ method: "GET", path: "/" });
+  expect(reply.err && reply.val.fault).toEqual(Fault.Unknown);
+});
+
 test("an aborted call resets its connection and is not sent again", async () => {
   const ends: string[] = [];
   let calls = 0;
--- a/stand_ins/endless_server.ts
+++ b/stand_ins/endless_server.ts
@@ -13,6 +13,14 @@
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 const MAX_ANSWER_MS = 5000;
 
+/** How a server closes a connection. */
+export enum Close {
+  Fin = "fin",
+  Reset = "reset",
+  /** A reset that follows the FIN. */
+  FinAndReset = "fin and reset",
+}
+
 /** What a server sends for one request. */
 export interface EndlessAnswer {
   /** Sent once; given the id of the request. */
@@ -23,8 +31,8 @@
   readonly intervalMs?: number;
   /** Bytes of pieces after which it falls silent. */
   readonly maxBytes?: number;
-  /** Whether it closes the connection then, as an answer without a length. */
-  readonly ends?: boolean;
+  /** How it closes the connection then; by default it stays open. */
+  readonly close?: Close;
 }
 
 /** A connection with the bytes that were sent on it. */
@@ -100,12 +108,16 @@
 
   async #repeat(connection: Connection): Promise<void> {
     const { socket } = connection;
-    const { piece, intervalMs = 0, maxBytes = MAX_ANSWER_BYTES, ends } =
+    const { piece, intervalMs = 0, maxBytes = MAX_ANSWER_BYTES, close } =
       this.#answer;
     const endsAt = Date.now() + MAX_ANSWER_MS;
     while (!socket.destroyed && Date.now() < endsAt) {
       if (connection.sentBytes + piece.length > maxBytes) {
-        if (ends) socket.end();
+        if (close === Close.Fin) socket.end();
+        if (close === Close.Reset) socket.resetAndDestroy();
+        if (close === Close.FinAndReset) {
+          socket.end(() => socket.resetAndDestroy());
+        }
         return;
       }
       const taken = socket.write(piece);
