A request that can't be written is not a crash of its upstream

Callers saw: after some six submissions with one odd item each, nothing of any organisation was sent any more, sound submissions included.

Cause: the HTTP client refuses to write such a request, and the refusal counted as a connection that broke. The upstream seemed to have crashed, what ran beside it became suspect, and quarantined items of all waited for each other. Ruled out: the quarantine, which did what it should with that.

What never left the process is a loss of its own. It ends its request once, as not run (400; an item is given up), and returns the permit as unused, which says nothing of the upstream.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -25,6 +25,7 @@
   type Refusal,
 } from "../kernel/mod.ts";
 import {
+  isFinal,
   Loss,
   type LostRequest,
   type UpstreamRequest,
@@ -355,7 +356,7 @@
         task.output = task.output.ended();
         continue;
       }
-      if (lost.loss === Loss.Impossible) return this.#giveUp(task, lost.loss);
+      if (isFinal(lost.loss)) return this.#giveUp(task, lost.loss);
       const { maxAttempts } = this.#route.exchange;
       if (task.failures >= maxAttempts) return this.#giveUp(task, "failed");
       waitMs = RETRY_DELAY_MS;
@@ -544,6 +545,10 @@
         });
         return;
       }
+      if (rewardResult.err && rewardResult.val.reason === Reason.BadRequest) {
+        this.#giveUp(task, "reward request can't be sent");
+        return;
+      }
       failures += served.upstreamFailures;
       if (failures >= route.value.exchange.maxAttempts) {
         this.#giveUp(task, "reward failed");
--- a/src/batches/batch_run_test.ts
+++ b/src/batches/batch_run_test.ts
@@ -2,13 +2,14 @@
 import { test } from "node:test";
 import { Err, Ok } from "ts-results";
 import { CallOutcome } from "../../stand_ins/memory_transactional_key_value.ts";
-import { type Dispatch, dispatchKey } from "../dispatch/mod.ts";
+import { type Dispatch, dispatchKey, Outcome } from "../dispatch/mod.ts";
 import { Kernel, ManualClock, type PluginKey } from "../kernel/mod.ts";
 import { Loss, type Platform, type UpstreamTransport } from "../outside/mod.ts";
 import { type ExchangeRoute, relayKey } from "../relay/mod.ts";
 import { DEFAULT_TIMING } from "../settings/load.ts";
 import type { Settings } from "../settings/mod.ts";
 import { BatchRun } from "./batch_run.ts";
+import { ItemOutcome } from "./mod.ts";
 import { createBatch, createStore, submission } from "./fixture_test.ts";
 import { PartialOutputs } from "./partial_outputs.ts";
 import { UpstreamSpeeds } from "./upstream_speeds.ts";
@@ -28,15 +29,31 @@
 
 const { signal: never } = new AbortController();
 
-/** Grants a permit to every demand. */
-const dispatch = {
-  acquire: () =>
-    Promise.resolve(Ok({
-      target: { id: "up", address: "" },
-      leaving: never,
-      release: () => {},
-    })),
-} as unknown as Dispatch;
+/** Grants a permit to every demand; records how permits are returned. */
+function dispatchAll() {
+  const outcomes: Outcome[] = [];
+  const dispatch = {
+    acquire: () =>
+      Promise.resolve(Ok({
+        target: { id: "up", address: "" },
+        leaving: never,
+        release: (outcome: Outcome) => outcomes.push(outcome),
+      })),
+  } as unknown as Dispatch;
+  return { dispatch, outcomes };
+}
+
+/** A transport on which each request is lost like this. */
+function losingTransport(loss: Loss) {
+  const sent: string[] = [];
+  const transport = {
+    stream: (_target: unknown, { id }: { id: string }) => {
+      sent.push(id);
+      return Promise.resolve(Err({ loss, message: "Lost" }));
+    },
+  } as unknown as UpstreamTransport;
+  return { transport, sent };
+}
 
 /** An upstream at which item "one" ends when asked to and others never do. */
 function upstream() {
@@ -64,11 +81,12 @@
 }
 
 /** A batch of two groups that runs since now. */
-async function startRun() {
+async function startRun(options: { transport?: UpstreamTransport } = {}) {
   const clock = new ManualClock();
   const { records, store } = createStore({ clock });
   const state = await createBatch(store);
   const { transport, aborted, finish } = upstream();
+  const { dispatch, outcomes } = dispatchAll();
   const plugin = <T>(key: PluginKey, value: T) => ({
     key,
     requires: [],
@@ -79,7 +97,9 @@
       vm: "a",
       timing: { ...DEFAULT_TIMING, batchEndGraceMs: GRACE_MS },
     } as Settings,
-    platform: { upstreamTransport: transport } as Platform,
+    platform: {
+      upstreamTransport: options.transport ?? transport,
+    } as Platform,
     incarnation: "a1",
     clock,
     registrations: [plugin(dispatchKey, dispatch), plugin(relayKey, {})],
@@ -99,7 +119,7 @@
     partialOutputs: new PartialOutputs(),
   });
   run.start();
-  return { run, records, clock, aborted, finish };
+  return { run, records, clock, aborted, finish, outcomes };
 }
 
 /** Advances the time in steps in which calls are answered. */
@@ -131,3 +151,14 @@
   expect({ listed, lapses, lost: reads > 1 })
     .toEqual({ listed: 1, lapses: 0, lost: true });
 });
+
+test("an item that can't be sent is given up and blames no upstream", async () => {
+  const { transport, sent } = losingTransport(Loss.Unsendable);
+  const { run, clock, outcomes } = await startRun({ transport });
+  await pass(clock, 2000);
+  await run.stop("ended");
+  expect(run.results.map(({ end }) => end))
+    .toEqual([ItemOutcome.GivenUp, ItemOutcome.GivenUp]);
+  expect(sent).toEqual(["one", "two"]);
+  expect(outcomes).toEqual([Outcome.Cancelled, Outcome.Cancelled]);
+});
--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -441,6 +441,7 @@
 export { type UpstreamNotice } from "./upstream_notices.ts";
 export {
   type HeaderFields,
+  isFinal,
   isNotExecuted,
   Loss,
   type LostRequest,
--- a/src/outside/upstream_transport.ts
+++ b/src/outside/upstream_transport.ts
@@ -83,6 +83,8 @@
   Failed = "failed",
   /** The upstream states that the request can never succeed. */
   Impossible = "impossible",
+  /** It can't be written as HTTP: nothing was sent, and never can be. */
+  Unsendable = "unsendable",
   /** The connection broke, or the response does not match the request. */
   Broken = "broken",
   /** The answer exceeded a limit, and its connection was closed. */
@@ -96,7 +98,12 @@
 /** Whether the request was certainly not executed. */
 export function isNotExecuted(loss: Loss): boolean {
   return loss === Loss.Unreachable || loss === Loss.NotRun ||
-    loss === Loss.Misdirected;
+    loss === Loss.Misdirected || loss === Loss.Unsendable;
+}
+
+/** Whether no upstream can ever run the request. */
+export function isFinal(loss: Loss): boolean {
+  return loss === Loss.Impossible || loss === Loss.Unsendable;
 }
 
 /** A request without a complete response. */
--- a/src/relay/attempts.ts
+++ b/src/relay/attempts.ts
@@ -202,6 +202,8 @@
     // Closed on this side, so the request is not suspected of a crash.
     case Loss.Excessive:
       return Outcome.Silent;
+    // Says nothing of the upstream, which received nothing.
+    case Loss.Unsendable:
     case Loss.Cancelled:
       return Outcome.Cancelled;
   }
--- a/src/relay/request_progress.ts
+++ b/src/relay/request_progress.ts
@@ -6,7 +6,12 @@
  */
 
 import { type Kernel, Reason, Refusal, Verdict } from "../kernel/mod.ts";
-import { isNotExecuted, Loss, type LostRequest } from "../outside/mod.ts";
+import {
+  isFinal,
+  isNotExecuted,
+  Loss,
+  type LostRequest,
+} from "../outside/mod.ts";
 import type { RelayRequest } from "./mod.ts";
 import type { ExchangeRoute } from "./routing.ts";
 
@@ -113,7 +118,7 @@
   /** Whether the request may be sent again after this loss. */
   mayRetry(loss: Loss): boolean {
     if (this.signal.aborted || this.remainingMs() <= 0) return false;
-    if (loss === Loss.Impossible) return false;
+    if (isFinal(loss)) return false;
     if (isNotExecuted(loss)) return this.unexecutedCount < MAX_UNEXECUTED_SENDS;
     if (!this.route.repeatable) return false;
     return this.attemptCount + 1 < this.route.exchange.maxAttempts;
@@ -211,6 +216,7 @@
   [Loss.Misdirected]: Reason.UpstreamRefused,
   [Loss.Failed]: Reason.UpstreamCrashed,
   [Loss.Impossible]: Reason.UpstreamCrashed,
+  [Loss.Unsendable]: Reason.BadRequest,
   [Loss.Broken]: Reason.Truncated,
   [Loss.Excessive]: Reason.Truncated,
   [Loss.Silent]: Reason.UpstreamSilent,
