An item that upstreams keep refusing is sent ever more rarely

Callers saw: an item that an upstream refuses (421, or not run) was sent again about every 80 ms until its retention.

Cause: the delay before the next attempt was the same after each loss. Plain requests give up after eight refusals; an item is owed and can't. From the ninth refusal in a row on its delay doubles, up to 1 s, well below the 5 s in which an item must be at some upstream. Losses of connections don't count.

Before: over 25 sends of one item in 10 s of the test's clock, two tests fail.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -58,6 +58,12 @@
 const RETRY_DELAY_MS = 40;
 const MAX_RETRY_DELAY_MS = 400;
 
+/** Refusals in a row from which on an item waits longer after each. */
+const MAX_PROMPT_RETRIES = 8;
+
+/** Longest delay before an item that upstreams refuse is sent again. */
+const MAX_REFUSED_DELAY_MS = 1000;
+
 /** Timeout of a reward request. */
 const REWARD_TIMEOUT_MS = 3000;
 
@@ -324,6 +330,7 @@
     );
     task.output = partialOutput;
     let waitMs = RETRY_DELAY_MS;
+    let refusals = 0;
     let waitingSince = this.#kernel.clock.now();
     while (!this.#signal.aborted) {
       if (task.output.whole) {
@@ -360,8 +367,12 @@
       const { maxAttempts } = this.#route.exchange;
       if (task.failures >= maxAttempts) return this.#giveUp(task, "failed");
       waitMs = RETRY_DELAY_MS;
+      const refused = lost.loss === Loss.NotRun ||
+        lost.loss === Loss.Misdirected;
+      refusals = refused ? refusals + 1 : 0;
       if (lost.loss !== Loss.Cancelled) {
-        await this.#kernel.clock.sleep(RETRY_DELAY_MS, this.#signal);
+        await this.#kernel.clock
+          .sleep(delayAfterRefusals(refusals), this.#signal);
       }
     }
   }
@@ -673,6 +684,12 @@
   readonly #mayStart = () => this.#ownership.valid;
 }
 
+/** Time until an item that was refused this often in a row is sent again. */
+function delayAfterRefusals(refusals: number): number {
+  const doublings = Math.max(0, refusals - MAX_PROMPT_RETRIES);
+  return Math.min(MAX_REFUSED_DELAY_MS, RETRY_DELAY_MS * 2 ** doublings);
+}
+
 function medianOf(values: readonly number[]): number {
   return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
 }
--- a/src/batches/batch_run_test.ts
+++ b/src/batches/batch_run_test.ts
@@ -162,3 +162,14 @@
   expect(sent).toEqual(["one", "two"]);
   expect(outcomes).toEqual([Outcome.Cancelled, Outcome.Cancelled]);
 });
+
+for (const loss of [Loss.Misdirected, Loss.NotRun]) {
+  test(`an item that upstreams keep refusing is sent ever more rarely: ${loss}`, async () => {
+    const { transport, sent } = losingTransport(loss);
+    const { run, clock } = await startRun({ transport });
+    await pass(clock, 10_000);
+    await run.stop("ended");
+    const sends = sent.filter((id) => id === "one").length;
+    expect([sends > 15, sends <= 25]).toEqual([true, true]);
+  });
+}
