An odd head of a batch doesn't end daemons

Cause: numbers of a head had no bounds, removing a batch allocates as many keys, and the scan's loop had no handler, so that its error ended the process. Ruled out: parsing, at any depth that a value can have.

Heads have counts in their bounds and the key of their id, or are unreadable, which is logged as before; one batch that can't be checked doesn't end the scan.

--- a/src/batches/batch_store.ts
+++ b/src/batches/batch_store.ts
@@ -42,6 +42,7 @@
 
 /** Digits of a chunk's number in its key, so that keys sort by number. */
 const CHUNK_DIGITS = 6;
+const MAX_CHUNKS = 10 ** CHUNK_DIGITS;
 
 /** The shared state of a batch. */
 export interface BatchHead {
@@ -77,17 +78,19 @@
   readonly sentAt: Moment;
 }
 
+const count = z.number().int().nonnegative();
+
 const headSchema: z.ZodType<BatchHead> = z.object({
   id: z.string(),
   route: z.string(),
   organisation: z.string(),
-  total: z.number(),
+  total: count,
   owner: z.string(),
   run: z.string(),
   attempt: z.string(),
-  listed: z.number(),
-  chunks: z.number(),
-  parts: z.number(),
+  listed: count,
+  chunks: count.max(MAX_CHUNKS),
+  parts: count.max(MAX_KEYS_PER_CHANGE),
   ended: z.boolean(),
   submittedAt: z.number(),
 });
@@ -401,6 +404,9 @@
 function parseHead(entry: KeyValueEntry): Option<VersionedHead> {
   try {
     const head = headSchema.parse(JSON.parse(entry.value));
+    if (entry.key !== HEADS_PREFIX + head.id) {
+      throw new RangeError("The key is that of another batch");
+    }
     return some({ head, revision: entry.revision });
   } catch (error) {
     log("batch head unreadable", { key: entry.key, reason: String(error) });
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -478,7 +478,14 @@
       if (signal.aborted || !ranked.some(({ vm }) => vm === self)) continue;
       const heads = await this.#store.heads();
       if (heads.err) continue;
-      for (const state of heads.val) await this.#checkBatch(state);
+      for (const state of heads.val) {
+        await this.#checkBatch(state).catch((error) =>
+          log("batch not checked", {
+            id: state.head.id,
+            reason: String(error),
+          })
+        );
+      }
     }
   }
 
