Items turn to another pool of their route when theirs has no upstream

Cause: an item's pool was drawn once, and a run kept the route as it was at its start. Ruled out: the dispatcher, which refuses at once for an empty pool.

The route is the one in force. An item asks the other pools, by their weights, before it asks an empty one again; one whose pool left the route draws anew. Split weights of pools with upstreams are as before.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -116,7 +116,8 @@
   readonly #store: BatchStore;
   readonly #ownership: Ownership;
   readonly #submission: BatchSubmission;
-  readonly #route: ExchangeRoute;
+  /** The route as it was at the start of the run. */
+  readonly #firstRoute: ExchangeRoute;
   readonly #speeds: (pool: string) => UpstreamSpeeds;
   readonly #partialOutputs: PartialOutputs;
   readonly #itemTasks = new Map<string, ItemTask>();
@@ -148,7 +149,7 @@
     this.#relay = options.kernel.get(relayKey);
     this.#store = options.store;
     this.#submission = options.submission;
-    this.#route = options.route;
+    this.#firstRoute = options.route;
     this.#speeds = options.speeds;
     this.#partialOutputs = options.partialOutputs;
     this.#medianTokens = medianOf(
@@ -234,6 +235,42 @@
     }
   }
 
+  /** The route in force; the first one if it was removed since. */
+  get #route(): ExchangeRoute {
+    const { name } = this.#firstRoute;
+    return this.#relay.routes(this.#submission.host)
+      .find((route) => route.name === name) ?? this.#firstRoute;
+  }
+
+  /**
+   * Draws an item's pool by the weights in force, from those in which an
+   * upstream may be found.
+   */
+  #drawPool({ emptyPools }: Pick<ItemTask, "emptyPools">): string {
+    const { exchange } = this.#route;
+    const pools = exchange.pools
+      .filter(({ pool }) => !emptyPools.includes(pool));
+    const drawn = pools.length === 0 ? exchange : { ...exchange, pools };
+    return drawPool(drawn, Math.random());
+  }
+
+  /** Turns to another pool of the route if not all upstreams were tried. */
+  #leavePool(task: ItemTask): void {
+    if (task.excluded.length === 0) {
+      const empty = [...task.emptyPools, task.pool];
+      const { pools } = this.#route.exchange;
+      const isLast = pools.every(({ pool }) => empty.includes(pool));
+      task.emptyPools = isLast ? [] : empty;
+      task.pool = this.#drawPool(task);
+    }
+    task.excluded = [];
+  }
+
+  /** Whether a manifest moved the item's route off its pool. */
+  #isMoved({ pool }: ItemTask): boolean {
+    return !this.#route.exchange.pools.some((one) => one.pool === pool);
+  }
+
   /** The key of an item's partial output. */
   #outputKey(item: string): string {
     return partialOutputKey(this.#submission, item);
@@ -320,7 +357,7 @@
 
   async #runItem(item: Item): Promise<void> {
     const task = new ItemTask(item, {
-      pool: drawPool(this.#route.exchange, Math.random()),
+      pool: this.#drawPool({ emptyPools: [] }),
       now: this.#kernel.clock.now(),
     });
     this.#itemTasks.set(item.id, task);
@@ -343,6 +380,7 @@
         await this.#ownership.waitUntilValid();
         continue;
       }
+      if (this.#isMoved(task)) task.pool = this.#drawPool(task);
       const exclusionMs = waitingSince + MAX_EXCLUSION_MS -
         this.#kernel.clock.now();
       const permit = await this.#acquire(task, { leftMs, exclusionMs });
@@ -351,11 +389,12 @@
         continue;
       }
       if (permit.err) {
-        if (permit.val.reason === Reason.NoUpstream) task.excluded = [];
+        if (permit.val.reason === Reason.NoUpstream) this.#leavePool(task);
         await this.#kernel.clock.sleep(waitMs, this.#signal);
         waitMs = Math.min(2 * waitMs, MAX_RETRY_DELAY_MS);
         continue;
       }
+      task.emptyPools = [];
       const lost = await this.#generate(task, permit.val);
       waitingSince = this.#kernel.clock.now();
       if (this.#signal.aborted) return;
--- a/src/batches/batch_run_test.ts
+++ b/src/batches/batch_run_test.ts
@@ -2,8 +2,20 @@
 import { test } from "node:test";
 import { Err, Ok } from "ts-results";
 import { CallOutcome } from "../../stand_ins/memory_transactional_key_value.ts";
-import { type Dispatch, dispatchKey, Outcome } from "../dispatch/mod.ts";
-import { Kernel, ManualClock, type PluginKey } from "../kernel/mod.ts";
+import {
+  type Demand,
+  type Dispatch,
+  dispatchKey,
+  Outcome,
+} from "../dispatch/mod.ts";
+import {
+  Kernel,
+  ManualClock,
+  type PluginKey,
+  Reason,
+  Refusal,
+  Verdict,
+} from "../kernel/mod.ts";
 import { Loss, type Platform, type UpstreamTransport } from "../outside/mod.ts";
 import { type ExchangeRoute, relayKey } from "../relay/mod.ts";
 import { DEFAULT_TIMING } from "../settings/load.ts";
@@ -81,12 +93,18 @@
 }
 
 /** A batch of two groups that runs since now. */
-async function startRun(options: { transport?: UpstreamTransport } = {}) {
+async function startRun(options: {
+  transport?: UpstreamTransport;
+  dispatch?: Dispatch;
+  routeInForce?: () => ExchangeRoute;
+} = {}) {
   const clock = new ManualClock();
   const { records, store } = createStore({ clock });
   const state = await createBatch(store);
   const { transport, aborted, finish } = upstream();
-  const { dispatch, outcomes } = dispatchAll();
+  const { dispatch: all, outcomes } = dispatchAll();
+  const dispatch = options.dispatch ?? all;
+  const relay = { routes: () => [options.routeInForce?.() ?? ROUTE] };
   const plugin = <T>(key: PluginKey, value: T) => ({
     key,
     requires: [],
@@ -102,7 +120,7 @@
     } as Platform,
     incarnation: "a1",
     clock,
-    registrations: [plugin(dispatchKey, dispatch), plugin(relayKey, {})],
+    registrations: [plugin(dispatchKey, dispatch), plugin(relayKey, relay)],
   });
   const { items } = submission();
   const run = new BatchRun({
@@ -173,3 +191,74 @@
     expect([sends > 15, sends <= 25]).toEqual([true, true]);
   });
 }
+
+/** The route with these pools. */
+function routeOver(pools: Readonly<Record<string, number>>): ExchangeRoute {
+  const weighted = Object.entries(pools)
+    .map(([pool, weight]) => ({ pool, weight }));
+  const exchange = { ...ROUTE.exchange, pools: weighted };
+  return { ...ROUTE, exchange } as ExchangeRoute;
+}
+
+/** Finds an upstream only in the pools that `isServed` accepts. */
+function dispatchTo(isServed: (pool: string) => boolean) {
+  const asked: string[] = [];
+  const { dispatch: all } = dispatchAll();
+  const dispatch = {
+    acquire: (demand: Demand, signal: AbortSignal) => {
+      asked.push(demand.pool);
+      if (isServed(demand.pool)) return all.acquire(demand, signal);
+      return Promise.resolve(Err(
+        new Refusal({
+          verdict: Verdict.NotRun,
+          reason: Reason.NoUpstream,
+          message: "No upstream",
+        }),
+      ));
+    },
+  } as unknown as Dispatch;
+  return { dispatch, asked };
+}
+
+test("items whose pool has no upstream left run on the route's other pool", async () => {
+  const { transport, sent } = losingTransport(Loss.Unsendable);
+  const { dispatch } = dispatchTo((pool) => pool === "p");
+  const { run, clock } = await startRun({
+    transport,
+    dispatch,
+    routeInForce: () => routeOver({ gone: 1_000_000, p: 1 }),
+  });
+  await pass(clock, 500);
+  await run.stop("ended");
+  expect([...sent].sort()).toEqual(["one", "two"]);
+});
+
+test("items that wait follow their route to another pool", async () => {
+  const { transport, sent } = losingTransport(Loss.Unsendable);
+  const { dispatch } = dispatchTo((pool) => pool === "new");
+  let route = routeOver({ gone: 1 });
+  const { run, clock } = await startRun({
+    transport,
+    dispatch,
+    routeInForce: () => route,
+  });
+  await pass(clock, 200);
+  const before = sent.length;
+  route = routeOver({ new: 1 });
+  await pass(clock, 500);
+  await run.stop("ended");
+  expect([before, [...sent].sort()]).toEqual([0, ["one", "two"]]);
+});
+
+test("a pool without upstreams is asked again once the others were", async () => {
+  const { dispatch, asked } = dispatchTo(() => false);
+  const { run, clock } = await startRun({
+    dispatch,
+    routeInForce: () => routeOver({ a: 1, b: 1 }),
+  });
+  await pass(clock, 5000);
+  await run.stop("ended");
+  const counts = ["a", "b"]
+    .map((pool) => asked.filter((one) => one === pool).length);
+  expect(counts.every((count) => count > 5)).toEqual(true);
+});
--- a/src/batches/item_task.ts
+++ b/src/batches/item_task.ts
@@ -20,7 +20,10 @@
 /** An item whose output is being generated or scored. */
 export class ItemTask {
   readonly item: Item;
-  readonly pool: string;
+  /** The pool on which it runs next. */
+  pool: string;
+  /** Pools in which no upstream was found since the last attempt. */
+  emptyPools: readonly string[] = [];
   /** Start of the task on the monotonic clock. */
   readonly startedAt: number;
   /** Time spent on upstreams. */
