--- a/src/batches/batch_run_test.ts
+++ b/src/batches/batch_run_test.ts
@@ -131,7 +131,7 @@
     submission: submission({
       items: items.map((item) => ({ ...item, group: item.id })),
     }),
-    route: ROUTE,
+    route: options.routeInForce?.() ?? ROUTE,
     results: [],
     speeds: () => new UpstreamSpeeds({ clock }),
     partialOutputs: new PartialOutputs(),
