An item's permit for a pool that its route left is returned

An item that waited for a permit while a manifest moved its route ran at the old service all the same; the route is now checked again with the permit. From reading the change of pools again. Before: the test finds both items sent on the old pool and fails; after: it passes.

The terms of an output are taken once for each attempt, no longer looked up at each event, which went through the routes of the host since the last change.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -384,7 +384,7 @@
       const exclusionMs = waitingSince + MAX_EXCLUSION_MS -
         this.#kernel.clock.now();
       const permit = await this.#acquire(task, { leftMs, exclusionMs });
-      if (!this.#ownership.valid) {
+      if (!this.#ownership.valid || this.#isMoved(task)) {
         if (permit.ok) permit.val.release(PermitOutcome.Cancelled, 0);
         continue;
       }
@@ -460,6 +460,7 @@
     const { target, leaving, release } = permit;
     task.upstream = target.id;
     const request = this.#request(task);
+    const terms = this.#terms;
     const { clock } = this.#kernel;
     const speeds = this.#speeds(task.pool);
     const startedAt = clock.now();
@@ -487,7 +488,7 @@
         lost = event.val;
         break;
       }
-      lost = task.accept(event.val, this.#terms);
+      lost = task.accept(event.val, terms);
       if (lost !== undefined) break;
       const now = clock.now();
       const { weightVersion } = event.val;
--- a/src/batches/batch_run_test.ts
+++ b/src/batches/batch_run_test.ts
@@ -250,6 +250,32 @@
   expect([before, [...sent].sort()]).toEqual([0, ["one", "two"]]);
 });
 
+test("a permit of a pool that the route left meanwhile is returned unused", async () => {
+  const { transport, sent } = losingTransport(Loss.Unsendable);
+  const { dispatch: all, outcomes } = dispatchAll();
+  let route = routeOver({ old: 1 });
+  let grant = () => {};
+  const granted = new Promise<void>((resolve) => grant = resolve);
+  const dispatch = {
+    acquire: async (demand: Demand, signal: AbortSignal) => {
+      if (demand.pool === "old") await granted;
+      return await all.acquire(demand, signal);
+    },
+  } as unknown as Dispatch;
+  const { run, clock } = await startRun({
+    transport,
+    dispatch,
+    routeInForce: () => route,
+  });
+  await pass(clock, 100);
+  route = routeOver({ new: 1 });
+  grant();
+  await pass(clock, 500);
+  await run.stop("ended");
+  expect([...sent].sort()).toEqual(["one", "two"]);
+  expect(outcomes.length).toEqual(4);
+});
+
 test("a pool without upstreams is asked again once the others were", async () => {
   const { dispatch, asked } = dispatchTo(() => false);
   const { run, clock } = await startRun({
