--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -58,11 +58,11 @@
 const RETRY_DELAY_MS = 40;
 const MAX_RETRY_DELAY_MS = 400;
 
-/** Refusals in a row from which on an item waits longer after each. */
+/** Misdirections in a row from which on an item waits longer after each. */
 const MAX_PROMPT_RETRIES = 8;
 
-/** Longest delay before an item that upstreams refuse is sent again. */
-const MAX_REFUSED_DELAY_MS = 1000;
+/** Longest delay before an item that was misdirected is sent again. */
+const MAX_MISDIRECTED_DELAY_MS = 1000;
 
 /** Timeout of a reward request. */
 const REWARD_TIMEOUT_MS = 3000;
@@ -367,7 +367,7 @@
     );
     task.output = partialOutput;
     let waitMs = RETRY_DELAY_MS;
-    let refusals = 0;
+    let misdirections = 0;
     let waitingSince = this.#kernel.clock.now();
     while (!this.#signal.aborted) {
       if (task.output.whole) {
@@ -406,12 +406,10 @@
       const { maxAttempts } = this.#route.exchange;
       if (task.failures >= maxAttempts) return this.#giveUp(task, "failed");
       waitMs = RETRY_DELAY_MS;
-      const refused = lost.loss === Loss.NotRun ||
-        lost.loss === Loss.Misdirected;
-      refusals = refused ? refusals + 1 : 0;
+      misdirections = lost.loss === Loss.Misdirected ? misdirections + 1 : 0;
       if (lost.loss !== Loss.Cancelled) {
         await this.#kernel.clock
-          .sleep(delayAfterRefusals(refusals), this.#signal);
+          .sleep(delayAfterMisdirections(misdirections), this.#signal);
       }
     }
   }
@@ -724,10 +722,10 @@
   readonly #mayStart = () => this.#ownership.valid;
 }
 
-/** Time until an item that was refused this often in a row is sent again. */
-function delayAfterRefusals(refusals: number): number {
-  const doublings = Math.max(0, refusals - MAX_PROMPT_RETRIES);
-  return Math.min(MAX_REFUSED_DELAY_MS, RETRY_DELAY_MS * 2 ** doublings);
+/** Time until an item that was misdirected this often in a row is sent again. */
+function delayAfterMisdirections(misdirections: number): number {
+  const doublings = Math.max(0, misdirections - MAX_PROMPT_RETRIES);
+  return Math.min(MAX_MISDIRECTED_DELAY_MS, RETRY_DELAY_MS * 2 ** doublings);
 }
 
 function medianOf(values: readonly number[]): number {
