--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -106,6 +106,7 @@
   readonly #abort = new AbortController();
   readonly #refusals: Counter<"reason">;
   readonly #retries: Counter<"reason">;
+  readonly #waitMoves: Counter;
   readonly #grants: Counter<"priority">;
   readonly #waits: Histogram<"priority">;
   readonly #load: Gauge<"pool" | "state">;
@@ -155,10 +156,15 @@
       "Keepers asked again, by reason",
       ["reason"],
     );
+    this.#waitMoves = kernel.counter(
+      "toucanwind_dispatch_wait_moves_total",
+      "Waits that went on at another shard, which suits their model better",
+    );
     this.#entry = new EntryClient({
       ...shared,
       heldPermits: this.#heldPermits,
       onRetry: (reason) => this.#retries.inc({ reason }),
+      onMove: () => this.#waitMoves.inc(),
     });
     this.#refusals = kernel.counter(
       "toucanwind_dispatch_refusals_total",
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -9,6 +9,7 @@
 import {
   type Clock,
   type Kernel,
+  logger,
   Reason,
   type Refusal,
 } from "../kernel/mod.ts";
@@ -22,12 +23,20 @@
   notRun,
 } from "./messages.ts";
 import { type Demand, Outcome, type Permit } from "./mod.ts";
+import { loadForModel } from "./model_capacity.ts";
 import { Admission, type Quarantine } from "./quarantine.ts";
-import { preferredShard, selectShard } from "./shard_selection.ts";
+import {
+  isBetterElsewhere,
+  leastLoadedShard,
+  preferredShard,
+  selectShard,
+} from "./shard_selection.ts";
 import { thinPrefixes } from "./prefixes.ts";
 import type { ShardSummaries } from "./summaries.ts";
 import type { HeldPermits } from "./held_permits.ts";
 
+const log = logger("dispatch");
+
 /** Wait for a leader's answer beyond the request's deadline. */
 const ANSWER_MARGIN_MS = 500;
 
@@ -41,6 +50,9 @@
 /** Retry delay for callers when the pool has no usable upstream. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 1000;
 
+/** How often a request that waits for a model looks at the other shards. */
+const WAIT_REVIEW_INTERVAL_MS = 500;
+
 /** Load added to a shard that has no upstream in this availability zone. */
 const CROSS_ZONE_COST = 0.05;
 
@@ -62,6 +74,9 @@
   readonly #heldPermits: HeldPermits;
   readonly #random: () => number;
   readonly #onRetry: (reason: Reason) => void;
+  readonly #onMove: () => void;
+  /** Requests that wait for a permit, by shard and model. */
+  readonly #asked = new Map<string, number>();
   #fleet: Fleet;
   #count = 0;
 
@@ -74,6 +89,8 @@
     fleet: Fleet;
     random?: () => number;
     onRetry?: (reason: Reason) => void;
+    /** Called when a wait is moved to another shard. */
+    onMove?: () => void;
   }) {
     this.#kernel = options.kernel;
     this.#clock = options.kernel.clock;
@@ -84,6 +101,7 @@
     this.#fleet = options.fleet;
     this.#random = options.random ?? Math.random;
     this.#onRetry = options.onRetry ?? (() => {});
+    this.#onMove = options.onMove ?? (() => {});
   }
 
   /** Replaces the view of the upstreams. */
@@ -96,13 +114,17 @@
     demand: Demand,
     signal: AbortSignal,
   ): Promise<Result<Permit, Refusal>> {
-    const endsAt = this.#clock.now() + demand.remainingMs;
+    const startedAt = this.#clock.now();
+    const endsAt = startedAt + demand.remainingMs;
     let retryMs = FIRST_RETRY_MS;
     let target: AcquireTarget | undefined;
     for (;;) {
       const remaining = {
         ...demand,
         remainingMs: endsAt - this.#clock.now(),
+        startInMs: demand.startInMs === undefined
+          ? undefined
+          : demand.startInMs - (this.#clock.now() - startedAt),
         // The leader may not know yet which upstreams leave.
         exclude: [...demand.exclude, ...this.#fleet.leaving(demand.pool)],
       };
@@ -110,7 +132,15 @@
       if (refusal !== undefined) return Err(refusal);
       target ??= this.#selectTarget(remaining);
       if (target === undefined) return Err(noUpstream(demand.pool));
-      const asked = await this.#acquireFrom(remaining, target, { signal });
+      const move = new AbortController();
+      const asked = await this.#acquireWhileBest(remaining, target, {
+        signal,
+        move,
+      });
+      if (asked.err && move.signal.aborted) {
+        target = undefined;
+        continue;
+      }
       if (asked.ok) {
         const answer = asked.val;
         if (answer.ending === AcquireEnding.Granted) {
@@ -151,6 +181,80 @@
     return undefined;
   }
 
+  /**
+   * Waits at a leader as long as no other shard suits the request better. The
+   * engines with fresh weights of its model change while it waits.
+   */
+  async #acquireWhileBest(
+    demand: Demand,
+    target: AcquireTarget,
+    { signal, move }: { signal: AbortSignal; move: AbortController },
+  ): Promise<Result<AcquireAnswer, Refusal>> {
+    if (demand.model === undefined) {
+      return await this.#acquireFrom(demand, target, { signal });
+    }
+    const key = askedKey(target.shard, demand.model);
+    const cancelReview = this.#reviewPeriodically(demand, target.shard, move);
+    this.#asked.set(key, (this.#asked.get(key) ?? 0) + 1);
+    try {
+      const either = AbortSignal.any([signal, move.signal]);
+      return await this.#acquireFrom(demand, target, { signal: either });
+    } finally {
+      cancelReview();
+      const left = (this.#asked.get(key) ?? 1) - 1;
+      if (left > 0) this.#asked.set(key, left);
+      else this.#asked.delete(key);
+    }
+  }
+
+  /** Aborts `move` once the wait should go on at another shard. */
+  #reviewPeriodically(
+    demand: Demand,
+    shard: Shard,
+    move: AbortController,
+  ): () => void {
+    const startedAt = this.#clock.now();
+    let cancel = () => {};
+    const review = () => {
+      const better = this.#betterShard(demand, shard);
+      if (better === undefined) {
+        cancel = this.#clock.after(WAIT_REVIEW_INTERVAL_MS, review);
+        return;
+      }
+      log("wait moved", {
+        id: demand.id,
+        model: demand.model,
+        minVersion: demand.minVersion,
+        shard: shard.name,
+        next: better.name,
+        waitedMs: Math.round(this.#clock.now() - startedAt),
+      });
+      this.#onMove();
+      move.abort();
+    };
+    cancel = this.#clock.after(WAIT_REVIEW_INTERVAL_MS, review);
+    return () => cancel();
+  }
+
+  /** The shard at which a request should wait instead, if there is one. */
+  #betterShard(demand: Demand, shard: Shard): Shard | undefined {
+    if (this.#quarantine.admission(demand) !== Admission.Shared) {
+      return undefined;
+    }
+    const load = (one: Shard) => this.#modelLoad(one, demand);
+    const others = this.#usableShards(demand)
+      .filter(({ name }) => name !== shard.name);
+    const best = leastLoadedShard(others, { load, random: this.#random });
+    if (best === undefined) return undefined;
+    // The request itself counts where it waits.
+    const better = isBetterElsewhere({
+      here: load(shard),
+      there: load(best),
+      random: this.#random,
+    });
+    return better ? best : undefined;
+  }
+
   /** Waits at a leader, and cancels the wait there if it ends here. */
   async #acquireFrom(
     demand: Demand,
@@ -210,16 +314,19 @@
 
   /** Selects a shard among those with an upstream that the request may use. */
   #selectShard(demand: Demand): Shard | undefined {
-    const shards = this.#fleet.shardsOfPool(demand.pool).filter((shard) =>
-      shard.upstreams.some(({ id, leaving }) =>
-        !leaving && !demand.exclude.includes(id)
-      )
-    );
+    const shards = this.#usableShards(demand);
     // Equal suspects meet at one leader, which runs them one at a time.
     const { fingerprint } = demand;
     if (this.#quarantine.admission(demand) !== Admission.Shared) {
       return preferredShard(fingerprint, shards);
     }
+    if (demand.model !== undefined) {
+      const suitable = leastLoadedShard(shards, {
+        load: (shard) => this.#modelLoad(shard, demand),
+        random: this.#random,
+      });
+      if (suitable !== undefined) return suitable;
+    }
     return selectShard(shards, {
       key: demand.prefixes.at(-1) ?? fingerprint,
       load: (shard) => this.#load(shard),
@@ -227,6 +334,23 @@
     });
   }
 
+  /** The shards of a pool with an upstream that a request may use. */
+  #usableShards(demand: Demand): readonly Shard[] {
+    return this.#fleet.shardsOfPool(demand.pool).filter((shard) =>
+      shard.upstreams.some(({ id, leaving }) =>
+        !leaving && !demand.exclude.includes(id)
+      )
+    );
+  }
+
+  /** Load of a shard for the demand's model; infinite if it can't serve it. */
+  #modelLoad(shard: Shard, demand: Demand): number {
+    const { model = "" } = demand;
+    const capacity = this.#summaries.latest(shard.name)?.models?.[model];
+    const asked = this.#asked.get(askedKey(shard, model)) ?? 0;
+    return loadForModel(capacity, demand, asked);
+  }
+
   /** Load of a shard as known by gossip; 1 if all slots are in use. */
   #load(shard: Shard): number {
     const zone = this.#peers.self.availabilityZone;
@@ -240,6 +364,10 @@
   }
 }
 
+function askedKey(shard: Shard, model: string): string {
+  return `${shard.name} ${model}`;
+}
+
 function parseAnswer(body: unknown): Result<AcquireAnswer, Refusal> {
   const parsed = acquireAnswer.safeParse(body);
   if (parsed.success) return Ok(parsed.data);
--- a/src/dispatch/local_leaders.ts
+++ b/src/dispatch/local_leaders.ts
@@ -151,6 +151,7 @@
         slots,
         tenants: Object.fromEntries(host.leader.organisations),
         upstreams: host.leader.candidates.map(reported),
+        models: host.leader.modelCapacities(),
       });
     }
   }
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -207,6 +207,18 @@
       queued: z.number(),
       weightVersion: z.number(),
     })),
+    /** Absent from daemons of earlier builds. */
+    models: z.record(
+      z.string(),
+      z.object({
+        versions: z.array(z.object({
+          version: z.number(),
+          slots: z.number(),
+          busy: z.number(),
+        })).readonly(),
+        queued: z.number(),
+      }),
+    ).optional(),
   })),
 });
 
--- /dev/null
+++ b/src/dispatch/model_capacity_test.ts
@@ -0,0 +1,84 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { load, upstream } from "./fixtures_test.ts";
+import { loadForModel, modelCapacitiesOf } from "./model_capacity.ts";
+import type { Shard } from "./fleet.ts";
+import { isBetterElsewhere, leastLoadedShard } from "./shard_selection.ts";
+import type { Candidate } from "./upstream_selector.ts";
+
+function candidate(
+  id: string,
+  weightVersions: Record<string, number>,
+  part: Partial<Candidate> = {},
+): Candidate {
+  return {
+    upstream: upstream({ id, slots: 6 }),
+    inFlight: 0,
+    foreign: 0,
+    load: load({ weightVersions }),
+    readyForMs: 60_000,
+    startsLeft: Infinity,
+    ...part,
+  };
+}
+
+function capacities(
+  usable: readonly Candidate[],
+  options: { queued?: Record<string, number>; refusing?: string } = {},
+) {
+  return modelCapacitiesOf(usable, {
+    queued: options.queued ?? {},
+    refuses: (id) => id === options.refusing,
+  });
+}
+
+function shard(name: string): Shard {
+  return { name, pool: "lm", upstreams: [] };
+}
+
+test("a shard whose engines have old weights has no room for a request", () => {
+  const { a } = capacities([candidate("up-1", { a: 2, b: 5 })]);
+  expect(loadForModel(a, { minVersion: 2 }, 0)).toEqual(0);
+  expect(loadForModel(a, { minVersion: 3 }, 0)).toEqual(Infinity);
+  expect(loadForModel(undefined, { minVersion: 0 }, 0)).toEqual(Infinity);
+});
+
+test("only slots of a suitable version count, and those in use", () => {
+  const { a } = capacities([
+    candidate("up-1", { a: 4 }, { inFlight: 3 }),
+    candidate("up-2", { a: 5 }, { inFlight: 4, foreign: 5 }),
+    candidate("up-3", { a: 1 }, { inFlight: 6 }),
+  ], { queued: { a: 3 } });
+  expect(loadForModel(a, { minVersion: 4 }, 0)).toEqual(1);
+  expect(loadForModel(a, { minVersion: 4 }, 9)).toEqual(1.5);
+});
+
+test("an engine that refuses a model while it loads offers none of it", () => {
+  const engines = [candidate("up-1", { a: 4 })];
+  const { a } = capacities(engines, { refusing: "up-1", queued: { a: 1 } });
+  expect(loadForModel(a, { minVersion: 0 }, 0)).toEqual(Infinity);
+});
+
+test("requests go to a shard that can serve them, however full it is", () => {
+  const loads: Record<string, number> = { one: Infinity, two: 7 };
+  const load = ({ name }: Shard) => loads[name];
+  const shards = [shard("one"), shard("two")];
+  for (const draw of [0, 0.5, 0.99]) {
+    const best = leastLoadedShard(shards, { load, random: () => draw });
+    expect(best?.name).toEqual("two");
+  }
+  loads.two = Infinity;
+  expect(leastLoadedShard(shards, { load, random: () => 0 })).toEqual(
+    undefined,
+  );
+});
+
+test("a wait leaves a shard that can't serve it, and not all leave a full one", () => {
+  const moves = (here: number, there: number, draw: number) =>
+    isBetterElsewhere({ here, there, random: () => draw });
+  expect(moves(Infinity, 3, 0.9)).toEqual(true);
+  expect(moves(Infinity, Infinity, 0)).toEqual(false);
+  expect(moves(2, 1.6, 0)).toEqual(false);
+  expect(moves(2, 1, 0.4)).toEqual(true);
+  expect(moves(2, 1, 0.6)).toEqual(false);
+});
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -18,6 +18,11 @@
 import { Circuit, CircuitBreaker } from "./circuit_breaker.ts";
 import { KnownNotices } from "./known_notices.ts";
 import { type Demand, Outcome, type Pressure } from "./mod.ts";
+import {
+  type ModelCapacities,
+  modelCapacitiesOf,
+  weightVersionsOf,
+} from "./model_capacity.ts";
 import {
   type ActivePermit,
   ActivePermits,
@@ -430,6 +435,22 @@
     };
   }
 
+  /** What the shard offers for each model, as entries choose among shards. */
+  modelCapacities(): ModelCapacities {
+    const waiting = [...this.#queue.waiting()];
+    const now = this.#clock.now();
+    return modelCapacitiesOf(
+      this.#usable().map((state) => this.#candidate(state)),
+      {
+        queued: countByModel(waiting.map(({ demand }) => demand)),
+        refuses: (id, model) => {
+          const until = this.#states.get(id)?.refusedUntil.get(model);
+          return until !== undefined && now < until;
+        },
+      },
+    );
+  }
+
   /** Grants permits while there are free slots and requests that fit them. */
   #grantWaiting(): void {
     if (!this.#granting) return;
@@ -854,14 +875,13 @@
 }
 
 /** Whether an upstream is suitable for a request. */
-function isEligible(demand: Demand, { upstream, load }: Candidate): boolean {
-  if (demand.exclude.includes(upstream.id)) return false;
+function isEligible(demand: Demand, candidate: Candidate): boolean {
+  if (demand.exclude.includes(candidate.upstream.id)) return false;
   if (demand.model === undefined) {
-    return demand.minVersion <= (load?.weightVersion ?? 0);
+    return demand.minVersion <= (candidate.load?.weightVersion ?? 0);
   }
-  // Before the first report, the versions from the platform's list are used.
-  const versions = load?.weightVersions ?? upstream.weightVersions ?? {};
-  return demand.minVersion <= (versions[demand.model] ?? 0);
+  const version = weightVersionsOf(candidate)[demand.model] ?? 0;
+  return demand.minVersion <= version;
 }
 
 function refusalOf(
--- a/src/dispatch/shard_selection.ts
+++ b/src/dispatch/shard_selection.ts
@@ -31,6 +31,41 @@
   return load(preferred) <= load(drawn) + AFFINITY_MARGIN ? preferred : drawn;
 }
 
+/** By which another shard's load must be lower for a wait to move there. */
+const MOVE_MARGIN = 0.5;
+
+/** Share of the waits that move at once, so that not all go to one shard. */
+const MOVING_SHARE = 0.5;
+
+/**
+ * The shard with the lowest load, one of them at random if several have it;
+ * `undefined` if the load of all is infinite.
+ */
+export function leastLoadedShard(
+  shards: readonly Shard[],
+  { load, random }: {
+    load: (shard: Shard) => number;
+    random: () => number;
+  },
+): Shard | undefined {
+  const loads = shards.map((shard) => ({ shard, load: load(shard) }))
+    .filter((one) => one.load < Infinity);
+  const least = Math.min(...loads.map((one) => one.load));
+  const best = loads.filter((one) => one.load === least);
+  return best[Math.floor(random() * best.length)]?.shard;
+}
+
+/** Whether a wait should move from a shard to another one, by their loads. */
+export function isBetterElsewhere({ here, there, random }: {
+  here: number;
+  there: number;
+  random: () => number;
+}): boolean {
+  if (there === Infinity) return false;
+  if (here === Infinity) return true;
+  return here > there + MOVE_MARGIN && random() < MOVING_SHARE;
+}
+
 /** The shard assigned to a key by rendezvous hashing, if there is one. */
 export function preferredShard(
   key: string,
