Engines keep their model while they load weights; orders that got lost are placed again

Cause: the assignment of engines to models was computed anew four times a second from loaded versions alone, and compared version numbers of different models.

Change: an engine keeps the model that it was assigned to, and a new lease holder goes by what an engine lacks of each model's newest version. Where a report shows 1 s after an order that the engine is idle and has accepted nothing, the order is placed again; both carry the number of orders before them, so one is carried out.

--- a/src/orders/assignment.ts
+++ b/src/orders/assignment.ts
@@ -10,49 +10,101 @@
 export interface UpstreamModelVersions {
   readonly id: string;
   readonly versions: Readonly<Record<string, number>>;
+  /** The model that it was assigned to before, if known. */
+  readonly current?: string;
 }
 
-/** A model keeps its number of upstreams if the ideal one differs by less. */
+/**
+ * A model keeps its number of upstreams if the ideal one differs by less, or by
+ * less than this share of it: each change costs a load of weights.
+ */
 const HYSTERESIS_UPSTREAMS = 0.8;
+const HYSTERESIS_SHARE = 0.15;
 
 /** Minimum weight of a model relative to the largest one. */
 const MIN_RELATIVE_WEIGHT = 0.2;
 
 /**
  * Returns the upstreams assigned to each model, in proportion to `weights`. An
- * upstream stays with the model in which its version is furthest ahead, so that
- * every daemon computes the same assignment without stored state.
+ * upstream stays with its current model, or else goes to the one whose newest
+ * version in `latest` it lacks least, so that a new lease holder gets about the
+ * same assignment without stored state.
  */
 export function assignUpstreams(
   upstreams: readonly UpstreamModelVersions[],
   models: readonly string[],
-  weights: Readonly<Record<string, number>> = {},
+  { weights = {}, latest = {} }: {
+    weights?: Readonly<Record<string, number>>;
+    /** The newest version of each model; else the newest of an upstream. */
+    latest?: Readonly<Record<string, number>>;
+  } = {},
 ): ReadonlyMap<string, readonly string[]> {
   if (models.length <= 1 || upstreams.length < models.length) {
     const all = upstreams.map(({ id }) => id);
     return new Map(models.map((model) => [model, all]));
   }
-  const counts = targetCounts(upstreams, models, weights);
-  const assigned = new Map(models.map((model) => [model, [] as string[]]));
-  let unassigned = [...upstreams].sort((a, b) => a.id < b.id ? -1 : 1);
-  while (unassigned.length > 0) {
+  const lagOf = lags(upstreams, models, latest);
+  const kept = new Map(models.map((model) => [
+    model,
+    upstreams.filter((one) => homeOf(one, models, lagOf) === model)
+      .sort((a, b) => lagOf(a, model) - lagOf(b, model) || byId(a, b)),
+  ]));
+  const counts = targetCounts(upstreams.length, { models, weights, kept });
+  const assigned = new Map(models.map((model) => [
+    model,
+    kept.get(model)?.slice(0, counts.get(model)).map(({ id }) => id) ?? [],
+  ]));
+  const taken = new Set([...assigned.values()].flat());
+  let free = upstreams.filter(({ id }) => !taken.has(id)).sort(byId);
+  while (free.length > 0) {
     const model = models.reduce((best, one) =>
       assignedShare(assigned, counts, one) <
           assignedShare(assigned, counts, best)
         ? one
         : best
     );
-    const next = unassigned.reduce((best, one) =>
-      versionLead(one, model, models) > versionLead(best, model, models)
-        ? one
-        : best
+    const next = free.reduce((best, one) =>
+      lagOf(one, model) < lagOf(best, model) ? one : best
     );
     assigned.get(model)?.push(next.id);
-    unassigned = unassigned.filter((one) => one !== next);
+    free = free.filter((one) => one !== next);
   }
   return assigned;
 }
 
+/** How many versions an upstream is behind the newest one of a model. */
+type Lag = (one: UpstreamModelVersions, model: string) => number;
+
+function lags(
+  upstreams: readonly UpstreamModelVersions[],
+  models: readonly string[],
+  latest: Readonly<Record<string, number>>,
+): Lag {
+  const newest = new Map(models.map((model) => [
+    model,
+    Math.max(
+      latest[model] ?? 0,
+      ...upstreams.map(({ versions }) => versions[model] ?? 0),
+    ),
+  ]));
+  return ({ versions }, model) =>
+    (newest.get(model) ?? 0) - (versions[model] ?? 0);
+}
+
+/** The model that an upstream belongs to; `undefined` if several suit it. */
+function homeOf(
+  one: UpstreamModelVersions,
+  models: readonly string[],
+  lagOf: Lag,
+): string | undefined {
+  if (one.current !== undefined && models.includes(one.current)) {
+    return one.current;
+  }
+  const least = Math.min(...models.map((model) => lagOf(one, model)));
+  const best = models.filter((model) => lagOf(one, model) === least);
+  return best.length === 1 ? best[0] : undefined;
+}
+
 /** The share of a model's upstreams that are assigned yet, from 0 to 1. */
 function assignedShare(
   assigned: ReadonlyMap<string, readonly string[]>,
@@ -64,9 +116,12 @@
 
 /** Number of upstreams for each model, by `weights`; at least one each. */
 function targetCounts(
-  upstreams: readonly UpstreamModelVersions[],
-  models: readonly string[],
-  weights: Readonly<Record<string, number>>,
+  count: number,
+  { models, weights, kept }: {
+    models: readonly string[];
+    weights: Readonly<Record<string, number>>;
+    kept: ReadonlyMap<string, readonly UpstreamModelVersions[]>;
+  },
 ): ReadonlyMap<string, number> {
   const heaviest = Math.max(...models.map((model) => weights[model] ?? 0), 0);
   const weightOf = (model: string) =>
@@ -74,35 +129,15 @@
       ? 1
       : Math.max(weights[model] ?? 0, heaviest * MIN_RELATIVE_WEIGHT);
   const total = models.reduce((sum, model) => sum + weightOf(model), 0);
-  const count = upstreams.length;
-  const counts = new Map<string, number>();
-  for (const model of models) {
+  return new Map(models.map((model) => {
     const exact = count * weightOf(model) / total;
-    const current = countAhead(upstreams, model, models);
-    const kept = current > 0 &&
-      Math.abs(current - exact) < HYSTERESIS_UPSTREAMS;
-    counts.set(model, kept ? current : Math.max(1, Math.round(exact)));
-  }
-  return counts;
-}
-
-/** Number of upstreams that are further ahead in `model` than in any other. */
-function countAhead(
-  upstreams: readonly UpstreamModelVersions[],
-  model: string,
-  models: readonly string[],
-): number {
-  return upstreams.filter((one) => versionLead(one, model, models) > 0).length;
+    const current = kept.get(model)?.length ?? 0;
+    const tolerance = Math.max(HYSTERESIS_UPSTREAMS, exact * HYSTERESIS_SHARE);
+    const keeps = current > 0 && Math.abs(current - exact) < tolerance;
+    return [model, keeps ? current : Math.max(1, Math.round(exact))];
+  }));
 }
 
-/** Versions by which an upstream is further ahead in `model` than in others. */
-function versionLead(
-  { versions }: UpstreamModelVersions,
-  model: string,
-  models: readonly string[],
-): number {
-  const own = versions[model] ?? 0;
-  const others = models.filter((other) => other !== model)
-    .map((other) => versions[other] ?? 0);
-  return own - Math.max(...others);
+function byId(a: UpstreamModelVersions, b: UpstreamModelVersions): number {
+  return a.id < b.id ? -1 : 1;
 }
--- a/src/orders/assignment_test.ts
+++ b/src/orders/assignment_test.ts
@@ -38,7 +38,7 @@
 test("a model with more demand gets more upstreams, but not all", () => {
   const all = ["a", "b", "c", "d", "e", "f"].map((id) => upstream(id));
   const sizes = (weights: Record<string, number>) => {
-    const parts = assignUpstreams(all, ["m", "n"], weights);
+    const parts = assignUpstreams(all, ["m", "n"], { weights });
     return ["m", "n"].map((model) => parts.get(model)?.length);
   };
   expect(sizes({ m: 20, n: 10 })).toEqual([4, 2]);
@@ -56,6 +56,54 @@
     upstream("f", 1, 5),
   ];
   const size = (m: number) =>
-    assignUpstreams(all, ["m", "n"], { m, n: 10 }).get("m");
+    assignUpstreams(all, ["m", "n"], { weights: { m, n: 10 } }).get("m");
   expect([size(15)?.length, size(25)?.length]).toEqual([4, 4]);
 });
+
+test("an upstream that loads its first version keeps its model", () => {
+  const names = ["a", "b", "c", "d", "e", "f"];
+  const first = assignUpstreams(names.map((id) => upstream(id)), ["m", "n"]);
+  const modelOf = (id: string) => first.get("m")?.includes(id) ? "m" : "n";
+  // One more upstream, and other weights: nobody has loaded anything yet.
+  const later = ["0", ...names].map((id) => ({
+    ...upstream(id),
+    ...id === "0" ? {} : { current: modelOf(id) },
+  }));
+  const second = assignUpstreams(later, ["m", "n"], {
+    weights: { m: 10, n: 11 },
+  });
+  for (const model of ["m", "n"]) {
+    const stayed = first.get(model)?.filter((id) =>
+      second.get(model)?.includes(id)
+    );
+    expect(stayed).toEqual([...first.get(model) ?? []]);
+  }
+});
+
+test("an upstream with old weights of its model is the first to change", () => {
+  const all = [
+    { ...upstream("a", 9, 1), current: "m" },
+    { ...upstream("b", 8, 1), current: "m" },
+    { ...upstream("c", 4, 1), current: "m" },
+    { ...upstream("d", 9, 1), current: "m" },
+    { ...upstream("e", 1, 3), current: "n" },
+  ];
+  const parts = assignUpstreams(all, ["m", "n"], {
+    weights: { m: 10, n: 10 },
+    latest: { m: 9, n: 3 },
+  });
+  expect(parts.get("n")?.includes("c")).toEqual(true);
+  expect(parts.get("m")?.includes("a")).toEqual(true);
+});
+
+test("models are compared by what an upstream lacks, not by their numbers", () => {
+  const all = ["a", "b", "c", "d"].map((id) => upstream(id, 7, 3));
+  const parts = assignUpstreams(all, ["m", "n"], { latest: { m: 9, n: 3 } });
+  expect([parts.get("m")?.length, parts.get("n")?.length]).toEqual([2, 2]);
+  const [fresh] = all;
+  const newcomer = [fresh, ...["b", "c", "d"].map((id) => upstream(id, 9, 1))];
+  const next = assignUpstreams(newcomer, ["m", "n"], {
+    latest: { m: 9, n: 3 },
+  });
+  expect(next.get("n")?.includes("a")).toEqual(true);
+});
--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -32,6 +32,11 @@
 const DEMAND_SAMPLE_INTERVAL_MS = 500;
 /** Weight of the newest sample in the moving average. */
 const DEMAND_SMOOTHING_FACTOR = 0.04;
+/**
+ * Reports lag behind by some hundred milliseconds; after this time a report
+ * without an order shows that the engine has not accepted it.
+ */
+const ORDER_VISIBLE_AFTER_MS = 1000;
 /** An engine's own report takes precedence over its leader's for this long. */
 const REPORTED_VERSION_MAX_AGE_MS = 5000;
 
@@ -46,6 +51,14 @@
   readonly version: number;
   /** Orders that the engine had accepted, if it reports them. */
   readonly orders: number | undefined;
+  /** Whether it carries out an order. */
+  readonly busy: boolean;
+  readonly at: number;
+}
+
+/** An order that was sent, and the number of those accepted before it. */
+interface SentOrder {
+  readonly orders: number;
   readonly at: number;
 }
 
@@ -61,10 +74,14 @@
   readonly #schedules = new Map<string, WeightUpdateSchedule>();
   readonly #limiters = new Map<string, WeightLoadLimiter>();
   readonly #reportedVersions = new Map<string, ReportedVersion>();
+  /** The last order to each upstream. */
+  readonly #sentOrders = new Map<string, SentOrder>();
   /** Unanswered calls to engines, by upstream. */
   readonly #inFlight = new Map<string, Promise<unknown>>();
   /** Moving average of running and queued requests, by model. */
   readonly #demands = new Map<string, number>();
+  /** The model of each upstream, by pool, as last assigned. */
+  readonly #assignments = new Map<string, ReadonlyMap<string, string>>();
   #roundCount = 0;
   #demandSampledAt = -Infinity;
   #latestVersions: ReadonlyMap<string, number> = new Map();
@@ -90,6 +107,7 @@
     if (tables === undefined || !this.#config.fresh()) return;
     const pairs = tables.pools.flatMap(poolModelsOf);
     await Promise.all([this.#refreshVms(), this.#sampleDemand(pairs)]);
+    this.#assignAll(pairs);
     // Models take turns at being first, as a pool's models share its limit.
     this.#roundCount += 1;
     const first = this.#roundCount % Math.max(1, pairs.length);
@@ -168,7 +186,9 @@
     const toPoll = new Set(schedule.possiblyDone(this.#clock.now()));
     let startsLeft = this.#startsAllowed(pair.pool);
     for (const vm of vms) {
-      if (toPoll.has(vm.id)) this.#call(vm, () => this.#readVersion(vm, model));
+      if (toPoll.has(vm.id)) {
+        this.#call(vm, () => this.#pollUpdate(schedule, { vm, model }));
+      }
       if (!due.includes(vm.id) || this.#inFlight.has(vm.id)) continue;
       // An engine carries out one order at a time, for any of its models.
       if (this.#isLoading(vm.id) || startsLeft <= 0) continue;
@@ -237,25 +257,62 @@
     }
   }
 
-  /** The live upstreams assigned to the model. */
-  #assignedVms({ pool, model }: PoolModel): readonly Vm[] {
-    const vms = this.#vms.filter((vm) =>
+  /** Assigns the live upstreams of pools that serve several models. */
+  #assignAll(pairs: readonly PoolModel[]): void {
+    const pools = new Set(pairs.map(({ pool }) => pool));
+    for (const pool of pools) this.#assign(pool);
+  }
+
+  #assign(pool: Pool): void {
+    const models = poolModelsOf(pool).map(({ model }) => model);
+    const before = this.#assignments.get(pool.name);
+    const upstreams = this.#liveVms(pool).map((vm) => ({
+      id: vm.id,
+      current: before?.get(vm.id),
+      versions: Object.fromEntries(
+        models.map((name) => [name, this.#version(pool, name, vm)]),
+      ),
+    }));
+    const assigned = assignUpstreams(upstreams, models, {
+      weights: Object.fromEntries(this.#demands),
+      latest: Object.fromEntries(this.#latestVersions),
+    });
+    if (models.length <= 1 || upstreams.length < models.length) {
+      this.#assignments.delete(pool.name);
+      return;
+    }
+    const modelOf = new Map(
+      [...assigned].flatMap(([model, ids]) =>
+        ids.map((id) => [id, model] as const)
+      ),
+    );
+    const moved = [...modelOf].filter(([id, model]) =>
+      (before?.get(id) ?? model) !== model
+    );
+    for (const [upstream, model] of moved) {
+      log("upstream reassigned", {
+        upstream,
+        pool: pool.name,
+        from: before?.get(upstream),
+        to: model,
+      });
+    }
+    this.#assignments.set(pool.name, modelOf);
+  }
+
+  #liveVms(pool: Pool): readonly Vm[] {
+    return this.#vms.filter((vm) =>
       vm.role === Role.Upstream && vm.pool === pool.name &&
       vm.standing === VmState.Live
     );
-    const models = poolModelsOf(pool).map((pair) => pair.model);
-    const assignments = assignUpstreams(
-      vms.map((vm) => ({
-        id: vm.id,
-        versions: Object.fromEntries(
-          models.map((name) => [name, this.#version(pool, name, vm)]),
-        ),
-      })),
-      models,
-      Object.fromEntries(this.#demands),
-    );
-    const assigned = new Set(assignments.get(model));
-    return vms.filter(({ id }) => assigned.has(id));
+  }
+
+  /** The live upstreams assigned to the model; all, if none is assigned. */
+  #assignedVms({ pool, model }: PoolModel): readonly Vm[] {
+    const modelOf = this.#assignments.get(pool.name);
+    const live = this.#liveVms(pool);
+    if (modelOf === undefined) return live;
+    return live.filter(({ id }) => modelOf.get(id) === model);
   }
 
   /** Whether the engine is loading weights of any model. */
@@ -300,6 +357,7 @@
     if (current === undefined) return schedule.failed(vm.id, this.#clock.now());
     if (current.version >= version) return schedule.forget(vm.id);
     const { term } = this.#lease;
+    const sentAt = this.#clock.now();
     const answer = await this.#lease.runWhileHeld((signal) =>
       this.#kernel.platform.engine.loadWeights(vm, {
         model,
@@ -312,6 +370,9 @@
     );
     if (isNone(answer)) return schedule.forget(vm.id);
     const { value } = answer;
+    if (current.orders !== undefined) {
+      this.#sentOrders.set(vm.id, { orders: current.orders, at: sentAt });
+    }
     log("weight update ordered", {
       upstream: vm.id,
       model,
@@ -329,6 +390,32 @@
     if (!started) schedule.failed(vm.id, this.#clock.now());
   }
 
+  /**
+   * Reads whether an update is done. An order that the engine has not accepted
+   * is placed again: it carries the number of orders before it, so if it arrives
+   * late as well, only one of the two is carried out.
+   */
+  async #pollUpdate(
+    schedule: WeightUpdateSchedule,
+    { vm, model }: { vm: Vm; model: string },
+  ): Promise<void> {
+    const reported = await this.#readVersion(vm, model);
+    const sent = this.#sentOrders.get(vm.id);
+    const missed = reported !== undefined && sent !== undefined &&
+      !reported.busy && reported.orders === sent.orders &&
+      reported.at - sent.at >= ORDER_VISIBLE_AFTER_MS;
+    if (!missed) return;
+    this.#sentOrders.delete(vm.id);
+    this.#metrics.updates.inc({ outcome: "missed" });
+    log("order not accepted, placed again", {
+      upstream: vm.id,
+      model,
+      orders: sent.orders,
+      sentMsAgo: Math.round(reported.at - sent.at),
+    });
+    schedule.forget(vm.id);
+  }
+
   /** Reads a model's version from the engine. */
   async #readVersion(
     vm: Vm,
@@ -336,9 +423,9 @@
   ): Promise<ReportedVersion | undefined> {
     const load = await this.#kernel.platform.engine.load(vm);
     if (load.err) return undefined;
-    const { weightVersion, weightVersions, orders } = load.val;
+    const { weightVersion, weightVersions, orders, busy = false } = load.val;
     const version = weightVersions?.[model] ?? weightVersion;
-    const reported = { version, orders, at: this.#clock.now() };
+    const reported = { version, orders, busy, at: this.#clock.now() };
     this.#reportedVersions.set(`${vm.id}/${model}`, reported);
     return reported;
   }
--- a/stand_ins/platform_protocol.ts
+++ b/stand_ins/platform_protocol.ts
@@ -99,6 +99,9 @@
     fence: number;
     holder: string;
   }[] = [];
+  /** How many orders get no answer and are carried out after a delay. */
+  lateOrders = 0;
+  orderDelayMs = 6000;
   /** Address in the list; the upstream's own if empty. */
   listed = "";
   /** The limit that it names in its answers, in requests a second. */
@@ -335,15 +338,31 @@
   }
 
   #order(response: ServerResponse, body: string): void {
-    const order = JSON.parse(body);
+    if (this.lateOrders > 0) {
+      this.lateOrders -= 1;
+      const late = () => {
+        if (!this.#stopped) this.#carryOut(JSON.parse(body));
+      };
+      setTimeout(late, this.orderDelayMs).unref();
+      return;
+    }
+    answer(response, this.#carryOut(JSON.parse(body)), {});
+  }
+
+  /** Carries out an order if it is current; returns the status of the answer. */
+  #carryOut(
+    order: PlatformUpstreamStandIn["orders"][number] & {
+      expected?: number;
+    },
+  ): number {
     const newest = Math.max(0, ...this.orders.map(({ fence }) => fence));
-    if (order.fence < newest) return answer(response, 412, {});
+    if (order.fence < newest) return 412;
     const stale = order.expected !== undefined &&
       order.expected !== this.orders.length;
-    if (stale) return answer(response, 409, {});
+    if (stale) return 409;
     this.orders.push(order);
     this.versions[order.model] = order.version;
-    answer(response, 202, {});
+    return 202;
   }
 }
 
