Stale engines load first, and contention can't stop updates

Change: the limit stays at 12 % of a pool's engines or more, which is below what the deployments' weight stores serve at full speed (29 %); engines that are too old to serve go before those that are only behind.

--- a/src/orders/weight_load_limiter.ts
+++ b/src/orders/weight_load_limiter.ts
@@ -13,8 +13,13 @@
 /** Maximum share of upstreams that load at once; the others keep serving. */
 const MAX_SHARE = 0.35;
 
-/** Lower bound of the limit, also when loads slow each other down. */
+/**
+ * Lower bounds of the limit, also when loads seem to slow each other down. Slow
+ * engines and late reports look like contention; a limit that is too high costs
+ * engines some time, one that is too low keeps most of them on old weights.
+ */
 const MIN_CONCURRENT_LOADS = 2;
+const MIN_SHARE = 0.12;
 
 /** A load this many times longer than the shortest one met contention. */
 const CONTENTION_FACTOR = 1.5;
@@ -31,22 +36,27 @@
 /** Adapts one pool's limit by additive increase, multiplicative decrease. */
 export class WeightLoadLimiter {
   #limit: number | undefined;
+  #minLimit = MIN_CONCURRENT_LOADS;
   #minDurationMs = Infinity;
   #decreasedAt = -Infinity;
 
   /** Maximum number of concurrent loads in a pool of so many upstreams. */
   limit(upstreams: number): number {
     this.#limit ??= Math.ceil(upstreams * INITIAL_SHARE);
+    this.#minLimit = Math.max(
+      MIN_CONCURRENT_LOADS,
+      Math.ceil(upstreams * MIN_SHARE),
+    );
     const maxLoads = Math.floor(upstreams * MAX_SHARE);
     return Math.max(
-      MIN_CONCURRENT_LOADS,
+      this.#minLimit,
       Math.min(maxLoads, Math.floor(this.#limit)),
     );
   }
 
   /** Adapts the limit to a load that ended; `limit` must be called before. */
   ended({ startedAt, durationMs }: FinishedLoad, now: number): void {
-    const limit = this.#limit ?? MIN_CONCURRENT_LOADS;
+    const limit = this.#limit ?? this.#minLimit;
     this.#minDurationMs = Math.min(this.#minDurationMs, durationMs);
     if (durationMs <= this.#minDurationMs * CONTENTION_FACTOR) {
       // Doubles with each wave until the first decrease, then adds one.
@@ -56,7 +66,7 @@
     }
     // Loads started before the last decrease ran under the earlier limit.
     if (startedAt < this.#decreasedAt) return;
-    this.#limit = Math.max(MIN_CONCURRENT_LOADS, limit * DECREASE_FACTOR);
+    this.#limit = Math.max(this.#minLimit, limit * DECREASE_FACTOR);
     this.#decreasedAt = now;
   }
 }
--- a/src/orders/weight_load_limiter_test.ts
+++ b/src/orders/weight_load_limiter_test.ts
@@ -96,3 +96,14 @@
 test("a small pool allows two concurrent loads", () => {
   expect(new WeightLoadLimiter().limit(8)).toEqual(2);
 });
+
+test("loads that take long for another reason leave most of a pool's rate", () => {
+  const limiter = new WeightLoadLimiter();
+  limiter.limit(50);
+  limiter.ended({ startedAt: 0, durationMs: 900 }, 900);
+  for (let n = 1; n <= 20; n++) {
+    const startedAt = n * 10_000;
+    limiter.ended({ startedAt, durationMs: 4000 }, startedAt + 4000);
+  }
+  expect(limiter.limit(50)).toEqual(6);
+});
--- a/src/orders/weight_update_schedule.ts
+++ b/src/orders/weight_update_schedule.ts
@@ -104,17 +104,26 @@
     return ended;
   }
 
-  /** Upstreams behind `latest` to update now, in order, within the limit. */
+  /**
+   * Upstreams behind `latest` to update now, in order, within the limit; with
+   * `staleOnly` only those that are too old to serve.
+   */
   due(
     upstreams: readonly VersionedVm[],
-    { latest, now }: { latest: number; now: number },
+    { latest, now, staleOnly = false }: {
+      latest: number;
+      now: number;
+      staleOnly?: boolean;
+    },
   ): readonly string[] {
     const maxPending = Math.max(
       1,
       Math.floor(upstreams.length * this.#maxLoadingShare),
     );
+    const oldest = latest - this.#maxVersionLag;
     return this.#upstreamsToUpdate(upstreams, latest)
-      .filter(({ id }) =>
+      .filter(({ id, version }) =>
+        (!staleOnly || version < oldest) &&
         !this.#pending.has(id) && (this.#retries.get(id)?.at ?? 0) <= now
       )
       .sort((a, b) =>
--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -111,9 +111,11 @@
     // Models take turns at being first, as a pool's models share its limit.
     this.#roundCount += 1;
     const first = this.#roundCount % Math.max(1, pairs.length);
-    for (const pair of [...pairs.slice(first), ...pairs.slice(0, first)]) {
-      this.#updateModel(pair);
-    }
+    const inTurn = [...pairs.slice(first), ...pairs.slice(0, first)];
+    for (const pair of inTurn) this.#settleModel(pair);
+    // Engines that can't serve go before those that only have an older version.
+    for (const pair of inTurn) this.#startUpdates(pair, { staleOnly: true });
+    for (const pair of inTurn) this.#startUpdates(pair, { staleOnly: false });
   }
 
   /** Waits for the calls in flight. */
@@ -169,26 +171,37 @@
     this.#vms = vms.val;
   }
 
-  #updateModel(pair: PoolModel): void {
+  /** Ends updates that are done, and polls engines that may be. */
+  #settleModel(pair: PoolModel): void {
     const { model } = pair;
-    const latest = this.#latestVersions.get(model) ?? 0;
-    if (latest === 0) return;
+    if ((this.#latestVersions.get(model) ?? 0) === 0) return;
     const schedule = this.#scheduleOf(pair);
     const vms = this.#assignedVms(pair);
     this.#settleUpdates(schedule, {
       pair,
       upstreams: this.#versions(pair, vms),
     });
+    const toPoll = new Set(schedule.possiblyDone(this.#clock.now()));
+    for (const vm of vms) {
+      if (!toPoll.has(vm.id)) continue;
+      this.#call(vm, () => this.#pollUpdate(schedule, { vm, model }));
+    }
+  }
+
+  /** Starts due updates as far as the pool's limit allows. */
+  #startUpdates(pair: PoolModel, options: { staleOnly: boolean }): void {
+    const { model } = pair;
+    const latest = this.#latestVersions.get(model) ?? 0;
+    if (latest === 0) return;
+    const schedule = this.#scheduleOf(pair);
+    const vms = this.#assignedVms(pair);
     const due = schedule.due(this.#versions(pair, vms), {
       latest,
       now: this.#clock.now(),
+      ...options,
     });
-    const toPoll = new Set(schedule.possiblyDone(this.#clock.now()));
     let startsLeft = this.#startsAllowed(pair.pool);
     for (const vm of vms) {
-      if (toPoll.has(vm.id)) {
-        this.#call(vm, () => this.#pollUpdate(schedule, { vm, model }));
-      }
       if (!due.includes(vm.id) || this.#inFlight.has(vm.id)) continue;
       // An engine carries out one order at a time, for any of its models.
       if (this.#isLoading(vm.id) || startsLeft <= 0) continue;
