--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -625,11 +625,11 @@
   a: Readonly<Record<string, number>>,
   b: Readonly<Record<string, number>>,
 ): Readonly<Record<string, number>> {
-  const sums: Record<string, number> = { ...a };
+  const sums = new Map(Object.entries(a));
   for (const [name, count] of Object.entries(b)) {
-    sums[name] = (sums[name] ?? 0) + count;
+    sums.set(name, (sums.get(name) ?? 0) + count);
   }
-  return sums;
+  return Object.fromEntries(sums);
 }
 
 register({
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -211,11 +211,10 @@
     models: z.record(
       z.string(),
       z.object({
-        versions: z.array(z.object({
-          version: z.number(),
-          slots: z.number(),
-          busy: z.number(),
-        })).readonly(),
+        /** Weight version, slots, and those in use. */
+        versions: z.array(
+          z.tuple([z.number(), z.number(), z.number()]).readonly(),
+        ).readonly(),
         queued: z.number(),
       }),
     ).optional(),
--- a/src/dispatch/model_capacity.ts
+++ b/src/dispatch/model_capacity.ts
@@ -6,25 +6,38 @@
  * @module
  */
 
-import type { Candidate } from "./upstream_selector.ts";
 import type { Demand } from "./mod.ts";
+import { type Candidate, slotsOf } from "./upstream_selector.ts";
 
-/** Slots of the upstreams that serve one weight version of a model. */
-export interface VersionSlots {
-  readonly version: number;
-  readonly slots: number;
-  /** Those in use, by requests of any model. */
-  readonly busy: number;
-}
+/**
+ * Most models in a summary, and the longest name. Engines report names of any
+ * length and number, and every summary goes to all daemons.
+ */
+const MAX_MODELS = 64;
+const MAX_NAME_LENGTH = 200;
+
+/** Most versions of a model in a summary; older ones count as the oldest. */
+const MAX_VERSIONS = 8;
+
+/**
+ * Slots of the upstreams that serve one weight version of a model: the version,
+ * the slots, and those of them in use by requests of any model.
+ */
+export type VersionSlots = readonly [
+  version: number,
+  slots: number,
+  busy: number,
+];
 
 /** What a shard offers for one model. */
 export interface ModelCapacity {
+  /** The newest version first. */
   readonly versions: readonly VersionSlots[];
   /** Requests of the model that wait in the shard. */
   readonly queued: number;
 }
 
-/** The capacities by model; absent from daemons of earlier builds. */
+/** The capacities by model. */
 export type ModelCapacities = Readonly<Record<string, ModelCapacity>>;
 
 /** The weight versions of an upstream, by model. */
@@ -35,40 +48,69 @@
   return load?.weightVersions ?? upstream.weightVersions ?? {};
 }
 
-/** The capacities of a shard from its usable upstreams and waiting requests. */
+/**
+ * The capacities of a shard from its usable upstreams and waiting requests, for
+ * each model that an upstream lists. One that doesn't list it has its version 0.
+ */
 export function modelCapacitiesOf(
   usable: readonly Candidate[],
   options: {
-    /** Waiting requests by model. */
-    queued: Readonly<Record<string, number>>;
+    /** Waiting requests by model, of which callers choose the names. */
+    queued: ReadonlyMap<string, number>;
     /** Whether an upstream refused requests of a model just now. */
     refuses: (upstream: string, model: string) => boolean;
   },
 ): ModelCapacities {
-  const versions = new Map<string, Map<number, VersionSlots>>();
-  for (const candidate of usable) {
-    const { upstream, inFlight, foreign } = candidate;
-    const { slots } = upstream;
-    const busy = Math.min(slots, inFlight + foreign);
-    for (
-      const [model, version] of Object.entries(weightVersionsOf(candidate))
-    ) {
-      if (options.refuses(upstream.id, model)) continue;
-      const byVersion = versions.get(model) ?? new Map<number, VersionSlots>();
-      versions.set(model, byVersion);
-      const known = byVersion.get(version);
-      byVersion.set(version, {
-        version,
-        slots: slots + (known?.slots ?? 0),
-        busy: busy + (known?.busy ?? 0),
+  const queuedOf = (model: string) => options.queued.get(model) ?? 0;
+  const engines = usable.map((candidate) => ({
+    candidate,
+    versions: new Map(Object.entries(weightVersionsOf(candidate))),
+  }));
+  const names = new Set(
+    engines.flatMap(({ versions }) => [...versions.keys()]),
+  );
+  const models = [...names]
+    .filter((model) => model.length <= MAX_NAME_LENGTH)
+    .sort((a, b) => queuedOf(b) - queuedOf(a))
+    .slice(0, MAX_MODELS);
+  return Object.fromEntries(models.map((model) => {
+    const slots = engines
+      .filter(({ candidate }) => !options.refuses(candidate.upstream.id, model))
+      .map(({ candidate, versions }) => {
+        const { inFlight, foreign } = candidate;
+        const slots = slotsOf(candidate);
+        const busy = Math.min(slots, inFlight + foreign);
+        return [versions.get(model) ?? 0, slots, busy] as const;
       });
+    return [model, {
+      versions: mergedVersions(slots),
+      queued: queuedOf(model),
+    }];
+  }));
+}
+
+/** Adds up the slots of equal versions. */
+function mergedVersions(
+  slots: readonly VersionSlots[],
+): readonly VersionSlots[] {
+  const merged: [version: number, slots: number, busy: number][] = [];
+  for (const [version, slotCount, busy] of slots.toSorted(newestFirst)) {
+    const last = merged.at(-1);
+    const joins = last !== undefined &&
+      (last[0] === version || merged.length === MAX_VERSIONS);
+    if (!joins) {
+      merged.push([version, slotCount, busy]);
+      continue;
     }
+    last[0] = version;
+    last[1] += slotCount;
+    last[2] += busy;
   }
-  const models = new Set([...versions.keys(), ...Object.keys(options.queued)]);
-  return Object.fromEntries([...models].map((model) => [model, {
-    versions: [...versions.get(model)?.values() ?? []],
-    queued: options.queued[model] ?? 0,
-  }]));
+  return merged;
+}
+
+function newestFirst([a]: VersionSlots, [b]: VersionSlots): number {
+  return b - a;
 }
 
 /**
@@ -82,9 +124,9 @@
   asked: number,
 ): number {
   const suitable = (capacity?.versions ?? [])
-    .filter(({ version }) => version >= minVersion);
-  const slots = suitable.reduce((sum, one) => sum + one.slots, 0);
+    .filter(([version]) => version >= minVersion);
+  const slots = suitable.reduce((sum, [, slots]) => sum + slots, 0);
   if (capacity === undefined || slots === 0) return Infinity;
-  const busy = suitable.reduce((sum, one) => sum + one.busy, 0);
+  const busy = suitable.reduce((sum, [, , busy]) => sum + busy, 0);
   return (busy + Math.max(capacity.queued, asked)) / slots;
 }
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -11,7 +11,11 @@
 import type { CacheEvent, Load } from "../outside/mod.ts";
 import { Priority } from "../tables/mod.ts";
 import { AffinitySelector } from "./affinity_selector.ts";
-import type { Candidate, UpstreamSelector } from "./upstream_selector.ts";
+import {
+  type Candidate,
+  slotsOf,
+  type UpstreamSelector,
+} from "./upstream_selector.ts";
 import { CrashDetector, ProbeResult } from "./crash_detector.ts";
 import { FairQueue } from "./fair_queue.ts";
 import { Headroom } from "./headroom.ts";
@@ -428,10 +432,10 @@
       queued: waiting.length,
       urgent: urgent.length,
       slots: this.#slots(),
-      models: countByModel([
+      models: Object.fromEntries(countByModel([
         ...waiting.map(({ demand }) => demand),
         ...[...this.#permits.all()].map(({ demand }) => demand),
-      ]),
+      ])),
     };
   }
 
@@ -439,16 +443,14 @@
   modelCapacities(): ModelCapacities {
     const waiting = [...this.#queue.waiting()];
     const now = this.#clock.now();
-    return modelCapacitiesOf(
-      this.#usable().map((state) => this.#candidate(state)),
-      {
-        queued: countByModel(waiting.map(({ demand }) => demand)),
-        refuses: (id, model) => {
-          const until = this.#states.get(id)?.refusedUntil.get(model);
-          return until !== undefined && now < until;
-        },
-      },
-    );
+    // An upstream that is tried again after failures takes one request only.
+    const usable = this.#usable()
+      .filter(({ breaker }) => breaker.circuit(now) === Circuit.Closed)
+      .map((state) => this.#candidate(state));
+    return modelCapacitiesOf(usable, {
+      queued: countByModel(waiting.map(({ demand }) => demand)),
+      refuses: (id, model) => this.#backsOffFrom(id, model),
+    });
   }
 
   /** Grants permits while there are free slots and requests that fit them. */
@@ -585,7 +587,7 @@
     const trialUpstream = this.#trialUpstream(ticket.demand);
     const fitting = free.filter((candidate) =>
       !this.#reservations.has(candidate.upstream.id) &&
-      !this.#backsOffFrom(candidate.upstream.id, ticket.demand) &&
+      !this.#backsOffFrom(candidate.upstream.id, ticket.demand.model) &&
       (trialUpstream === undefined ||
         trialUpstream === candidate.upstream.id) &&
       isEligible(ticket.demand, candidate)
@@ -610,7 +612,7 @@
    * Whether an upstream refused a request of this model recently, as one does
    * while it loads the model's weights.
    */
-  #backsOffFrom(id: string, { model }: Demand): boolean {
+  #backsOffFrom(id: string, model: string | undefined): boolean {
     const state = this.#states.get(id);
     if (state === undefined || model === undefined) return false;
     const until = state.refusedUntil.get(model);
@@ -856,22 +858,19 @@
 /** Counts requests by model; those without one are left out. */
 function countByModel(
   demands: readonly Demand[],
-): Readonly<Record<string, number>> {
-  const counts: Record<string, number> = {};
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
   for (const { model } of demands) {
-    if (model !== undefined) counts[model] = (counts[model] ?? 0) + 1;
+    if (model !== undefined) counts.set(model, (counts.get(model) ?? 0) + 1);
   }
   return counts;
 }
 
 /** Requests that may start on an upstream now. */
-function freeSlotsOf(
-  { upstream, inFlight, foreign, load, startsLeft }: Candidate,
-): number {
-  const slots = load === undefined || load.slots === 0
-    ? upstream.slots
-    : Math.min(upstream.slots, load.slots);
-  return Math.max(0, Math.min(startsLeft, slots - inFlight - foreign));
+function freeSlotsOf(candidate: Candidate): number {
+  const { inFlight, foreign, startsLeft } = candidate;
+  const free = slotsOf(candidate) - inFlight - foreign;
+  return Math.max(0, Math.min(startsLeft, free));
 }
 
 /** Whether an upstream is suitable for a request. */
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -560,3 +560,39 @@
   expect(upstreamOf(ask({ model: "m", minVersion: 2 }))).toEqual("up-2");
   expect(upstreamOf(ask({ model: "n", minVersion: 2 }))).toEqual("up-1");
 });
+
+test("the capacity of a model leaves out an engine while its weights load", () => {
+  const { clock, leader, ask } = shard([
+    upstream({ weightVersions: { m: 1, n: 1 } }),
+  ]);
+  const reported = { weightVersions: { m: 1, n: 1 } };
+  leader.release(permit(ask({ model: "m" })), Outcome.Refused, 0);
+  leader.probed("up-1", ProbeResult.Alive, load({ ...reported, busy: true }));
+  clock.advance(900);
+  expect(leader.modelCapacities().m.versions).toEqual([]);
+  expect(leader.modelCapacities().n.versions).toEqual([[1, 2, 0]]);
+  leader.probed("up-1", ProbeResult.Alive, load(reported));
+  expect(leader.modelCapacities().m.versions).toEqual([[1, 2, 0]]);
+});
+
+test("the capacity of a model leaves out an engine that is only tried", () => {
+  const { clock, leader, ask } = shard([upstream({ slots: 8 })]);
+  leader.setUpstreams([upstream({ slots: 8, weightVersions: { m: 1 } })]);
+  for (let failure = 0; failure < 3; failure++) {
+    leader.release(permit(ask({ model: "m" })), Outcome.Broken, 0);
+  }
+  clock.advance(1000);
+  expect(leader.pressure().slots).toEqual(8);
+  expect(leader.modelCapacities()).toEqual({});
+});
+
+test("a model's name that objects inherit spoils no message", () => {
+  const { leader, ask } = shard([
+    upstream({ slots: 1, weightVersions: { m: 1 } }),
+  ]);
+  ask({ model: "constructor" });
+  ask({ model: "constructor" });
+  expect(Object.entries(leader.pressure().models ?? {}))
+    .toEqual([["constructor", 2]]);
+  expect(Object.keys(leader.modelCapacities())).toEqual(["m"]);
+});
--- a/src/dispatch/upstream_selector.ts
+++ b/src/dispatch/upstream_selector.ts
@@ -24,6 +24,15 @@
   readonly startsLeft: number;
 }
 
+/** Requests that an upstream runs at once, by its own report if that is less. */
+export function slotsOf(
+  { upstream, load }: Pick<Candidate, "upstream" | "load">,
+): number {
+  return load === undefined || load.slots === 0
+    ? upstream.slots
+    : Math.min(upstream.slots, load.slots);
+}
+
 /** Selects upstreams. */
 export abstract class UpstreamSelector {
   /** Selects the upstream for a request; `candidates` is not empty. */
