Wait, its review and the choice of its shard in modules of their own

Cause: entry.ts told three stories. In the review of a wait: the counter had no reason, and the counter and the log line told of moves that did not happen, as a permit that arrived in the same moment was used after all; the shard was drawn again after the move, so that the line could name another one than that which was asked; each wait joined its caller's signal to another one by AbortSignal.any, which a signal that outlives many waits refers to until it ends or they are collected.

A move names its shard and reason, the entry asks there, and counts it once the wait has ended. Requests without a model have no review, signal or timer of their own.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -106,7 +106,7 @@
   readonly #abort = new AbortController();
   readonly #refusals: Counter<"reason">;
   readonly #retries: Counter<"reason">;
-  readonly #waitMoves: Counter;
+  readonly #waitMoves: Counter<"reason">;
   readonly #grants: Counter<"priority">;
   readonly #waits: Histogram<"priority">;
   readonly #load: Gauge<"pool" | "state">;
@@ -158,13 +158,14 @@
     );
     this.#waitMoves = kernel.counter(
       "toucanwind_dispatch_wait_moves_total",
-      "Waits that went on at another shard, which suits their model better",
+      "Waits that were moved to another shard, by reason",
+      ["reason"],
     );
     this.#entry = new EntryClient({
       ...shared,
       heldPermits: this.#heldPermits,
       onRetry: (reason) => this.#retries.inc({ reason }),
-      onMove: () => this.#waitMoves.inc(),
+      onMove: (reason) => this.#waitMoves.inc({ reason }),
     });
     this.#refusals = kernel.counter(
       "toucanwind_dispatch_refusals_total",
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -23,17 +23,12 @@
   notRun,
 } from "./messages.ts";
 import { type Demand, Outcome, type Permit } from "./mod.ts";
-import { loadForModel } from "./model_capacity.ts";
 import { Admission, type Quarantine } from "./quarantine.ts";
-import {
-  isBetterElsewhere,
-  leastLoadedShard,
-  preferredShard,
-  selectShard,
-} from "./shard_selection.ts";
+import { type Move, type MoveReason, ShardSelector } from "./shard_selector.ts";
 import { thinPrefixes } from "./prefixes.ts";
 import type { ShardSummaries } from "./summaries.ts";
 import type { HeldPermits } from "./held_permits.ts";
+import { WaitReview } from "./wait_review.ts";
 
 const log = logger("dispatch");
 
@@ -50,12 +45,6 @@
 /** Retry delay for callers when the pool has no usable upstream. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 1000;
 
-/** How often a request that waits for a model looks at the other shards. */
-const WAIT_REVIEW_INTERVAL_MS = 500;
-
-/** Load added to a shard that has no upstream in this availability zone. */
-const CROSS_ZONE_COST = 0.05;
-
 /** The shard and leader at which a permit is requested. */
 interface AcquireTarget {
   readonly shard: Shard;
@@ -70,13 +59,11 @@
   readonly #clock: Clock;
   readonly #peers: Peers;
   readonly #quarantine: Quarantine;
-  readonly #summaries: ShardSummaries;
+  readonly #selector: ShardSelector;
   readonly #heldPermits: HeldPermits;
   readonly #random: () => number;
   readonly #onRetry: (reason: Reason) => void;
-  readonly #onMove: () => void;
-  /** Requests that wait for a permit, by shard and model. */
-  readonly #asked = new Map<string, number>();
+  readonly #onMove: (reason: MoveReason) => void;
   #fleet: Fleet;
   #count = 0;
 
@@ -90,16 +77,20 @@
     random?: () => number;
     onRetry?: (reason: Reason) => void;
     /** Called when a wait is moved to another shard. */
-    onMove?: () => void;
+    onMove?: (reason: MoveReason) => void;
   }) {
     this.#kernel = options.kernel;
     this.#clock = options.kernel.clock;
     this.#peers = options.peers;
     this.#quarantine = options.quarantine;
-    this.#summaries = options.summaries;
     this.#heldPermits = options.heldPermits;
     this.#fleet = options.fleet;
     this.#random = options.random ?? Math.random;
+    this.#selector = new ShardSelector({
+      ...options,
+      availabilityZone: options.peers.self.availabilityZone,
+      random: this.#random,
+    });
     this.#onRetry = options.onRetry ?? (() => {});
     this.#onMove = options.onMove ?? (() => {});
   }
@@ -107,6 +98,7 @@
   /** Replaces the view of the upstreams. */
   setFleet(fleet: Fleet): void {
     this.#fleet = fleet;
+    this.#selector.setFleet(fleet);
   }
 
   /** Waits for a permit; nothing has run for a refused demand. */
@@ -119,12 +111,13 @@
     let retryMs = FIRST_RETRY_MS;
     let target: AcquireTarget | undefined;
     for (;;) {
+      const waitedMs = this.#clock.now() - startedAt;
       const remaining = {
         ...demand,
         remainingMs: endsAt - this.#clock.now(),
         startInMs: demand.startInMs === undefined
           ? undefined
-          : demand.startInMs - (this.#clock.now() - startedAt),
+          : demand.startInMs - waitedMs,
         // The leader may not know yet which upstreams leave.
         exclude: [...demand.exclude, ...this.#fleet.leaving(demand.pool)],
       };
@@ -132,13 +125,13 @@
       if (refusal !== undefined) return Err(refusal);
       target ??= this.#selectTarget(remaining);
       if (target === undefined) return Err(noUpstream(demand.pool));
-      const move = new AbortController();
-      const asked = await this.#acquireWhileBest(remaining, target, {
+      const { asked, move } = await this.#waitAt(remaining, target, {
         signal,
-        move,
       });
-      if (asked.err && move.signal.aborted) {
-        target = undefined;
+      if (move !== undefined) {
+        const { shard } = target;
+        this.#moved(remaining, { shard, move, startedAt });
+        target = this.#targetOf(move.shard);
         continue;
       }
       if (asked.ok) {
@@ -182,77 +175,50 @@
   }
 
   /**
-   * Waits at a leader as long as no other shard suits the request better. The
-   * engines with fresh weights of its model change while it waits.
+   * Waits at a leader. A request with a model waits as long as no other shard
+   * suits it better; `move` names that shard.
    */
-  async #acquireWhileBest(
+  async #waitAt(
     demand: Demand,
     target: AcquireTarget,
-    { signal, move }: { signal: AbortSignal; move: AbortController },
-  ): Promise<Result<AcquireAnswer, Refusal>> {
+    options: { signal: AbortSignal },
+  ): Promise<{ asked: Result<AcquireAnswer, Refusal>; move?: Move }> {
     if (demand.model === undefined) {
-      return await this.#acquireFrom(demand, target, { signal });
+      return { asked: await this.#acquireFrom(demand, target, options) };
     }
-    const key = askedKey(target.shard, demand.model);
-    const cancelReview = this.#reviewPeriodically(demand, target.shard, move);
-    this.#asked.set(key, (this.#asked.get(key) ?? 0) + 1);
+    const review = new WaitReview({
+      ...options,
+      clock: this.#clock,
+      selector: this.#selector,
+      demand,
+      shard: target.shard,
+    });
     try {
-      const either = AbortSignal.any([signal, move.signal]);
-      return await this.#acquireFrom(demand, target, { signal: either });
+      const asked = await this.#acquireFrom(demand, target, review);
+      // A permit that arrived as the wait was to be moved is used.
+      const moves = asked.err && !options.signal.aborted;
+      return { asked, move: moves ? review.move : undefined };
     } finally {
-      cancelReview();
-      const left = (this.#asked.get(key) ?? 1) - 1;
-      if (left > 0) this.#asked.set(key, left);
-      else this.#asked.delete(key);
+      review.end();
     }
   }
 
-  /** Aborts `move` once the wait should go on at another shard. */
-  #reviewPeriodically(
-    demand: Demand,
-    shard: Shard,
-    move: AbortController,
-  ): () => void {
-    const startedAt = this.#clock.now();
-    let cancel = () => {};
-    const review = () => {
-      const better = this.#betterShard(demand, shard);
-      if (better === undefined) {
-        cancel = this.#clock.after(WAIT_REVIEW_INTERVAL_MS, review);
-        return;
-      }
-      log("wait moved", {
-        id: demand.id,
-        model: demand.model,
-        minVersion: demand.minVersion,
-        shard: shard.name,
-        next: better.name,
-        waitedMs: Math.round(this.#clock.now() - startedAt),
-      });
-      this.#onMove();
-      move.abort();
-    };
-    cancel = this.#clock.after(WAIT_REVIEW_INTERVAL_MS, review);
-    return () => cancel();
-  }
-
-  /** The shard at which a request should wait instead, if there is one. */
-  #betterShard(demand: Demand, shard: Shard): Shard | undefined {
-    if (this.#quarantine.admission(demand) !== Admission.Shared) {
-      return undefined;
-    }
-    const load = (one: Shard) => this.#modelLoad(one, demand);
-    const others = this.#usableShards(demand)
-      .filter(({ name }) => name !== shard.name);
-    const best = leastLoadedShard(others, { load, random: this.#random });
-    if (best === undefined) return undefined;
-    // The request itself counts where it waits.
-    const better = isBetterElsewhere({
-      here: load(shard),
-      there: load(best),
-      random: this.#random,
+  /** Records that a wait was moved. */
+  #moved(
+    { id, model, minVersion }: Demand,
+    options: { shard: Shard; move: Move; startedAt: number },
+  ): void {
+    const { shard, move, startedAt } = options;
+    this.#onMove(move.reason);
+    log("wait moved", {
+      id,
+      model,
+      minVersion,
+      shard: shard.name,
+      next: move.shard.name,
+      reason: move.reason,
+      waitedMs: Math.round(this.#clock.now() - startedAt),
     });
-    return better ? best : undefined;
   }
 
   /** Waits at a leader, and cancels the wait there if it ends here. */
@@ -305,67 +271,15 @@
   }
 
   #selectTarget(demand: Demand): AcquireTarget | undefined {
-    const shard = this.#selectShard(demand);
-    if (shard === undefined) return undefined;
+    const shard = this.#selector.select(demand);
+    return shard && this.#targetOf(shard);
+  }
+
+  #targetOf(shard: Shard): AcquireTarget | undefined {
     const leader = this.#peers.rankedForDuty(shard.name)[0]?.vm;
     if (leader === undefined) return undefined;
     return { shard, leader, insist: false };
   }
-
-  /** Selects a shard among those with an upstream that the request may use. */
-  #selectShard(demand: Demand): Shard | undefined {
-    const shards = this.#usableShards(demand);
-    // Equal suspects meet at one leader, which runs them one at a time.
-    const { fingerprint } = demand;
-    if (this.#quarantine.admission(demand) !== Admission.Shared) {
-      return preferredShard(fingerprint, shards);
-    }
-    if (demand.model !== undefined) {
-      const suitable = leastLoadedShard(shards, {
-        load: (shard) => this.#modelLoad(shard, demand),
-        random: this.#random,
-      });
-      if (suitable !== undefined) return suitable;
-    }
-    return selectShard(shards, {
-      key: demand.prefixes.at(-1) ?? fingerprint,
-      load: (shard) => this.#load(shard),
-      random: this.#random,
-    });
-  }
-
-  /** The shards of a pool with an upstream that a request may use. */
-  #usableShards(demand: Demand): readonly Shard[] {
-    return this.#fleet.shardsOfPool(demand.pool).filter((shard) =>
-      shard.upstreams.some(({ id, leaving }) =>
-        !leaving && !demand.exclude.includes(id)
-      )
-    );
-  }
-
-  /** Load of a shard for the demand's model; infinite if it can't serve it. */
-  #modelLoad(shard: Shard, demand: Demand): number {
-    const { model = "" } = demand;
-    const capacity = this.#summaries.latest(shard.name)?.models?.[model];
-    const asked = this.#asked.get(askedKey(shard, model)) ?? 0;
-    return loadForModel(capacity, demand, asked);
-  }
-
-  /** Load of a shard as known by gossip; 1 if all slots are in use. */
-  #load(shard: Shard): number {
-    const zone = this.#peers.self.availabilityZone;
-    const far = shard.upstreams
-      .every(({ availabilityZone }) => availabilityZone !== zone);
-    const summary = this.#summaries.latest(shard.name);
-    if (summary === undefined) return far ? CROSS_ZONE_COST : 0;
-    const { running, queued, slots } = summary;
-    return (running + queued) / Math.max(1, slots) +
-      (far ? CROSS_ZONE_COST : 0);
-  }
-}
-
-function askedKey(shard: Shard, model: string): string {
-  return `${shard.name} ${model}`;
 }
 
 function parseAnswer(body: unknown): Result<AcquireAnswer, Refusal> {
--- a/src/dispatch/model_capacity.ts
+++ b/src/dispatch/model_capacity.ts
@@ -115,18 +115,23 @@
 
 /**
  * The load of a shard for a request with a model: 1 if all slots that suit it
- * are in use, infinite without such slots. `asked` are this daemon's requests of
- * the model that wait there, which the capacity may not include yet.
+ * are in use, infinite without such slots.
  */
 export function loadForModel(
-  capacity: ModelCapacity | undefined,
-  { minVersion }: Pick<Demand, "minVersion">,
-  asked: number,
+  { versions, queued }: ModelCapacity,
+  options: Pick<Demand, "minVersion"> & {
+    /** This daemon's waits for the model there. */
+    own?: number;
+  },
 ): number {
-  const suitable = (capacity?.versions ?? [])
-    .filter(([version]) => version >= minVersion);
-  const slots = suitable.reduce((sum, [, slots]) => sum + slots, 0);
-  if (capacity === undefined || slots === 0) return Infinity;
-  const busy = suitable.reduce((sum, [, , busy]) => sum + busy, 0);
-  return (busy + Math.max(capacity.queued, asked)) / slots;
+  const { minVersion, own = 0 } = options;
+  let slots = 0;
+  let busy = 0;
+  for (const [version, versionSlots, versionBusy] of versions) {
+    if (version < minVersion) continue;
+    slots += versionSlots;
+    busy += versionBusy;
+  }
+  if (slots <= 0) return Infinity;
+  return (busy + Math.max(queued, own)) / slots;
 }
--- a/src/dispatch/model_capacity_test.ts
+++ b/src/dispatch/model_capacity_test.ts
@@ -39,9 +39,8 @@
 
 test("a shard whose engines have old weights has no room for a request", () => {
   const { a } = capacities([candidate("up-1", { a: 2, b: 5 })]);
-  expect(loadForModel(a, { minVersion: 2 }, 0)).toEqual(0);
-  expect(loadForModel(a, { minVersion: 3 }, 0)).toEqual(Infinity);
-  expect(loadForModel(undefined, { minVersion: 0 }, 0)).toEqual(Infinity);
+  expect(loadForModel(a, { minVersion: 2 })).toEqual(0);
+  expect(loadForModel(a, { minVersion: 3 })).toEqual(Infinity);
 });
 
 test("only slots of a suitable version count, and those in use", () => {
@@ -50,14 +49,14 @@
     candidate("up-2", { a: 5 }, { inFlight: 4, foreign: 5 }),
     candidate("up-3", { a: 1 }, { inFlight: 6 }),
   ], { queued: { a: 3 } });
-  expect(loadForModel(a, { minVersion: 4 }, 0)).toEqual(1);
-  expect(loadForModel(a, { minVersion: 4 }, 9)).toEqual(1.5);
+  expect(loadForModel(a, { minVersion: 4 })).toEqual(1);
+  expect(loadForModel(a, { minVersion: 4, own: 9 })).toEqual(1.5);
 });
 
 test("an engine that refuses a model while it loads offers none of it", () => {
   const engines = [candidate("up-1", { a: 4 })];
   const { a } = capacities(engines, { refusing: "up-1", queued: { a: 1 } });
-  expect(loadForModel(a, { minVersion: 0 }, 0)).toEqual(Infinity);
+  expect(loadForModel(a, { minVersion: 0 })).toEqual(Infinity);
 });
 
 test("an engine that runs fewer requests than listed offers no more", () => {
