Reviews of waits: own waits count once, and the wait counts where it would go

Cause: the load of the shard where a request waits included the request, that of the other shards did not. With one suitable slot in each of two shards, both in use, a lone wait saw 2 here and 1 there, and went back and forth each half second for as long as it waited. Of the figure of the leader and the daemon's own count the larger one was used: waits that had left stayed in the leader's figure, so that more left than should; own waits beside those of others counted for nothing.

Change: a summary's queue is reduced by the own waits that it includes, and the own waits of now are added. A move is compared with the load that the other shard has once the wait is there.

--- a/src/dispatch/model_capacity.ts
+++ b/src/dispatch/model_capacity.ts
@@ -7,6 +7,7 @@
  */
 
 import type { Demand } from "./mod.ts";
+import type { WaitCount } from "./own_waits.ts";
 import { type Candidate, slotsOf } from "./upstream_selector.ts";
 
 /**
@@ -121,10 +122,12 @@
   { versions, queued }: ModelCapacity,
   options: Pick<Demand, "minVersion"> & {
     /** This daemon's waits for the model there. */
-    own?: number;
+    own?: WaitCount;
+    /** Requests of this daemon that are about to wait there. */
+    joining?: number;
   },
 ): number {
-  const { minVersion, own = 0 } = options;
+  const { minVersion, own, joining = 0 } = options;
   let slots = 0;
   let busy = 0;
   for (const [version, versionSlots, versionBusy] of versions) {
@@ -133,5 +136,6 @@
     busy += versionBusy;
   }
   if (slots <= 0) return Infinity;
-  return (busy + Math.max(queued, own)) / slots;
+  const others = Math.max(0, queued - (own?.included ?? 0));
+  return (busy + others + (own?.waiting ?? 0) + joining) / slots;
 }
--- a/src/dispatch/model_capacity_test.ts
+++ b/src/dispatch/model_capacity_test.ts
@@ -50,7 +50,8 @@
     candidate("up-3", { a: 1 }, { inFlight: 6 }),
   ], { queued: { a: 3 } });
   expect(loadForModel(a, { minVersion: 4 })).toEqual(1);
-  expect(loadForModel(a, { minVersion: 4, own: 9 })).toEqual(1.5);
+  const own = { waiting: 9, included: 3 };
+  expect(loadForModel(a, { minVersion: 4, own })).toEqual(1.5);
 });
 
 test("an engine that refuses a model while it loads offers none of it", () => {
--- a/src/dispatch/shard_selector.ts
+++ b/src/dispatch/shard_selector.ts
@@ -67,7 +67,8 @@
 
   /** Counts a wait for a model at a shard until the returned function is called. */
   addWait(shard: Shard, model: string): () => void {
-    return this.#ownWaits.add(shard.name, model);
+    const summary = this.#summaries.latest(shard.name);
+    return this.#ownWaits.add(shard.name, model, identityOf(summary));
   }
 
   /** Selects a shard among those with an upstream that the request may use. */
@@ -105,7 +106,8 @@
     const here = shards.includes(current)
       ? this.#modelLoad(current, demand)
       : Infinity;
-    const load = (one: Shard) => this.#modelLoad(one, demand);
+    // The wait counts where it is; compared is what the load would be there.
+    const load = (one: Shard) => this.#modelLoad(one, demand, { joining: 1 });
     const random = this.#random;
     const best = leastLoadedShard(others, { load, random });
     if (best === undefined) return undefined;
@@ -147,14 +149,15 @@
   }
 
   /** Load of a shard for the demand's model; infinite if it can't serve it. */
-  #modelLoad(shard: Shard, demand: Demand): number {
+  #modelLoad(shard: Shard, demand: Demand, { joining = 0 } = {}): number {
     const { model = "", minVersion } = demand;
     const summary = this.#summaries.latest(shard.name);
     const capacity = capacityOf(summary, model);
     if (summary === undefined || capacity === undefined) return Infinity;
     return loadForModel(capacity, {
       minVersion,
-      own: this.#ownWaits.count(shard.name, model),
+      own: this.#ownWaits.count(shard.name, model, identityOf(summary)),
+      joining,
     });
   }
 
@@ -171,6 +174,10 @@
   }
 }
 
+function identityOf(summary: ShardSummary | undefined): string {
+  return summary === undefined ? "" : `${summary.keeper} ${summary.seq}`;
+}
+
 /** What a shard's leader publishes for a model, of which callers choose names. */
 function capacityOf(summary: ShardSummary | undefined, model: string) {
   const models = summary?.models;
--- a/src/dispatch/shard_selector_test.ts
+++ b/src/dispatch/shard_selector_test.ts
@@ -96,3 +96,47 @@
   expect(better(2, wanted)).toEqual(expected);
   expect(better(1, wanted)).toEqual(undefined);
 });
+
+test("a lone wait doesn't go back and forth between equal shards", () => {
+  const { shards, fleet, publish, ask, better } = selector();
+  for (const index of [0, 1, 2]) publish(index, { versions: [[1, 1, 1]] });
+  shards.addWait(fleet.shards[0], MODEL);
+  expect(better(0, ask())).toEqual(undefined);
+  publish(0, { versions: [[1, 1, 1]], queued: 1 });
+  expect(better(0, ask())).toEqual(undefined);
+});
+
+test("a daemon's own waits count once, whether its leader knows of them or not", () => {
+  const { shards, fleet, publish, ask, better } = selector();
+  publish(0, { versions: [[1, 10, 10]] });
+  publish(1, { versions: [[1, 10, 10]], queued: 5 });
+  publish(2, { versions: [[1, 10, 10]], queued: 5 });
+  const waits = Array.from(
+    { length: 8 },
+    () => shards.addWait(fleet.shards[0], MODEL),
+  );
+  expect(better(0, ask())).toEqual(undefined);
+  publish(0, { versions: [[1, 10, 10]], queued: 8 });
+  expect(better(0, ask())).toEqual(undefined);
+  // Those that have left are not taken for others that still wait.
+  for (const end of waits.slice(1)) end();
+  expect(shards.select(ask())).toEqual(fleet.shards[0]);
+});
+
+test("waits of one daemon that leave a full shard stop when it is no worse", () => {
+  const { shards, fleet, publish, ask, better } = selector();
+  const ends = Array.from(
+    { length: 20 },
+    () => shards.addWait(fleet.shards[0], MODEL),
+  );
+  publish(0, { versions: [[1, 10, 10]], queued: 20 });
+  publish(1, { versions: [[1, 10, 10]] });
+  let moved = 0;
+  for (const end of ends) {
+    if (better(0, ask()) === undefined) continue;
+    end();
+    shards.addWait(fleet.shards[1], MODEL);
+    moved += 1;
+  }
+  expect(moved).toEqual(7);
+});
