Shards of leaders of earlier builds are chosen by their total load

Cause: a summary without figures by model counted as a shard without slots. While daemons are updated, requests with a model avoided such shards and left them after half a second, as soon as one leader of the new build had slots for the model.

Change: such a shard counts with its total load; so does one whose upstreams list no version of a model, for requests that accept version 0, as its leader serves these.

--- a/src/dispatch/shard_selector.ts
+++ b/src/dispatch/shard_selector.ts
@@ -152,8 +152,17 @@
   #modelLoad(shard: Shard, demand: Demand, { joining = 0 } = {}): number {
     const { model = "", minVersion } = demand;
     const summary = this.#summaries.latest(shard.name);
+    if (summary === undefined) return Infinity;
     const capacity = capacityOf(summary, model);
-    if (summary === undefined || capacity === undefined) return Infinity;
+    if (capacity === undefined) {
+      // Leaders of earlier builds publish no figures by model. Elsewhere a model
+      // that no upstream lists has its version 0 on all.
+      const maySuit = summary.models === undefined || minVersion <= 0;
+      const { running, queued, slots } = summary;
+      return maySuit && slots > 0
+        ? (running + queued + joining) / slots
+        : Infinity;
+    }
     return loadForModel(capacity, {
       minVersion,
       own: this.#ownWaits.count(shard.name, model, identityOf(summary)),
--- a/src/dispatch/shard_selector_test.ts
+++ b/src/dispatch/shard_selector_test.ts
@@ -19,6 +19,8 @@
   readonly queued?: number;
   /** Load without regard to models. */
   readonly running?: number;
+  /** Whether the leader is of a build that publishes nothing by model. */
+  readonly old?: boolean;
 }
 
 /** A selector that knows three shards of 10 upstreams each. */
@@ -36,7 +38,7 @@
   });
   let seq = 0;
   const publish = (index: number, part: Published = {}) => {
-    const { versions, queued = 0, running = 0 } = part;
+    const { versions, queued = 0, running = 0, old = false } = part;
     const models: ShardSummary["models"] = versions === undefined
       ? {}
       : { [MODEL]: { versions, queued } };
@@ -50,7 +52,7 @@
       slots: 10,
       tenants: {},
       upstreams: [],
-      models,
+      ...old ? {} : { models },
     });
   };
   const ask = (part: Partial<Demand> = {}) => demand({ model: MODEL, ...part });
@@ -85,6 +87,16 @@
   }
 });
 
+test("shards of leaders of earlier builds are neither avoided nor left", () => {
+  const { shards, fleet, publish, ask, better } = selector();
+  publish(0, { old: true, running: 2 });
+  publish(1, { versions: [[1, 10, 9]] });
+  publish(2, { versions: [[0, 10, 0]] });
+  const wanted = ask({ minVersion: 1 });
+  expect(shards.select(wanted)).toEqual(fleet.shards[0]);
+  expect(better(0, wanted)).toEqual(undefined);
+});
+
 test("a wait leaves a shard without slots for the one that has some", () => {
   const { fleet, publish, ask, better } = selector({ random: () => 0.99 });
   publish(0, { versions: [[1, 10, 0]] });
