A request does not wait where all that suits it is excluded

Cause: the slots of a model are published for the shard, and a request that must not be sent to some of its upstreams counted these too. An item that excludes the only engine with its version in a shard waited there until its exclusions ended, although another shard had slots.

Change: the slots of excluded upstreams are subtracted where the platform's list says that their version suits the request, or doesn't say.

--- a/src/dispatch/model_capacity.ts
+++ b/src/dispatch/model_capacity.ts
@@ -114,6 +114,12 @@
   return b - a;
 }
 
+/** Slots of upstreams that a request must not be sent to, and those in use. */
+export interface ExcludedSlots {
+  readonly slots: number;
+  readonly busy: number;
+}
+
 /**
  * The load of a shard for a request with a model: 1 if all slots that suit it
  * are in use, infinite without such slots.
@@ -123,13 +129,15 @@
   options: Pick<Demand, "minVersion"> & {
     /** This daemon's waits for the model there. */
     own?: WaitCount;
+    /** Suitable slots that the request must not use. */
+    excluded?: ExcludedSlots;
     /** Requests of this daemon that are about to wait there. */
     joining?: number;
   },
 ): number {
-  const { minVersion, own, joining = 0 } = options;
-  let slots = 0;
-  let busy = 0;
+  const { minVersion, own, excluded, joining = 0 } = options;
+  let slots = -(excluded?.slots ?? 0);
+  let busy = -(excluded?.busy ?? 0);
   for (const [version, versionSlots, versionBusy] of versions) {
     if (version < minVersion) continue;
     slots += versionSlots;
@@ -137,5 +145,5 @@
   }
   if (slots <= 0) return Infinity;
   const others = Math.max(0, queued - (own?.included ?? 0));
-  return (busy + others + (own?.waiting ?? 0) + joining) / slots;
+  return (Math.max(0, busy) + others + (own?.waiting ?? 0) + joining) / slots;
 }
--- a/src/dispatch/shard_selector.ts
+++ b/src/dispatch/shard_selector.ts
@@ -8,7 +8,7 @@
 import type { Fleet, Shard } from "./fleet.ts";
 import type { ShardSummary } from "./messages.ts";
 import type { Demand } from "./mod.ts";
-import { loadForModel } from "./model_capacity.ts";
+import { type ExcludedSlots, loadForModel } from "./model_capacity.ts";
 import { OwnWaits } from "./own_waits.ts";
 import { Admission, type Quarantine } from "./quarantine.ts";
 import {
@@ -166,6 +166,7 @@
     return loadForModel(capacity, {
       minVersion,
       own: this.#ownWaits.count(shard.name, model, identityOf(summary)),
+      excluded: excludedSlots(shard, demand, summary),
       joining,
     });
   }
@@ -194,3 +195,27 @@
     ? models[model]
     : undefined;
 }
+
+/**
+ * The slots of excluded upstreams that the shard's figures include: of those
+ * whose listed version suits the request, or is not known here.
+ */
+function excludedSlots(
+  shard: Shard,
+  { exclude, model = "", minVersion }: Demand,
+  summary: ShardSummary,
+): ExcludedSlots {
+  let slots = 0;
+  let busy = 0;
+  if (exclude.length === 0) return { slots, busy };
+  for (const upstream of shard.upstreams) {
+    if (upstream.leaving || !exclude.includes(upstream.id)) continue;
+    const { weightVersions } = upstream;
+    if (weightVersions && (weightVersions[model] ?? 0) < minVersion) continue;
+    const running = summary.upstreams
+      .find(({ id }) => id === upstream.id)?.running ?? 0;
+    slots += upstream.slots;
+    busy += Math.min(upstream.slots, running);
+  }
+  return { slots, busy };
+}
--- a/src/dispatch/shard_selector_test.ts
+++ b/src/dispatch/shard_selector_test.ts
@@ -97,6 +97,17 @@
   expect(better(0, wanted)).toEqual(undefined);
 });
 
+test("a request doesn't wait where all that suits it is excluded", () => {
+  const { shards, fleet, publish, ask, better } = selector();
+  publish(0, { versions: [[1, 1, 0], [0, 9, 0]] });
+  publish(1, { versions: [[1, 1, 1]], queued: 3 });
+  const excluded = fleet.shards[0].upstreams[0].id;
+  const wanted = ask({ minVersion: 1, exclude: [excluded] });
+  expect(shards.select(wanted)).toEqual(fleet.shards[1]);
+  expect(better(0, wanted))
+    .toEqual(move(fleet.shards[1], MoveReason.NoSlots));
+});
+
 test("a wait leaves a shard without slots for the one that has some", () => {
   const { fleet, publish, ask, better } = selector({ random: () => 0.99 });
   publish(0, { versions: [[1, 10, 0]] });
