Suspects wait at a shard that can run them

Cause: equal suspects meet at the shard that their fingerprint falls to, whether it had an engine for their model or not, and no review moved them. Items of batches are tried until their batch ends, so some were never run.

Change: the shard is the one preferred among those with slots for the model. A suspect leaves it only when it has none left.

--- a/src/dispatch/shard_selector.ts
+++ b/src/dispatch/shard_selector.ts
@@ -78,7 +78,10 @@
     const { fingerprint, prefixes } = demand;
     // Equal suspects meet at one leader, which runs them one at a time.
     if (!this.#isShared(demand)) {
-      return preferredShard(fingerprint, shards);
+      return preferredShard(
+        fingerprint,
+        suitable.length > 0 ? suitable : shards,
+      );
     }
     const key = prefixes.at(-1) ?? fingerprint;
     const random = this.#random;
@@ -98,7 +101,6 @@
     shard: Shard,
     demand: Demand,
   ): Move | undefined {
-    if (!this.#isShared(demand)) return undefined;
     const current = this.#fleet.shard(shard.name) ?? shard;
     const shards = this.#usableShards(demand);
     const others = this.#suitable(shards, demand)
@@ -106,6 +108,12 @@
     const here = shards.includes(current)
       ? this.#modelLoad(current, demand)
       : Infinity;
+    // Suspects stay where equal ones meet as long as they can run there.
+    if (!this.#isShared(demand)) {
+      if (here !== Infinity) return undefined;
+      const next = preferredShard(demand.fingerprint, others);
+      return next && { shard: next, reason: MoveReason.NoSlots };
+    }
     // The wait counts where it is; compared is what the load would be there.
     const load = (one: Shard) => this.#modelLoad(one, demand, { joining: 1 });
     const random = this.#random;
--- a/src/dispatch/shard_selector_test.ts
+++ b/src/dispatch/shard_selector_test.ts
@@ -5,9 +5,10 @@
 import { demand, vm } from "./fixtures_test.ts";
 import { Fleet, type Shard } from "./fleet.ts";
 import type { ShardSummary } from "./messages.ts";
-import type { Demand } from "./mod.ts";
+import { type Demand, NO_CRASH_LIMIT } from "./mod.ts";
 import type { VersionSlots } from "./model_capacity.ts";
-import { Quarantine } from "./quarantine.ts";
+import { Quarantine, RunEnd } from "./quarantine.ts";
+import { preferredShard } from "./shard_selection.ts";
 import { type Move, MoveReason, ShardSelector } from "./shard_selector.ts";
 import { ShardSummaries } from "./summaries.ts";
 
@@ -28,10 +29,11 @@
   const clock = new ManualClock();
   const ids = Array.from({ length: 30 }, (_, n) => `up-${n}`);
   const fleet = new Fleet({ vms: ids.map((id) => vm({ id })) });
+  const quarantine = new Quarantine({ clock });
   const summaries = new ShardSummaries({ clock, peers: {} as Peers });
   const shards = new ShardSelector({
     availabilityZone: "zone-1",
-    quarantine: new Quarantine({ clock }),
+    quarantine,
     summaries,
     fleet,
     random: options.random ?? (() => 0),
@@ -58,7 +60,7 @@
   const ask = (part: Partial<Demand> = {}) => demand({ model: MODEL, ...part });
   const better = (at: number, wanted: Demand) =>
     shards.betterThan(fleet.shards[at], wanted);
-  return { shards, fleet, publish, ask, better };
+  return { shards, fleet, quarantine, publish, ask, better };
 }
 
 function move(shard: Shard, reason: MoveReason): Move {
@@ -163,3 +165,27 @@
   }
   expect(moved).toEqual(7);
 });
+
+test("equal suspects meet at one leader that can run them, and stay there", () => {
+  const { shards, fleet, quarantine, publish, ask, better } = selector();
+  const wanted = ask({ minVersion: 1, crashLimit: NO_CRASH_LIMIT });
+  const { fingerprint } = wanted;
+  const preferred = preferredShard(fingerprint, fleet.shards) as Shard;
+  const at = fleet.shards.indexOf(preferred);
+  const others = fleet.shards.filter((one) => one !== preferred);
+  quarantine.record(fingerprint, {
+    permit: "p",
+    upstream: "up-0",
+    ranMs: 10,
+    isolated: false,
+    end: RunEnd.Crashed,
+  });
+  for (const index of [0, 1, 2]) publish(index, { versions: [[1, 10, 0]] });
+  publish(at, { versions: [[1, 10, 10]], queued: 50 });
+  expect(shards.select(wanted)).toEqual(preferred);
+  expect(better(at, wanted)).toEqual(undefined);
+  publish(at, { versions: [[0, 10, 0]] });
+  const next = preferredShard(fingerprint, others) as Shard;
+  expect(shards.select(wanted)).toEqual(next);
+  expect(better(at, wanted)).toEqual(move(next, MoveReason.NoSlots));
+});
