Requests of one prompt keep to one shard where it has free slots

Cause: with a model, requests went to the least loaded shard, and ties were broken at random, so requests of one prompt were spread over all leaders, and all daemons chose the same shard until the next summaries.

Change: as without models, the shard that the prompt falls to is preferred, if a slot is free there and it is not fuller by more than 0.25.

--- a/src/dispatch/shard_selection.ts
+++ b/src/dispatch/shard_selection.ts
@@ -31,6 +31,29 @@
   return load(preferred) <= load(drawn) + AFFINITY_MARGIN ? preferred : drawn;
 }
 
+/**
+ * Selects among shards that can serve a request: the one assigned to its key, if
+ * it has a free slot and is not much fuller, otherwise the least loaded.
+ */
+export function selectSuitableShard(
+  shards: readonly Shard[],
+  options: {
+    /** Equal for requests that should go to the same leader. */
+    key: string;
+    load: (shard: Shard) => number;
+    random: () => number;
+  },
+): Shard | undefined {
+  const { key, load } = options;
+  const preferred = preferredShard(key, shards);
+  const least = leastLoadedShard(shards, options);
+  if (preferred === undefined || least === undefined) return least;
+  const preferredLoad = load(preferred);
+  const takesIt = preferredLoad < 1 &&
+    preferredLoad <= load(least) + AFFINITY_MARGIN;
+  return takesIt ? preferred : least;
+}
+
 /** By which another shard's load must be lower for a wait to move there. */
 const MOVE_MARGIN = 0.5;
 
--- a/src/dispatch/shard_selector.ts
+++ b/src/dispatch/shard_selector.ts
@@ -16,6 +16,7 @@
   leastLoadedShard,
   preferredShard,
   selectShard,
+  selectSuitableShard,
 } from "./shard_selection.ts";
 import type { ShardSummaries } from "./summaries.ts";
 
@@ -87,7 +88,7 @@
     const random = this.#random;
     if (suitable.length > 0) {
       const load = (shard: Shard) => this.#modelLoad(shard, demand);
-      return leastLoadedShard(suitable, { load, random });
+      return selectSuitableShard(suitable, { key, load, random });
     }
     return selectShard(shards, {
       key,
--- a/src/dispatch/shard_selector_test.ts
+++ b/src/dispatch/shard_selector_test.ts
@@ -77,6 +77,22 @@
   }
 });
 
+test("requests of one prompt meet at one leader while that has free slots", () => {
+  const { shards, fleet, publish, ask } = selector();
+  const key = "prompt";
+  const preferred = preferredShard(key, fleet.shards) as Shard;
+  const at = fleet.shards.indexOf(preferred);
+  for (const index of [0, 1, 2]) publish(index, { versions: [[1, 10, 0]] });
+  publish(at, { versions: [[1, 10, 2]] });
+  const selected = () => shards.select(ask({ prefixes: ["x", key] }));
+  expect(selected()).toEqual(preferred);
+  publish(at, { versions: [[1, 10, 5]] });
+  expect(selected() === preferred).toEqual(false);
+  for (const index of [0, 1, 2]) publish(index, { versions: [[1, 10, 9]] });
+  publish(at, { versions: [[1, 10, 10]] });
+  expect(selected() === preferred).toEqual(false);
+});
+
 test("a pool whose leaders list no models is served as without them", () => {
   const { shards, publish, ask, better } = selector();
   for (const index of [0, 1, 2]) publish(index, { running: 9 * index });
