A moved wait that the next shard refuses goes on where it was

Cause: a request that waited, was moved and then refused for the state of that shard's queue was refused altogether, although it could have gone on waiting.

Change: it asks once more where it was, and is not moved to the refusing shard again.

--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -45,6 +45,15 @@
 /** Retry delay for callers when the pool has no usable upstream. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 1000;
 
+/** Refusals that concern one shard, while another may take the request. */
+const SHARD_REFUSALS: ReadonlySet<Reason> = new Set([
+  Reason.QueueFull,
+  Reason.TenantOverShare,
+  Reason.DeadlineTooShort,
+  Reason.UpstreamLimited,
+  Reason.NoUpstream,
+]);
+
 /** The shard and leader at which a permit is requested. */
 interface AcquireTarget {
   readonly shard: Shard;
@@ -110,6 +119,9 @@
     const endsAt = startedAt + demand.remainingMs;
     let retryMs = FIRST_RETRY_MS;
     let target: AcquireTarget | undefined;
+    /** The shard that the wait left when it was moved. */
+    let left: Shard | undefined;
+    const refusedBy = new Set<string>();
     for (;;) {
       const waitedMs = this.#clock.now() - startedAt;
       const remaining = {
@@ -127,10 +139,11 @@
       if (target === undefined) return Err(noUpstream(demand.pool));
       const { asked, move } = await this.#waitAt(remaining, target, {
         signal,
+        refusedBy,
       });
       if (move !== undefined) {
-        const { shard } = target;
-        this.#moved(remaining, { shard, move, startedAt });
+        left = target.shard;
+        this.#moved(remaining, { shard: left, move, startedAt });
         target = this.#targetOf(move.shard);
         continue;
       }
@@ -145,6 +158,13 @@
         }
         if (answer.ending === AcquireEnding.Refused) {
           const { reason, message, retryAfterMs } = answer;
+          if (left !== undefined && SHARD_REFUSALS.has(reason)) {
+            // It was moved here, but might still be served where it waited.
+            refusedBy.add(target.shard.name);
+            target = this.#targetOf(left);
+            left = undefined;
+            continue;
+          }
           return Err(notRun(reason, message, retryAfterMs));
         }
         this.#onRetry(Reason.Draining);
@@ -181,7 +201,7 @@
   async #waitAt(
     demand: Demand,
     target: AcquireTarget,
-    options: { signal: AbortSignal },
+    options: { signal: AbortSignal; refusedBy: ReadonlySet<string> },
   ): Promise<{ asked: Result<AcquireAnswer, Refusal>; move?: Move }> {
     if (demand.model === undefined) {
       return { asked: await this.#acquireFrom(demand, target, options) };
--- a/src/dispatch/entry_test.ts
+++ b/src/dispatch/entry_test.ts
@@ -269,3 +269,18 @@
   await pass(5000);
   expect(state.draws).toEqual(before);
 });
+
+test("a wait that the next shard refuses goes on where it was", async () => {
+  const { entry, state, asked, pass, publish, occupy, from, to } = world();
+  publish(from, 4, 40);
+  publish(to, 0);
+  occupy(from);
+  state.refusing.add(to);
+  void entry.acquire(demand({ model: MODEL }), new AbortController().signal);
+  await pass(100);
+  publish(to, 4);
+  await pass(400);
+  await pass(2000);
+  const acquires = asked.filter(({ kind }) => kind === Message.Acquire);
+  expect(acquires.map(({ shard }) => shard)).toEqual([from, to, from]);
+});
--- a/src/dispatch/shard_selector.ts
+++ b/src/dispatch/shard_selector.ts
@@ -101,11 +101,15 @@
   betterThan(
     shard: Shard,
     demand: Demand,
+    { refusedBy }: {
+      /** Names of shards that refused this request. */
+      refusedBy: ReadonlySet<string>;
+    },
   ): Move | undefined {
     const current = this.#fleet.shard(shard.name) ?? shard;
     const shards = this.#usableShards(demand);
     const others = this.#suitable(shards, demand)
-      .filter(({ name }) => name !== shard.name);
+      .filter(({ name }) => name !== shard.name && !refusedBy.has(name));
     const here = shards.includes(current)
       ? this.#modelLoad(current, demand)
       : Infinity;
--- a/src/dispatch/shard_selector_test.ts
+++ b/src/dispatch/shard_selector_test.ts
@@ -58,8 +58,10 @@
     });
   };
   const ask = (part: Partial<Demand> = {}) => demand({ model: MODEL, ...part });
-  const better = (at: number, wanted: Demand) =>
-    shards.betterThan(fleet.shards[at], wanted);
+  const better = (at: number, wanted: Demand, refusedBy: string[] = []) =>
+    shards.betterThan(fleet.shards[at], wanted, {
+      refusedBy: new Set(refusedBy),
+    });
   return { shards, fleet, quarantine, publish, ask, better };
 }
 
@@ -136,6 +138,7 @@
   expect(better(0, wanted)).toEqual(expected);
   expect(better(2, wanted)).toEqual(expected);
   expect(better(1, wanted)).toEqual(undefined);
+  expect(better(0, wanted, [fleet.shards[1].name])).toEqual(undefined);
 });
 
 test("a lone wait doesn't go back and forth between equal shards", () => {
--- a/src/dispatch/wait_review.ts
+++ b/src/dispatch/wait_review.ts
@@ -29,13 +29,15 @@
     selector: ShardSelector;
     demand: Demand;
     shard: Shard;
+    /** Names of shards that refused the request; it is not moved there. */
+    refusedBy: ReadonlySet<string>;
     /** Ends the wait. */
     signal: AbortSignal;
   }) {
     const { selector, demand, shard } = options;
     this.#clock = options.clock;
     this.#caller = options.signal;
-    this.#review = () => selector.betterThan(shard, demand);
+    this.#review = () => selector.betterThan(shard, demand, options);
     this.#removeWait = demand.model === undefined
       ? () => {}
       : selector.addWait(shard, demand.model);
