--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -162,12 +162,22 @@
   readonly droppedAnswers = new Set<string>();
   /** Kinds of message that never arrive. */
   readonly droppedMessages = new Set<string>();
+  /** What upstreams report of their load. */
+  readonly loads = new Map<string, Partial<Load>>();
   /** How often the daemons read the list of VMs. */
   readonly #directoryMs: number;
+  /** How often each daemon sends gossip to all others; never without it. */
+  readonly #gossipMs: number | undefined;
+  #gossipTimer: ReturnType<typeof setInterval> | undefined;
 
-  constructor(options: { vms: readonly Vm[]; directoryMs?: number }) {
+  constructor(options: {
+    vms: readonly Vm[];
+    directoryMs?: number;
+    gossipMs?: number;
+  }) {
     this.vms = options.vms;
     this.#directoryMs = options.directoryMs ?? 20;
+    this.#gossipMs = options.gossipMs;
   }
 
   add(id: string): Dispatcher {
@@ -200,6 +210,26 @@
 
   async start(): Promise<void> {
     for (const kernel of this.nodes.values()) await kernel.start();
+    if (this.#gossipMs === undefined) return;
+    this.#gossipTimer = setInterval(() => this.#gossip(), this.#gossipMs);
+  }
+
+  /** Passes the summaries of shards between all daemons that are linked. */
+  #gossip(): void {
+    const linked = [...this.nodes]
+      .filter(([id]) => !this.lost.has(id) && !this.cut.has(id))
+      .map(([id, kernel]) => ({
+        id,
+        section: kernel.get(dispatchKey).props.gossip?.["dispatch.shards"],
+      }));
+    for (const from of linked) {
+      for (const to of linked) {
+        if (from === to) continue;
+        const offered = from.section?.offer(to.id);
+        if (offered === undefined) continue;
+        to.section?.accept(JSON.parse(JSON.stringify(offered)), from.id);
+      }
+    }
   }
 
   /** Fails a daemon: its links break and the others notice. */
@@ -215,6 +245,7 @@
   }
 
   async stop(): Promise<void> {
+    clearInterval(this.#gossipTimer);
     for (const kernel of this.nodes.values()) await kernel.shutdown();
   }
 
@@ -247,7 +278,7 @@
         load: ({ id }: { id: string }): Promise<Result<Load, Failure>> =>
           Promise.resolve(
             this.vms.some((one) => one.id === id)
-              ? Ok(load())
+              ? Ok(load(this.loads.get(id)))
               : Err({ fault: Fault.NotSent, message: "Gone" }),
           ),
         reportsLoad: () => true,
