A wait that is moved keeps its place among requests without a start time

Cause: items of batches keep theirs by the time by which they must start. Plain requests with a model have none and are served in order of arrival at the leader, so that each move put them behind all that came meanwhile, also behind those that came later to the daemons.

Change: the entry tells the next leader how long a moved request has waited (`waitedMs`, optional; earlier builds ignore it), and the queue counts it as arrived that much earlier. Deadlines are counted from the real arrival.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -402,8 +402,9 @@
     entry: string,
     linkEnd: AbortSignal,
   ): Promise<unknown> {
-    const { shard, ticket, availabilityZone, demand, findings, insist } =
-      acquireBody.parse(body);
+    const { shard, ticket, findings, insist, ...rest } = acquireBody
+      .parse(body);
+    const { demand } = rest;
     for (const finding of findings) this.#quarantine.merge(finding, entry);
     const leader = this.#localLeaders.leader(shard, insist);
     if (leader === undefined) {
@@ -417,7 +418,7 @@
       };
       linkEnd.addEventListener("abort", end, { once: true });
       leader.submit(
-        { id: ticket, entry, availabilityZone, demand, queuedAt },
+        { id: ticket, entry, queuedAt, ...rest },
         (answer) => {
           linkEnd.removeEventListener("abort", end);
           resolve(this.#answer(shard, ticket, answer));
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -60,6 +60,8 @@
   readonly leader: string;
   /** Whether a former leader named it, so that it serves in any case. */
   readonly insist: boolean;
+  /** Time that the request waited at other shards, if it was moved here. */
+  readonly waitedMs?: number;
 }
 
 /** Obtains permits for the requests of this daemon. */
@@ -143,8 +145,9 @@
       });
       if (move !== undefined) {
         left = target.shard;
-        this.#moved(remaining, { shard: left, move, startedAt });
-        target = this.#targetOf(move.shard);
+        const movedAfterMs = this.#clock.now() - startedAt;
+        this.#moved(remaining, { shard: left, move, waitedMs: movedAfterMs });
+        target = this.#targetOf(move.shard, movedAfterMs);
         continue;
       }
       if (asked.ok) {
@@ -161,7 +164,7 @@
           if (left !== undefined && SHARD_REFUSALS.has(reason)) {
             // It was moved here, but might still be served where it waited.
             refusedBy.add(target.shard.name);
-            target = this.#targetOf(left);
+            target = this.#targetOf(left, this.#clock.now() - startedAt);
             left = undefined;
             continue;
           }
@@ -226,9 +229,9 @@
   /** Records that a wait was moved. */
   #moved(
     { id, model, minVersion }: Demand,
-    options: { shard: Shard; move: Move; startedAt: number },
+    options: { shard: Shard; move: Move; waitedMs: number },
   ): void {
-    const { shard, move, startedAt } = options;
+    const { shard, move, waitedMs } = options;
     this.#onMove(move.reason);
     log("wait moved", {
       id,
@@ -237,14 +240,14 @@
       shard: shard.name,
       next: move.shard.name,
       reason: move.reason,
-      waitedMs: Math.round(this.#clock.now() - startedAt),
+      waitedMs: Math.round(waitedMs),
     });
   }
 
   /** Waits at a leader, and cancels the wait there if it ends here. */
   async #acquireFrom(
     demand: Demand,
-    { shard, leader, insist }: AcquireTarget,
+    { shard, leader, insist, waitedMs }: AcquireTarget,
     { signal }: { signal: AbortSignal },
   ): Promise<Result<AcquireAnswer, Refusal>> {
     this.#count += 1;
@@ -257,6 +260,7 @@
       demand: { ...demand, prefixes: thinPrefixes(demand.prefixes) },
       findings: finding === undefined ? [] : [finding],
       insist,
+      waitedMs,
     }, { timeoutMs: demand.remainingMs + ANSWER_MARGIN_MS, signal });
     const parsed = answer.andThen(parseAnswer);
     // Cancelling also releases a permit that was granted meanwhile.
@@ -295,10 +299,10 @@
     return shard && this.#targetOf(shard);
   }
 
-  #targetOf(shard: Shard): AcquireTarget | undefined {
+  #targetOf(shard: Shard, waitedMs?: number): AcquireTarget | undefined {
     const leader = this.#peers.rankedForDuty(shard.name)[0]?.vm;
     if (leader === undefined) return undefined;
-    return { shard, leader, insist: false };
+    return { shard, leader, insist: false, waitedMs };
   }
 }
 
--- a/src/dispatch/entry_test.ts
+++ b/src/dispatch/entry_test.ts
@@ -34,6 +34,7 @@
   readonly shard: string;
   readonly ticket: string;
   readonly demand?: Demand;
+  readonly waitedMs?: number;
 }
 
 /**
@@ -209,6 +210,8 @@
   expect(asked[2].ticket === asked[0].ticket).toEqual(false);
   expect(asked[2].demand?.remainingMs).toEqual(8500);
   expect(asked[2].demand?.startInMs).toEqual(200);
+  expect(asked.map(({ waitedMs }) => waitedMs))
+    .toEqual([undefined, undefined, 500]);
 });
 
 test("a permit granted while its wait is moved comes back at once", async () => {
--- a/src/dispatch/fair_queue.ts
+++ b/src/dispatch/fair_queue.ts
@@ -81,9 +81,8 @@
 
   push(ticket: Ticket): void {
     if (this.size === 0) this.#lastGrantAt = ticket.queuedAt;
-    const startBy = startByOf(ticket);
     const later = this.#tickets.findIndex((other) =>
-      startByOf(other) > startBy
+      startsBefore(ticket, other)
     );
     const at = later < 0 ? this.size : later;
     this.#tickets = this.#tickets.toSpliced(at, 0, ticket);
@@ -500,6 +499,18 @@
     : queuedAt + demand.startInMs;
 }
 
+/** Whether one request goes before another one of its queue. */
+function startsBefore(one: Ticket, other: Ticket): boolean {
+  const startBy = startByOf(one);
+  const otherStartBy = startByOf(other);
+  if (startBy !== otherStartBy) return startBy < otherStartBy;
+  return waitingSince(one) < waitingSince(other);
+}
+
+function waitingSince({ queuedAt, waitedMs = 0 }: Ticket): number {
+  return queuedAt - waitedMs;
+}
+
 /** Rank of an organisation below its entitlement: by class, then by use. */
 function entitledRank(use: number, index: number): number {
   return index - CLASSES.length - 1 + use;
--- a/src/dispatch/fair_queue_test.ts
+++ b/src/dispatch/fair_queue_test.ts
@@ -37,6 +37,21 @@
   expect(count(taken(queue, 12), "b")).toEqual(8);
 });
 
+test("a request that was moved keeps its place among those without a start time", () => {
+  const queue = new FairQueue();
+  const arrive = (id: string, queuedAt: number, waitedMs?: number) =>
+    queue.push({ ...ticket({ id }), queuedAt, waitedMs }, at(queuedAt));
+  arrive("first", 1000);
+  arrive("last", 1600);
+  arrive("moved", 2000, 500);
+  arrive("newest", 2000);
+  const order = Array.from(
+    { length: 4 },
+    () => queue.take(at(2000), anything)?.demand.id,
+  );
+  expect(order).toEqual(["first", "moved", "last", "newest"]);
+});
+
 test("an organisation alone gets all slots, and returns them to others", () => {
   const queue = new FairQueue();
   push(queue, 24, { tenant: "a", priority: Priority.Interactive });
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -89,6 +89,8 @@
   findings: z.array(finding),
   /** Whether to serve although another daemon seems to be the leader. */
   insist: z.boolean(),
+  /** Time that it has waited, if its wait was moved from another shard. */
+  waitedMs: z.number().nonnegative().optional(),
 });
 
 /** How a wait for a permit ended. */
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -21,6 +21,8 @@
   readonly demand: Demand;
   /** Time of arrival at the leader, on the leader's clock. */
   readonly queuedAt: number;
+  /** Time that it waited at other shards before; it keeps its place by that. */
+  readonly waitedMs?: number;
 }
 
 /** The shard's slots at the time `now`. */
