--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -106,7 +106,7 @@
   readonly #abort = new AbortController();
   readonly #refusals: Counter<"reason">;
   readonly #retries: Counter<"reason">;
-  readonly #waitMoves: Counter;
+  readonly #waitMoves: Counter<"reason">;
   readonly #grants: Counter<"priority">;
   readonly #waits: Histogram<"priority">;
   readonly #load: Gauge<"pool" | "state">;
@@ -158,13 +158,14 @@
     );
     this.#waitMoves = kernel.counter(
       "toucanwind_dispatch_wait_moves_total",
-      "Waits that went on at another shard, which suits their model better",
+      "Waits that were moved to another shard, by reason",
+      ["reason"],
     );
     this.#entry = new EntryClient({
       ...shared,
       heldPermits: this.#heldPermits,
       onRetry: (reason) => this.#retries.inc({ reason }),
-      onMove: () => this.#waitMoves.inc(),
+      onMove: (reason) => this.#waitMoves.inc({ reason }),
     });
     this.#refusals = kernel.counter(
       "toucanwind_dispatch_refusals_total",
@@ -401,8 +402,9 @@
     entry: string,
     linkEnd: AbortSignal,
   ): Promise<unknown> {
-    const { shard, ticket, availabilityZone, demand, findings, insist } =
-      acquireBody.parse(body);
+    const { shard, ticket, findings, insist, ...rest } = acquireBody
+      .parse(body);
+    const { demand } = rest;
     for (const finding of findings) this.#quarantine.merge(finding, entry);
     const leader = this.#localLeaders.leader(shard, insist);
     if (leader === undefined) {
@@ -416,7 +418,7 @@
       };
       linkEnd.addEventListener("abort", end, { once: true });
       leader.submit(
-        { id: ticket, entry, availabilityZone, demand, queuedAt },
+        { id: ticket, entry, queuedAt, ...rest },
         (answer) => {
           linkEnd.removeEventListener("abort", end);
           resolve(this.#answer(shard, ticket, answer));
@@ -625,11 +627,11 @@
   a: Readonly<Record<string, number>>,
   b: Readonly<Record<string, number>>,
 ): Readonly<Record<string, number>> {
-  const sums: Record<string, number> = { ...a };
+  const sums = new Map(Object.entries(a));
   for (const [name, count] of Object.entries(b)) {
-    sums[name] = (sums[name] ?? 0) + count;
+    sums.set(name, (sums.get(name) ?? 0) + count);
   }
-  return sums;
+  return Object.fromEntries(sums);
 }
 
 register({
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -89,6 +89,8 @@
   findings: z.array(finding),
   /** Whether to serve although another daemon seems to be the leader. */
   insist: z.boolean(),
+  /** Time that it has waited, if its wait was moved from another shard. */
+  waitedMs: z.number().nonnegative().optional(),
 });
 
 /** How a wait for a permit ended. */
@@ -211,11 +213,10 @@
     models: z.record(
       z.string(),
       z.object({
-        versions: z.array(z.object({
-          version: z.number(),
-          slots: z.number(),
-          busy: z.number(),
-        })).readonly(),
+        /** Weight version, slots, and those in use. */
+        versions: z.array(
+          z.tuple([z.number(), z.number(), z.number()]).readonly(),
+        ).readonly(),
         queued: z.number(),
       }),
     ).optional(),
