Late items go first until their trainer has given the batch up

Cause: items that could no longer meet the target were put 30 s back. Each newer batch of the same trainer then went before them, although the trainer waits for the older one.

Change: items are put back only once the batch's age exceeds the route's timeout. One that waits at that moment is asked for anew, as its place in the queue would stay that of an urgent one. The rule is a module of its own (start_times.ts).

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -50,6 +50,7 @@
 import { Ownership } from "./ownership.ts";
 import { partialOutputKey, type PartialOutputs } from "./partial_outputs.ts";
 import { ResultLog } from "./result_log.ts";
+import { type BatchTimes, reorderInMs, startInMs } from "./start_times.ts";
 import type { UpstreamSpeeds } from "./upstream_speeds.ts";
 
 const log = logger("batches");
@@ -79,12 +80,6 @@
 /** After waiting this long, an item accepts the upstreams it excluded. */
 const MAX_EXCLUSION_MS = 1500;
 
-/** An item this late may still meet the target: run times are estimates. */
-const LATE_TOLERANCE_MS = 2000;
-
-/** Added to the start time of an item that can't meet the target any more. */
-const MISSED_TARGET_PENALTY_MS = 30_000;
-
 /** Largest difference between the submitting daemon's clock and the owner's. */
 const CLOCK_SKEW_MARGIN_MS = 6000;
 
@@ -418,26 +413,29 @@
    * Waits for a permit. The shard's leader applies a demand's exclusions for as
    * long as the demand is queued, even if no other upstream has the version. So
    * the wait is cut off after `exclusionMs`, and the next demand excludes
-   * nothing and merely avoids these upstreams.
+   * nothing and merely avoids these upstreams. A wait is cut off as well when
+   * the item has to be placed anew.
    */
   async #acquire(task: ItemTask, { leftMs, exclusionMs }: {
     leftMs: number;
     exclusionMs: number;
   }): Promise<Result<Permit, Refusal>> {
-    const demand = this.#demand(task, leftMs);
-    const { signal: owned } = this.#ownership;
-    if (demand.exclude.length === 0) {
-      return await this.#dispatch.acquire(demand, owned);
-    }
-    if (exclusionMs <= 0) {
+    let demand = this.#demand(task, leftMs);
+    let limitMs = reorderInMs(this.#times);
+    if (demand.exclude.length > 0 && exclusionMs > 0) {
+      limitMs = Math.min(limitMs, exclusionMs);
+    } else if (demand.exclude.length > 0) {
       task.excluded = [];
       task.disableMoves();
       const avoid = [...demand.avoid ?? [], ...demand.exclude];
-      const all = { ...demand, exclude: [], avoid };
-      return await this.#dispatch.acquire(all, owned);
+      demand = { ...demand, exclude: [], avoid };
+    }
+    const { signal: owned } = this.#ownership;
+    if (limitMs === Infinity) {
+      return await this.#dispatch.acquire(demand, owned);
     }
     const expiry = new AbortController();
-    const cancel = this.#kernel.clock.after(exclusionMs, () => expiry.abort());
+    const cancel = this.#kernel.clock.after(limitMs, () => expiry.abort());
     const signal = AbortSignal.any([owned, expiry.signal]);
     const permit = await this.#dispatch.acquire(demand, signal);
     cancel();
@@ -683,20 +681,20 @@
     };
   }
 
-  /**
-   * Time until the item must start in order to meet the batch's target. Items
-   * that can't meet it any more are placed behind those that can.
-   */
+  get #times(): BatchTimes {
+    const { exchange, deadlineMs } = this.#route;
+    return {
+      ageMs: this.#kernel.clock.wall() - this.state.head.submittedAt,
+      targetMs: exchange.batch?.resultTargetMs ?? Infinity,
+      timeoutMs: deadlineMs,
+    };
+  }
+
   #startInMs({ item, output, pool }: ItemTask): number {
-    const { head } = this.state;
-    const targetMs = this.#route.exchange.batch?.resultTargetMs ?? Infinity;
-    const dueInMs = head.submittedAt + targetMs - this.#kernel.clock.wall();
-    const leftMs = this.#speeds(pool).expectedRunMs(item.expectedTokens) -
-      output.lines.length * (this.#speeds(pool).medianIntervalMs() ?? 0);
-    const slackMs = dueInMs - Math.max(0, leftMs);
-    return slackMs >= -LATE_TOLERANCE_MS
-      ? slackMs
-      : slackMs + MISSED_TARGET_PENALTY_MS;
+    const speeds = this.#speeds(pool);
+    const leadMs = speeds.expectedRunMs(item.expectedTokens) -
+      output.lines.length * (speeds.medianIntervalMs() ?? 0);
+    return startInMs(this.#times, leadMs);
   }
 
   #request({ item, output }: ItemTask): UpstreamRequest {
--- a/src/batches/batch_run_test.ts
+++ b/src/batches/batch_run_test.ts
@@ -36,6 +36,7 @@
 
 const ROUTE = {
   name: "rollouts",
+  deadlineMs: 12_000,
   exchange: { pools: [{ pool: "p", weight: 1 }], rank: 0, maxAttempts: 2 },
 } as unknown as ExchangeRoute;
 
@@ -294,3 +295,31 @@
     .map((pool) => asked.filter((one) => one === pool).length);
   expect(counts.every((count) => count > 5)).toEqual(true);
 });
+
+test("an item that waits when its batch's timeout passes is placed anew once", async () => {
+  const starts: number[] = [];
+  const dispatch = {
+    acquire: (demand: Demand, signal: AbortSignal) => {
+      if (demand.id === "one") starts.push(demand.startInMs ?? NaN);
+      return new Promise((resolve) =>
+        signal.addEventListener("abort", () =>
+          resolve(Err(
+            new Refusal({
+              verdict: Verdict.NotRun,
+              reason: Reason.Cancelled,
+              message: "Cancelled",
+            }),
+          )), { once: true })
+      );
+    },
+  } as unknown as Dispatch;
+  const exchange = { ...ROUTE.exchange, batch: { resultTargetMs: 1000 } };
+  const route = { ...ROUTE, deadlineMs: 4000, exchange } as ExchangeRoute;
+  const { run, clock } = await startRun({
+    dispatch,
+    routeInForce: () => route,
+  });
+  await pass(clock, 8000);
+  await run.stop("ended");
+  expect([starts.length, starts[1] > 20_000]).toEqual([2, true]);
+});
