Items move only off upstreams that became slower, and only if that pays

Cause: an item moved off any upstream 1.8 times slower than the median.

Change: a slow upstream is also 1.5 times slower than its own mean of the last minute, a true mean over buckets, as a moving average forgets the former speed within a second. An item leaves it only if its rest is expected to end 300 ms earlier elsewhere, prompt and wait for a slot included (item_moves.ts). What is left is learned from the lengths of completed items against their hints. The upstreams that items are never sent to follow the same rule without the gain. The newest interval weighs 0.1 instead of 0.25 in the mean that is compared.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -40,6 +40,7 @@
 import { priorityOf } from "../tables/mod.ts";
 import type { BatchStore, HeadReading, VersionedHead } from "./batch_store.ts";
 import type { ItemOutput } from "./item_output.ts";
+import { shouldMove } from "./item_moves.ts";
 import { ItemTask } from "./item_task.ts";
 import {
   type BatchSubmission,
@@ -49,9 +50,9 @@
 } from "./mod.ts";
 import { Ownership } from "./ownership.ts";
 import { partialOutputKey, type PartialOutputs } from "./partial_outputs.ts";
+import type { PoolHistories } from "./pool_history.ts";
 import { ResultLog } from "./result_log.ts";
 import { type BatchTimes, reorderInMs, startInMs } from "./start_times.ts";
-import type { UpstreamSpeeds } from "./upstream_speeds.ts";
 
 const log = logger("batches");
 
@@ -113,7 +114,7 @@
   readonly #submission: BatchSubmission;
   /** The route as it was at the start of the run. */
   readonly #firstRoute: ExchangeRoute;
-  readonly #speeds: (pool: string) => UpstreamSpeeds;
+  readonly #histories: PoolHistories;
   readonly #partialOutputs: PartialOutputs;
   readonly #itemTasks = new Map<string, ItemTask>();
   readonly #abort = new AbortController();
@@ -134,8 +135,8 @@
     route: ExchangeRoute;
     /** Results listed before this run. */
     results: readonly ItemResult[];
-    /** Speeds of a pool's upstreams, shared by all runs. */
-    speeds: (pool: string) => UpstreamSpeeds;
+    /** Measurements of the pools, shared by all runs. */
+    histories: PoolHistories;
     /** Partial outputs of earlier runs and batches. */
     partialOutputs: PartialOutputs;
   }) {
@@ -145,7 +146,7 @@
     this.#store = options.store;
     this.#submission = options.submission;
     this.#firstRoute = options.route;
-    this.#speeds = options.speeds;
+    this.#histories = options.histories;
     this.#partialOutputs = options.partialOutputs;
     this.#medianTokens = medianOf(
       options.submission.items.map(({ expectedTokens }) => expectedTokens),
@@ -458,7 +459,7 @@
     const request = this.#request(task);
     const terms = this.#terms;
     const { clock } = this.#kernel;
-    const speeds = this.#speeds(task.pool);
+    const history = this.#histories.of(task.pool);
     const startedAt = clock.now();
     let lastEventAt = 0;
     let lastVersion: number | undefined;
@@ -490,13 +491,18 @@
       const { weightVersion } = event.val;
       // Loading weights pauses an engine once and says nothing about its speed.
       if (weightVersion === lastVersion) {
-        speeds.recordInterval(target.id, now - lastEventAt);
+        history.speeds.recordInterval(target.id, now - lastEventAt);
       }
       lastEventAt = now;
       lastVersion = weightVersion;
       events += 1;
-      const move = task.canMove && this.#ownership.valid;
-      if (move && speeds.isSlow(target.id)) {
+      const running = {
+        item: task.item,
+        upstream: target.id,
+        events: task.output.lines.length,
+      };
+      const mayMove = task.canMove && this.#ownership.valid;
+      if (mayMove && shouldMove(running, history)) {
         lost = { loss: Loss.Cancelled, message: "The upstream is slow" };
         break;
       }
@@ -612,7 +618,10 @@
   /** Records the run time of an item and logs its completion. */
   #recordCompletion(task: ItemTask): void {
     const ageMs = this.#kernel.clock.now() - task.startedAt;
-    this.#speeds(task.pool).ended(task.item.expectedTokens, task.ranMs);
+    this.#histories.of(task.pool).completed(task.item.expectedTokens, {
+      events: task.output.lines.length,
+      ranMs: task.ranMs,
+    });
     log("item finished", {
       id: task.item.id,
       batch: this.#submission.id,
@@ -655,6 +664,7 @@
   #demand(task: ItemTask, leftMs: number): Demand {
     const { item } = task;
     const { organisation, rank, minVersion } = this.#submission;
+    const { speeds } = this.#histories.of(task.pool);
     return {
       id: item.id,
       pool: task.pool,
@@ -670,11 +680,9 @@
       model: item.model,
       exclude: [
         ...task.excluded,
-        ...this.#speeds(task.pool).slowUpstreams(),
+        ...speeds.slowUpstreams(),
       ],
-      avoid: this.#isLong(item)
-        ? this.#speeds(task.pool).laggingUpstreams()
-        : [],
+      avoid: this.#isLong(item) ? speeds.laggingUpstreams() : [],
       fingerprint: task.fingerprint(organisation),
       crashLimit: NO_CRASH_LIMIT,
       attempt: task.lostAttempts,
@@ -691,7 +699,7 @@
   }
 
   #startInMs({ item, output, pool }: ItemTask): number {
-    const speeds = this.#speeds(pool);
+    const { speeds } = this.#histories.of(pool);
     const leadMs = speeds.expectedRunMs(item.expectedTokens) -
       output.lines.length * (speeds.medianIntervalMs() ?? 0);
     return startInMs(this.#times, leadMs);
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -45,7 +45,7 @@
   type Page,
 } from "./mod.ts";
 import { partialOutputKey, PartialOutputs } from "./partial_outputs.ts";
-import { UpstreamSpeeds } from "./upstream_speeds.ts";
+import { PoolHistories } from "./pool_history.ts";
 
 const log = logger("batches");
 
@@ -117,7 +117,7 @@
   readonly #runs = new Map<string, BatchRun>();
   /** Starts under way; aborted if the batch ends meanwhile. */
   readonly #starts = new Map<string, AbortController>();
-  readonly #speedsByPool = new Map<string, UpstreamSpeeds>();
+  readonly #histories: PoolHistories;
   readonly #partialOutputs = new PartialOutputs();
   readonly #stop = new AbortController();
   /** Counts calls by kind and outcome. */
@@ -134,6 +134,7 @@
     const { kernel, records } = options;
     this.#kernel = kernel;
     this.#peers = kernel.get(peersKey);
+    this.#histories = new PoolHistories({ clock: kernel.clock });
     // Every reader that waits for a result adds a listener.
     setMaxListeners(0, this.#stop.signal);
     this.#retentionMs = options.retentionMs ??
@@ -391,7 +392,7 @@
       submission,
       route,
       results: results.val.flat(),
-      speeds: (pool) => this.#speedsOf(pool),
+      histories: this.#histories,
       partialOutputs: this.#partialOutputs,
     });
     if (this.#leaving || signal.aborted) return;
@@ -406,14 +407,6 @@
     if (this.#runs.get(id) === run) this.#runs.delete(id);
   }
 
-  #speedsOf(pool: string): UpstreamSpeeds {
-    const known = this.#speedsByPool.get(pool);
-    if (known !== undefined) return known;
-    const speeds = new UpstreamSpeeds({ clock: this.#kernel.clock });
-    this.#speedsByPool.set(pool, speeds);
-    return speeds;
-  }
-
   /** Makes this incarnation of the daemon the owner unless it already is. */
   async #takeOwnership(
     state: VersionedHead,
--- a/src/batches/upstream_speeds.ts
+++ b/src/batches/upstream_speeds.ts
@@ -1,22 +1,31 @@
 /**
  * How fast upstreams generate events, measured on this daemon's own streams,
- * which show a change long before load reports do. An item moves off a slow
- * upstream and resumes on another, at the cost of processing its prompt again.
+ * which show a change long before load reports do.
  *
  * @module
  */
 
 import type { Clock } from "../kernel/mod.ts";
+import { RecentIntervals } from "./recent_intervals.ts";
 
 /** Intervals measured before a mean is used. */
 const MIN_INTERVALS = 5;
 
-/** Items move off an upstream whose interval exceeds the median this much. */
+/** A slow upstream's interval exceeds the median this much. */
 const SLOW_FACTOR = 1.8;
 
+/** A slow upstream's interval exceeds its own mean of a minute this much. */
+const SLOWER_THAN_BEFORE_FACTOR = 1.5;
+
 /** Long items avoid an upstream whose interval exceeds the median this much. */
 const LAGGING_FACTOR = 1.15;
 
+/**
+ * Weight of the newest interval in the mean that tells slow upstreams. With 0.25,
+ * a few long intervals among irregular ones made equal upstreams look slow.
+ */
+const NEWEST_INTERVAL_WEIGHT = 0.1;
+
 /** Upstreams with a known mean before any is compared with the median. */
 const MIN_KNOWN_UPSTREAMS = 2;
 
@@ -36,6 +45,7 @@
 export class UpstreamSpeeds {
   readonly #shortTerm: IntervalAverages;
   readonly #longTerm: IntervalAverages;
+  readonly #lastMinute: RecentIntervals;
   /** Weighted sums over completed items, used only as a ratio. */
   #expected = 0;
   #weightedRunMs = 0;
@@ -43,7 +53,7 @@
   constructor(options: { clock: Clock }) {
     this.#shortTerm = new IntervalAverages({
       ...options,
-      newestWeight: 0.25,
+      newestWeight: NEWEST_INTERVAL_WEIGHT,
       expiryMs: 3000,
     });
     this.#longTerm = new IntervalAverages({
@@ -51,12 +61,14 @@
       newestWeight: 0.05,
       expiryMs: 60_000,
     });
+    this.#lastMinute = new RecentIntervals(options);
   }
 
   /** Records the time between two events of one stream. */
   recordInterval(upstream: string, intervalMs: number): void {
     this.#shortTerm.record(upstream, intervalMs);
     this.#longTerm.record(upstream, intervalMs);
+    this.#lastMinute.record(upstream, intervalMs);
   }
 
   /** Mean time between two events; undefined with too few measurements. */
@@ -87,12 +99,16 @@
     return this.#shortTerm.medianIntervalMs();
   }
 
-  /** Whether an upstream is slow enough for items to move off it. */
+  /** Whether an upstream is slow now and became slower than it used to be. */
   isSlow(upstream: string): boolean {
-    return this.#shortTerm.exceedsMedian(upstream, SLOW_FACTOR);
+    const intervalMs = this.intervalMs(upstream);
+    const beforeMs = this.#lastMinute.meanMs(upstream);
+    if (intervalMs === undefined || beforeMs === undefined) return false;
+    return intervalMs > SLOWER_THAN_BEFORE_FACTOR * beforeMs &&
+      this.#shortTerm.exceedsMedian(upstream, SLOW_FACTOR);
   }
 
-  /** All upstreams that items move off. */
+  /** All slow upstreams, which items are not sent to. */
   slowUpstreams(): readonly string[] {
     return this.#shortTerm.upstreams.filter((upstream) =>
       this.isSlow(upstream)
@@ -134,9 +150,12 @@
   record(upstream: string, intervalMs: number): void {
     const known = this.#unexpired(upstream);
     const before = known?.meanMs ?? intervalMs;
+    const intervals = (known?.intervals ?? 0) + 1;
+    // The first intervals have equal weights.
+    const weight = Math.max(this.#newestWeight, 1 / intervals);
     this.#means.set(upstream, {
-      meanMs: before + (intervalMs - before) * this.#newestWeight,
-      intervals: (known?.intervals ?? 0) + 1,
+      meanMs: before + (intervalMs - before) * weight,
+      intervals,
       updatedAt: this.#clock.now(),
     });
   }
