Items are ordered by what completes groups

Cause: an owner started the longest items of the whole batch first. A group counts only when all its items are listed, so where slots are scarce all groups ended late together. Groups that a trainer does not wait for took slots from those that other batches need.

Change: groups that came again stand first, then those whose longest item is expected to be the shortest; the groups beyond those wanted start 4 s later (group_order.ts). Items take each other's start times in this order, so that a batch as a whole is as urgent beside others as before. An item that continues on another upstream keeps its place. Which groups came again is told by the items of earlier batches that ran on this daemon; a new owner takes as many at the front of the list for repeated as a step may leave out (repeated_groups.ts).

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -39,6 +39,7 @@
 import { outcomeOfLoss } from "../relay/attempts.ts";
 import { priorityOf } from "../tables/mod.ts";
 import type { BatchStore, HeadReading, VersionedHead } from "./batch_store.ts";
+import { GroupOrder } from "./group_order.ts";
 import type { ItemOutput } from "./item_output.ts";
 import { shouldMove } from "./item_moves.ts";
 import { ItemTask } from "./item_task.ts";
@@ -119,6 +120,7 @@
   readonly #itemTasks = new Map<string, ItemTask>();
   readonly #abort = new AbortController();
   readonly #resultLog: ResultLog;
+  readonly #order: GroupOrder;
   /** Median of the items' expected tokens. */
   readonly #medianTokens: number;
   readonly #renewalIntervalMs: number;
@@ -133,6 +135,8 @@
     confirmedAt: Moment;
     submission: BatchSubmission;
     route: ExchangeRoute;
+    /** Number of groups at the front that came again from earlier batches. */
+    repeatedGroups: number;
     /** Results listed before this run. */
     results: readonly ItemResult[];
     /** Measurements of the pools, shared by all runs. */
@@ -148,6 +152,7 @@
     this.#firstRoute = options.route;
     this.#histories = options.histories;
     this.#partialOutputs = options.partialOutputs;
+    this.#order = new GroupOrder(options);
     this.#medianTokens = medianOf(
       options.submission.items.map(({ expectedTokens }) => expectedTokens),
     );
@@ -195,14 +200,13 @@
   /** Starts the tasks. */
   start(): void {
     const listed = new Set(this.results.map(({ id }) => id));
-    // The longest first: a group is complete only when its last item is.
-    const items = this.#submission.items
-      .filter(({ id }) => !listed.has(id))
-      .sort((a, b) => b.expectedTokens - a.expectedTokens);
+    const items = this.#order.items.filter(({ id }) => !listed.has(id));
     log("run started", {
       id: this.#submission.id,
       route: this.#route.name,
       items: items.length,
+      wantedGroups: this.#order.neededGroups.length,
+      repeatedGroups: this.#order.repeatedGroups,
       listed: listed.size,
       revision: this.state.revision,
       confirmedMsAgo: this.#confirmedMsAgo,
@@ -698,11 +702,11 @@
     };
   }
 
-  #startInMs({ item, output, pool }: ItemTask): number {
-    const { speeds } = this.#histories.of(pool);
-    const leadMs = speeds.expectedRunMs(item.expectedTokens) -
-      output.lines.length * (speeds.medianIntervalMs() ?? 0);
-    return startInMs(this.#times, leadMs);
+  /** An item that continues elsewhere keeps its place in the order. */
+  #startInMs({ item, pool }: ItemTask): number {
+    const { leadTokens, delayMs } = this.#order.place(item.id);
+    const leadMs = this.#histories.of(pool).speeds.expectedRunMs(leadTokens);
+    return startInMs(this.#times, leadMs) + delayMs;
   }
 
   #request({ item, output }: ItemTask): UpstreamRequest {
--- a/src/batches/batch_run_test.ts
+++ b/src/batches/batch_run_test.ts
@@ -133,6 +133,7 @@
       items: items.map((item) => ({ ...item, group: item.id })),
     }),
     route: options.routeInForce?.() ?? ROUTE,
+    repeatedGroups: 0,
     results: [],
     histories: new PoolHistories({ clock }),
     partialOutputs: new PartialOutputs(),
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -45,6 +45,7 @@
   type Page,
 } from "./mod.ts";
 import { partialOutputKey, PartialOutputs } from "./partial_outputs.ts";
+import { RepeatedGroups } from "./repeated_groups.ts";
 import { PoolHistories } from "./pool_history.ts";
 
 const log = logger("batches");
@@ -119,6 +120,7 @@
   readonly #starts = new Map<string, AbortController>();
   readonly #histories: PoolHistories;
   readonly #partialOutputs = new PartialOutputs();
+  readonly #repeatedGroups = new RepeatedGroups();
   readonly #stop = new AbortController();
   /** Counts calls by kind and outcome. */
   readonly #callsTotal;
@@ -390,6 +392,7 @@
       store: this.#store,
       ...taken,
       submission,
+      repeatedGroups: this.#repeatedGroups.record(submission),
       route,
       results: results.val.flat(),
       histories: this.#histories,
--- a/src/batches/slot_play_test.ts
+++ b/src/batches/slot_play_test.ts
@@ -24,21 +24,34 @@
     this.clock.advance(10_000);
   }
 
-  /** Queues an item; `ended` is called when it has run. */
+  /** Queues an item; `ended` is called when it has run. Returns its end. */
   submit(item: {
     startInMs: number;
     runMs: number;
     ended: () => void;
-  }): void {
+    /** Called with the time that it ran if it is ended earlier. */
+    cancelled?: (ranMs: number) => void;
+  }): () => void {
     const { startInMs } = item;
     const demand = { priority: Priority.Training, startInMs, remainingMs: 1e7 };
     const queued = { ...ticket(demand), queuedAt: this.clock.now() };
+    let cancel = () => void this.#leader.cancel(queued.id);
     this.#leader.submit(queued, (answer) => {
-      if (!("permit" in answer)) throw new Error("An item was not granted");
-      this.clock.after(item.runMs, () => {
-        this.#leader.release(answer.permit, Outcome.Served, 1);
+      if (!("permit" in answer)) return;
+      const startedAt = this.clock.now();
+      const release = (outcome: Outcome) =>
+        this.#leader.release(answer.permit, outcome, 1);
+      const stop = this.clock.after(item.runMs, () => {
+        cancel = () => {};
+        release(Outcome.Served);
         item.ended();
       });
+      cancel = () => {
+        stop();
+        release(Outcome.Cancelled);
+        item.cancelled?.(this.clock.now() - startedAt);
+      };
     });
+    return () => cancel();
   }
 }
