Readers believe an owner that has proved its ownership just now

Change: owners state the age of their last proof of ownership in their answers, an optional field. While it is below 900 ms, no head is read.

Results of a new owner are seen once the replaced owner's proof is 900 ms old.

--- /dev/null
+++ b/src/batches/batch_reader.ts
@@ -0,0 +1,242 @@
+/**
+ * Reads batches for callers: from the run on this daemon, from the owner, or from
+ * the key-value service.
+ *
+ * Answers readers that poll for results, each of which read the head from the
+ * key-value service, where every call has a price, whenever there were no more.
+ *
+ * @module
+ */
+
+import { isNone } from "fp-ts/Option";
+import { Err, Ok, type Result } from "ts-results";
+import {
+  type PeerHandler,
+  Reason,
+  type Refusal,
+  Verdict,
+} from "../kernel/mod.ts";
+import type { Peers } from "../peers/mod.ts";
+import { type BatchCache, type CachedBatch, pageOf } from "./batch_cache.ts";
+import type { BatchHead, BatchStore, VersionedHead } from "./batch_store.ts";
+import { Message, type ReadAnswer, readAnswer, readBody } from "./messages.ts";
+import type { BatchRef, ItemResult, Page } from "./mod.ts";
+import { refuse } from "./refusals.ts";
+
+/** Time allowed for an owner's answer beyond the wait asked for. */
+const READ_TIMEOUT_MARGIN_MS = 400;
+
+/**
+ * An owner whose proof of ownership is younger than this is believed that there
+ * are no more results. Owners renew it every 667 ms; one that was replaced keeps
+ * readers from the new owner's results for at most as long.
+ */
+const MAX_PROOF_AGE_MS = 900;
+
+/** A run as far as readers need it. */
+export interface ReadableRun {
+  readonly state: VersionedHead;
+  readonly results: readonly ItemResult[];
+  /** Age of its last proof of ownership; undefined once it has stopped. */
+  readonly provenMsAgo: number | undefined;
+  waitForMore(count: number, options: {
+    waitMs: number;
+    signal: AbortSignal;
+  }): Promise<void>;
+}
+
+/** A batch, and whether its owner has proved that nothing is missing. */
+interface OwnerReading {
+  readonly batch: CachedBatch;
+  readonly isProven: boolean;
+}
+
+/** Options of a read that may wait. */
+interface WaitOptions {
+  readonly after: number;
+  readonly waitMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Finds batches and their results. */
+export class BatchReader {
+  readonly #store: BatchStore;
+  readonly #cache: BatchCache;
+  readonly #peers: Peers;
+  readonly #runs: ReadonlyMap<string, ReadableRun>;
+  readonly #runnerOf: (head: BatchHead) => string;
+  readonly #signal: AbortSignal;
+
+  constructor(options: {
+    store: BatchStore;
+    cache: BatchCache;
+    peers: Peers;
+    /** The runs on this daemon. */
+    runs: ReadonlyMap<string, ReadableRun>;
+    /** The VM of the daemon that runs a batch. */
+    runnerOf: (head: BatchHead) => string;
+    /** Aborts when the daemon stops. */
+    signal: AbortSignal;
+  }) {
+    this.#store = options.store;
+    this.#cache = options.cache;
+    this.#peers = options.peers;
+    this.#runs = options.runs;
+    this.#runnerOf = options.runnerOf;
+    this.#signal = options.signal;
+  }
+
+  /** Results from a position on; waits if there are none. */
+  async read(
+    batch: BatchRef,
+    options: WaitOptions,
+  ): Promise<Result<Page, Refusal>> {
+    const found = await this.find(batch);
+    if (found.err) return found;
+    let cached = found.val;
+    const { after } = options;
+    if (
+      cached.results.length <= after &&
+      cached.results.length < cached.head.total
+    ) {
+      cached = await this.#waitForResults(cached, options);
+    }
+    return Ok(pageOf(cached.head.total, cached.results, after));
+  }
+
+  /** A batch as known here, read from the store if it is unknown. */
+  async find(
+    { id, organisation }: BatchRef,
+  ): Promise<Result<CachedBatch, Refusal>> {
+    const run = this.#runs.get(id);
+    const known = run === undefined ? this.#cache.get(id) : this.cacheRun(run);
+    const found = known === undefined
+      ? await this.#loadBatch(id)
+      : Ok(known) as Result<CachedBatch, Refusal>;
+    if (found.err) return found;
+    if (found.val.head.organisation === organisation) return found;
+    return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
+  }
+
+  /** Caches what a run of this daemon has listed. */
+  cacheRun({ state, results }: ReadableRun): CachedBatch {
+    const { head } = state;
+    return this.#cache.put({
+      head,
+      results: [...results],
+      chunks: head.chunks,
+    });
+  }
+
+  /** Answers a reader on another daemon. */
+  readonly handleRead: PeerHandler = async (body): Promise<ReadAnswer> => {
+    const { id, after, waitMs } = readBody.parse(body);
+    const run = this.#runs.get(id);
+    if (run === undefined) return this.#remembered(id, after);
+    await run.waitForMore(after, { waitMs, signal: this.#signal });
+    const { results } = pageOf(run.state.head.total, run.results, after);
+    const { provenMsAgo } = run;
+    return {
+      run: true,
+      results: [...results],
+      ...provenMsAgo === undefined ? {} : { provenMsAgo },
+    };
+  };
+
+  async #loadBatch(id: string): Promise<Result<CachedBatch, Refusal>> {
+    const found = await this.#store.head(id);
+    if (found.err) return Err(refuse(Verdict.NotRun, Reason.PlatformDown));
+    if (isNone(found.val)) {
+      return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
+    }
+    const { head } = found.val.value;
+    const full = await this.#complete({ head, results: [], chunks: 0 }, head);
+    return full === undefined
+      ? Err(refuse(Verdict.NotRun, Reason.PlatformDown))
+      : Ok(full);
+  }
+
+  /** Waits for new results, and gets them from the owner or the store. */
+  async #waitForResults(
+    cached: CachedBatch,
+    options: WaitOptions,
+  ): Promise<CachedBatch> {
+    const reading = await this.#readFromOwner(cached, options);
+    const batch = reading?.batch ?? cached;
+    if (reading !== undefined) {
+      const hasMore = batch.results.length > options.after;
+      if (hasMore || reading.isProven) return batch;
+    }
+    // A replaced owner that doesn't know it yet may lack results.
+    return await this.#refresh(batch) ?? batch;
+  }
+
+  async #readFromOwner(cached: CachedBatch, options: {
+    waitMs: number;
+    signal: AbortSignal;
+  }): Promise<OwnerReading | undefined> {
+    const { id } = cached.head;
+    const known = cached.results.length;
+    const answer = await this.#peers.ask(
+      this.#runnerOf(cached.head),
+      Message.Read,
+      { id, after: known, waitMs: options.waitMs },
+      {
+        timeoutMs: options.waitMs + READ_TIMEOUT_MARGIN_MS,
+        signal: options.signal,
+      },
+    );
+    if (answer.err) return undefined;
+    const parsed = readAnswer.safeParse(answer.val);
+    if (!parsed.success || !parsed.data.run) return undefined;
+    const { results, provenMsAgo = Infinity } = parsed.data;
+    const batch = this.#cache.put({
+      ...this.#cache.get(id) ?? cached,
+      results: [...cached.results, ...results],
+    });
+    return { batch, isProven: provenMsAgo < MAX_PROOF_AGE_MS };
+  }
+
+  /** Cached results of an ended run; without any, readers ask the store. */
+  #remembered(id: string, after: number): ReadAnswer {
+    const cached = this.#cache.get(id);
+    if (cached === undefined) return { run: false, results: [] };
+    const { results } = pageOf(cached.head.total, cached.results, after);
+    return { run: results.length > 0, results: [...results] };
+  }
+
+  /** The batch as stored; undefined if it can't be read. */
+  async #refresh(cached: CachedBatch): Promise<CachedBatch | undefined> {
+    const found = await this.#store.head(cached.head.id);
+    if (found.err || isNone(found.val)) return undefined;
+    return await this.#complete(cached, found.val.value.head);
+  }
+
+  /**
+   * Adds the listed results that are missing here: from the owner if possible,
+   * which puts no load on the key-value service, or else from the store.
+   */
+  async #complete(
+    cached: CachedBatch,
+    head: BatchHead,
+  ): Promise<CachedBatch | undefined> {
+    if (head.listed <= cached.results.length) {
+      return this.#cache.put({ ...cached, head });
+    }
+    const reading = await this.#readFromOwner({ ...cached, head }, {
+      waitMs: 0,
+      signal: this.#signal,
+    });
+    const fromOwner = reading?.batch;
+    if (fromOwner !== undefined && fromOwner.results.length >= head.listed) {
+      return this.#cache.put({ ...fromOwner, head });
+    }
+    const chunks = await this.#store.results(head.id, 0);
+    if (chunks.err) return undefined;
+    return this.#cache.put({
+      head,
+      results: chunks.val.flat(),
+      chunks: chunks.val.length,
+    });
+  }
+}
--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -192,6 +192,11 @@
     return !this.#abort.signal.aborted;
   }
 
+  /** Age of the last proof of ownership; undefined once the run has ended. */
+  get provenMsAgo(): number | undefined {
+    return this.running ? this.#ownership.ageMs : undefined;
+  }
+
   /** Resolves when all tasks have ended. */
   get ended(): Promise<unknown> {
     return this.#done;
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -9,7 +9,6 @@
 import { isNone, type Option } from "fp-ts/Option";
 import { setMaxListeners } from "node:events";
 import { Err, Ok, type Result } from "ts-results";
-import { z } from "zod";
 import { activeConfigurationKey } from "../config/mod.ts";
 import { peerFallbackKey } from "../detour/mod.ts";
 import { dispatchKey } from "../dispatch/mod.ts";
@@ -20,31 +19,32 @@
   type PeerHandler,
   type Props,
   Reason,
-  Refusal,
+  type Refusal,
   register,
   Verdict,
 } from "../kernel/mod.ts";
 import type { TransactionalKeyValue } from "../outside/mod.ts";
 import { type Peers, peersKey } from "../peers/mod.ts";
 import { type ExchangeRoute, relayKey } from "../relay/mod.ts";
-import { BatchCache, type CachedBatch, pageOf } from "./batch_cache.ts";
+import { BatchCache } from "./batch_cache.ts";
+import { BatchReader } from "./batch_reader.ts";
 import { BatchRun } from "./batch_run.ts";
 import {
   type BatchHead,
   BatchStore,
   ChangeStatus,
-  resultsSchema,
   type VersionedHead,
 } from "./batch_store.ts";
+import { Message, ownBody } from "./messages.ts";
 import {
   Batches,
   batchesKey,
   type BatchRef,
   type BatchSubmission,
-  type ItemResult,
   type Page,
 } from "./mod.ts";
 import { partialOutputKey, PartialOutputs } from "./partial_outputs.ts";
+import { refuse } from "./refusals.ts";
 import { RepeatedGroups } from "./repeated_groups.ts";
 import { PoolHistories } from "./pool_history.ts";
 
@@ -73,34 +73,9 @@
 
 const NOTIFY_OWNER_TIMEOUT_MS = 1000;
 
-/** Time allowed for an owner's answer beyond the wait asked for. */
-const READ_TIMEOUT_MARGIN_MS = 400;
-
-/** Suggested retry delay of a refused call. */
-const RETRY_AFTER_MS = 300;
-
 /** Attempts to end a batch whose head is changed concurrently. */
 const MAX_END_ATTEMPTS = 20;
 
-/** Peer requests of this plug-in. */
-enum Message {
-  /** Asks a daemon to run a batch, or to stop if the batch has ended. */
-  Own = "batches.own",
-  /** Asks a batch's owner for results. */
-  Read = "batches.read",
-}
-
-const ownBody = z.object({ id: z.string(), ended: z.boolean() });
-const readBody = z.object({
-  id: z.string(),
-  after: z.number(),
-  waitMs: z.number(),
-});
-const readAnswer = z.object({
-  run: z.boolean(),
-  results: resultsSchema,
-});
-
 /** A batch that this daemon owned when a call was sent. */
 interface OwnedBatch {
   readonly state: VersionedHead;
@@ -115,6 +90,7 @@
   readonly #store: BatchStore;
   readonly #retentionMs: number;
   readonly #cache = new BatchCache();
+  readonly #reader: BatchReader;
   readonly #runs = new Map<string, BatchRun>();
   /** Starts under way; aborted if the batch ends meanwhile. */
   readonly #starts = new Map<string, AbortController>();
@@ -142,6 +118,14 @@
     this.#retentionMs = options.retentionMs ??
       kernel.settings.timing.batchRetentionMs ?? DEFAULT_RETENTION_MS;
     this.#store = new BatchStore({ records, clock: kernel.clock });
+    this.#reader = new BatchReader({
+      store: this.#store,
+      cache: this.#cache,
+      peers: this.#peers,
+      runs: this.#runs,
+      runnerOf: (head) => this.#runnerOf(head),
+      signal: this.#stop.signal,
+    });
     this.#callsTotal = kernel.counter(
       "toucanwind_batches_calls_total",
       "Calls on batches by kind and outcome",
@@ -150,7 +134,7 @@
     this.props = {
       peerHandlers: {
         [Message.Own]: this.#handleOwn,
-        [Message.Read]: this.#handleRead,
+        [Message.Read]: this.#reader.handleRead,
       },
       status: () =>
         [...this.#runs.values()].map(({ state, results }) => ({
@@ -216,25 +200,16 @@
     }
   }
 
-  async read(batch: BatchRef, { after, waitMs, signal }: {
+  read(batch: BatchRef, options: {
     after: number;
     waitMs: number;
     signal: AbortSignal;
   }): Promise<Result<Page, Refusal>> {
-    const found = await this.#findBatch(batch);
-    if (found.err) return found;
-    let cached = found.val;
-    if (
-      cached.results.length <= after &&
-      cached.results.length < cached.head.total
-    ) {
-      cached = await this.#waitForResults(cached, { after, waitMs, signal });
-    }
-    return Ok(pageOf(cached.head.total, cached.results, after));
+    return this.#reader.read(batch, options);
   }
 
   async body(batch: BatchRef, item: string): Promise<Result<string, Refusal>> {
-    const found = await this.#findBatch(batch);
+    const found = await this.#reader.find(batch);
     if (found.err) return found;
     const { head } = found.val;
     const submission = found.val.submission ?? await this.#items(head);
@@ -406,7 +381,7 @@
 
   /** Caches the results of a run that has ended, and drops the run. */
   #retire(id: string, run: BatchRun): void {
-    this.#cacheRun(run);
+    this.#reader.cacheRun(run);
     if (this.#runs.get(id) === run) this.#runs.delete(id);
   }
 
@@ -500,161 +475,8 @@
     if (head.ended || head.listed >= head.total) return;
     void this.#notifyOwner(head);
   }
-
-  // Reading
-
-  /** A batch as known here, read from the store if it is unknown. */
-  async #findBatch(
-    { id, organisation }: BatchRef,
-  ): Promise<Result<CachedBatch, Refusal>> {
-    const run = this.#runs.get(id);
-    const known = run === undefined ? this.#cache.get(id) : this.#cacheRun(run);
-    const found = known === undefined
-      ? await this.#loadBatch(id)
-      : Ok(known) as Result<CachedBatch, Refusal>;
-    if (found.err) return found;
-    if (found.val.head.organisation === organisation) return found;
-    return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
-  }
-
-  #cacheRun(run: BatchRun): CachedBatch {
-    const { head } = run.state;
-    const { results } = run;
-    return this.#cache.put({
-      head,
-      results: [...results],
-      chunks: head.chunks,
-    });
-  }
-
-  async #loadBatch(id: string): Promise<Result<CachedBatch, Refusal>> {
-    const found = await this.#store.head(id);
-    if (found.err) return Err(refuse(Verdict.NotRun, Reason.PlatformDown));
-    if (isNone(found.val)) {
-      return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
-    }
-    const { head } = found.val.value;
-    const full = await this.#complete({ head, results: [], chunks: 0 }, head);
-    return full === undefined
-      ? Err(refuse(Verdict.NotRun, Reason.PlatformDown))
-      : Ok(full);
-  }
-
-  /** Waits for new results, and gets them from the owner or the store. */
-  async #waitForResults(cached: CachedBatch, options: {
-    after: number;
-    waitMs: number;
-    signal: AbortSignal;
-  }): Promise<CachedBatch> {
-    const fromOwner = await this.#readFromOwner(cached, options);
-    if (fromOwner !== undefined && fromOwner.results.length > options.after) {
-      return fromOwner;
-    }
-    // A replaced owner that doesn't know it yet may lack results.
-    return await this.#refresh(fromOwner ?? cached) ?? fromOwner ?? cached;
-  }
-
-  async #readFromOwner(cached: CachedBatch, options: {
-    waitMs: number;
-    signal: AbortSignal;
-  }): Promise<CachedBatch | undefined> {
-    const { id } = cached.head;
-    const known = cached.results.length;
-    const answer = await this.#peers.ask(
-      this.#runnerOf(cached.head),
-      Message.Read,
-      {
-        id,
-        after: known,
-        waitMs: options.waitMs,
-      },
-      {
-        timeoutMs: options.waitMs + READ_TIMEOUT_MARGIN_MS,
-        signal: options.signal,
-      },
-    );
-    if (answer.err) return undefined;
-    const parsed = readAnswer.safeParse(answer.val);
-    if (!parsed.success || !parsed.data.run) return undefined;
-    const { results } = parsed.data;
-    return this.#cache.put({
-      ...this.#cache.get(id) ?? cached,
-      results: [...cached.results, ...results],
-    });
-  }
-
-  readonly #handleRead: PeerHandler = async (body) => {
-    const { id, after, waitMs } = readBody.parse(body);
-    const run = this.#runs.get(id);
-    if (run === undefined) return this.#remembered(id, after);
-    await run.waitForMore(after, { waitMs, signal: this.#stop.signal });
-    const { results } = pageOf(run.state.head.total, run.results, after);
-    return { run: true, results };
-  };
-
-  /** Cached results of an ended run; without any, readers ask the store. */
-  #remembered(
-    id: string,
-    after: number,
-  ): { run: boolean; results: readonly ItemResult[] } {
-    const cached = this.#cache.get(id);
-    if (cached === undefined) return { run: false, results: [] };
-    const { results } = pageOf(cached.head.total, cached.results, after);
-    return { run: results.length > 0, results };
-  }
-
-  /** The batch as stored; undefined if it can't be read. */
-  async #refresh(cached: CachedBatch): Promise<CachedBatch | undefined> {
-    const { id } = cached.head;
-    const found = await this.#store.head(id);
-    if (found.err || isNone(found.val)) return undefined;
-    return await this.#complete(cached, found.val.value.head);
-  }
-
-  /**
-   * Adds the listed results that are missing here: from the owner if possible,
-   * which puts no load on the key-value service, or else from the store.
-   */
-  async #complete(
-    cached: CachedBatch,
-    head: BatchHead,
-  ): Promise<CachedBatch | undefined> {
-    if (head.listed <= cached.results.length) {
-      return this.#cache.put({ ...cached, head });
-    }
-    const fromOwner = await this.#readFromOwner({ ...cached, head }, {
-      waitMs: 0,
-      signal: this.#stop.signal,
-    });
-    if (fromOwner !== undefined && fromOwner.results.length >= head.listed) {
-      return this.#cache.put({ ...fromOwner, head });
-    }
-    const chunks = await this.#store.results(head.id, 0);
-    if (chunks.err) return undefined;
-    return this.#cache.put({
-      head,
-      results: chunks.val.flat(),
-      chunks: chunks.val.length,
-    });
-  }
 }
 
-function refuse(verdict: Verdict, reason: Reason): Refusal {
-  return new Refusal({
-    verdict,
-    reason,
-    message: MESSAGES[reason] ?? "The batch can't be served now",
-    retryAfterMs: RETRY_AFTER_MS,
-  });
-}
-
-const MESSAGES: Readonly<Partial<Record<Reason, string>>> = {
-  [Reason.StepUnknown]: "There is no such batch or item",
-  [Reason.IdempotencyConflict]: "Another batch has this id",
-  [Reason.PlatformDown]: "Batches can't be looked up now",
-  [Reason.PeerFailed]: "Whether the batch was changed is not known",
-};
-
 register({
   key: batchesKey,
   requires: [
