Operators see which groups of a batch were whole in time

Cause: logs and metrics told when items ended, but not whether the groups that a trainer waits for were complete, and when.

Change: the log line run groups at the end of a run, with the groups wanted, whole in time, late and missing; the counter toucanwind_batches_groups_total by route and outcome. Groups that another owner goes on with aren't counted as unfinished, and a successor doesn't count again what was complete before.

Not seen on running daemons.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -40,6 +40,7 @@
 import { priorityOf } from "../tables/mod.ts";
 import type { BatchStore, HeadReading, VersionedHead } from "./batch_store.ts";
 import { GroupOrder } from "./group_order.ts";
+import { GroupOutcome, GroupOutcomes } from "./group_outcomes.ts";
 import type { ItemOutput } from "./item_output.ts";
 import { shouldMove } from "./item_moves.ts";
 import { ItemTask } from "./item_task.ts";
@@ -105,6 +106,9 @@
 
 const RENEWALS_PER_TTL = 3;
 
+/** Reasons for the end of a run after which no other run of the batch starts. */
+const BATCH_OVER: readonly string[] = ["complete", "ended", "removed"];
+
 /** A batch that runs on this daemon. */
 export class BatchRun {
   readonly #kernel: Kernel;
@@ -121,6 +125,8 @@
   readonly #abort = new AbortController();
   readonly #resultLog: ResultLog;
   readonly #order: GroupOrder;
+  readonly #groupOutcomes: GroupOutcomes;
+  readonly #countGroups: (outcome: GroupOutcome, count: number) => void;
   /** Median of the items' expected tokens. */
   readonly #medianTokens: number;
   readonly #renewalIntervalMs: number;
@@ -139,6 +145,8 @@
     repeatedGroups: number;
     /** Results listed before this run. */
     results: readonly ItemResult[];
+    /** Counts groups by outcome when the run ends. */
+    countGroups?: (outcome: GroupOutcome, count: number) => void;
     /** Measurements of the pools, shared by all runs. */
     histories: PoolHistories;
     /** Partial outputs of earlier runs and batches. */
@@ -153,6 +161,11 @@
     this.#histories = options.histories;
     this.#partialOutputs = options.partialOutputs;
     this.#order = new GroupOrder(options);
+    this.#groupOutcomes = new GroupOutcomes({
+      ...options,
+      wanted: this.#order.neededGroups.length,
+    });
+    this.#countGroups = options.countGroups ?? (() => {});
     this.#medianTokens = medianOf(
       options.submission.items.map(({ expectedTokens }) => expectedTokens),
     );
@@ -173,6 +186,7 @@
       ...options,
       clock,
       ownership: this.#ownership,
+      onListed: (results) => this.#groupOutcomes.listed(results, this.#times),
       signal: this.#abort.signal,
     });
   }
@@ -238,6 +252,19 @@
     for (const { item, output } of this.#itemTasks.values()) {
       this.#partialOutputs.put(this.#outputKey(item.id), output);
     }
+    this.#reportGroups(reason);
+  }
+
+  /** Groups that another owner goes on with are not unfinished yet. */
+  #reportGroups(reason: string): void {
+    const { id, route } = this.#submission;
+    const { counts } = this.#groupOutcomes;
+    log("run groups", { id, route, reason, ...counts });
+    this.#countGroups(GroupOutcome.InTime, counts.inTime);
+    this.#countGroups(GroupOutcome.Late, counts.late);
+    if (BATCH_OVER.includes(reason)) {
+      this.#countGroups(GroupOutcome.Unfinished, counts.unfinished);
+    }
   }
 
   /** The route in force; the first one if it was removed since. */
--- a/src/batches/batch_run_test.ts
+++ b/src/batches/batch_run_test.ts
@@ -21,6 +21,7 @@
 import { DEFAULT_TIMING } from "../settings/load.ts";
 import type { Settings } from "../settings/mod.ts";
 import { BatchRun } from "./batch_run.ts";
+import type { GroupOutcome } from "./group_outcomes.ts";
 import { ItemOutcome } from "./mod.ts";
 import { createBatch, createStore, submission } from "./fixture_test.ts";
 import { PartialOutputs } from "./partial_outputs.ts";
@@ -98,6 +99,7 @@
   transport?: UpstreamTransport;
   dispatch?: Dispatch;
   routeInForce?: () => ExchangeRoute;
+  countGroups?: (outcome: GroupOutcome, count: number) => void;
 } = {}) {
   const clock = new ManualClock();
   const { records, store } = createStore({ clock });
@@ -134,6 +136,7 @@
     }),
     route: options.routeInForce?.() ?? ROUTE,
     repeatedGroups: 0,
+    countGroups: options.countGroups,
     results: [],
     histories: new PoolHistories({ clock }),
     partialOutputs: new PartialOutputs(),
@@ -172,6 +175,22 @@
     .toEqual({ listed: 1, lapses: 0, lost: true });
 });
 
+test("groups that a later owner may complete aren't counted as unfinished", async () => {
+  const countFor = async (reason: string) => {
+    const counted: string[] = [];
+    const { run, clock, finish } = await startRun({
+      countGroups: (outcome, count) => counted.push(`${count} ${outcome}`),
+    });
+    finish();
+    await pass(clock, 50);
+    await run.stop(reason);
+    return counted;
+  };
+  expect(await countFor("replaced")).toEqual(["1 in_time", "0 late"]);
+  expect(await countFor("ended"))
+    .toEqual(["1 in_time", "0 late", "1 unfinished"]);
+});
+
 test("an item that can't be sent is given up and blames no upstream", async () => {
   const { transport, sent } = losingTransport(Loss.Unsendable);
   const { run, clock, outcomes } = await startRun({ transport });
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -100,6 +100,8 @@
   readonly #stop = new AbortController();
   /** Counts calls by kind and outcome. */
   readonly #callsTotal;
+  /** Counts groups by route and outcome. */
+  readonly #groupsTotal;
   #leaving = false;
 
   constructor(options: {
@@ -131,6 +133,11 @@
       "Calls on batches by kind and outcome",
       ["call", "outcome"],
     );
+    this.#groupsTotal = kernel.counter(
+      "toucanwind_batches_groups_total",
+      "Groups of batches by route and outcome",
+      ["route", "outcome"],
+    );
     this.props = {
       peerHandlers: {
         [Message.Own]: this.#handleOwn,
@@ -370,6 +377,8 @@
       repeatedGroups: this.#repeatedGroups.record(submission),
       route,
       results: results.val.flat(),
+      countGroups: (outcome, count) =>
+        this.#groupsTotal.inc({ route: head.route, outcome }, count),
       histories: this.#histories,
       partialOutputs: this.#partialOutputs,
     });
--- a/src/batches/result_log.ts
+++ b/src/batches/result_log.ts
@@ -34,6 +34,7 @@
   /** Number of unlisted items by group. */
   readonly #open = new Map<string, number>();
   readonly #results: ItemResult[];
+  readonly #onListed: (results: readonly ItemResult[]) => void;
   readonly #listeners = new Set<() => void>();
   #pending: readonly ItemResult[] = [];
   #state: VersionedHead;
@@ -49,6 +50,8 @@
     submission: BatchSubmission;
     /** Results listed before this run. */
     results: readonly ItemResult[];
+    /** Called when results have been listed. */
+    onListed?: (results: readonly ItemResult[]) => void;
     /** Aborts when the run ends. */
     signal: AbortSignal;
   }) {
@@ -58,6 +61,7 @@
     this.#ownership = options.ownership;
     this.#state = options.state;
     this.#signal = signal;
+    this.#onListed = options.onListed ?? (() => {});
     this.#results = [...results];
     this.#groups = new Map(
       submission.items.map(({ id, group }) => [id, group]),
@@ -99,7 +103,8 @@
       const outcome = await this.#store
         .append(this.#state, results, this.#signal);
       if (outcome.changed !== ChangeStatus.Applied || isNone(outcome.now)) {
-        return outcome.changed;
+        const isEnded = !isNone(outcome.now) && outcome.now.value.head.ended;
+        return isEnded ? "ended" : outcome.changed;
       }
       this.#ownership.confirm(outcome.sentAt);
       this.#listed(results, outcome.now.value);
@@ -131,6 +136,7 @@
     this.#state = state;
     this.#results.push(...results);
     for (const { id } of results) this.#count(id, -1);
+    this.#onListed(results);
     log("results listed", {
       id: state.head.id,
       results: results.length,
--- a/src/batches/result_log_test.ts
+++ b/src/batches/result_log_test.ts
@@ -60,6 +60,15 @@
   expect(log.results).toEqual([]);
 });
 
+test("an owner that lists into an ended batch learns of the end", async () => {
+  const { batches: store, state, resultLog: log } = await createResultLog();
+  const ended = log.run();
+  await store.end(state);
+  log.add(result("one"));
+  log.add(result("two"));
+  expect([await ended, log.results.length]).toEqual(["ended", 0]);
+});
+
 test("the end of a run ends waits for results", async () => {
   const { abort, resultLog: log } = await createResultLog();
   const waits = log.waitForMore(0, { waitMs: 60_000, signal });
