Runs of batches are split by task; waits for slots are measured

Change: permits, sends, reward requests, renewals of ownership and scans are modules of their own. Waits are recorded where permits are asked for, and a test of the run guards it. Items without a reward request count as completed in the lengths, and are logged as finished.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -6,43 +6,21 @@
  * @module
  */
 
-import { isNone } from "fp-ts/Option";
 import { setMaxListeners } from "node:events";
-import type { Result } from "ts-results";
+import { Outcome as PermitOutcome } from "../dispatch/mod.ts";
+import { type Kernel, logger, type Moment, Reason } from "../kernel/mod.ts";
+import { isFinal, Loss } from "../outside/mod.ts";
 import {
-  type Demand,
-  type Dispatch,
-  dispatchKey,
-  NO_CRASH_LIMIT,
-  Outcome as PermitOutcome,
-  type Permit,
-} from "../dispatch/mod.ts";
-import {
-  type Kernel,
-  logger,
-  type Moment,
-  Reason,
-  type Refusal,
-} from "../kernel/mod.ts";
-import {
-  isFinal,
-  Loss,
-  type LostRequest,
-  type UpstreamRequest,
-} from "../outside/mod.ts";
-import {
-  drawPool,
   type ExchangeRoute,
   relayKey,
   type RequestRelay,
 } from "../relay/mod.ts";
-import { outcomeOfLoss } from "../relay/attempts.ts";
-import { priorityOf } from "../tables/mod.ts";
-import type { BatchStore, HeadReading, VersionedHead } from "./batch_store.ts";
+import type { BatchStore, VersionedHead } from "./batch_store.ts";
 import { GroupOrder } from "./group_order.ts";
 import { GroupOutcome, GroupOutcomes } from "./group_outcomes.ts";
 import type { ItemOutput } from "./item_output.ts";
-import { shouldMove } from "./item_moves.ts";
+import { ItemPermits } from "./item_permits.ts";
+import { ItemSender } from "./item_sender.ts";
 import { ItemTask } from "./item_task.ts";
 import {
   type BatchSubmission,
@@ -51,10 +29,13 @@
   type ItemResult,
 } from "./mod.ts";
 import { Ownership } from "./ownership.ts";
+import { OwnershipRenewal, ownershipTtlMs } from "./ownership_renewal.ts";
 import { partialOutputKey, type PartialOutputs } from "./partial_outputs.ts";
 import type { PoolHistories } from "./pool_history.ts";
 import { ResultLog } from "./result_log.ts";
-import { type BatchTimes, reorderInMs, startInMs } from "./start_times.ts";
+import { RewardScorer } from "./reward_scorer.ts";
+import { type RunContext, versionTerms } from "./run_context.ts";
+import type { BatchTimes } from "./start_times.ts";
 
 const log = logger("batches");
 
@@ -68,18 +49,6 @@
 /** Longest delay before an item that was misdirected is sent again. */
 const MAX_MISDIRECTED_DELAY_MS = 1000;
 
-/** Timeout of a reward request. */
-const REWARD_TIMEOUT_MS = 3000;
-
-/** Longest delay before a reward request that was refused is made again. */
-const MAX_REWARD_DELAY_MS = 1000;
-
-/** Longest time that an upstream is given for an item. */
-const ITEM_TIMEOUT_MS = 12_000;
-
-/** Lowest cost of an item in tokens. */
-const MIN_ITEM_TOKENS = 1;
-
 /** After waiting this long, an item accepts the upstreams it excluded. */
 const MAX_EXCLUSION_MS = 1500;
 
@@ -95,31 +64,22 @@
 /** Limit on a batch's stored partial outputs, which share one value. */
 const MAX_SAVED_BYTES = 500_000;
 
-/** Time allowed after the end of a batch if the settings give none. */
-const DEFAULT_END_GRACE_MS = 3000;
-
-/**
- * Share of that time for which a confirmation of ownership is valid. The rest
- * covers the way of a request to its upstream, and clocks of unequal rate.
- */
-const OWNERSHIP_TTL_PER_GRACE = 2 / 3;
-
-const RENEWALS_PER_TTL = 3;
-
 /** Reasons for the end of a run after which no other run of the batch starts. */
 const BATCH_OVER: readonly string[] = ["complete", "ended", "removed"];
 
 /** A batch that runs on this daemon. */
 export class BatchRun {
   readonly #kernel: Kernel;
-  readonly #dispatch: Dispatch;
   readonly #relay: RequestRelay;
   readonly #store: BatchStore;
   readonly #ownership: Ownership;
   readonly #submission: BatchSubmission;
   /** The route as it was at the start of the run. */
   readonly #firstRoute: ExchangeRoute;
-  readonly #histories: PoolHistories;
+  readonly #context: RunContext;
+  readonly #permits: ItemPermits;
+  readonly #sender: ItemSender;
+  readonly #scorer: RewardScorer;
   readonly #partialOutputs: PartialOutputs;
   readonly #itemTasks = new Map<string, ItemTask>();
   readonly #abort = new AbortController();
@@ -127,9 +87,7 @@
   readonly #order: GroupOrder;
   readonly #groupOutcomes: GroupOutcomes;
   readonly #countGroups: (outcome: GroupOutcome, count: number) => void;
-  /** Median of the items' expected tokens. */
-  readonly #medianTokens: number;
-  readonly #renewalIntervalMs: number;
+  readonly #renewal: OwnershipRenewal;
   /** Settles when all tasks have ended. */
   #done: Promise<unknown> = Promise.resolve();
 
@@ -153,12 +111,10 @@
     partialOutputs: PartialOutputs;
   }) {
     this.#kernel = options.kernel;
-    this.#dispatch = options.kernel.get(dispatchKey);
     this.#relay = options.kernel.get(relayKey);
     this.#store = options.store;
     this.#submission = options.submission;
     this.#firstRoute = options.route;
-    this.#histories = options.histories;
     this.#partialOutputs = options.partialOutputs;
     this.#order = new GroupOrder(options);
     this.#groupOutcomes = new GroupOutcomes({
@@ -166,15 +122,10 @@
       wanted: this.#order.neededGroups.length,
     });
     this.#countGroups = options.countGroups ?? (() => {});
-    this.#medianTokens = medianOf(
-      options.submission.items.map(({ expectedTokens }) => expectedTokens),
-    );
     // Every item of the batch adds listeners.
     setMaxListeners(0, this.#abort.signal);
     const { clock, settings } = options.kernel;
-    const graceMs = settings.timing.batchEndGraceMs ?? DEFAULT_END_GRACE_MS;
-    const ttlMs = graceMs * OWNERSHIP_TTL_PER_GRACE;
-    this.#renewalIntervalMs = ttlMs / RENEWALS_PER_TTL;
+    const ttlMs = ownershipTtlMs(settings.timing.batchEndGraceMs);
     this.#ownership = new Ownership({
       clock,
       batch: options.submission.id,
@@ -182,6 +133,22 @@
       confirmedAt: options.confirmedAt,
       signal: this.#abort.signal,
     });
+    this.#renewal = new OwnershipRenewal({
+      clock,
+      store: options.store,
+      ownership: this.#ownership,
+      ttlMs,
+      state: () => this.state,
+      onLost: (reason) => this.stop(reason),
+      signal: this.#abort.signal,
+    });
+    this.#context = this.#createContext(options.histories);
+    this.#permits = new ItemPermits({
+      context: this.#context,
+      order: this.#order,
+    });
+    this.#sender = new ItemSender(this.#context);
+    this.#scorer = new RewardScorer(this.#context);
     this.#resultLog = new ResultLog({
       ...options,
       clock,
@@ -191,6 +158,29 @@
     });
   }
 
+  /** The run as its tasks see it. */
+  #createContext(histories: PoolHistories): RunContext {
+    const route = () => this.#route;
+    const times = () => this.#times;
+    const leftMs = () => this.#leftMs;
+    return {
+      kernel: this.#kernel,
+      submission: this.#submission,
+      ownership: this.#ownership,
+      histories,
+      signal: this.#signal,
+      get route() {
+        return route();
+      },
+      get times() {
+        return times();
+      },
+      get leftMs() {
+        return leftMs();
+      },
+    };
+  }
+
   /** The batch's head as this owner last wrote it. */
   get state(): VersionedHead {
     return this.#resultLog.state;
@@ -233,7 +223,7 @@
     this.#done = Promise.all([
       this.#resultLog.run().then((reason) => void this.stop(reason)),
       this.#savePeriodically(),
-      this.#renewPeriodically(),
+      this.#renewal.run(),
       ...items.map((item) => this.#runItem(item)),
     ]);
   }
@@ -274,35 +264,6 @@
       .find((route) => route.name === name) ?? this.#firstRoute;
   }
 
-  /**
-   * Draws an item's pool by the weights in force, from those in which an
-   * upstream may be found.
-   */
-  #drawPool({ emptyPools }: Pick<ItemTask, "emptyPools">): string {
-    const { exchange } = this.#route;
-    const pools = exchange.pools
-      .filter(({ pool }) => !emptyPools.includes(pool));
-    const drawn = pools.length === 0 ? exchange : { ...exchange, pools };
-    return drawPool(drawn, Math.random());
-  }
-
-  /** Turns to another pool of the route if not all upstreams were tried. */
-  #leavePool(task: ItemTask): void {
-    if (task.excluded.length === 0) {
-      const empty = [...task.emptyPools, task.pool];
-      const { pools } = this.#route.exchange;
-      const isLast = pools.every(({ pool }) => empty.includes(pool));
-      task.emptyPools = isLast ? [] : empty;
-      task.pool = this.#drawPool(task);
-    }
-    task.excluded = [];
-  }
-
-  /** Whether a manifest moved the item's route off its pool. */
-  #isMoved({ pool }: ItemTask): boolean {
-    return !this.#route.exchange.pools.some((one) => one.pool === pool);
-  }
-
   /** The key of an item's partial output. */
   #outputKey(item: string): string {
     return partialOutputKey(this.#submission, item);
@@ -323,40 +284,6 @@
     log("partial outputs saved", { id: this.#submission.id, bytes, kept });
   }
 
-  /** Each read is independent: an earlier one may still lack its answer. */
-  async #renewPeriodically(): Promise<void> {
-    while (!this.#signal.aborted) {
-      const dueInMs = this.#renewalIntervalMs - this.#ownership.ageMs;
-      if (dueInMs <= 0) void this.#renew();
-      const waitMs = dueInMs > 0 ? dueInMs : this.#renewalIntervalMs;
-      await this.#kernel.clock.sleep(waitMs, this.#signal);
-    }
-  }
-
-  /** Confirms ownership by a read; a failure is left to the next one. */
-  async #renew(): Promise<void> {
-    const { id } = this.#submission;
-    try {
-      const read = await this.#store.readHead(id);
-      // If reads keep failing, the ownership lapses, which is logged.
-      if (read.ok) await this.#applyReading(read.val);
-    } catch (error) {
-      log("ownership not read", { id, reason: String(error) });
-    }
-  }
-
-  /** Stops if the batch isn't this daemon's to run, or confirms ownership. */
-  async #applyReading({ state, sentAt }: HeadReading): Promise<void> {
-    if (isNone(state)) return await this.stop("removed");
-    const { head } = state.value;
-    const { owner, run } = this.state.head;
-    if (head.ended) return await this.stop("ended");
-    if (head.owner !== owner || head.run !== run) {
-      return await this.stop("replaced");
-    }
-    this.#ownership.confirm(sentAt);
-  }
-
   async #savePeriodically(): Promise<void> {
     while (!this.#signal.aborted) {
       await this.#kernel.clock.sleep(OUTPUT_SAVE_INTERVAL_MS, this.#signal);
@@ -381,21 +308,21 @@
     return Math.round(this.#ownership.ageMs);
   }
 
-  /** Unix milliseconds after which unfinished items are given up. */
-  get #giveUpAt(): number {
+  /** Time until unfinished items are given up. */
+  get #leftMs(): number {
     const retentionMs = this.#route.exchange.batch?.retentionMs ?? Infinity;
-    return this.state.head.submittedAt + retentionMs + CLOCK_SKEW_MARGIN_MS;
+    return retentionMs + CLOCK_SKEW_MARGIN_MS - this.#times.ageMs;
   }
 
   async #runItem(item: Item): Promise<void> {
     const task = new ItemTask(item, {
-      pool: this.#drawPool({ emptyPools: [] }),
+      pool: this.#permits.drawPool({ emptyPools: [] }),
       now: this.#kernel.clock.now(),
     });
     this.#itemTasks.set(item.id, task);
     const partialOutput = this.#partialOutputs.outputToResume(
       this.#outputKey(item.id),
-      this.#terms,
+      versionTerms(this.#context),
     );
     task.output = partialOutput;
     let waitMs = RETRY_DELAY_MS;
@@ -406,28 +333,30 @@
         await this.#score(task);
         return;
       }
-      const leftMs = this.#giveUpAt - this.#kernel.clock.wall();
+      const leftMs = this.#leftMs;
       if (leftMs <= 0) return this.#giveUp(task, "retention");
       if (!this.#ownership.valid) {
         await this.#ownership.waitUntilValid();
         continue;
       }
-      if (this.#isMoved(task)) task.pool = this.#drawPool(task);
+      if (this.#permits.isMoved(task)) task.pool = this.#permits.drawPool(task);
       const exclusionMs = waitingSince + MAX_EXCLUSION_MS -
         this.#kernel.clock.now();
-      const permit = await this.#acquire(task, { leftMs, exclusionMs });
-      if (!this.#ownership.valid || this.#isMoved(task)) {
+      const permit = await this.#permits.acquire(task, { leftMs, exclusionMs });
+      if (!this.#ownership.valid || this.#permits.isMoved(task)) {
         if (permit.ok) permit.val.release(PermitOutcome.Cancelled, 0);
         continue;
       }
       if (permit.err) {
-        if (permit.val.reason === Reason.NoUpstream) this.#leavePool(task);
+        if (permit.val.reason === Reason.NoUpstream) {
+          this.#permits.leavePool(task);
+        }
         await this.#kernel.clock.sleep(waitMs, this.#signal);
         waitMs = Math.min(2 * waitMs, MAX_RETRY_DELAY_MS);
         continue;
       }
       task.emptyPools = [];
-      const lost = await this.#generate(task, permit.val);
+      const lost = await this.#sender.send(task, permit.val);
       waitingSince = this.#kernel.clock.now();
       if (this.#signal.aborted) return;
       if (lost === undefined) {
@@ -446,215 +375,29 @@
     }
   }
 
-  /**
-   * Waits for a permit. The shard's leader applies a demand's exclusions for as
-   * long as the demand is queued, even if no other upstream has the version. So
-   * the wait is cut off after `exclusionMs`, and the next demand excludes
-   * nothing and merely avoids these upstreams. A wait is cut off as well when
-   * the item has to be placed anew.
-   */
-  async #acquire(task: ItemTask, { leftMs, exclusionMs }: {
-    leftMs: number;
-    exclusionMs: number;
-  }): Promise<Result<Permit, Refusal>> {
-    let demand = this.#demand(task, leftMs);
-    let limitMs = reorderInMs(this.#times);
-    if (demand.exclude.length > 0 && exclusionMs > 0) {
-      limitMs = Math.min(limitMs, exclusionMs);
-    } else if (demand.exclude.length > 0) {
-      task.excluded = [];
-      task.disableMoves();
-      const avoid = [...demand.avoid ?? [], ...demand.exclude];
-      demand = { ...demand, exclude: [], avoid };
-    }
-    const { signal: owned } = this.#ownership;
-    if (limitMs === Infinity) {
-      return await this.#dispatch.acquire(demand, owned);
-    }
-    const expiry = new AbortController();
-    const cancel = this.#kernel.clock.after(limitMs, () => expiry.abort());
-    const signal = AbortSignal.any([owned, expiry.signal]);
-    const permit = await this.#dispatch.acquire(demand, signal);
-    cancel();
-    return permit;
-  }
-
-  /** Streams from one upstream; returns a loss if the output is incomplete. */
-  async #generate(
-    task: ItemTask,
-    permit: Permit,
-  ): Promise<LostRequest | undefined> {
-    const { upstreamTransport } = this.#kernel.platform;
-    if (upstreamTransport === undefined) {
-      throw new RangeError(
-        "The platform has no transport to forward requests",
-      );
-    }
-    const { target, leaving, release } = permit;
-    task.upstream = target.id;
-    const request = this.#request(task);
-    const terms = this.#terms;
-    const { clock } = this.#kernel;
-    const history = this.#histories.of(task.pool);
-    const startedAt = clock.now();
-    let lastEventAt = 0;
-    let lastVersion: number | undefined;
-    let events = 0;
-    log("item sent", {
-      id: task.item.id,
-      batch: this.#submission.id,
-      upstream: target.id,
-      after: request.after,
-      confirmedMsAgo: this.#confirmedMsAgo,
-    });
-    // Until the answer begins, the request may still be on its way.
-    const opening = new AbortController();
-    const abortOpening = () => opening.abort();
-    const { signal: owned } = this.#ownership;
-    owned.addEventListener("abort", abortOpening, { once: true });
-    const signal = AbortSignal.any([this.#signal, leaving, opening.signal]);
-    const flow = await upstreamTransport.stream(target, request, signal);
-    owned.removeEventListener("abort", abortOpening);
-    let lost = flow.err ? flow.val : undefined;
-    for await (const event of flow.ok ? flow.val.events : []) {
-      if (event.err) {
-        lost = event.val;
-        break;
-      }
-      lost = task.accept(event.val, terms);
-      if (lost !== undefined) break;
-      const now = clock.now();
-      const { weightVersion } = event.val;
-      // Loading weights pauses an engine once and says nothing about its speed.
-      if (weightVersion === lastVersion) {
-        history.speeds.recordInterval(target.id, now - lastEventAt);
-      }
-      lastEventAt = now;
-      lastVersion = weightVersion;
-      events += 1;
-      const running = {
-        item: task.item,
-        upstream: target.id,
-        events: task.output.lines.length,
-      };
-      const mayMove = task.canMove && this.#ownership.valid;
-      if (mayMove && shouldMove(running, history)) {
-        lost = { loss: Loss.Cancelled, message: "The upstream is slow" };
-        break;
-      }
-    }
-    task.ranMs += clock.now() - startedAt;
-    const ended = leaving.aborted && lost !== undefined
-      ? PermitOutcome.Cancelled
-      : lost === undefined
-      ? PermitOutcome.Served
-      : outcomeOfLoss(lost.loss);
-    release(ended, lost === undefined ? this.#tokens(task.item) : 0);
-    if (lost === undefined) return undefined;
-    task.lost(target.id, lost);
-    log("item attempt lost", {
-      id: task.item.id,
-      batch: this.#submission.id,
-      upstream: target.id,
-      loss: lost.loss,
-      message: lost.message,
-      leaving: leaving.aborted,
-      events,
-      last: task.output.last,
-      tookMs: Math.round(this.#kernel.clock.now() - startedAt),
-    });
-    return lost;
-  }
-
-  get #terms() {
-    return {
-      minVersion: this.#submission.minVersion,
-      singleVersion: this.#route.exchange.batch?.singleVersion ?? false,
-    };
-  }
-
   /** Has a complete output scored, with retries, or gives the item up. */
   async #score(task: ItemTask): Promise<void> {
     const { item, output } = task;
     const { reward } = item;
-    if (reward === undefined) {
-      this.#finish({
-        id: item.id,
-        end: ItemOutcome.Completed,
-        text: output.text,
-        versions: output.versions,
-      });
-      return;
-    }
-    let failures = 0;
-    while (!this.#signal.aborted) {
-      if (!this.#ownership.valid) {
-        await this.#ownership.waitUntilValid();
-        continue;
-      }
-      const route = this.#relay.route(reward.host, reward.path);
-      if (this.#giveUpAt <= this.#kernel.clock.wall()) {
-        this.#giveUp(task, "retention");
-        return;
-      }
-      if (isNone(route)) {
-        await this.#kernel.clock.sleep(MAX_RETRY_DELAY_MS, this.#signal);
-        continue;
-      }
-      log("reward requested", {
-        id: reward.id,
-        item: item.id,
-        batch: this.#submission.id,
-        confirmedMsAgo: this.#confirmedMsAgo,
-      });
-      const served = await this.#relay.serve(route.value, {
-        organisation: "",
-      }, {
-        id: reward.id,
-        method: "POST",
-        path: reward.path,
-        host: reward.host,
-        fields: [],
-        body: Buffer.from(reward.body, "base64"),
-        remainingMs: REWARD_TIMEOUT_MS,
-        crashLimit: NO_CRASH_LIMIT,
-        mayStart: this.#mayStart,
-      }, this.#ownership.signal);
-      if (this.#signal.aborted) return;
-      const { answer: rewardResult } = served;
-      const answer = rewardResult.ok ? rewardResult.val : undefined;
-      if (answer?.seal !== undefined && answer.status < 300) {
-        this.#recordCompletion(task);
-        this.#finish({
-          id: item.id,
-          end: ItemOutcome.Completed,
-          text: output.text,
-          versions: output.versions,
-          score: answer.seal,
-        });
-        return;
-      }
-      if (rewardResult.err && rewardResult.val.reason === Reason.BadRequest) {
-        this.#giveUp(task, "reward request can't be sent");
-        return;
-      }
-      failures += served.upstreamFailures;
-      if (failures >= route.value.exchange.maxAttempts) {
-        this.#giveUp(task, "reward failed");
-        return;
-      }
-      const retryAfterMs = rewardResult.err ? rewardResult.val.retryAfterMs : 0;
-      await this.#kernel.clock.sleep(
-        Math.min(MAX_REWARD_DELAY_MS, Math.max(RETRY_DELAY_MS, retryAfterMs)),
-        this.#signal,
-      );
-    }
+    const scored = reward === undefined
+      ? undefined
+      : await this.#scorer.score(item, reward);
+    if (this.#signal.aborted) return;
+    if (scored?.err) return this.#giveUp(task, scored.val);
+    this.#recordCompletion(task);
+    this.#finish({
+      id: item.id,
+      end: ItemOutcome.Completed,
+      text: output.text,
+      versions: output.versions,
+      ...scored === undefined ? {} : { score: scored.val },
+    });
   }
 
   /** Records the run time of an item and logs its completion. */
   #recordCompletion(task: ItemTask): void {
     const ageMs = this.#kernel.clock.now() - task.startedAt;
-    this.#histories.of(task.pool).completed(task.item.expectedTokens, {
+    this.#context.histories.of(task.pool).completed(task.item.expectedTokens, {
       events: task.output.lines.length,
       ranMs: task.ranMs,
     });
@@ -688,43 +431,6 @@
     this.#resultLog.add(result);
   }
 
-  /** Whether the item is likely to determine when the batch is complete. */
-  #isLong({ expectedTokens }: Item): boolean {
-    return expectedTokens >= this.#medianTokens;
-  }
-
-  #tokens({ tokens }: Item): number {
-    return Math.max(MIN_ITEM_TOKENS, tokens);
-  }
-
-  #demand(task: ItemTask, leftMs: number): Demand {
-    const { item } = task;
-    const { organisation, rank, minVersion } = this.#submission;
-    const { speeds } = this.#histories.of(task.pool);
-    return {
-      id: item.id,
-      pool: task.pool,
-      route: this.#route.name,
-      tenant: organisation,
-      priority: rank === undefined ? this.#route.priority : priorityOf(rank),
-      weight: 1,
-      tokens: this.#tokens(item),
-      prefixes: item.prefixes,
-      remainingMs: leftMs,
-      startInMs: this.#startInMs(task),
-      minVersion: Math.max(minVersion, task.output.versions[0] ?? 0),
-      model: item.model,
-      exclude: [
-        ...task.excluded,
-        ...speeds.slowUpstreams(),
-      ],
-      avoid: this.#isLong(item) ? speeds.laggingUpstreams() : [],
-      fingerprint: task.fingerprint(organisation),
-      crashLimit: NO_CRASH_LIMIT,
-      attempt: task.lostAttempts,
-    };
-  }
-
   get #times(): BatchTimes {
     const { exchange, deadlineMs } = this.#route;
     return {
@@ -733,35 +439,6 @@
       timeoutMs: deadlineMs,
     };
   }
-
-  /** An item that continues elsewhere keeps its place in the order. */
-  #startInMs({ item, pool }: ItemTask): number {
-    const { leadTokens, delayMs } = this.#order.place(item.id);
-    const leadMs = this.#histories.of(pool).speeds.expectedRunMs(leadTokens);
-    return startInMs(this.#times, leadMs) + delayMs;
-  }
-
-  #request({ item, output }: ItemTask): UpstreamRequest {
-    return {
-      id: item.id,
-      method: "POST",
-      path: item.path,
-      host: this.#submission.host,
-      fields: item.fields,
-      body: Buffer.from(item.body, "base64"),
-      organisation: this.#submission.organisation,
-      remainingMs: Math.min(
-        ITEM_TIMEOUT_MS,
-        this.#giveUpAt - this.#kernel.clock.wall(),
-      ),
-      after: output.last,
-      silenceMs: this.#kernel.settings.timing.upstreamSilenceMs,
-      urgency: Math.min(9, this.#route.exchange.rank + 2),
-      mayStart: this.#mayStart,
-    };
-  }
-
-  readonly #mayStart = () => this.#ownership.valid;
 }
 
 /** Time until an item that was misdirected this often in a row is sent again. */
@@ -769,7 +446,3 @@
   const doublings = Math.max(0, misdirections - MAX_PROMPT_RETRIES);
   return Math.min(MAX_MISDIRECTED_DELAY_MS, RETRY_DELAY_MS * 2 ** doublings);
 }
-
-function medianOf(values: readonly number[]): number {
-  return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
-}
--- a/src/batches/batch_run_test.ts
+++ b/src/batches/batch_run_test.ts
@@ -126,6 +126,7 @@
     registrations: [plugin(dispatchKey, dispatch), plugin(relayKey, relay)],
   });
   const { items } = submission();
+  const histories = new PoolHistories({ clock });
   const run = new BatchRun({
     kernel,
     store,
@@ -138,11 +139,11 @@
     repeatedGroups: 0,
     countGroups: options.countGroups,
     results: [],
-    histories: new PoolHistories({ clock }),
+    histories,
     partialOutputs: new PartialOutputs(),
   });
   run.start();
-  return { run, records, clock, aborted, finish, outcomes };
+  return { run, records, clock, aborted, finish, outcomes, histories };
 }
 
 /** Advances the time in steps in which calls are answered. */
@@ -247,6 +248,25 @@
   return { dispatch, asked };
 }
 
+test("waits for slots are measured, as they count against moves", async () => {
+  const { dispatch: all } = dispatchAll();
+  let grant = () => {};
+  const granted = new Promise<void>((resolve) => grant = resolve);
+  const dispatch = {
+    acquire: async (demand: Demand, signal: AbortSignal) => {
+      await granted;
+      return await all.acquire(demand, signal);
+    },
+  } as unknown as Dispatch;
+  const { run, clock, histories, finish } = await startRun({ dispatch });
+  await pass(clock, 500);
+  finish();
+  grant();
+  await pass(clock, 100);
+  await run.stop("ended");
+  expect(histories.of("p").waits.expectedMs() >= 500).toEqual(true);
+});
+
 test("items whose pool has no upstream left run on the route's other pool", async () => {
   const { transport, sent } = losingTransport(Loss.Unsendable);
   const { dispatch } = dispatchTo((pool) => pool === "p");
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -28,6 +28,7 @@
 import { type ExchangeRoute, relayKey } from "../relay/mod.ts";
 import { BatchCache } from "./batch_cache.ts";
 import { BatchReader } from "./batch_reader.ts";
+import { BatchScanner } from "./batch_scanner.ts";
 import { BatchRun } from "./batch_run.ts";
 import {
   type BatchHead,
@@ -50,24 +51,9 @@
 
 const log = logger("batches");
 
-/** Interval at which the scanning daemons check all batches. */
-const SCAN_INTERVAL_MS = 1000;
-
-/** Time for the daemons to discover each other when all start at once. */
-const FIRST_SCAN_DELAY_MS = 300;
-
-/** Number of daemons that scan all batches: one may be dead or cut off. */
-const SCANNING_DAEMONS = 2;
-
 /** Retention of batches if the settings give none. */
 const DEFAULT_RETENTION_MS = 120_000;
 
-/** Batches are removed this long after the end of their retention. */
-const REMOVAL_MARGIN_MS = 30_000;
-
-/** Batches that are never ended are removed this long after submission. */
-const MAX_OPEN_MS = 24 * 60 * 60 * 1000;
-
 /** Time to determine the outcome of a submission. */
 const SUBMIT_TIMEOUT_MS = 1500;
 
@@ -88,9 +74,9 @@
   readonly #kernel: Kernel;
   readonly #peers: Peers;
   readonly #store: BatchStore;
-  readonly #retentionMs: number;
   readonly #cache = new BatchCache();
   readonly #reader: BatchReader;
+  readonly #scanner: BatchScanner;
   readonly #runs = new Map<string, BatchRun>();
   /** Starts under way; aborted if the batch ends meanwhile. */
   readonly #starts = new Map<string, AbortController>();
@@ -117,8 +103,6 @@
     this.#histories = new PoolHistories({ clock: kernel.clock });
     // Every reader that waits for a result adds a listener.
     setMaxListeners(0, this.#stop.signal);
-    this.#retentionMs = options.retentionMs ??
-      kernel.settings.timing.batchRetentionMs ?? DEFAULT_RETENTION_MS;
     this.#store = new BatchStore({ records, clock: kernel.clock });
     this.#reader = new BatchReader({
       store: this.#store,
@@ -128,6 +112,14 @@
       runnerOf: (head) => this.#runnerOf(head),
       signal: this.#stop.signal,
     });
+    this.#scanner = new BatchScanner({
+      clock: kernel.clock,
+      peers: this.#peers,
+      store: this.#store,
+      retentionMs: options.retentionMs ??
+        kernel.settings.timing.batchRetentionMs ?? DEFAULT_RETENTION_MS,
+      notifyOwner: (head) => this.#notifyOwner(head),
+    });
     this.#callsTotal = kernel.counter(
       "toucanwind_batches_calls_total",
       "Calls on batches by kind and outcome",
@@ -154,7 +146,7 @@
   }
 
   override start(): Promise<void> {
-    void this.#scanPeriodically();
+    void this.#scanner.run(this.#stop.signal);
     return Promise.resolve();
   }
 
@@ -440,50 +432,6 @@
     });
     return found.val;
   }
-
-  // Scanning
-
-  async #scanPeriodically(): Promise<void> {
-    const { signal } = this.#stop;
-    // The first scan is soon: all daemons may have restarted.
-    let waitMs = FIRST_SCAN_DELAY_MS;
-    while (!signal.aborted) {
-      await this.#kernel.clock.sleep(waitMs, signal);
-      waitMs = SCAN_INTERVAL_MS;
-      const ranked = this.#peers.rankedForDuty("batches").slice(
-        0,
-        SCANNING_DAEMONS,
-      );
-      const self = this.#peers.self.vm;
-      if (signal.aborted || !ranked.some(({ vm }) => vm === self)) continue;
-      const heads = await this.#store.heads();
-      if (heads.err) continue;
-      for (const state of heads.val) {
-        await this.#checkBatch(state).catch((error) =>
-          log("batch not checked", {
-            id: state.head.id,
-            reason: String(error),
-          })
-        );
-      }
-    }
-  }
-
-  async #checkBatch(state: VersionedHead): Promise<void> {
-    const { head } = state;
-    const ageMs = this.#kernel.clock.wall() - head.submittedAt;
-    const keptMs = head.ended
-      ? this.#retentionMs + REMOVAL_MARGIN_MS
-      : MAX_OPEN_MS;
-    if (ageMs > keptMs) {
-      await this.#store.remove(state);
-      log("batch removed", { id: head.id, ageMs: Math.round(ageMs) });
-      return;
-    }
-    // An owner that missed the end learns of it when it confirms ownership.
-    if (head.ended || head.listed >= head.total) return;
-    void this.#notifyOwner(head);
-  }
 }
 
 register({
--- /dev/null
+++ b/src/batches/run_context.ts
@@ -0,0 +1,40 @@
+/**
+ * What all tasks of one run of a batch share.
+ *
+ * @module
+ */
+
+import type { Kernel } from "../kernel/mod.ts";
+import type { ExchangeRoute } from "../relay/mod.ts";
+import type { BatchSubmission } from "./mod.ts";
+import type { Ownership } from "./ownership.ts";
+import type { PoolHistories } from "./pool_history.ts";
+import type { BatchTimes } from "./start_times.ts";
+
+/** A run as its tasks see it. */
+export interface RunContext {
+  readonly kernel: Kernel;
+  readonly submission: BatchSubmission;
+  readonly ownership: Ownership;
+  readonly histories: PoolHistories;
+  /** Aborts when the run ends. */
+  readonly signal: AbortSignal;
+  /** The route in force. */
+  readonly route: ExchangeRoute;
+  readonly times: BatchTimes;
+  /** Time until unfinished items are given up. */
+  readonly leftMs: number;
+}
+
+/** Age of the last proof of ownership, for the log. */
+export function confirmedMsAgo({ ownership }: RunContext): number {
+  return Math.round(ownership.ageMs);
+}
+
+/** Weight versions that a result of the batch may contain. */
+export function versionTerms({ submission, route }: RunContext) {
+  return {
+    minVersion: submission.minVersion,
+    singleVersion: route.exchange.batch?.singleVersion ?? false,
+  };
+}
