--- a/src/batches/item_permits.ts
+++ b/src/batches/item_permits.ts
@@ -104,7 +104,9 @@
       ? () => {}
       : kernel.clock.after(limitMs, () => expiry.abort());
     const signal = AbortSignal.any([ownership.signal, expiry.signal]);
-    const endWait = histories.of(task.pool).waits.start();
+    // Items that may start later tell nothing of the wait of one that moves.
+    const mayWait = this.#order.place(task.item.id).delayMs > 0;
+    const endWait = mayWait ? () => {} : histories.of(task.pool).waits.start();
     const permit = await this.#dispatch.acquire(demand, signal);
     endWait(permit.ok);
     cancel();
