--- a/src/batches/batch_run_test.ts
+++ b/src/batches/batch_run_test.ts
@@ -21,10 +21,11 @@
 import { DEFAULT_TIMING } from "../settings/load.ts";
 import type { Settings } from "../settings/mod.ts";
 import { BatchRun } from "./batch_run.ts";
+import type { GroupOutcome } from "./group_outcomes.ts";
 import { ItemOutcome } from "./mod.ts";
 import { createBatch, createStore, submission } from "./fixture_test.ts";
 import { PartialOutputs } from "./partial_outputs.ts";
-import { UpstreamSpeeds } from "./upstream_speeds.ts";
+import { PoolHistories } from "./pool_history.ts";
 
 const GRACE_MS = 3000;
 
@@ -36,6 +37,7 @@
 
 const ROUTE = {
   name: "rollouts",
+  deadlineMs: 12_000,
   exchange: { pools: [{ pool: "p", weight: 1 }], rank: 0, maxAttempts: 2 },
 } as unknown as ExchangeRoute;
 
@@ -97,6 +99,7 @@
   transport?: UpstreamTransport;
   dispatch?: Dispatch;
   routeInForce?: () => ExchangeRoute;
+  countGroups?: (outcome: GroupOutcome, count: number) => void;
 } = {}) {
   const clock = new ManualClock();
   const { records, store } = createStore({ clock });
@@ -123,6 +126,7 @@
     registrations: [plugin(dispatchKey, dispatch), plugin(relayKey, relay)],
   });
   const { items } = submission();
+  const histories = new PoolHistories({ clock });
   const run = new BatchRun({
     kernel,
     store,
@@ -132,12 +136,14 @@
       items: items.map((item) => ({ ...item, group: item.id })),
     }),
     route: options.routeInForce?.() ?? ROUTE,
+    repeatedGroups: 0,
+    countGroups: options.countGroups,
     results: [],
-    speeds: () => new UpstreamSpeeds({ clock }),
+    histories,
     partialOutputs: new PartialOutputs(),
   });
   run.start();
-  return { run, records, clock, aborted, finish, outcomes };
+  return { run, records, clock, aborted, finish, outcomes, histories };
 }
 
 /** Advances the time in steps in which calls are answered. */
@@ -170,6 +176,22 @@
     .toEqual({ listed: 1, lapses: 0, lost: true });
 });
 
+test("groups that a later owner may complete aren't counted as unfinished", async () => {
+  const countFor = async (reason: string) => {
+    const counted: string[] = [];
+    const { run, clock, finish } = await startRun({
+      countGroups: (outcome, count) => counted.push(`${count} ${outcome}`),
+    });
+    finish();
+    await pass(clock, 50);
+    await run.stop(reason);
+    return counted;
+  };
+  expect(await countFor("replaced")).toEqual(["1 in_time", "0 late"]);
+  expect(await countFor("ended"))
+    .toEqual(["1 in_time", "0 late", "1 unfinished"]);
+});
+
 test("an item that can't be sent is given up and blames no upstream", async () => {
   const { transport, sent } = losingTransport(Loss.Unsendable);
   const { run, clock, outcomes } = await startRun({ transport });
@@ -226,6 +248,25 @@
   return { dispatch, asked };
 }
 
+test("waits for slots are measured, as they count against moves", async () => {
+  const { dispatch: all } = dispatchAll();
+  let grant = () => {};
+  const granted = new Promise<void>((resolve) => grant = resolve);
+  const dispatch = {
+    acquire: async (demand: Demand, signal: AbortSignal) => {
+      await granted;
+      return await all.acquire(demand, signal);
+    },
+  } as unknown as Dispatch;
+  const { run, clock, histories, finish } = await startRun({ dispatch });
+  await pass(clock, 500);
+  finish();
+  grant();
+  await pass(clock, 100);
+  await run.stop("ended");
+  expect(histories.of("p").waits.expectedMs() >= 500).toEqual(true);
+});
+
 test("items whose pool has no upstream left run on the route's other pool", async () => {
   const { transport, sent } = losingTransport(Loss.Unsendable);
   const { dispatch } = dispatchTo((pool) => pool === "p");
@@ -294,3 +335,31 @@
     .map((pool) => asked.filter((one) => one === pool).length);
   expect(counts.every((count) => count > 5)).toEqual(true);
 });
+
+test("an item that waits when its batch's timeout passes is placed anew once", async () => {
+  const starts: number[] = [];
+  const dispatch = {
+    acquire: (demand: Demand, signal: AbortSignal) => {
+      if (demand.id === "one") starts.push(demand.startInMs ?? NaN);
+      return new Promise((resolve) =>
+        signal.addEventListener("abort", () =>
+          resolve(Err(
+            new Refusal({
+              verdict: Verdict.NotRun,
+              reason: Reason.Cancelled,
+              message: "Cancelled",
+            }),
+          )), { once: true })
+      );
+    },
+  } as unknown as Dispatch;
+  const exchange = { ...ROUTE.exchange, batch: { resultTargetMs: 1000 } };
+  const route = { ...ROUTE, deadlineMs: 4000, exchange } as ExchangeRoute;
+  const { run, clock } = await startRun({
+    dispatch,
+    routeInForce: () => route,
+  });
+  await pass(clock, 8000);
+  await run.stop("ended");
+  expect([starts.length, starts[1] > 20_000]).toEqual([2, true]);
+});
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -9,7 +9,6 @@
 import { isNone, type Option } from "fp-ts/Option";
 import { setMaxListeners } from "node:events";
 import { Err, Ok, type Result } from "ts-results";
-import { z } from "zod";
 import { activeConfigurationKey } from "../config/mod.ts";
 import { peerFallbackKey } from "../detour/mod.ts";
 import { dispatchKey } from "../dispatch/mod.ts";
@@ -20,86 +19,49 @@
   type PeerHandler,
   type Props,
   Reason,
-  Refusal,
+  type Refusal,
   register,
   Verdict,
 } from "../kernel/mod.ts";
 import type { TransactionalKeyValue } from "../outside/mod.ts";
 import { type Peers, peersKey } from "../peers/mod.ts";
 import { type ExchangeRoute, relayKey } from "../relay/mod.ts";
-import { BatchCache, type CachedBatch, pageOf } from "./batch_cache.ts";
+import { BatchCache } from "./batch_cache.ts";
+import { BatchReader } from "./batch_reader.ts";
+import { BatchScanner } from "./batch_scanner.ts";
 import { BatchRun } from "./batch_run.ts";
 import {
   type BatchHead,
   BatchStore,
   ChangeStatus,
-  resultsSchema,
   type VersionedHead,
 } from "./batch_store.ts";
+import { Message, ownBody } from "./messages.ts";
 import {
   Batches,
   batchesKey,
   type BatchRef,
   type BatchSubmission,
-  type ItemResult,
   type Page,
 } from "./mod.ts";
 import { partialOutputKey, PartialOutputs } from "./partial_outputs.ts";
-import { UpstreamSpeeds } from "./upstream_speeds.ts";
+import { refuse } from "./refusals.ts";
+import { RepeatedGroups } from "./repeated_groups.ts";
+import { PoolHistories } from "./pool_history.ts";
 
 const log = logger("batches");
 
-/** Interval at which the scanning daemons check all batches. */
-const SCAN_INTERVAL_MS = 1000;
-
-/** Time for the daemons to discover each other when all start at once. */
-const FIRST_SCAN_DELAY_MS = 300;
-
-/** Number of daemons that scan all batches: one may be dead or cut off. */
-const SCANNING_DAEMONS = 2;
-
 /** Retention of batches if the settings give none. */
 const DEFAULT_RETENTION_MS = 120_000;
 
-/** Batches are removed this long after the end of their retention. */
-const REMOVAL_MARGIN_MS = 30_000;
-
-/** Batches that are never ended are removed this long after submission. */
-const MAX_OPEN_MS = 24 * 60 * 60 * 1000;
-
 /** Time to determine the outcome of a submission. */
 const SUBMIT_TIMEOUT_MS = 1500;
 
 const NOTIFY_OWNER_TIMEOUT_MS = 1000;
 
-/** Time allowed for an owner's answer beyond the wait asked for. */
-const READ_TIMEOUT_MARGIN_MS = 400;
-
-/** Suggested retry delay of a refused call. */
-const RETRY_AFTER_MS = 300;
-
 /** Attempts to end a batch whose head is changed concurrently. */
 const MAX_END_ATTEMPTS = 20;
 
-/** Peer requests of this plug-in. */
-enum Message {
-  /** Asks a daemon to run a batch, or to stop if the batch has ended. */
-  Own = "batches.own",
-  /** Asks a batch's owner for results. */
-  Read = "batches.read",
-}
-
-const ownBody = z.object({ id: z.string(), ended: z.boolean() });
-const readBody = z.object({
-  id: z.string(),
-  after: z.number(),
-  waitMs: z.number(),
-});
-const readAnswer = z.object({
-  run: z.boolean(),
-  results: resultsSchema,
-});
-
 /** A batch that this daemon owned when a call was sent. */
 interface OwnedBatch {
   readonly state: VersionedHead;
@@ -112,16 +74,20 @@
   readonly #kernel: Kernel;
   readonly #peers: Peers;
   readonly #store: BatchStore;
-  readonly #retentionMs: number;
   readonly #cache = new BatchCache();
+  readonly #reader: BatchReader;
+  readonly #scanner: BatchScanner;
   readonly #runs = new Map<string, BatchRun>();
   /** Starts under way; aborted if the batch ends meanwhile. */
   readonly #starts = new Map<string, AbortController>();
-  readonly #speedsByPool = new Map<string, UpstreamSpeeds>();
+  readonly #histories: PoolHistories;
   readonly #partialOutputs = new PartialOutputs();
+  readonly #repeatedGroups = new RepeatedGroups();
   readonly #stop = new AbortController();
   /** Counts calls by kind and outcome. */
   readonly #callsTotal;
+  /** Counts groups by route and outcome. */
+  readonly #groupsTotal;
   #leaving = false;
 
   constructor(options: {
@@ -134,20 +100,40 @@
     const { kernel, records } = options;
     this.#kernel = kernel;
     this.#peers = kernel.get(peersKey);
+    this.#histories = new PoolHistories({ clock: kernel.clock });
     // Every reader that waits for a result adds a listener.
     setMaxListeners(0, this.#stop.signal);
-    this.#retentionMs = options.retentionMs ??
-      kernel.settings.timing.batchRetentionMs ?? DEFAULT_RETENTION_MS;
     this.#store = new BatchStore({ records, clock: kernel.clock });
+    this.#reader = new BatchReader({
+      store: this.#store,
+      cache: this.#cache,
+      peers: this.#peers,
+      runs: this.#runs,
+      runnerOf: (head) => this.#runnerOf(head),
+      signal: this.#stop.signal,
+    });
+    this.#scanner = new BatchScanner({
+      clock: kernel.clock,
+      peers: this.#peers,
+      store: this.#store,
+      retentionMs: options.retentionMs ??
+        kernel.settings.timing.batchRetentionMs ?? DEFAULT_RETENTION_MS,
+      notifyOwner: (head) => this.#notifyOwner(head),
+    });
     this.#callsTotal = kernel.counter(
       "toucanwind_batches_calls_total",
       "Calls on batches by kind and outcome",
       ["call", "outcome"],
     );
+    this.#groupsTotal = kernel.counter(
+      "toucanwind_batches_groups_total",
+      "Groups of batches by route and outcome",
+      ["route", "outcome"],
+    );
     this.props = {
       peerHandlers: {
         [Message.Own]: this.#handleOwn,
-        [Message.Read]: this.#handleRead,
+        [Message.Read]: this.#reader.handleRead,
       },
       status: () =>
         [...this.#runs.values()].map(({ state, results }) => ({
@@ -160,7 +146,7 @@
   }
 
   override start(): Promise<void> {
-    void this.#scanPeriodically();
+    void this.#scanner.run(this.#stop.signal);
     return Promise.resolve();
   }
 
@@ -213,25 +199,16 @@
     }
   }
 
-  async read(batch: BatchRef, { after, waitMs, signal }: {
+  read(batch: BatchRef, options: {
     after: number;
     waitMs: number;
     signal: AbortSignal;
   }): Promise<Result<Page, Refusal>> {
-    const found = await this.#findBatch(batch);
-    if (found.err) return found;
-    let cached = found.val;
-    if (
-      cached.results.length <= after &&
-      cached.results.length < cached.head.total
-    ) {
-      cached = await this.#waitForResults(cached, { after, waitMs, signal });
-    }
-    return Ok(pageOf(cached.head.total, cached.results, after));
+    return this.#reader.read(batch, options);
   }
 
   async body(batch: BatchRef, item: string): Promise<Result<string, Refusal>> {
-    const found = await this.#findBatch(batch);
+    const found = await this.#reader.find(batch);
     if (found.err) return found;
     const { head } = found.val;
     const submission = found.val.submission ?? await this.#items(head);
@@ -389,9 +366,12 @@
       store: this.#store,
       ...taken,
       submission,
+      repeatedGroups: this.#repeatedGroups.record(submission),
       route,
       results: results.val.flat(),
-      speeds: (pool) => this.#speedsOf(pool),
+      countGroups: (outcome, count) =>
+        this.#groupsTotal.inc({ route: head.route, outcome }, count),
+      histories: this.#histories,
       partialOutputs: this.#partialOutputs,
     });
     if (this.#leaving || signal.aborted) return;
@@ -402,18 +382,10 @@
 
   /** Caches the results of a run that has ended, and drops the run. */
   #retire(id: string, run: BatchRun): void {
-    this.#cacheRun(run);
+    this.#reader.cacheRun(run);
     if (this.#runs.get(id) === run) this.#runs.delete(id);
   }
 
-  #speedsOf(pool: string): UpstreamSpeeds {
-    const known = this.#speedsByPool.get(pool);
-    if (known !== undefined) return known;
-    const speeds = new UpstreamSpeeds({ clock: this.#kernel.clock });
-    this.#speedsByPool.set(pool, speeds);
-    return speeds;
-  }
-
   /** Makes this incarnation of the daemon the owner unless it already is. */
   async #takeOwnership(
     state: VersionedHead,
@@ -460,205 +432,8 @@
     });
     return found.val;
   }
-
-  // Scanning
-
-  async #scanPeriodically(): Promise<void> {
-    const { signal } = this.#stop;
-    // The first scan is soon: all daemons may have restarted.
-    let waitMs = FIRST_SCAN_DELAY_MS;
-    while (!signal.aborted) {
-      await this.#kernel.clock.sleep(waitMs, signal);
-      waitMs = SCAN_INTERVAL_MS;
-      const ranked = this.#peers.rankedForDuty("batches").slice(
-        0,
-        SCANNING_DAEMONS,
-      );
-      const self = this.#peers.self.vm;
-      if (signal.aborted || !ranked.some(({ vm }) => vm === self)) continue;
-      const heads = await this.#store.heads();
-      if (heads.err) continue;
-      for (const state of heads.val) {
-        await this.#checkBatch(state).catch((error) =>
-          log("batch not checked", {
-            id: state.head.id,
-            reason: String(error),
-          })
-        );
-      }
-    }
-  }
-
-  async #checkBatch(state: VersionedHead): Promise<void> {
-    const { head } = state;
-    const ageMs = this.#kernel.clock.wall() - head.submittedAt;
-    const keptMs = head.ended
-      ? this.#retentionMs + REMOVAL_MARGIN_MS
-      : MAX_OPEN_MS;
-    if (ageMs > keptMs) {
-      await this.#store.remove(state);
-      log("batch removed", { id: head.id, ageMs: Math.round(ageMs) });
-      return;
-    }
-    // An owner that missed the end learns of it when it confirms ownership.
-    if (head.ended || head.listed >= head.total) return;
-    void this.#notifyOwner(head);
-  }
-
-  // Reading
-
-  /** A batch as known here, read from the store if it is unknown. */
-  async #findBatch(
-    { id, organisation }: BatchRef,
-  ): Promise<Result<CachedBatch, Refusal>> {
-    const run = this.#runs.get(id);
-    const known = run === undefined ? this.#cache.get(id) : this.#cacheRun(run);
-    const found = known === undefined
-      ? await this.#loadBatch(id)
-      : Ok(known) as Result<CachedBatch, Refusal>;
-    if (found.err) return found;
-    if (found.val.head.organisation === organisation) return found;
-    return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
-  }
-
-  #cacheRun(run: BatchRun): CachedBatch {
-    const { head } = run.state;
-    const { results } = run;
-    return this.#cache.put({
-      head,
-      results: [...results],
-      chunks: head.chunks,
-    });
-  }
-
-  async #loadBatch(id: string): Promise<Result<CachedBatch, Refusal>> {
-    const found = await this.#store.head(id);
-    if (found.err) return Err(refuse(Verdict.NotRun, Reason.PlatformDown));
-    if (isNone(found.val)) {
-      return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
-    }
-    const { head } = found.val.value;
-    const full = await this.#complete({ head, results: [], chunks: 0 }, head);
-    return full === undefined
-      ? Err(refuse(Verdict.NotRun, Reason.PlatformDown))
-      : Ok(full);
-  }
-
-  /** Waits for new results, and gets them from the owner or the store. */
-  async #waitForResults(cached: CachedBatch, options: {
-    after: number;
-    waitMs: number;
-    signal: AbortSignal;
-  }): Promise<CachedBatch> {
-    const fromOwner = await this.#readFromOwner(cached, options);
-    if (fromOwner !== undefined && fromOwner.results.length > options.after) {
-      return fromOwner;
-    }
-    // A replaced owner that doesn't know it yet may lack results.
-    return await this.#refresh(fromOwner ?? cached) ?? fromOwner ?? cached;
-  }
-
-  async #readFromOwner(cached: CachedBatch, options: {
-    waitMs: number;
-    signal: AbortSignal;
-  }): Promise<CachedBatch | undefined> {
-    const { id } = cached.head;
-    const known = cached.results.length;
-    const answer = await this.#peers.ask(
-      this.#runnerOf(cached.head),
-      Message.Read,
-      {
-        id,
-        after: known,
-        waitMs: options.waitMs,
-      },
-      {
-        timeoutMs: options.waitMs + READ_TIMEOUT_MARGIN_MS,
-        signal: options.signal,
-      },
-    );
-    if (answer.err) return undefined;
-    const parsed = readAnswer.safeParse(answer.val);
-    if (!parsed.success || !parsed.data.run) return undefined;
-    const { results } = parsed.data;
-    return this.#cache.put({
-      ...this.#cache.get(id) ?? cached,
-      results: [...cached.results, ...results],
-    });
-  }
-
-  readonly #handleRead: PeerHandler = async (body) => {
-    const { id, after, waitMs } = readBody.parse(body);
-    const run = this.#runs.get(id);
-    if (run === undefined) return this.#remembered(id, after);
-    await run.waitForMore(after, { waitMs, signal: this.#stop.signal });
-    const { results } = pageOf(run.state.head.total, run.results, after);
-    return { run: true, results };
-  };
-
-  /** Cached results of an ended run; without any, readers ask the store. */
-  #remembered(
-    id: string,
-    after: number,
-  ): { run: boolean; results: readonly ItemResult[] } {
-    const cached = this.#cache.get(id);
-    if (cached === undefined) return { run: false, results: [] };
-    const { results } = pageOf(cached.head.total, cached.results, after);
-    return { run: results.length > 0, results };
-  }
-
-  /** The batch as stored; undefined if it can't be read. */
-  async #refresh(cached: CachedBatch): Promise<CachedBatch | undefined> {
-    const { id } = cached.head;
-    const found = await this.#store.head(id);
-    if (found.err || isNone(found.val)) return undefined;
-    return await this.#complete(cached, found.val.value.head);
-  }
-
-  /**
-   * Adds the listed results that are missing here: from the owner if possible,
-   * which puts no load on the key-value service, or else from the store.
-   */
-  async #complete(
-    cached: CachedBatch,
-    head: BatchHead,
-  ): Promise<CachedBatch | undefined> {
-    if (head.listed <= cached.results.length) {
-      return this.#cache.put({ ...cached, head });
-    }
-    const fromOwner = await this.#readFromOwner({ ...cached, head }, {
-      waitMs: 0,
-      signal: this.#stop.signal,
-    });
-    if (fromOwner !== undefined && fromOwner.results.length >= head.listed) {
-      return this.#cache.put({ ...fromOwner, head });
-    }
-    const chunks = await this.#store.results(head.id, 0);
-    if (chunks.err) return undefined;
-    return this.#cache.put({
-      head,
-      results: chunks.val.flat(),
-      chunks: chunks.val.length,
-    });
-  }
-}
-
-function refuse(verdict: Verdict, reason: Reason): Refusal {
-  return new Refusal({
-    verdict,
-    reason,
-    message: MESSAGES[reason] ?? "The batch can't be served now",
-    retryAfterMs: RETRY_AFTER_MS,
-  });
 }
 
-const MESSAGES: Readonly<Partial<Record<Reason, string>>> = {
-  [Reason.StepUnknown]: "There is no such batch or item",
-  [Reason.IdempotencyConflict]: "Another batch has this id",
-  [Reason.PlatformDown]: "Batches can't be looked up now",
-  [Reason.PeerFailed]: "Whether the batch was changed is not known",
-};
-
 register({
   key: batchesKey,
   requires: [
