Evacuated zones: read, gossiped and kept with the list of upstreams

Cause: operators could not keep requests away from an availability zone.

Each daemon keeps the zones with a revision of their own. Every gossip message of the directory carries them (the field is optional), so that one lost message does no harm. Without news for 1.6 s a daemon reads the zones itself, also if daemons of the build before keep its list new. A list is not used before the zones are known, so that a restarted daemon forgets none.

--- a/src/directory/directory_gossip.ts
+++ b/src/directory/directory_gossip.ts
@@ -51,12 +51,20 @@
   bornAt: z.number().optional(),
 });
 
+const evacuatedZones = z.object({
+  revision: z.number(),
+  zones: z.array(z.string()),
+  ageMs: z.number(),
+});
+
 /** The gossip message; `vms` is omitted if the peer was last sent this list. */
 const listingUpdate = z.object({
   digest: z.string(),
   revision: z.number(),
   ageMs: z.number(),
   vms: z.array(vm).optional(),
+  /** In each message, as one may be lost; absent from earlier builds. */
+  evacuated: evacuatedZones.optional(),
   /** The incarnation of the sender, and the time on its monotonic clock. */
   run: z.string().optional(),
   at: z.number().optional(),
@@ -86,8 +94,15 @@
       },
     },
     status: () => {
-      const { revision, ageMs, vms } = this.#directory.newest;
-      return { revision, ageMs: Math.round(ageMs), vms: vms.length };
+      const { revision, ageMs, vms, evacuated } = this.#directory.newest;
+      return {
+        revision,
+        ageMs: Math.round(ageMs),
+        vms: vms.length,
+        ...evacuated === undefined
+          ? {}
+          : { evacuated: { ...evacuated, ageMs: Math.round(evacuated.ageMs) } },
+      };
     },
   };
   readonly #clock: Clock;
@@ -112,6 +127,10 @@
     this.#directory.maxAgeMs = () =>
       this.#isReader() ? READER_MAX_AGE_MS : RECEIVER_MAX_AGE_MS;
     this.#directory.onUpdate(() => this.#peers.gossipNow(GOSSIP_SECTION));
+    // A list that came with the zones is applied first: an old one isn't offered.
+    this.#directory.evacuations.onChange(() =>
+      queueMicrotask(() => this.#peers.gossipNow(GOSSIP_SECTION))
+    );
   }
 
   #isReader(): boolean {
@@ -121,7 +140,7 @@
   }
 
   #offer(peer: string): z.infer<typeof listingUpdate> | undefined {
-    const { vms, revision, ageMs } = this.#directory.newest;
+    const { vms, revision, ageMs, evacuated } = this.#directory.newest;
     if (ageMs > RECEIVER_MAX_AGE_MS) return undefined;
     const digest = this.#digest(vms);
     const alreadySent = this.#lastSentDigests.get(peer) === digest;
@@ -130,6 +149,9 @@
       digest,
       revision,
       ageMs,
+      evacuated: evacuated === undefined
+        ? undefined
+        : { ...evacuated, zones: [...evacuated.zones] },
       run: this.#peers.self.incarnation,
       at: this.#clock.now(),
       echo: this.#echo(peer),
@@ -147,7 +169,14 @@
   /** Applies an update, and forwards it if the list is now much newer. */
   #accept(update: z.infer<typeof listingUpdate>, peer: string): void {
     const before = this.#directory.newest.ageMs;
-    this.#apply({ ...update, ageMs: update.ageMs + this.#latencyMs(update) });
+    const latencyMs = this.#latencyMs(update);
+    const { evacuated } = update;
+    // Merged even if the list is older: each has a revision of its own.
+    if (evacuated !== undefined) {
+      const ageMs = evacuated.ageMs + latencyMs;
+      this.#directory.evacuations.merge({ ...evacuated, ageMs });
+    }
+    this.#apply({ ...update, ageMs: update.ageMs + latencyMs });
     const { run, at } = update;
     if (run !== undefined && at !== undefined) {
       this.#lastReceived.set(peer, {
--- a/src/outside/cached_directory.ts
+++ b/src/outside/cached_directory.ts
@@ -7,11 +7,13 @@
  * @module
  */
 
-import { Ok, type Result } from "ts-results";
+import { Err, Ok, type Result } from "ts-results";
 import { type Clock, logger } from "../kernel/mod.ts";
+import { Evacuations } from "./evacuated_zones.ts";
 import {
   Directory,
   type Failure,
+  Fault,
   Role,
   type Vm,
   type VmListing,
@@ -34,6 +36,13 @@
  */
 const SAME_REVISION_MARGIN_MS = 100;
 
+/**
+ * Evacuated zones older than this are read again, also if the list is newer, as
+ * daemons of an earlier build pass on lists without them. Readers read them once
+ * a second, so that this is exceeded only without news of a reader.
+ */
+const MAX_EVACUATIONS_AGE_MS = 1600;
+
 /** A list with its age, as daemons exchange it. */
 export interface AgedVmListing extends VmListing {
   readonly ageMs: number;
@@ -41,6 +50,8 @@
 
 /** A directory that caches its source's list, also during outages. */
 export class CachedDirectory extends Directory {
+  /** The evacuated zones that came with the lists. */
+  readonly evacuations: Evacuations;
   readonly #source: VmListingSource;
   readonly #clock: Clock;
   readonly #outageGraceMs: number;
@@ -66,6 +77,7 @@
     this.#clock = options.clock;
     this.#maxAgeMs = () => options.maxAgeMs;
     this.#outageGraceMs = options.outageGraceMs;
+    this.evacuations = new Evacuations({ clock: options.clock });
   }
 
   /** Sets a function that gives the maximum age each time it is checked. */
@@ -76,11 +88,11 @@
   /** The newest list; its age is infinite before the first one. */
   get newest(): AgedVmListing {
     const ageMs = this.#clock.now() - this.#currentAt;
-    return { ...this.#listing, ageMs };
+    return { ...this.#listing, ageMs, evacuated: this.evacuations.newest };
   }
 
   list(): Promise<Result<readonly Vm[], Failure>> {
-    if (this.newest.ageMs < this.#maxAgeMs()) {
+    if (this.newest.ageMs < this.#maxAgeMs() && this.#knowsEvacuations()) {
       return Promise.resolve(Ok(this.#listing.vms));
     }
     this.#pendingRead ??= this.#read().finally(() =>
@@ -90,7 +102,9 @@
   }
 
   /** Applies a list read by another daemon, unless it is older. */
-  receive({ vms, revision, ageMs }: AgedVmListing): void {
+  receive({ vms, revision, ageMs, evacuated }: AgedVmListing): void {
+    if (evacuated !== undefined) this.evacuations.merge(evacuated);
+    if (this.#lacksEvacuations()) return;
     if (revision < this.#listing.revision) return;
     const now = this.#clock.now();
     const gainMs = now - ageMs - this.#currentAt;
@@ -107,6 +121,17 @@
     this.receive({ vms: this.#listing.vms, revision, ageMs });
   }
 
+  /** Whether zones may be evacuated without this daemon's knowledge of any. */
+  #lacksEvacuations(): boolean {
+    return this.#source.readsEvacuations &&
+      this.evacuations.newest === undefined;
+  }
+
+  #knowsEvacuations(): boolean {
+    return !this.#source.readsEvacuations ||
+      this.evacuations.ageMs < MAX_EVACUATIONS_AGE_MS;
+  }
+
   /** Calls `listener` after each read or change; returns a function to stop. */
   onUpdate(listener: () => void): () => void {
     this.#listeners.add(listener);
@@ -115,7 +140,7 @@
 
   async #read(): Promise<Result<readonly Vm[], Failure>> {
     const askedAt = this.#clock.now();
-    const read = await this.#source.read();
+    const read = this.#withEvacuations(await this.#source.read());
     if (read.err) {
       if (this.#reachable) log("reads failing", { reason: read.val.message });
       this.#reachable = false;
@@ -123,16 +148,26 @@
     }
     if (!this.#reachable) log("reads resumed", { listed: read.val.vms.length });
     this.#reachable = true;
-    if (read.val.revision < this.#listing.revision) {
-      return Ok(this.#listing.vms);
-    }
+    const { vms, revision } = read.val;
+    if (revision < this.#listing.revision) return Ok(this.#listing.vms);
     const now = this.#clock.now();
     this.#detectOutageEnd(now);
-    this.#apply(this.#withMissingUpstreams(read.val, now), askedAt);
+    this.#apply(this.#withMissingUpstreams({ vms, revision }, now), askedAt);
     this.#notify();
     return Ok(this.#listing.vms);
   }
 
+  /** Applies the evacuated zones that were read; fails if none are known. */
+  #withEvacuations(
+    read: Result<VmListing, Failure>,
+  ): Result<VmListing, Failure> {
+    const evacuated = read.ok ? read.val.evacuated : undefined;
+    if (evacuated !== undefined) this.evacuations.merge(evacuated);
+    if (read.err || !this.#lacksEvacuations()) return read;
+    const message = "The evacuated zones are not known";
+    return Err({ fault: Fault.Unknown, message });
+  }
+
   /**
    * Starts the grace period if the cached list is so old that the next one may
    * lack entries, whether that one was read here or received.
--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -8,6 +8,7 @@
 import { fromNullable, type Option } from "fp-ts/Option";
 import type { Result } from "ts-results";
 import type { AnswerLimits } from "./answer_limits.ts";
+import type { AgedEvacuatedZones, Evacuations } from "./evacuated_zones.ts";
 import { connectTo, Reachability } from "./reachability.ts";
 import type { NoticeFeed } from "./upstream_notices.ts";
 import type { UpstreamTransport } from "./upstream_transport.ts";
@@ -119,8 +120,11 @@
 
 /** A key-value service with transactions over several keys. */
 export abstract class TransactionalKeyValue extends KeyValue {
-  /** Reads all entries under a prefix. */
-  abstract snapshot(prefix: string): Promise<Result<Snapshot, Failure>>;
+  /** Reads the entries under a prefix in key order, at most `limit`. */
+  abstract snapshot(
+    prefix: string,
+    options?: { limit?: number },
+  ): Promise<Result<Snapshot, Failure>>;
 
   /**
    * Applies a transaction. After `Fault.Unknown` it may have taken effect, or
@@ -205,10 +209,18 @@
 export interface VmListing {
   readonly vms: readonly Vm[];
   readonly revision: number;
+  /** Absent if they were not read, or come from a daemon of an earlier build. */
+  readonly evacuated?: AgedEvacuatedZones;
 }
 
 /** A source of lists of VMs that have revisions. */
 export abstract class VmListingSource {
+  /**
+   * Whether it reads evacuated zones too. A list must then not be used before
+   * these are known, or a restarted daemon would send to an evacuated zone.
+   */
+  readonly readsEvacuations: boolean = false;
+
   abstract read(): Promise<Result<VmListing, Failure>>;
 }
 
@@ -436,8 +448,16 @@
   readonly answerLimits?: AnswerLimits;
   /** What upstreams say of themselves; absent if they say nothing. */
   readonly notices?: NoticeFeed;
+  /** The evacuated zones; absent on platforms without evacuations. */
+  readonly evacuations?: Evacuations;
 }
 
+export {
+  type AgedEvacuatedZones,
+  type EvacuatedZones,
+  type EvacuationChange,
+  Evacuations,
+} from "./evacuated_zones.ts";
 export { type UpstreamNotice } from "./upstream_notices.ts";
 export {
   type HeaderFields,
--- a/stand_ins/memory_transactional_key_value.ts
+++ b/stand_ins/memory_transactional_key_value.ts
@@ -81,9 +81,12 @@
     return this.#call("range", () => this.entriesUnder(prefix, options));
   }
 
-  snapshot(prefix: string): Promise<Result<Snapshot, Failure>> {
+  snapshot(
+    prefix: string,
+    options: { limit?: number } = {},
+  ): Promise<Result<Snapshot, Failure>> {
     return this.#call("range", () => ({
-      entries: this.entriesUnder(prefix),
+      entries: this.entriesUnder(prefix, options),
       revision: this.#revision,
     }));
   }
