Dispatch sends nothing to upstreams of evacuated zones

Change: Fleet marks the upstreams. Entries exclude them and return a permit that a leader granted without knowing. Leaders grant nothing there, count none of their slots, send no health check, and read load only while permits are in use. What runs there goes on: these upstreams don't count as leaving. A request that a shard refuses for want of an upstream is asked for at the other shards before it is refused, as the evacuated upstreams may be all of one shard. What a suspect had reserved is freed when its upstream goes out of use.

Operators see the gauge toucanwind_dispatch_evacuated_upstreams by pool and a log line when a pool has no other upstream left. Fleet#restoredZones and Evacuations#onChange tell which evacuations have just ended.

--- a/experiments/dispatch_systems.ts
+++ b/experiments/dispatch_systems.ts
@@ -417,6 +417,7 @@
     availabilityZone: engine.availabilityZone,
     reclaimable: false,
     leaving,
+    evacuated: false,
     slots: engine.slots,
   };
 }
--- a/experiments/shard_leader_cost.ts
+++ b/experiments/shard_leader_cost.ts
@@ -28,6 +28,7 @@
     availabilityZone: `zone-${index % 4}`,
     reclaimable: false,
     leaving: false,
+    evacuated: false,
     cores: 1,
     slots: SLOTS_PER_UPSTREAM,
   })));
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -111,6 +111,7 @@
   readonly #waits: Histogram<"priority">;
   readonly #load: Gauge<"pool" | "state">;
   readonly #limits: Gauge<"pool">;
+  readonly #evacuated: Gauge<"pool">;
   readonly #limitedWaits: Histogram;
   #unsubscribers: readonly (() => void)[] = [];
   #vms: readonly Vm[] = [];
@@ -192,6 +193,11 @@
       "Upstreams with a limit at the shards kept here, by pool",
       ["pool"],
     );
+    this.#evacuated = kernel.gauge(
+      "toucanwind_dispatch_evacuated_upstreams",
+      "Upstreams in evacuated zones as this daemon knows them, by pool",
+      ["pool"],
+    );
     this.#quarantine.onChange((finding) => this.#notifyFinding(finding));
     this.#notices.onChange((notice, origin) =>
       this.#noticeChanged(notice, origin)
@@ -217,6 +223,9 @@
           this.#fleet.upstream(notice.upstream)?.bornAt,
         )
       ) ?? (() => {}),
+      // Not with the next list: unused permits are returned at once.
+      this.#kernel.platform.evacuations?.onChange(() => this.#assign()) ??
+        (() => {}),
     ];
     const recovered = this.#recoverFindings();
     await Promise.race([
@@ -301,6 +310,7 @@
           weightVersion: known?.weightVersion ?? 0,
           reclaimable: upstream.reclaimable,
           leaving: upstream.leaving,
+          ...upstream.evacuated ? { evacuated: true } : {},
           ...this.#notices.limitOf(upstream.id) === Infinity
             ? {}
             : { limitPerS: this.#notices.limitOf(upstream.id) },
@@ -469,14 +479,32 @@
   #assign(): void {
     if (this.#abort.signal.aborted) return;
     const configuration = toUndefined(this.#config.current());
+    const before = this.#fleet;
     this.#fleet = new Fleet({
       vms: this.#vms,
       configuration,
+      evacuatedZones: this.#kernel.platform.evacuations?.zones,
       saysLeaving: (id, bornAt) => this.#notices.isLeaving(id, bornAt),
     });
     this.#heldPermits.setFleet(this.#fleet);
     this.#entry.setFleet(this.#fleet);
     this.#localLeaders.assign(this.#fleet);
+    this.#observeEvacuations(before);
+  }
+
+  #observeEvacuations(before: Fleet): void {
+    this.#evacuated.reset();
+    for (const [pool, count] of this.#fleet.evacuatedByPool()) {
+      this.#evacuated.set({ pool }, count);
+    }
+    const pools = this.#fleet.evacuatedPools();
+    const known = before.evacuatedPools();
+    for (const pool of pools) {
+      if (!known.includes(pool)) log("pool evacuated", { pool });
+    }
+    for (const pool of known) {
+      if (!pools.includes(pool)) log("pool no longer evacuated", { pool });
+    }
   }
 
   #publish(): void {
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -32,6 +32,7 @@
   selectShard,
 } from "./shard_selection.ts";
 import { thinPrefixes } from "./prefixes.ts";
+import { isInUse } from "./shards.ts";
 import type { ShardSummaries } from "./summaries.ts";
 import type { HeldPermits } from "./held_permits.ts";
 
@@ -118,6 +119,7 @@
     const endsAt = startedAt + demand.remainingMs;
     let retryMs = FIRST_RETRY_MS;
     let target: AcquireTarget | undefined;
+    const refusedBy = new Set<string>();
     for (;;) {
       const remaining = {
         ...demand,
@@ -125,12 +127,12 @@
         startInMs: demand.startInMs === undefined
           ? undefined
           : demand.startInMs - (this.#clock.now() - startedAt),
-        // The leader may not know yet which upstreams leave.
-        exclude: [...demand.exclude, ...this.#fleet.leaving(demand.pool)],
+        // The leader may not know yet which upstreams leave or are evacuated.
+        exclude: [...demand.exclude, ...this.#fleet.outOfUse(demand.pool)],
       };
       const refusal = this.#refusal(remaining, signal);
       if (refusal !== undefined) return Err(refusal);
-      target ??= this.#selectTarget(remaining);
+      target ??= this.#selectTarget(remaining, refusedBy);
       if (target === undefined) return Err(noUpstream(demand.pool));
       const move = new AbortController();
       const asked = await this.#acquireWhileBest(remaining, target, {
@@ -145,13 +147,22 @@
         const answer = asked.val;
         if (answer.ending === AcquireEnding.Granted) {
           const permit = this.#start(answer, remaining, { target, signal });
-          if (!permit.leaving.aborted) return Ok(permit);
-          // It was granted before this daemon heard that the upstream leaves.
+          const evacuated = this.#isEvacuated(answer.upstream);
+          if (!permit.leaving.aborted && !evacuated) return Ok(permit);
+          // It was granted before its leader knew that the upstream leaves or
+          // is evacuated.
           permit.release(Outcome.Cancelled, 0);
+          if (evacuated) target = undefined;
           continue;
         }
         if (answer.ending === AcquireEnding.Refused) {
           const { reason, message, retryAfterMs } = answer;
+          if (reason === Reason.NoUpstream) {
+            // Another shard may have upstreams that are not evacuated.
+            refusedBy.add(target.shard.name);
+            target = this.#selectTarget(remaining, refusedBy);
+            if (target !== undefined) continue;
+          }
           return Err(notRun(reason, message, retryAfterMs));
         }
         this.#onRetry(Reason.Draining);
@@ -304,17 +315,22 @@
     return permit;
   }
 
-  #selectTarget(demand: Demand): AcquireTarget | undefined {
-    const shard = this.#selectShard(demand);
+  #selectTarget(
+    demand: Demand,
+    refusedBy: ReadonlySet<string>,
+  ): AcquireTarget | undefined {
+    const shard = this.#selectShard(
+      this.#usableShards(demand).filter(({ name }) => !refusedBy.has(name)),
+      demand,
+    );
     if (shard === undefined) return undefined;
     const leader = this.#peers.rankedForDuty(shard.name)[0]?.vm;
     if (leader === undefined) return undefined;
     return { shard, leader, insist: false };
   }
 
-  /** Selects a shard among those with an upstream that the request may use. */
-  #selectShard(demand: Demand): Shard | undefined {
-    const shards = this.#usableShards(demand);
+  /** Selects one of the shards with an upstream that the request may use. */
+  #selectShard(shards: readonly Shard[], demand: Demand): Shard | undefined {
     // Equal suspects meet at one leader, which runs them one at a time.
     const { fingerprint } = demand;
     if (this.#quarantine.admission(demand) !== Admission.Shared) {
@@ -337,12 +353,16 @@
   /** The shards of a pool with an upstream that a request may use. */
   #usableShards(demand: Demand): readonly Shard[] {
     return this.#fleet.shardsOfPool(demand.pool).filter((shard) =>
-      shard.upstreams.some(({ id, leaving }) =>
-        !leaving && !demand.exclude.includes(id)
+      shard.upstreams.some((upstream) =>
+        isInUse(upstream) && !demand.exclude.includes(upstream.id)
       )
     );
   }
 
+  #isEvacuated(upstream: string): boolean {
+    return this.#fleet.upstream(upstream)?.evacuated === true;
+  }
+
   /** Load of a shard for the demand's model; infinite if it can't serve it. */
   #modelLoad(shard: Shard, demand: Demand): number {
     const { model = "" } = demand;
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -27,6 +27,7 @@
   type Vm,
   VmState,
 } from "../outside/mod.ts";
+import { Evacuations } from "../outside/evacuated_zones.ts";
 import { NoticeFeed } from "../outside/upstream_notices.ts";
 import type { Settings } from "../settings/mod.ts";
 import { type Configuration, type Pool, Priority } from "../tables/mod.ts";
@@ -77,6 +78,7 @@
     availabilityZone: "zone-1",
     reclaimable: false,
     leaving: false,
+    evacuated: false,
     slots: 2,
     ...part,
   };
@@ -158,6 +160,8 @@
   readonly cut = new Set<string>();
   /** What upstreams say of themselves in answers to each daemon. */
   readonly feeds = new Map<string, NoticeFeed>();
+  /** The evacuated zones as each daemon knows them. */
+  readonly evacuations = new Map<string, Evacuations>();
   /** Kinds of message whose next answer is lost. */
   readonly droppedAnswers = new Set<string>();
   /** Kinds of message that never arrive. */
@@ -230,6 +234,18 @@
     this.feeds.get(daemon)?.publish(upstream, fields, { requestAgeMs: 0 });
   }
 
+  /** These daemons, or all, learn which zones are evacuated from now on. */
+  evacuate(
+    zones: readonly string[],
+    daemons: readonly string[] = [...this.nodes.keys()],
+  ): void {
+    for (const daemon of daemons) {
+      const known = this.evacuations.get(daemon);
+      const revision = (known?.newest?.revision ?? 0) + 1;
+      known?.merge({ revision, zones, ageMs: 0 });
+    }
+  }
+
   /** A daemon gets an answer in which an upstream names a limit, or none. */
   announceLimit(daemon: string, upstream: string, limit?: string): void {
     const fields = { limit: limit === undefined ? [] : [limit], leaving: [] };
@@ -239,8 +255,11 @@
   #platform(id: string): Platform {
     const notices = new NoticeFeed();
     this.feeds.set(id, notices);
+    const evacuations = new Evacuations({ clock: new SystemClock() });
+    this.evacuations.set(id, evacuations);
     const platform = {
       notices,
+      evacuations,
       keyValue: this.keyValue,
       directory: { list: () => Promise.resolve(Ok(this.vms)) },
       engine: {
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -7,7 +7,12 @@
 
 import type { Configuration } from "../tables/mod.ts";
 import { Role, type Vm, VmState } from "../outside/mod.ts";
-import { partitionIntoShards, shardName, type Upstream } from "./shards.ts";
+import {
+  isInUse,
+  partitionIntoShards,
+  shardName,
+  type Upstream,
+} from "./shards.ts";
 
 /** Slots of an upstream whose pool is not in the pools table. */
 const DEFAULT_SLOTS = 1;
@@ -22,6 +27,8 @@
 /** An immutable snapshot of all upstreams. */
 export class Fleet {
   readonly shards: readonly Shard[];
+  /** The evacuated zones, whether they have upstreams or not. */
+  readonly evacuatedZones: ReadonlySet<string>;
   readonly #byName: ReadonlyMap<string, Shard>;
   readonly #byUpstream: ReadonlyMap<string, Shard>;
 
@@ -30,13 +37,16 @@
     configuration?: Configuration;
     /** Whether an instance has said itself that it leaves. */
     saysLeaving?: (id: string, bornAt?: number) => boolean;
+    evacuatedZones?: ReadonlySet<string>;
   } = {}) {
     const { saysLeaving = () => false } = options;
+    this.evacuatedZones = options.evacuatedZones ?? new Set();
     const upstreams = (options.vms ?? [])
       .filter(({ role }) => role === Role.Upstream)
       .map((vm) => upstreamOf(vm, options.configuration))
       .map((upstream) => ({
         ...upstream,
+        evacuated: this.evacuatedZones.has(upstream.availabilityZone),
         leaving: upstream.leaving || saysLeaving(upstream.id, upstream.bornAt),
       }));
     const pools = [...new Set(upstreams.map(({ pool }) => pool))].sort();
@@ -73,21 +83,49 @@
     return this.shards.filter((shard) => shard.pool === pool);
   }
 
-  /** Ids of a pool's upstreams that leave. */
-  leaving(pool: string): readonly string[] {
-    return this.shardsOfPool(pool)
-      .flatMap(({ upstreams }) => upstreams)
-      .filter(({ leaving }) => leaving)
+  /** Ids of a pool's upstreams that leave or are evacuated. */
+  outOfUse(pool: string): readonly string[] {
+    return this.#upstreamsOf(pool)
+      .filter((upstream) => !isInUse(upstream))
       .map(({ id }) => id);
   }
 
+  /** Number of evacuated upstreams, for each pool that has upstreams. */
+  evacuatedByPool(): ReadonlyMap<string, number> {
+    const pools = [...new Set(this.shards.map(({ pool }) => pool))];
+    return new Map(pools.map((pool) => [
+      pool,
+      this.#upstreamsOf(pool).filter(({ evacuated }) => evacuated).length,
+    ]));
+  }
+
+  /** Pools whose upstreams are all out of use, some of them evacuated. */
+  evacuatedPools(): readonly string[] {
+    return [...this.evacuatedByPool()].flatMap(([pool, count]) =>
+      count > 0 && !this.#upstreamsOf(pool).some(isInUse) ? [pool] : []
+    );
+  }
+
+  /** Zones that were evacuated in an earlier snapshot and no longer are. */
+  restoredZones(before: Fleet): readonly string[] {
+    return [...before.evacuatedZones]
+      .filter((zone) => !this.evacuatedZones.has(zone));
+  }
+
+  #upstreamsOf(pool: string): readonly Upstream[] {
+    return this.shardsOfPool(pool).flatMap(({ upstreams }) => upstreams);
+  }
+
   /** An upstream by id. */
   upstream(id: string): Upstream | undefined {
     return this.shardOf(id)?.upstreams.find((upstream) => upstream.id === id);
   }
 }
 
-function upstreamOf(vm: Vm, configuration?: Configuration): Upstream {
+function upstreamOf(
+  vm: Vm,
+  configuration?: Configuration,
+): Omit<Upstream, "evacuated"> {
   const pool = configuration?.tables.pools
     .find(({ name }) => name === vm.pool);
   return {
--- a/src/dispatch/local_leaders.ts
+++ b/src/dispatch/local_leaders.ts
@@ -295,7 +295,7 @@
     let seq = 0;
     while (!signal.aborted) {
       const alive = await this.#probe(host.shard, upstream.id);
-      if (alive && !signal.aborted) {
+      if (alive && !signal.aborted && !this.#isEvacuated(upstream.id)) {
         seq = await this.#events(host, upstream, seq);
       }
       await clock.sleep(settings.timing.loadMs, signal);
@@ -322,6 +322,7 @@
     const upstream = this.#fleet.upstream(id);
     const leader = this.#hosted.get(shard)?.leader;
     if (upstream === undefined || leader === undefined) return false;
+    if (!leader.mayProbe(id)) return false;
     const { engine } = this.#kernel.platform;
     const target = targetOf(upstream);
     if (!engine.reportsLoad(target)) {
@@ -344,6 +345,10 @@
     return answer?.ok === true;
   }
 
+  #isEvacuated(id: string): boolean {
+    return this.#fleet.upstream(id)?.evacuated === true;
+  }
+
   /** What the answer to a load read, or a timeout, shows. */
   async #probeResult(
     target: Target,
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -93,6 +93,8 @@
   readonly weightVersion: number;
   readonly reclaimable: boolean;
   readonly leaving: boolean;
+  /** Whether its zone is evacuated. */
+  readonly evacuated?: boolean;
   /** Requests a second that it takes from all daemons, if it named a limit. */
   readonly limitPerS?: number;
 }
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -38,7 +38,7 @@
   type Ticket,
   Urgency,
 } from "./queue.ts";
-import type { Upstream } from "./shards.ts";
+import { isInUse, type Upstream } from "./shards.ts";
 import { StartBudget, StartForecast } from "./start_budget.ts";
 
 const log = logger("dispatch");
@@ -185,6 +185,8 @@
     const states = new Map<string, UpstreamState>();
     for (const upstream of upstreams) {
       const known = this.#states.get(upstream.id);
+      // Its load was not read while it was evacuated.
+      const restored = known?.upstream.evacuated && !upstream.evacuated;
       states.set(upstream.id, {
         breaker: new CircuitBreaker(),
         firstSeenAt: now,
@@ -195,9 +197,17 @@
         previousPeakInFlight: 0,
         refusedUntil: new Map(),
         ...known,
+        ...restored ? { load: undefined, foreign: 0 } : {},
         upstream,
       });
     }
+    for (const id of this.#reservations.keys()) {
+      const upstream = states.get(id)?.upstream;
+      // A suspect would wait for it as long as it stays out of use.
+      if (upstream === undefined || !isInUse(upstream)) {
+        this.#reservations.delete(id);
+      }
+    }
     for (const id of this.#states.keys()) {
       if (!states.has(id)) this.#selector.forget(id);
     }
@@ -222,10 +232,17 @@
     this.#grantWaiting();
   }
 
+  /** Whether an upstream's load may be read: not of an evacuated, idle one. */
+  mayProbe(id: string): boolean {
+    return this.#states.get(id)?.upstream.evacuated !== true ||
+      this.#permits.inFlight(id) > 0;
+  }
+
   /** Whether a health check, which is a request too, may be sent; counts it. */
   takeStart(id: string): boolean {
     const state = this.#states.get(id);
-    if (state === undefined || this.#startsLeft(state) < 1) return false;
+    if (state === undefined || state.upstream.evacuated) return false;
+    if (this.#startsLeft(state) < 1) return false;
     state.budget.take();
     return true;
   }
@@ -599,10 +616,11 @@
     const equal = this.#permits.withFingerprint(demand.fingerprint);
     const since = this.#clock.now() - TRIAL_RUN_MS;
     if (equal.some(({ grantedAt }) => grantedAt <= since)) return undefined;
-    const tried = equal.find(({ upstream }) =>
-      this.#states.get(upstream)?.upstream.leaving === false &&
-      !demand.exclude.includes(upstream)
-    );
+    const tried = equal.find((permit) => {
+      const upstream = this.#states.get(permit.upstream)?.upstream;
+      return upstream !== undefined && isInUse(upstream) &&
+        !demand.exclude.includes(upstream.id);
+    });
     return tried?.upstream;
   }
 
@@ -663,7 +681,7 @@
     const free: Candidate[] = [];
     for (const state of this.#states.values()) {
       const { upstream, breaker } = state;
-      if (upstream.leaving || !breaker.allows(now)) continue;
+      if (!isInUse(upstream) || !breaker.allows(now)) continue;
       if (this.#isIsolated(upstream.id, now)) continue;
       const candidate = this.#candidate(state);
       if (freeSlotsOf(candidate) > 0) free.push(candidate);
@@ -712,7 +730,7 @@
   /** Whether an upstream stays that the request may be sent to. */
   #hasUpstream({ demand: { exclude } }: Ticket): boolean {
     return [...this.#states.values()].some(({ upstream }) =>
-      !upstream.leaving && !exclude.includes(upstream.id)
+      isInUse(upstream) && !exclude.includes(upstream.id)
     );
   }
 
@@ -825,7 +843,7 @@
   #usable(): readonly UpstreamState[] {
     const now = this.#clock.now();
     return [...this.#states.values()].filter(({ upstream, breaker }) =>
-      !upstream.leaving && breaker.allows(now)
+      isInUse(upstream) && breaker.allows(now)
     );
   }
 
--- a/src/dispatch/shards.ts
+++ b/src/dispatch/shards.ts
@@ -24,6 +24,11 @@
   readonly availabilityZone: string;
   readonly reclaimable: boolean;
   readonly leaving: boolean;
+  /**
+   * Whether its zone is evacuated: no more requests are sent there, and those
+   * that run go on, unlike those on an upstream that leaves.
+   */
+  readonly evacuated: boolean;
   /** Requests that it can run concurrently. */
   readonly slots: number;
   /** Path of its health check, if its pool has one. */
@@ -34,6 +39,13 @@
   readonly weightVersions?: Readonly<Record<string, number>>;
 }
 
+/** Whether requests may be sent to an upstream as far as operators decide. */
+export function isInUse(
+  { leaving, evacuated }: Pick<Upstream, "leaving" | "evacuated">,
+): boolean {
+  return !leaving && !evacuated;
+}
+
 /** The name of a shard, by which daemons are ranked as its leader. */
 export function shardName(pool: string, index: number): string {
   return `shard/${pool}/${index}`;
