Orders leave evacuated zones alone

Change: WeightUpdater asks and orders no engine of an evacuated zone, and checks again once the engine has told its version. UpstreamReconciler leaves out the zone's offers, so that what is wanted is placed in other zones and nothing is added to or taken from the evacuated ones.

--- a/src/orders/fixtures_test.ts
+++ b/src/orders/fixtures_test.ts
@@ -15,6 +15,7 @@
 } from "../dispatch/mod.ts";
 import { Kernel } from "../kernel/mod.ts";
 import { type Member, Peers, peersKey } from "../peers/mod.ts";
+import type { Platform } from "../outside/mod.ts";
 import { httpPlatform } from "../outside/http_platform.ts";
 import { DEFAULT_TIMING } from "../settings/load.ts";
 import type { Settings } from "../settings/mod.ts";
@@ -124,6 +125,8 @@
   pressure: () => Pressure;
   policy: () => ScalingPolicy;
   leaseMs: number;
+  /** Takes the place of parts of the platform. */
+  platform?: Partial<Platform>;
 }): Kernel {
   const { vm, url, tables } = options;
   const settings: Settings = {
@@ -145,7 +148,7 @@
   };
   return new Kernel({
     settings,
-    platform: httpPlatform(settings),
+    platform: { ...httpPlatform(settings), ...options.platform },
     incarnation: vm,
     registrations: [
       { key: peersKey, requires: [], create: () => new FixedPeers(vm) },
--- a/src/orders/upstream_reconciler.ts
+++ b/src/orders/upstream_reconciler.ts
@@ -118,7 +118,10 @@
     tables: Tables,
     all: readonly Offer[],
   ): Promise<void> {
-    const offers = all.filter((offer) => offer.pool === pool.name);
+    // What is wanted runs in other zones, and the evacuated ones stay as they are.
+    const offers = all.filter((offer) =>
+      offer.pool === pool.name && !this.#isEvacuated(offer)
+    );
     if (offers.length === 0) return;
     const running = sum(offers.map((offer) => offer.running));
     const wanted = this.#policy.wanted({
@@ -145,7 +148,14 @@
     return [...unsettled, ...due];
   }
 
+  #isEvacuated({ availabilityZone }: Offer): boolean {
+    const { evacuations } = this.#kernel.platform;
+    return evacuations?.has(availabilityZone) === true;
+  }
+
   async #placeOrder(target: OfferTarget): Promise<void> {
+    // Orders before this one may have taken long.
+    if (this.#isEvacuated(target.offer)) return;
     const key = keyOf(target.offer);
     const last = this.#placedOrders.get(key);
     const now = this.#clock.now();
--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -209,8 +209,10 @@
 
   /** Number of updates that may start in a pool now. */
   #startsAllowed(pool: Pool): number {
-    const upstreams = this.#vms
-      .filter((vm) => vm.role === Role.Upstream && vm.pool === pool.name);
+    const upstreams = this.#vms.filter((vm) =>
+      vm.role === Role.Upstream && vm.pool === pool.name &&
+      !this.#isEvacuated(vm)
+    );
     const limit = this.#limiterOf(pool).limit(upstreams.length);
     return limit - this.#pending(pool);
   }
@@ -237,11 +239,16 @@
     }
   }
 
-  /** The live upstreams assigned to the model. */
+  #isEvacuated({ availabilityZone }: Vm): boolean {
+    const { evacuations } = this.#kernel.platform;
+    return evacuations?.has(availabilityZone) === true;
+  }
+
+  /** The live upstreams assigned to the model, without evacuated zones. */
   #assignedVms({ pool, model }: PoolModel): readonly Vm[] {
     const vms = this.#vms.filter((vm) =>
       vm.role === Role.Upstream && vm.pool === pool.name &&
-      vm.standing === VmState.Live
+      vm.standing === VmState.Live && !this.#isEvacuated(vm)
     );
     const models = poolModelsOf(pool).map((pair) => pair.model);
     const assignments = assignUpstreams(
@@ -299,6 +306,8 @@
     const current = await this.#readVersion(vm, model);
     if (current === undefined) return schedule.failed(vm.id, this.#clock.now());
     if (current.version >= version) return schedule.forget(vm.id);
+    // Its zone may have been evacuated since the update was due.
+    if (this.#isEvacuated(vm)) return schedule.forget(vm.id);
     const { term } = this.#lease;
     const answer = await this.#lease.runWhileHeld((signal) =>
       this.#kernel.platform.engine.loadWeights(vm, {
