--- a/stand_ins/platform_protocol.ts
+++ b/stand_ins/platform_protocol.ts
@@ -49,6 +49,13 @@
   readonly at: number;
 }
 
+/** A health check, load report or order that reached an upstream. */
+export interface ReceivedCall {
+  readonly path: string;
+  /** Unix time in milliseconds. */
+  readonly at: number;
+}
+
 /** An event that an engine generated. */
 export interface EmittedEvent {
   readonly id: string;
@@ -87,9 +94,12 @@
 export class PlatformUpstreamStandIn {
   readonly id: string;
   readonly service: string;
+  readonly zone: string;
   readonly executed: ExecutedRequest[] = [];
   /** All requests, whether they were executed or not. */
   readonly arrived: ArrivedRequest[] = [];
+  /** Health checks, load reports and orders. */
+  readonly calls: ReceivedCall[] = [];
   readonly emitted: EmittedEvent[] = [];
   /** Ids of requests whose sender disconnected before the response ended. */
   readonly abandoned: string[] = [];
@@ -131,6 +141,7 @@
   constructor(options: {
     id: string;
     service: string;
+    zone?: string;
     models?: string[];
     /** Called when the upstream is back after a crash. */
     onRestart?: () => void;
@@ -138,6 +149,7 @@
     this.id = options.id;
     this.#onRestart = options.onRestart ?? (() => {});
     this.service = options.service;
+    this.zone = options.zone ?? "a";
     for (const model of options.models ?? []) this.versions[model] = 1;
     this.#server = createServer((message, response) =>
       void this.#handle(message, response)
@@ -155,7 +167,7 @@
     return JSON.stringify({
       service: this.service,
       address: this.listed === "" ? this.address : this.listed,
-      zone: "a",
+      zone: this.zone,
       version: "v1",
       slots: this.slots,
       state,
@@ -192,6 +204,9 @@
     if (message.headers["x-expect-instance"] !== this.id) {
       return void response.writeHead(421, { "x-instance-id": "other" }).end();
     }
+    if (["/-/report", "/health", "/-/order"].includes(message.url ?? "")) {
+      this.calls.push({ path: message.url ?? "", at: Date.now() });
+    }
     if (message.url === "/-/report") return this.#report(response);
     if (message.url === "/health") {
       return void response.writeHead(200, { "x-instance-id": this.id }).end();
@@ -377,6 +392,7 @@
   async add(options: {
     id: string;
     service: string;
+    zone?: string;
     models?: string[];
   }): Promise<PlatformUpstreamStandIn> {
     const register = () =>
