--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -132,12 +132,12 @@
         startInMs: demand.startInMs === undefined
           ? undefined
           : demand.startInMs - waitedMs,
-        // The leader may not know yet which upstreams leave.
-        exclude: [...demand.exclude, ...this.#fleet.leaving(demand.pool)],
+        // The leader may not know yet which upstreams leave or are evacuated.
+        exclude: [...demand.exclude, ...this.#fleet.outOfUse(demand.pool)],
       };
       const refusal = this.#refusal(remaining, signal);
       if (refusal !== undefined) return Err(refusal);
-      target ??= this.#selectTarget(remaining);
+      target ??= this.#selectTarget(remaining, refusedBy);
       if (target === undefined) return Err(noUpstream(demand.pool));
       const { asked, move } = await this.#waitAt(remaining, target, {
         signal,
@@ -154,9 +154,12 @@
         const answer = asked.val;
         if (answer.ending === AcquireEnding.Granted) {
           const permit = this.#start(answer, remaining, { target, signal });
-          if (!permit.leaving.aborted) return Ok(permit);
-          // It was granted before this daemon heard that the upstream leaves.
+          const evacuated = this.#isEvacuated(answer.upstream);
+          if (!permit.leaving.aborted && !evacuated) return Ok(permit);
+          // It was granted before its leader knew that the upstream leaves or
+          // is evacuated.
           permit.release(Outcome.Cancelled, 0);
+          if (evacuated) target = undefined;
           continue;
         }
         if (answer.ending === AcquireEnding.Refused) {
@@ -168,6 +171,12 @@
             left = undefined;
             continue;
           }
+          if (reason === Reason.NoUpstream) {
+            // Another shard may have upstreams that are not evacuated.
+            refusedBy.add(target.shard.name);
+            target = this.#selectTarget(remaining, refusedBy);
+            if (target !== undefined) continue;
+          }
           return Err(notRun(reason, message, retryAfterMs));
         }
         this.#onRetry(Reason.Draining);
@@ -294,11 +303,18 @@
     return permit;
   }
 
-  #selectTarget(demand: Demand): AcquireTarget | undefined {
-    const shard = this.#selector.select(demand);
+  #selectTarget(
+    demand: Demand,
+    refusedBy: ReadonlySet<string>,
+  ): AcquireTarget | undefined {
+    const shard = this.#selector.select(demand, { refusedBy });
     return shard && this.#targetOf(shard);
   }
 
+  #isEvacuated(upstream: string): boolean {
+    return this.#fleet.upstream(upstream)?.evacuated === true;
+  }
+
   #targetOf(shard: Shard, waitedMs?: number): AcquireTarget | undefined {
     const leader = this.#peers.rankedForDuty(shard.name)[0]?.vm;
     if (leader === undefined) return undefined;
--- a/src/dispatch/shard_selector.ts
+++ b/src/dispatch/shard_selector.ts
@@ -18,6 +18,7 @@
   selectShard,
   selectSuitableShard,
 } from "./shard_selection.ts";
+import { isInUse } from "./shards.ts";
 import type { ShardSummaries } from "./summaries.ts";
 
 /** Load added to a shard that has no upstream in this availability zone. */
@@ -73,8 +74,12 @@
   }
 
   /** Selects a shard among those with an upstream that the request may use. */
-  select(demand: Demand): Shard | undefined {
-    const shards = this.#usableShards(demand);
+  select(demand: Demand, { refusedBy = new Set() }: {
+    /** Names of shards that refused this request. */
+    refusedBy?: ReadonlySet<string>;
+  } = {}): Shard | undefined {
+    const shards = this.#usableShards(demand)
+      .filter(({ name }) => !refusedBy.has(name));
     const suitable = this.#suitable(shards, demand);
     const { fingerprint, prefixes } = demand;
     // Equal suspects meet at one leader, which runs them one at a time.
@@ -140,8 +145,8 @@
   /** The shards of a pool with an upstream that a request may use. */
   #usableShards(demand: Demand): readonly Shard[] {
     return this.#fleet.shardsOfPool(demand.pool).filter((shard) =>
-      shard.upstreams.some(({ id, leaving }) =>
-        !leaving && !demand.exclude.includes(id)
+      shard.upstreams.some((upstream) =>
+        isInUse(upstream) && !demand.exclude.includes(upstream.id)
       )
     );
   }
@@ -222,7 +227,7 @@
   let busy = 0;
   if (exclude.length === 0) return { slots, busy };
   for (const upstream of shard.upstreams) {
-    if (upstream.leaving || !exclude.includes(upstream.id)) continue;
+    if (!isInUse(upstream) || !exclude.includes(upstream.id)) continue;
     const { weightVersions } = upstream;
     if (weightVersions && (weightVersions[model] ?? 0) < minVersion) continue;
     const running = summary.upstreams
