Requests that wait for weights hold back no request of another model

Cause: the queue tries the first 8 requests of an organisation's class with each free upstream. If these wait for weights that no free upstream has, as requests of one model do whose few engines are in use, the others behind them were not tried, and engines of other models stayed idle.

Change: the leader computes the newest weights of each model among the free upstreams, and passes over requests that none of them suits without counting them among the 8.

--- a/src/dispatch/model_capacity.ts
+++ b/src/dispatch/model_capacity.ts
@@ -90,6 +90,42 @@
   }));
 }
 
+/**
+ * The newest weights among the upstreams that can take a request now. A queue
+ * tries only some requests with each upstream; those that wait for weights must
+ * not hold back the others.
+ */
+export class FreeWeights {
+  readonly #free: readonly Candidate[];
+  readonly #refuses: (upstream: string, model: string) => boolean;
+  readonly #newest = new Map<string, number>();
+
+  constructor(free: readonly Candidate[], options: {
+    /** Whether an upstream refused requests of a model just now. */
+    refuses: (upstream: string, model: string) => boolean;
+  }) {
+    this.#free = free;
+    this.#refuses = options.refuses;
+  }
+
+  /** Whether one of the upstreams has a request's weights. */
+  suit({ model, minVersion }: Pick<Demand, "model" | "minVersion">): boolean {
+    return model === undefined || this.#newestOf(model) >= minVersion;
+  }
+
+  #newestOf(model: string): number {
+    const known = this.#newest.get(model);
+    if (known !== undefined) return known;
+    let newest = -Infinity;
+    for (const candidate of this.#free) {
+      if (this.#refuses(candidate.upstream.id, model)) continue;
+      newest = Math.max(newest, weightVersionsOf(candidate)[model] ?? 0);
+    }
+    this.#newest.set(model, newest);
+    return newest;
+  }
+}
+
 /** Adds up the slots of equal versions. */
 function mergedVersions(
   slots: readonly VersionSlots[],
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -23,6 +23,7 @@
 import { KnownNotices } from "./known_notices.ts";
 import { type Demand, Outcome, type Pressure } from "./mod.ts";
 import {
+  FreeWeights,
   type ModelCapacities,
   modelCapacitiesOf,
   weightVersionsOf,
@@ -462,9 +463,13 @@
       const capacity = this.#capacity(free);
       const reserved = this.#reservedSlots(capacity);
       let picked: Candidate | undefined;
+      const weights = new FreeWeights(free, {
+        refuses: (id, model) => this.#backsOffFrom(id, model),
+      });
       const ticket = this.#queue.take(capacity, {
         open: (urgency) => capacity.freeSlots > reserved[urgency],
-        ready: (ticket) => this.#isReady(ticket, free),
+        ready: (ticket) =>
+          weights.suit(ticket.demand) && this.#isReady(ticket, free),
         fits: (ticket) => {
           picked = this.#selectUpstream(ticket, free);
           return picked !== undefined;
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -596,3 +596,15 @@
     .toEqual([["constructor", 2]]);
   expect(Object.keys(leader.modelCapacities())).toEqual(["m"]);
 });
+
+test("requests that wait for weights don't hold back those of other models", () => {
+  const { ask } = shard([
+    upstream({ id: "up-1", slots: 1, weightVersions: { m: 1, n: 1 } }),
+    upstream({ id: "up-2", slots: 4, weightVersions: { m: 0, n: 1 } }),
+  ]);
+  for (let n = 0; n < 20; n++) {
+    ask({ model: "m", minVersion: 1, startInMs: -1000 });
+  }
+  expect(upstreamOf(ask({ model: "n", minVersion: 1, startInMs: 1000 })))
+    .toEqual("up-2");
+});
