Upstreams' stated load is read with the notices of their answers

Cause: upstreams state running, waiting, slots and on some services how long work takes at this moment (X-Server-Load) in each answer; nothing read it.

Change: the client of upstreams publishes it with the notices of an answer. Figures that are negative, huge, no numbers, or fewer than three or more than five change nothing and are logged once for each upstream; they don't invalidate the rest of the notice.

--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -438,7 +438,7 @@
   readonly notices?: NoticeFeed;
 }
 
-export { type UpstreamNotice } from "./upstream_notices.ts";
+export { type StatedLoad, type UpstreamNotice } from "./upstream_notices.ts";
 export {
   type HeaderFields,
   isFinal,
--- a/src/outside/upstream_notices.ts
+++ b/src/outside/upstream_notices.ts
@@ -9,6 +9,15 @@
 
 const log = logger("outside");
 
+/** The load that an upstream stated in one answer. */
+export interface StatedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** How long work takes there at this moment; 100 as usual. */
+  readonly pacePercent?: number;
+}
+
 /** What an upstream said of itself in one answer. */
 export interface UpstreamNotice {
   /** Id of the instance that answered. */
@@ -20,6 +29,8 @@
   readonly limitPerS?: number;
   /** Whether it is about to leave. */
   readonly leaving: boolean;
+  /** Its load when it answered; absent if it states none. */
+  readonly load?: StatedLoad;
   /** Time since the request was sent that it answered, in milliseconds. */
   readonly requestAgeMs: number;
 }
@@ -28,6 +39,8 @@
 export interface NoticeFields {
   readonly limit: readonly string[];
   readonly leaving: readonly string[];
+  /** Absent where the protocol has no such field. */
+  readonly load?: readonly string[];
 }
 
 /**
@@ -45,6 +58,12 @@
 /** A decimal number, also with an exponent. */
 const DECIMAL = /^\d+(\.\d+)?(e[+-]?\d+)?$/i;
 
+/** A figure of a stated load. */
+const FIGURE = /^\d{1,9}(\.\d{1,9})?$/;
+
+/** Larger figures are nonsense. */
+const MAX_FIGURE = 1e6;
+
 /** Upstreams whose last unreadable value is kept, to log it once. */
 const MAX_UNREADABLE = 256;
 
@@ -54,6 +73,7 @@
 export class NoticeFeed {
   readonly #listeners = new Set<(notice: UpstreamNotice) => void>();
   readonly #unreadable = new Map<string, string>();
+  readonly #unreadableLoads = new Set<string>();
 
   /** Calls `listener` for each notice; returns a function that removes it. */
   onNotice(listener: (notice: UpstreamNotice) => void): () => void {
@@ -64,16 +84,20 @@
   /** Publishes what the fields of an answer say; unreadable values say nothing. */
   publish(
     upstream: string,
-    { limit, leaving }: NoticeFields,
+    { limit, leaving, load = [] }: NoticeFields,
     { requestAgeMs }: { requestAgeMs: number },
   ): void {
     const leaves = leaving.includes(LEAVING);
     const limits = limit.map((value) => readDecimal(value.trim()));
+    const statedLoad = load.length === 1 ? readLoad(load[0]) : undefined;
     const bad = [
       ...limit.filter((_, n) => limits[n] === undefined),
       ...leaving.filter((value) => value !== LEAVING),
     ];
     if (bad.length > 0) this.#logUnreadable(upstream, bad.join(", "));
+    if (load.length > 0 && statedLoad === undefined) {
+      this.#logUnreadableLoad(upstream, load.join("; "));
+    }
     // An upstream that names a limit nobody can read still has one.
     if (limits.includes(undefined) && !leaves) return;
     const named = limits.filter((value) => value !== undefined);
@@ -82,6 +106,7 @@
       leaving: leaves,
       requestAgeMs,
       ...named.length === 0 ? {} : { limitPerS: Math.min(...named) },
+      ...statedLoad === undefined ? {} : { load: statedLoad },
     });
   }
 
@@ -89,6 +114,17 @@
     for (const listener of this.#listeners) listener(notice);
   }
 
+  /** Logs it once for each upstream: loads change with each answer. */
+  #logUnreadableLoad(upstream: string, value: string): void {
+    if (this.#unreadableLoads.has(upstream)) return;
+    if (this.#unreadableLoads.size >= MAX_UNREADABLE) return;
+    this.#unreadableLoads.add(upstream);
+    log("upstream load ignored", {
+      upstream,
+      value: value.slice(0, MAX_LOGGED_CHARS),
+    });
+  }
+
   #logUnreadable(upstream: string, value: string): void {
     if (this.#unreadable.get(upstream) === value) return;
     if (this.#unreadable.size >= MAX_UNREADABLE) this.#unreadable.clear();
@@ -111,6 +147,24 @@
   };
 }
 
+/**
+ * A load from its figures, separated by commas: running, waiting, slots, and on
+ * some services the pace. A fifth one is not used.
+ */
+export function readLoad(text: string): StatedLoad | undefined {
+  const parts = text.split(",").map((part) => part.trim());
+  if (parts.length < 3 || parts.length > 5) return undefined;
+  if (!parts.every((part) => FIGURE.test(part))) return undefined;
+  const figures = parts.map(Number);
+  if (figures.some((figure) => figure > MAX_FIGURE)) return undefined;
+  const [running, waiting, slots, pacePercent] = figures;
+  // Work that takes no time is no pace.
+  if (pacePercent === undefined || pacePercent === 0) {
+    return { running, waiting, slots };
+  }
+  return { running, waiting, slots, pacePercent };
+}
+
 function readDecimal(text: string): number | undefined {
   if (!DECIMAL.test(text)) return undefined;
   const value = Number(text);
--- a/src/outside/upstream_notices_test.ts
+++ b/src/outside/upstream_notices_test.ts
@@ -59,3 +59,42 @@
   feed.publish("up-1", fields, { requestAgeMs: 0 });
   expect(heard).toEqual(1);
 });
+
+function loadOf(...load: readonly string[]) {
+  const feed = new NoticeFeed();
+  const notices: UpstreamNotice[] = [];
+  feed.onNotice((notice) => notices.push(notice));
+  feed.publish("up-1", { limit: [], leaving: [], load }, { requestAgeMs: 5 });
+  return notices[0].load;
+}
+
+test("a stated load has three figures, a pace, and perhaps one not used", () => {
+  const load = { running: 4, waiting: 0, slots: 6 };
+  expect(loadOf("4,0,6")).toEqual(load);
+  expect(loadOf(" 4, 0, 6, 250")).toEqual({ ...load, pacePercent: 250 });
+  expect(loadOf("4,0,6,100,9")).toEqual({ ...load, pacePercent: 100 });
+  // No work takes no time; the other figures still count.
+  expect(loadOf("4,0,6,0")).toEqual(load);
+});
+
+test("a load that can't be read changes nothing, and keeps the notice", () => {
+  for (
+    const value of [
+      "",
+      "1,2",
+      "1,2,3,4,5,6",
+      "-1,0,6",
+      "1,0,6,-100",
+      "1,0,6,fast",
+      "1,0,6,1e9",
+      "99999999,0,6",
+      "1,,6",
+      "NaN,0,6",
+      "0x1,0,6",
+    ]
+  ) {
+    expect(loadOf(value)).toEqual(undefined);
+  }
+  expect(loadOf("1,0,6", "2,0,6")).toEqual(undefined);
+  expect(loadOf()).toEqual(undefined);
+});
