Upstreams are selected by expected finish once they are known to differ

Cause: the leader chose by slots in use, so a request of 200 ms went to an upstream 2.4 times slower as likely as its share of slots, and what upstreams state of their momentary pace was not used.

SwitchingSelector learns from each permit and uses it only while paces are known to differ or an upstream stated its pace in the last 10 s, else AffinitySelector as before. Entries keep the newest load that they heard and send it with the release of a permit, as an optional field; a leader's own daemon passes on what it hears. Gauges, the status page and a log line tell whether it is used, why, and the pace and work left of each upstream.

--- a/src/dispatch/affinity_selector.ts
+++ b/src/dispatch/affinity_selector.ts
@@ -75,15 +75,23 @@
     this.#connections.forget(upstream);
   }
 
+  /** Part of a prompt that an upstream holds, from 0 to 1. */
+  overlap(upstream: string, prefixes: readonly string[]): number {
+    return this.#prefixCacheOf(upstream).overlap(prefixes);
+  }
+
+  /** Whether an entry has an idle connection to an upstream. */
+  isConnected(entry: string, upstream: string): boolean {
+    return this.#connections.has(entry, upstream);
+  }
+
   /** The score of a candidate; the lowest one is selected. */
   #score(ticket: Ticket, candidate: Candidate): number {
     const { upstream, inFlight, foreign, readyForMs } = candidate;
-    const overlap = this.#prefixCacheOf(upstream.id).overlap(
-      ticket.demand.prefixes,
-    );
+    const overlap = this.overlap(upstream.id, ticket.demand.prefixes);
     const load = (inFlight + foreign) / upstream.slots;
     const far = upstream.availabilityZone !== ticket.availabilityZone;
-    const open = this.#connections.has(ticket.entry, upstream.id);
+    const open = this.isConnected(ticket.entry, upstream.id);
     const avoided = ticket.demand.avoid?.includes(upstream.id) === true;
     const fresh = Math.max(0, 1 - readyForMs / this.#weights.slowStartMs);
     return load +
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -23,7 +23,7 @@
   register,
 } from "../kernel/mod.ts";
 import { type Peers, peersKey } from "../peers/mod.ts";
-import type { Vm } from "../outside/mod.ts";
+import type { UpstreamNotice, Vm } from "../outside/mod.ts";
 import { EntryClient } from "./entry.ts";
 import { Fleet } from "./fleet.ts";
 import { LocalLeaders } from "./local_leaders.ts";
@@ -58,6 +58,8 @@
 } from "./known_notices.ts";
 import { RENEWAL_INTERVAL_MS } from "./permits.ts";
 import { type Finding, Quarantine } from "./quarantine.ts";
+import { SelectionMetrics } from "./selection_status.ts";
+import { loadOf, StatedLoads } from "./stated_loads.ts";
 import { ShardSummaries } from "./summaries.ts";
 import { HeldPermits } from "./held_permits.ts";
 
@@ -96,6 +98,8 @@
   readonly #config: ActiveConfiguration;
   readonly #quarantine: Quarantine;
   readonly #notices: KnownNotices;
+  readonly #statedLoads: StatedLoads;
+  readonly #selection: SelectionMetrics;
   readonly #summaries: ShardSummaries;
   readonly #localLeaders: LocalLeaders;
   readonly #heldPermits: HeldPermits;
@@ -124,6 +128,8 @@
     this.#config = kernel.get(activeConfigurationKey);
     this.#quarantine = new Quarantine({ clock: kernel.clock });
     this.#notices = new KnownNotices({ clock: kernel.clock });
+    this.#statedLoads = new StatedLoads({ clock: kernel.clock });
+    this.#selection = new SelectionMetrics(kernel);
     const gossip = { clock: kernel.clock, peers: this.#peers };
     this.#summaries = new ShardSummaries(gossip);
     this.#findingOffers = new GossipOffers(gossip);
@@ -138,6 +144,7 @@
       peers: this.#peers,
       quarantine: this.#quarantine,
       notices: this.#notices,
+      statedLoads: this.#statedLoads,
       summaries: this.#summaries,
       fleet: this.#fleet,
     };
@@ -212,10 +219,7 @@
       this.#peers.onChange(() => this.#assign()),
       this.#config.onChange(() => this.#assign()),
       this.#kernel.platform.notices?.onNotice((notice) =>
-        this.#notices.heard(
-          notice,
-          this.#fleet.upstream(notice.upstream)?.bornAt,
-        )
+        this.#heardNotice(notice)
       ) ?? (() => {}),
     ];
     const recovered = this.#recoverFindings();
@@ -348,8 +352,12 @@
       },
       [Message.Release]: (body) => {
         for (const end of releaseBody.parse(body).ends) {
-          this.#localLeaders.leader(end.shard)
-            ?.release(end.permit, end.outcome, end.tokens);
+          const { permit, outcome, tokens, load } = end;
+          const leader = this.#localLeaders.leader(end.shard);
+          if (load !== undefined) {
+            leader?.stated(permit, loadOf(load), load.ageMs);
+          }
+          leader?.release(permit, outcome, tokens);
         }
         return answer(true);
       },
@@ -483,6 +491,10 @@
     this.#localLeaders.publish();
     this.#load.reset();
     this.#limits.reset();
+    this.#selection.publish(
+      this.#localLeaders.list()
+        .map(({ pool, leader }) => ({ pool, status: leader.selection })),
+    );
     for (const { pool, leader } of this.#localLeaders.list()) {
       this.#limits.inc({ pool }, leader.limitedUpstreams);
       const { running, queued } = leader.pressure();
@@ -525,6 +537,16 @@
     return vms;
   }
 
+  #heardNotice(notice: UpstreamNotice): void {
+    const { upstream, load } = notice;
+    this.#notices.heard(notice, this.#fleet.upstream(upstream)?.bornAt);
+    this.#statedLoads.heard(notice);
+    const shard = this.#fleet.shardOf(upstream);
+    if (load === undefined || shard === undefined) return;
+    // Answers to health checks and reports release no permit.
+    this.#localLeaders.leader(shard.name)?.statedHere(upstream, load);
+  }
+
   /** Applies a notice here; tells the others of what was heard here. */
   #noticeChanged(notice: ReportedNotice, origin: string): void {
     if (notice.leaving) this.#assign();
@@ -592,6 +614,7 @@
       kept: this.#localLeaders.list().map(({ shard, leader }) => ({
         shard,
         ...leader.pressure(),
+        selection: leader.selection,
       })),
       findings: this.#quarantine.findings(),
       notices: this.#notices.all(),
--- a/src/dispatch/dispatcher_test.ts
+++ b/src/dispatch/dispatcher_test.ts
@@ -6,6 +6,8 @@
 import { demand, DispatchCluster, vm } from "./fixtures_test.ts";
 import { type Demand, Outcome, type Permit } from "./mod.ts";
 import type { Dispatcher } from "./dispatcher.ts";
+import type { SelectionStatus } from "./selection_status.ts";
+import { PaceDifference } from "./upstream_paces.ts";
 
 const idle = new AbortController().signal;
 
@@ -250,3 +252,43 @@
       models: {},
     });
   }));
+
+test("a leader learns with a release what the entry heard, and shows it", () =>
+  cluster(async (sim, entries) => {
+    const leader = sim.leaderOf("shard/lm/0");
+    const entry = leader === "e1" ? "e2" : "e1";
+    const permit = await granted(entries[Number(entry.slice(1)) - 1]);
+    sim.announceLoad(entry, "up-1", "1,0,2,250");
+    const kernel = sim.nodes.get(leader);
+    const selection = () => {
+      const { kept } = entries[Number(leader.slice(1)) - 1].props
+        .status?.() as { kept: readonly { selection: SelectionStatus }[] };
+      return kept[0].selection;
+    };
+    // No message of its own for each answer.
+    await pause(20);
+    expect(selection().upstreams[0].statedPace).toEqual(undefined);
+    permit.release(Outcome.Served, 1);
+    // The selection is reviewed every 250 ms.
+    await pause(300);
+    expect(selection().upstreams[0].statedPace).toEqual(2.5);
+    expect(selection().reason).toEqual(PaceDifference.Stated);
+    // Metrics are published at least every 600 ms with one shard.
+    await pause(800);
+    const metrics = await kernel?.metrics.metrics() ?? "";
+    expect(metrics.includes(
+      'expected_finish_shards{pool="lm",reason="stated"} 1',
+    )).toEqual(true);
+    expect(/upstream_pace\{pool="lm",upstream="up-1"\} [1-2]/.test(metrics))
+      .toEqual(true);
+  }));
+
+test("what the leader's own daemon hears counts without a release", () =>
+  cluster(async (sim, entries) => {
+    const leader = sim.leaderOf("shard/lm/0");
+    sim.announceLoad(leader, "up-1", "0,0,2,300");
+    await pause(0);
+    const { kept } = entries[Number(leader.slice(1)) - 1].props
+      .status?.() as { kept: readonly { selection: SelectionStatus }[] };
+    expect(kept[0].selection.upstreams[0].statedPace).toEqual(3);
+  }));
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -236,6 +236,12 @@
     this.feeds.get(daemon)?.publish(upstream, fields, { requestAgeMs: 0 });
   }
 
+  /** A daemon gets an answer in which an upstream states its load. */
+  announceLoad(daemon: string, upstream: string, load: string): void {
+    const fields = { limit: [], leaving: [], load: [load] };
+    this.feeds.get(daemon)?.publish(upstream, fields, { requestAgeMs: 0 });
+  }
+
   #platform(id: string): Platform {
     const notices = new NoticeFeed();
     this.feeds.set(id, notices);
--- a/src/dispatch/held_permits.ts
+++ b/src/dispatch/held_permits.ts
@@ -16,6 +16,7 @@
 } from "./messages.ts";
 import { type Demand, Outcome, type Permit } from "./mod.ts";
 import { type Quarantine, RunEnd } from "./quarantine.ts";
+import type { StatedLoads } from "./stated_loads.ts";
 
 /** Timeout of messages about permits in use. */
 const NOTIFICATION_TIMEOUT_MS = 1000;
@@ -50,6 +51,7 @@
   readonly #clock: Clock;
   readonly #peers: Peers;
   readonly #quarantine: Quarantine;
+  readonly #statedLoads: StatedLoads | undefined;
   readonly #permits = new Map<string, HeldPermit>();
   /** Releases that are still to be sent, by leader. */
   readonly #ends = new Map<string, PermitEnd[]>();
@@ -60,10 +62,13 @@
     peers: Peers;
     quarantine: Quarantine;
     fleet: Fleet;
+    /** What upstreams stated to this daemon. */
+    statedLoads?: StatedLoads;
   }) {
     this.#clock = options.clock;
     this.#peers = options.peers;
     this.#quarantine = options.quarantine;
+    this.#statedLoads = options.statedLoads;
     this.#fleet = options.fleet;
   }
 
@@ -151,7 +156,14 @@
     if (held === undefined) return;
     this.#permits.delete(permit);
     this.#suspectRequest(held, outcome);
-    const end = { shard: this.#shardOf(held), permit, outcome, tokens };
+    const load = this.#statedLoads?.reported(held.upstream);
+    const end = {
+      shard: this.#shardOf(held),
+      permit,
+      outcome,
+      tokens,
+      ...load === undefined ? {} : { load },
+    };
     for (const leader of this.#leadersOf(held)) this.#queueEnd(leader, end);
   }
 
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -130,6 +130,13 @@
     permit: z.string(),
     outcome: z.enum(Outcome),
     tokens: z.number(),
+    /** The newest load that the entry heard from the upstream. */
+    load: z.object({
+      /** Running, waiting, slots, and the pace in percent if stated. */
+      figures: z.array(z.number().nonnegative()).min(3).max(4),
+      ageMs: z.number().nonnegative(),
+      // A load that can't be read must not keep a permit from its release.
+    }).optional().catch(undefined),
   })),
 });
 
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -8,9 +8,10 @@
 
 import type { Result } from "ts-results";
 import { type Clock, logger, Reason, Refusal, Verdict } from "../kernel/mod.ts";
-import type { CacheEvent, Load } from "../outside/mod.ts";
+import type { CacheEvent, Load, StatedLoad } from "../outside/mod.ts";
 import { Priority } from "../tables/mod.ts";
-import { AffinitySelector } from "./affinity_selector.ts";
+import type { SelectionStatus } from "./selection_status.ts";
+import { SwitchingSelector } from "./switching_selector.ts";
 import type { Candidate, UpstreamSelector } from "./upstream_selector.ts";
 import { CrashDetector, ProbeResult } from "./crash_detector.ts";
 import { FairQueue } from "./fair_queue.ts";
@@ -158,7 +159,7 @@
     this.#prefix = options.prefix ?? "";
     this.#queue = options.queue ?? new FairQueue();
     this.#selector = options.selector ??
-      new AffinitySelector({ clock: options.clock });
+      new SwitchingSelector({ clock: options.clock });
     this.#quarantine = options.quarantine ??
       new Quarantine({ clock: options.clock });
     this.#notices = options.notices ?? new KnownNotices(options);
@@ -179,6 +180,11 @@
     return [...this.#states.values()].map((state) => this.#candidate(state));
   }
 
+  /** How upstreams are selected now. */
+  get selection(): SelectionStatus | undefined {
+    return this.#selector.status([...this.#states.keys()]);
+  }
+
   /** Replaces the list of the shard's upstreams. */
   setUpstreams(upstreams: readonly Upstream[]): void {
     const now = this.#clock.now();
@@ -270,12 +276,25 @@
     return false;
   }
 
+  /** Applies the load that the upstream of a permit stated some time ago. */
+  stated(permit: string, load: StatedLoad, ageMs: number): void {
+    const holding = this.#permits.get(permit);
+    if (holding !== undefined) this.statedHere(holding.upstream, load, ageMs);
+  }
+
+  /** Applies the load that an upstream stated to this daemon. */
+  statedHere(upstream: string, load: StatedLoad, ageMs = 0): void {
+    if (!this.#states.has(upstream)) return;
+    this.#selector.stated(upstream, load, this.#clock.now() - ageMs);
+  }
+
   /** Ends the use of a permit. */
   release(permit: string, outcome: Outcome, tokens: number): void {
     const holding = this.#permits.remove(permit);
     if (holding === undefined) return;
     const now = this.#clock.now();
     const heldMs = now - holding.grantedAt;
+    this.#selector.ended(holding, { outcome, now });
     if (outcome === Outcome.Served) {
       this.#meanHoldMs = this.#meanHoldMs === 0
         ? heldMs
@@ -304,7 +323,9 @@
       if (this.#permits.get(holding.permit) !== undefined) continue;
       if (!this.#states.has(holding.upstream)) continue;
       const isolatedUntil = isolated ? Infinity : -Infinity;
-      this.#permits.add({ ...holding, isolatedUntil }, now);
+      const adopted = { ...holding, isolatedUntil };
+      this.#permits.add(adopted, now);
+      this.#selector.started(adopted, now);
       this.#queue.started(holding.demand, now);
       this.#updatePeak(holding.upstream);
     }
@@ -481,7 +502,7 @@
     const isolated = this.#runsIsolated(demand);
     if (isolated) this.#logIsolated(ticket, { permit, upstream });
     this.#recordIfLimited(ticket, upstream);
-    this.#permits.add({
+    const holding = {
       permit,
       ticket: ticket.id,
       upstream: upstream.id,
@@ -489,7 +510,9 @@
       demand,
       grantedAt: now,
       isolatedUntil: this.#isolationEnd(demand, now),
-    }, now);
+    };
+    this.#permits.add(holding, now);
+    this.#selector.started(holding, now);
     this.#queue.started(demand, now);
     this.#dropReservations(ticket);
     const state = this.#states.get(upstream.id);
--- a/src/dispatch/upstream_paces.ts
+++ b/src/dispatch/upstream_paces.ts
@@ -35,6 +35,9 @@
  */
 const SIGNIFICANT_ERRORS = 4;
 
+/** Least relative variance of a measurement: none is exact. */
+const MIN_SPREAD = 0.01;
+
 /** Time for which a stated figure keeps the stated paces in use. */
 const STATED_VALID_MS = 10_000;
 
@@ -119,6 +122,8 @@
   #difference = PaceDifference.None;
   #scale = 1;
   #scaledAt = -Infinity;
+  /** Relative variance of one measurement. */
+  #spread = 1;
   /** Decayed sums of measurements relative to their upstream's slow mean. */
   #spreadWeight = 0;
   #spreadSum = 0;
@@ -158,12 +163,12 @@
     const state = this.#state(upstream, now);
     if (prediction !== undefined) this.#judge(state, ratio, prediction);
     this.#recordSpread(ratio / (state.slow * this.#scale));
-    const kept = 2 ** ((state.at - now) / SLOW_HALF_LIFE_MS) *
+    const kept = decay(now - state.at, SLOW_HALF_LIFE_MS) *
       (1 - 1 / MAX_SLOW_WEIGHT);
     state.weight = state.weight * kept + 1;
     state.sum = state.sum * kept + ratio;
     state.at = now;
-    const recent = 2 ** ((state.recentAt - now) / MOMENTARY_HALF_LIFE_MS);
+    const recent = decay(now - state.recentAt, MOMENTARY_HALF_LIFE_MS);
     state.recentWeight = state.recentWeight * recent + 1;
     state.recentSum = state.recentSum * recent + ratio;
     state.recentAt = now;
@@ -239,25 +244,21 @@
       : PaceDifference.None;
   }
 
-  /** Relative variance of one measurement. */
-  get #spread(): number {
-    if (this.#spreadWeight < MIN_MEASUREMENTS) return 1;
-    const mean = this.#spreadSum / this.#spreadWeight;
-    return Math.max(
-      0.01,
-      this.#spreadSquares / this.#spreadWeight / mean ** 2 - 1,
-    );
-  }
-
   #recordSpread(relative: number): void {
     const kept = 1 - 1 / MAX_SLOW_WEIGHT;
     this.#spreadWeight = this.#spreadWeight * kept + 1;
     this.#spreadSum = this.#spreadSum * kept + relative;
     this.#spreadSquares = this.#spreadSquares * kept + relative ** 2;
+    if (this.#spreadWeight < MIN_MEASUREMENTS) return;
+    const mean = this.#spreadSum / this.#spreadWeight;
+    this.#spread = Math.max(
+      MIN_SPREAD,
+      this.#spreadSquares / this.#spreadWeight / mean ** 2 - 1,
+    );
   }
 
   #weightAt({ weight, at }: PaceState, now: number): number {
-    return weight * 2 ** ((at - now) / SLOW_HALF_LIFE_MS);
+    return weight * decay(now - at, SLOW_HALF_LIFE_MS);
   }
 
   /**
@@ -287,7 +288,7 @@
   }
 
   #predict(state: PaceState, now: number): PacePrediction {
-    const recent = 2 ** ((state.recentAt - now) / MOMENTARY_HALF_LIFE_MS);
+    const recent = decay(now - state.recentAt, MOMENTARY_HALF_LIFE_MS);
     const weight = state.recentWeight * recent;
     const prior = 1 + this.#spread / MOMENTARY_VARIANCE;
     const measured =
@@ -297,7 +298,7 @@
     if (stated === undefined || now - state.statedAt >= STATED_VALID_MS) {
       return { measured, withStated: undefined, stated: undefined };
     }
-    const fresh = 2 ** ((state.statedAt - now) / MOMENTARY_HALF_LIFE_MS);
+    const fresh = decay(now - state.statedAt, MOMENTARY_HALF_LIFE_MS);
     const corrected = stated * this.#correction(state);
     const withStated = measured + Math.min(1, fresh) * (corrected - measured);
     return { measured, withStated, stated };
@@ -359,6 +360,11 @@
   return clamp(pace, MIN_PACE, MAX_PACE);
 }
 
+/** What is left of a weight after a time. */
+function decay(ms: number, halfLifeMs: number): number {
+  return Math.exp(-Math.LN2 * ms / halfLifeMs);
+}
+
 function clamp(value: number, least: number, most: number): number {
   return Math.min(most, Math.max(least, value));
 }
--- a/src/dispatch/upstream_selector.ts
+++ b/src/dispatch/upstream_selector.ts
@@ -5,7 +5,10 @@
  * @module
  */
 
-import type { CacheEvent, Load } from "../outside/mod.ts";
+import type { CacheEvent, Load, StatedLoad } from "../outside/mod.ts";
+import type { Outcome } from "./mod.ts";
+import type { ActivePermit } from "./permits.ts";
+import type { SelectionStatus } from "./selection_status.ts";
 import type { Upstream } from "./shards.ts";
 import type { Ticket } from "./queue.ts";
 
@@ -38,8 +41,25 @@
   /** Applies an upstream's cache events. */
   cached(_upstream: string, _events: readonly CacheEvent[]): void {}
 
+  /** Records a permit in use, granted here or by another leader. */
+  started(_permit: ActivePermit, _now: number): void {}
+
+  /** Records that the use of a permit ended. */
+  ended(
+    _permit: ActivePermit,
+    _end: { readonly outcome: Outcome; readonly now: number },
+  ): void {}
+
+  /** Applies the load that an upstream stated at a time on this clock. */
+  stated(_upstream: string, _load: StatedLoad, _at: number): void {}
+
   /** Discards the state of an upstream. */
   forget(_upstream: string): void {}
+
+  /** How upstreams are selected now, if that depends on what was learned. */
+  status(_upstreams: readonly string[]): SelectionStatus | undefined {
+    return undefined;
+  }
 }
 
 /** Selects the upstreams in turn. */
