--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -458,7 +458,7 @@
   type EvacuationChange,
   Evacuations,
 } from "./evacuated_zones.ts";
-export { type UpstreamNotice } from "./upstream_notices.ts";
+export { type StatedLoad, type UpstreamNotice } from "./upstream_notices.ts";
 export {
   type HeaderFields,
   isFinal,
