Items that no upstream suits don't block those that need other weights

Cause: a leader checked the first 8 ready requests of an organisation's class for an upstream that suits them, and none behind. In a pool of several models, 8 items of a model whose engines are in use kept items of the others from idle engines. Since late items stay at the front until the route's timeout, this lasts longer.

Change: 8 requests are checked for each model and oldest weight version, for at most 8 of these, among the first 128 requests (fit_scan.ts).

Measured: in fair_queue_test.ts an item behind 40 of another model, or of a newer version, was not taken before and is now. 138 tests of src/dispatch pass.

--- a/src/dispatch/fair_queue.ts
+++ b/src/dispatch/fair_queue.ts
@@ -15,6 +15,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import { Reason, Refusal, Verdict } from "../kernel/mod.ts";
 import { Priority } from "../tables/mod.ts";
+import { FitScan } from "./fit_scan.ts";
 import type { Demand } from "./mod.ts";
 import {
   type Capacity,
@@ -54,9 +55,6 @@
 /** Part of an organisation's entitlement reserved for training and batch. */
 const GUARANTEED_SHARE = 0.1;
 
-/** Requests at the front of a class queue that are checked for a fit. */
-const MAX_SCANNED_REQUESTS = 8;
-
 /** Shortest retry delay for a refused caller. */
 const MIN_RETRY_AFTER_MS = 100;
 
@@ -215,11 +213,11 @@
     const heads = this.#heads(capacity).filter(({ urgency }) => open(urgency));
     while (heads.length > 0) {
       const { organisation, queue } = removeFirst(heads);
-      let scanned = 0;
+      const scan = new FitScan();
       for (const ticket of queue.waiting()) {
         if (!ready(ticket)) continue;
-        if (++scanned > MAX_SCANNED_REQUESTS) break;
-        if (!fits(ticket)) continue;
+        if (scan.isOver) break;
+        if (!scan.admits(ticket.demand) || !fits(ticket)) continue;
         this.#dequeue(ticket, organisation);
         queue.granted(capacity.now);
         return ticket;
--- a/src/dispatch/fair_queue_test.ts
+++ b/src/dispatch/fair_queue_test.ts
@@ -120,6 +120,32 @@
   expect(started(queue, 3)).toEqual(["back again", "next-1", "next-2"]);
 });
 
+test("items that no upstream suits don't block those of other weights", () => {
+  for (const other of [{ model: "b" }, { model: "a", minVersion: 1 }]) {
+    const queue = new FairQueue();
+    push(queue, 40, { model: "a", minVersion: 2, startInMs: -9000 });
+    push(queue, 1, { id: "other", ...other, startInMs: 3000 });
+    const next = queue.take(at(0), {
+      ...anything,
+      fits: ({ demand: { model, minVersion } }) =>
+        model === other.model && minVersion < 2,
+    });
+    expect(next?.demand.id).toEqual("other");
+  }
+});
+
+test("the checks for a fit are bounded, however many models wait", () => {
+  const queue = new FairQueue();
+  for (let n = 0; n < 400; n++) push(queue, 1, { model: `${n % 40}` });
+  let checks = 0;
+  const fits = () => {
+    checks += 1;
+    return false;
+  };
+  queue.take(at(0), { ...anything, fits });
+  expect(checks <= 64).toEqual(true);
+});
+
 test("steps in time: least slack first compared with order of arrival", () => {
   /** Items in time of two steps on 6 slots; the second arrives 1 s later. */
   const inTime = (slack: boolean) => {
