--- a/src/batches/batch_reader.ts
+++ b/src/batches/batch_reader.ts
@@ -28,8 +28,9 @@
 
 /**
  * An owner whose proof of ownership is younger than this is believed that there
- * are no more results. Owners renew it every 667 ms; one that was replaced keeps
- * readers from the new owner's results for at most as long.
+ * are no more results. With a grace of 3 s after the end of a batch, owners renew
+ * it every 667 ms. One that was replaced hides the new owner's results from readers
+ * for this time, and that of its answer's way.
  */
 const MAX_PROOF_AGE_MS = 900;
 
