Engines are dealt out by the peak demand of each model

Change: the weight of a model is its largest demand in the last 12 s; a new lease holder keeps an even split until it has seen as much.

--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -15,6 +15,7 @@
 import type { Pool } from "../tables/mod.ts";
 import { assignUpstreams } from "./assignment.ts";
 import type { HeldLease } from "./duty_lease.ts";
+import { ModelDemands } from "./model_demands.ts";
 import { WeightLoadLimiter } from "./weight_load_limiter.ts";
 import {
   type VersionedVm,
@@ -28,10 +29,8 @@
 /** Minimum time between two reads of the weight store. */
 const MIN_VERSION_POLL_INTERVAL_MS = 100;
 
-/** Each model's demand is sampled at this interval and averaged. */
+/** Interval at which each model's demand is sampled. */
 const DEMAND_SAMPLE_INTERVAL_MS = 500;
-/** Weight of the newest sample in the moving average. */
-const DEMAND_SMOOTHING_FACTOR = 0.04;
 /**
  * Reports lag behind by some hundred milliseconds; after this time a report
  * without an order shows that the engine has not accepted it.
@@ -78,8 +77,7 @@
   readonly #sentOrders = new Map<string, SentOrder>();
   /** Unanswered calls to engines, by upstream. */
   readonly #inFlight = new Map<string, Promise<unknown>>();
-  /** Moving average of running and queued requests, by model. */
-  readonly #demands = new Map<string, number>();
+  readonly #demands = new ModelDemands();
   /** The model of each upstream, by pool, as last assigned. */
   readonly #assignments = new Map<string, ReadonlyMap<string, string>>();
   #roundCount = 0;
@@ -261,14 +259,9 @@
     );
     for (const pool of pools) {
       const { models = {} } = await this.#dispatch.pressure(pool);
-      for (const { model } of pairs.filter((pair) => pair.pool.name === pool)) {
-        const before = this.#demands.get(model) ?? 0;
-        const count = models[model] ?? 0;
-        this.#demands.set(
-          model,
-          before + (count - before) * DEMAND_SMOOTHING_FACTOR,
-        );
-      }
+      const counts = pairs.filter((pair) => pair.pool.name === pool)
+        .map(({ model }) => [model, models[model] ?? 0]);
+      this.#demands.record(Object.fromEntries(counts), now);
     }
   }
 
@@ -289,7 +282,7 @@
       ),
     }));
     const assigned = assignUpstreams(upstreams, models, {
-      weights: Object.fromEntries(this.#demands),
+      weights: this.#demands.peaks(this.#clock.now()),
       latest: Object.fromEntries(this.#latestVersions),
     });
     if (models.length <= 1 || upstreams.length < models.length) {
