Retirement of store VMs is answered by the holder of the orders lease

Change: each second the holder reads op/retire/ and writes each missing status/retire/NODE as completed, by compare-and-swap from revision 0: such VMs hold nothing. A daemon that serves callers, or an upstream, is logged and not answered. No setting tells whether a deployment has VMs of class store, so the program on such a VM writes toucanwind/stores/NODE once; until there is such a key the holder looks for one every 10 s and reads nothing else. An unknown outcome is tried again in the next round, which finds or writes the answer.

--- a/src/orders/orders.ts
+++ b/src/orders/orders.ts
@@ -12,6 +12,7 @@
 import { DutyLease, type HeldLease, isCandidate } from "./duty_lease.ts";
 import { Orders, ordersKey, type ScalingPolicy } from "./mod.ts";
 import { OrderMetrics, UpstreamReconciler } from "./upstream_reconciler.ts";
+import { RetirementResponder } from "./retirements.ts";
 import { LoadScalingPolicy } from "./scaling_policies.ts";
 import { WeightUpdateMetrics, WeightUpdater } from "./weight_updater.ts";
 
@@ -22,6 +23,7 @@
 const LEASE_MARGIN_DIVISOR = 3;
 const ORDER_INTERVAL_MS = 1000;
 const WEIGHT_UPDATE_INTERVAL_MS = 250;
+const RETIREMENT_INTERVAL_MS = 1000;
 
 /** Orders on behalf of all daemons while this one holds the lease. */
 export class LeasedOrders extends Orders {
@@ -105,7 +107,12 @@
       lease,
       metrics: this.#weightUpdateMetrics,
     });
+    const retirementResponder = new RetirementResponder({ kernel, lease });
     await Promise.all([
+      this.#repeatWhileHeld(lease, {
+        everyMs: RETIREMENT_INTERVAL_MS,
+        run: () => retirementResponder.respond(),
+      }),
       this.#repeatWhileHeld(lease, {
         everyMs: ORDER_INTERVAL_MS,
         run: () => reconciler.reconcile(),
--- a/src/outside/evacuated_zones.ts
+++ b/src/outside/evacuated_zones.ts
@@ -12,9 +12,6 @@
 /** Most zones that are kept; operators evacuate a few. */
 export const MAX_EVACUATED_ZONES = 256;
 
-/** Longest name of a zone, in bytes. */
-export const MAX_ZONE_BYTES = 200;
-
 /** Zones named in one log line. */
 const MAX_LOGGED_ZONES = 16;
 
--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -265,6 +265,25 @@
   ): Promise<Result<true, Failure>>;
 }
 
+/** A request of the operators to retire a VM. */
+export interface RetirementRequest {
+  readonly vm: string;
+  /** Differs for each request for the same VM. */
+  readonly revision: number;
+}
+
+/** Whether an answer was written, or there was one. */
+export type RetirementWrite = "written" | "answered before";
+
+/** The operators' requests to retire VMs. */
+export abstract class RetirementService {
+  /** All requests, answered or not; at most one call. */
+  abstract requests(): Promise<Result<readonly RetirementRequest[], Failure>>;
+
+  /** Answers that a VM is drained, unless there is an answer. */
+  abstract complete(vm: string): Promise<Result<RetirementWrite, Failure>>;
+}
+
 /** One organisation's usage in one window. Resends are byte-identical. */
 export interface Report {
   readonly tenant: string;
@@ -448,6 +467,8 @@
   readonly answerLimits?: AnswerLimits;
   /** What upstreams say of themselves; absent if they say nothing. */
   readonly notices?: NoticeFeed;
+  /** Requests to retire VMs; absent on platforms without any. */
+  readonly retirements?: RetirementService;
   /** The evacuated zones; absent on platforms without evacuations. */
   readonly evacuations?: Evacuations;
 }
