Requests of routes and organisations are restricted to their allowed regions

Change: routes and organisations of the manifest may have allowed_regions. The entry excludes upstreams elsewhere from the demand, and returns a permit on one that only the leader lists. A request for which no region of the deployment is allowed is refused at once as not run (region_not_allowed, 403). Leaders and messages are as before.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -677,6 +677,7 @@
       avoid: this.#isLong(item)
         ? this.#speeds(task.pool).laggingUpstreams()
         : [],
+      allowedRegions: this.#route.exchange.allowedRegions,
       fingerprint: task.fingerprint(organisation),
       crashLimit: NO_CRASH_LIMIT,
       attempt: task.lostAttempts,
--- a/src/config/mod.ts
+++ b/src/config/mod.ts
@@ -17,6 +17,8 @@
   readonly keyId: string;
   /** Urgency set by the caller's contract; overrides that of the route. */
   readonly rank?: number;
+  /** Regions in which the organisation's requests may run; absent for all. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** The configuration in force, its freshness, and callers' keys. */
--- a/src/config/replicated_configuration.ts
+++ b/src/config/replicated_configuration.ts
@@ -228,8 +228,8 @@
           REASON_BY_KEY_STATUS[this.#keyring.statusOf(sha256)],
         );
       }
-      const { name: organisation, rank } = holder.value;
-      return Ok({ organisation, keyId: "", rank });
+      const { name: organisation, rank, allowedRegions } = holder.value;
+      return Ok({ organisation, keyId: "", rank, allowedRegions });
     }
     const found = this.#keyring.findByHash(route.name, sha256);
     if (isNone(found)) {
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -24,6 +24,7 @@
 } from "../kernel/mod.ts";
 import { type Peers, peersKey } from "../peers/mod.ts";
 import type { Vm } from "../outside/mod.ts";
+import { DeploymentRegions } from "../tables/mod.ts";
 import { EntryClient } from "./entry.ts";
 import { Fleet } from "./fleet.ts";
 import { LocalLeaders } from "./local_leaders.ts";
@@ -103,6 +104,7 @@
   readonly #findingOffers: GossipOffers;
   readonly #noticeOffers: GossipOffers;
   readonly #findingStore: FindingStore;
+  readonly #regions: DeploymentRegions;
   readonly #abort = new AbortController();
   readonly #refusals: Counter<"reason">;
   readonly #retries: Counter<"reason">;
@@ -123,6 +125,7 @@
     this.#kernel = kernel;
     this.#peers = kernel.get(peersKey);
     this.#config = kernel.get(activeConfigurationKey);
+    this.#regions = new DeploymentRegions(kernel.settings);
     this.#quarantine = new Quarantine({ clock: kernel.clock });
     this.#notices = new KnownNotices({ clock: kernel.clock });
     const gossip = { clock: kernel.clock, peers: this.#peers };
@@ -483,6 +486,7 @@
     this.#fleet = new Fleet({
       vms: this.#vms,
       configuration,
+      regions: this.#regions,
       evacuatedZones: this.#kernel.platform.evacuations?.zones,
       saysLeaving: (id, bornAt) => this.#notices.isLeaving(id, bornAt),
     });
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -120,6 +120,8 @@
     let retryMs = FIRST_RETRY_MS;
     let target: AcquireTarget | undefined;
     const refusedBy = new Set<string>();
+    /** Upstreams that a leader granted and this daemon's list lacks. */
+    const unlisted: string[] = [];
     for (;;) {
       const remaining = {
         ...demand,
@@ -127,8 +129,13 @@
         startInMs: demand.startInMs === undefined
           ? undefined
           : demand.startInMs - (this.#clock.now() - startedAt),
-        // The leader may not know yet which upstreams leave or are evacuated.
-        exclude: [...demand.exclude, ...this.#fleet.outOfUse(demand.pool)],
+        // The leader may not know yet which upstreams leave or are evacuated,
+        // and knows of no regions.
+        exclude: [
+          ...demand.exclude,
+          ...this.#fleet.barred(demand),
+          ...unlisted,
+        ],
       };
       const refusal = this.#refusal(remaining, signal);
       if (refusal !== undefined) return Err(refusal);
@@ -147,12 +154,15 @@
         const answer = asked.val;
         if (answer.ending === AcquireEnding.Granted) {
           const permit = this.#start(answer, remaining, { target, signal });
-          const evacuated = this.#isEvacuated(answer.upstream);
-          if (!permit.leaving.aborted && !evacuated) return Ok(permit);
+          const mayStart = this.#fleet.mayStart(answer.upstream, demand);
+          if (!permit.leaving.aborted && mayStart) return Ok(permit);
           // It was granted before its leader knew that the upstream leaves or
-          // is evacuated.
+          // is evacuated, or on one listed since, outside of the regions.
           permit.release(Outcome.Cancelled, 0);
-          if (evacuated) target = undefined;
+          if (!mayStart) target = undefined;
+          if (this.#fleet.upstream(answer.upstream) === undefined) {
+            unlisted.push(answer.upstream);
+          }
           continue;
         }
         if (answer.ending === AcquireEnding.Refused) {
@@ -359,10 +369,6 @@
     );
   }
 
-  #isEvacuated(upstream: string): boolean {
-    return this.#fleet.upstream(upstream)?.evacuated === true;
-  }
-
   /** Load of a shard for the demand's model; infinite if it can't serve it. */
   #modelLoad(shard: Shard, demand: Demand): number {
     const { model = "" } = demand;
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -394,6 +394,7 @@
   const part = {
     vm: id,
     availabilityZone: "zone-1",
+    region: "r",
     timing: { directoryMs, loadMs: 50 },
   };
   return part as unknown as Settings;
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -5,8 +5,13 @@
  * @module
  */
 
-import type { Configuration } from "../tables/mod.ts";
+import {
+  type AllowedRegions,
+  type Configuration,
+  DeploymentRegions,
+} from "../tables/mod.ts";
 import { Role, type Vm, VmState } from "../outside/mod.ts";
+import type { Demand } from "./mod.ts";
 import {
   isInUse,
   partitionIntoShards,
@@ -29,6 +34,7 @@
   readonly shards: readonly Shard[];
   /** The evacuated zones, whether they have upstreams or not. */
   readonly evacuatedZones: ReadonlySet<string>;
+  readonly #regions: DeploymentRegions;
   readonly #byName: ReadonlyMap<string, Shard>;
   readonly #byUpstream: ReadonlyMap<string, Shard>;
 
@@ -38,7 +44,9 @@
     /** Whether an instance has said itself that it leaves. */
     saysLeaving?: (id: string, bornAt?: number) => boolean;
     evacuatedZones?: ReadonlySet<string>;
+    regions?: DeploymentRegions;
   } = {}) {
+    this.#regions = options.regions ?? new DeploymentRegions();
     const { saysLeaving = () => false } = options;
     this.evacuatedZones = options.evacuatedZones ?? new Set();
     const upstreams = (options.vms ?? [])
@@ -83,13 +91,6 @@
     return this.shards.filter((shard) => shard.pool === pool);
   }
 
-  /** Ids of a pool's upstreams that leave or are evacuated. */
-  outOfUse(pool: string): readonly string[] {
-    return this.#upstreamsOf(pool)
-      .filter((upstream) => !isInUse(upstream))
-      .map(({ id }) => id);
-  }
-
   /** Number of evacuated upstreams, for each pool that has upstreams. */
   evacuatedByPool(): ReadonlyMap<string, number> {
     const pools = [...new Set(this.shards.map(({ pool }) => pool))];
@@ -106,6 +107,34 @@
     );
   }
 
+  /** Ids of a pool's upstreams that a demand may not be sent to. */
+  barred(
+    { pool, allowedRegions }: Pick<Demand, "pool" | "allowedRegions">,
+  ): readonly string[] {
+    return this.#upstreamsOf(pool)
+      .filter((upstream) =>
+        !isInUse(upstream) || !this.#isInRegion(upstream, allowedRegions)
+      )
+      .map(({ id }) => id);
+  }
+
+  /** Whether a demand that did not have to move may start on an upstream. */
+  mayStart(
+    id: string,
+    { allowedRegions }: Pick<Demand, "allowedRegions">,
+  ): boolean {
+    const upstream = this.upstream(id);
+    if (upstream === undefined) return allowedRegions === undefined;
+    return !upstream.evacuated && this.#isInRegion(upstream, allowedRegions);
+  }
+
+  #isInRegion(
+    { availabilityZone }: Upstream,
+    allowed: AllowedRegions,
+  ): boolean {
+    return this.#regions.allowsZone(allowed, availabilityZone);
+  }
+
   /** Zones that were evacuated in an earlier snapshot and no longer are. */
   restoredZones(before: Fleet): readonly string[] {
     return [...before.evacuatedZones]
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -38,6 +38,8 @@
   readonly startInMs?: number;
   /** Upstreams that the request must not be sent to. */
   readonly exclude: readonly string[];
+  /** Regions of the upstreams that it may be sent to; absent for all. */
+  readonly allowedRegions?: readonly string[];
   /** Upstreams that it is sent to only if no other is free. */
   readonly avoid?: readonly string[];
   /** Equal for all resends of a request; identifies what crashes upstreams. */
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -16,6 +16,7 @@
   [Reason.StaleConfiguration]: 503,
   [Reason.NoRoute]: 404,
   [Reason.NoUpstream]: 503,
+  [Reason.RegionNotAllowed]: 403,
   [Reason.TenantOverShare]: 429,
   [Reason.QueueFull]: 503,
   [Reason.DeadlineTooShort]: 503,
--- a/src/kernel/verdict.ts
+++ b/src/kernel/verdict.ts
@@ -23,6 +23,8 @@
   StaleConfiguration = "stale_configuration",
   NoRoute = "no_route",
   NoUpstream = "no_upstream",
+  /** Its route or organisation allows no region of the deployment. */
+  RegionNotAllowed = "region_not_allowed",
   TenantOverShare = "tenant_over_share",
   QueueFull = "queue_full",
   DeadlineTooShort = "deadline_too_short",
--- a/src/relay/attempts.ts
+++ b/src/relay/attempts.ts
@@ -14,7 +14,13 @@
   Outcome,
   type Permit,
 } from "../dispatch/mod.ts";
-import { type Kernel, logger, Reason, type Refusal } from "../kernel/mod.ts";
+import {
+  type Kernel,
+  logger,
+  Reason,
+  Refusal,
+  Verdict,
+} from "../kernel/mod.ts";
 import { type Metering, meteringKey } from "../metering/mod.ts";
 import {
   isNotExecuted,
@@ -24,7 +30,11 @@
   type UpstreamResponse,
   type UpstreamTransport,
 } from "../outside/mod.ts";
-import { priorityOf } from "../tables/mod.ts";
+import {
+  DeploymentRegions,
+  intersectRegions,
+  priorityOf,
+} from "../tables/mod.ts";
 import {
   MAX_UNEXECUTED_SENDS,
   type RequestProgress,
@@ -40,6 +50,13 @@
 /** Highest urgency value that upstreams know; 0 is the most urgent. */
 const MAX_URGENCY = 9;
 
+/** The refusal of a request that may run in no region of the deployment. */
+export const REGION_NOT_ALLOWED = new Refusal({
+  verdict: Verdict.NotRun,
+  reason: Reason.RegionNotAllowed,
+  message: "The request may not run in the regions of this deployment",
+});
+
 /** A response that an upstream began, and the permit it runs under. */
 export interface StartedAnswer<T> {
   readonly answer: T;
@@ -53,12 +70,14 @@
   readonly #kernel: Kernel;
   readonly #dispatch: Dispatch;
   readonly #metering: Metering;
+  readonly #regions: DeploymentRegions;
   readonly #lostAttempts;
 
   constructor(kernel: Kernel) {
     this.#kernel = kernel;
     this.#dispatch = kernel.get(dispatchKey);
     this.#metering = kernel.get(meteringKey);
+    this.#regions = new DeploymentRegions(kernel.settings);
     this.#lostAttempts = kernel.counter(
       "toucanwind_relay_lost_attempts_total",
       "Attempts without a whole answer, by what became of them",
@@ -86,6 +105,9 @@
     send: (permit: Permit) => Promise<Result<T, LostRequest>>,
   ): Promise<Result<StartedAnswer<T> | UpstreamResponse, Refusal>> {
     const demand = demandOf(progress, requester);
+    if (!this.#regions.allowsAny(demand.allowedRegions)) {
+      return Err(progress.refused(REGION_NOT_ALLOWED));
+    }
     for (;;) {
       const permit = await this.#dispatch.acquire({
         ...demand,
@@ -228,7 +250,7 @@
 
 function demandOf(
   { route, request }: RequestProgress,
-  { organisation, rank }: Requester,
+  { organisation, rank, allowedRegions }: Requester,
 ): Demand {
   const { prompt } = request;
   return {
@@ -244,6 +266,10 @@
     remainingMs: request.remainingMs,
     minVersion: 0,
     exclude: [],
+    allowedRegions: intersectRegions(
+      route.exchange.allowedRegions,
+      allowedRegions,
+    ),
     fingerprint: fingerprintOf(organisation, request),
     crashLimit: request.crashLimit,
     attempt: 0,
--- a/src/relay/mod.ts
+++ b/src/relay/mod.ts
@@ -45,6 +45,8 @@
   /** Empty if the route is open and the caller sent no key. */
   readonly organisation: string;
   readonly rank?: number;
+  /** Regions in which its requests may run; absent for all. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** Forwards requests to upstreams. */
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -10,6 +10,8 @@
   readonly vm: string;
   readonly availabilityZone: string;
   readonly region: string;
+  /** The region of each availability zone, if the settings have it. */
+  readonly regionsByZone?: Readonly<Record<string, string>>;
   /** Address for callers, trainers and operators. */
   readonly http: ListenAddress;
   /** Address of the platform's readiness probe, if it uses one. */
--- a/src/tables/mod.ts
+++ b/src/tables/mod.ts
@@ -12,7 +12,13 @@
   MAX_CONFIGURATION_BYTES,
   type RevisionMetadata,
 } from "./configuration.ts";
+export {
+  type AllowedRegions,
+  DeploymentRegions,
+  intersectRegions,
+} from "./allowed_regions.ts";
 export { checkTables } from "./check.ts";
+export { MAX_ALLOWED_REGIONS, MAX_REGION_CHARS } from "./schema.ts";
 export {
   ChangeKind,
   diffTables,
--- a/src/tables/schema.ts
+++ b/src/tables/schema.ts
@@ -21,6 +21,10 @@
 const MAX_RANK = 1_000;
 const MAX_REQUEST_BYTES = 2 ** 31;
 
+/** Limits on a list of allowed regions. */
+export const MAX_ALLOWED_REGIONS = 64;
+export const MAX_REGION_CHARS = 200;
+
 const name = z.string().regex(
   /^[a-z0-9][a-z0-9_-]{0,62}$/,
   "must be 1 to 63 lower-case letters, digits, - and _, not led by - or _",
@@ -66,6 +70,9 @@
   singleVersion: z.boolean(),
 });
 
+const allowedRegions = z.array(z.string().min(1).max(MAX_REGION_CHARS))
+  .max(MAX_ALLOWED_REGIONS);
+
 const exchange = z.strictObject({
   host: z.string().max(256),
   prefix: z.string().regex(/^\/(.*\/)?$/, "must begin and end with a slash"),
@@ -78,6 +85,7 @@
   streamed: z.boolean(),
   resumable: z.boolean(),
   batch: batchTerms.optional(),
+  allowedRegions: allowedRegions.optional(),
 });
 
 const scaling = z.strictObject({
@@ -92,6 +100,7 @@
   name: z.string().min(1).max(200),
   keys: z.array(z.string().length(64)),
   rank: integerBetween(0, MAX_RANK).optional(),
+  allowedRegions: allowedRegions.optional(),
 });
 
 const callerLimits = z.strictObject({
--- a/src/tables/tables.ts
+++ b/src/tables/tables.ts
@@ -96,6 +96,8 @@
   readonly resumable: boolean;
   /** Set for batch routes only. */
   readonly batch?: BatchTerms;
+  /** Regions in which the requests may run; absent for all. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** The share of a route's requests that a pool gets. */
@@ -121,6 +123,8 @@
   readonly keys: readonly string[];
   /** Overrides a route's rank. */
   readonly rank?: number;
+  /** Regions in which its requests may run; absent for all. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** Limits on callers' connections and requests. */
