--- a/src/batches/item_permits.ts
+++ b/src/batches/item_permits.ts
@@ -133,6 +133,7 @@
       model: item.model,
       exclude: [...task.excluded, ...speeds.slowUpstreams()],
       avoid: this.#isLong(item) ? speeds.laggingUpstreams() : [],
+      allowedRegions: route.exchange.allowedRegions,
       fingerprint: task.fingerprint(organisation),
       crashLimit: NO_CRASH_LIMIT,
       attempt: task.lostAttempts,
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -124,6 +124,8 @@
     /** The shard that the wait left when it was moved. */
     let left: Shard | undefined;
     const refusedBy = new Set<string>();
+    /** Upstreams that a leader granted and this daemon's list lacks. */
+    const unlisted: string[] = [];
     for (;;) {
       const waitedMs = this.#clock.now() - startedAt;
       const remaining = {
@@ -132,8 +134,13 @@
         startInMs: demand.startInMs === undefined
           ? undefined
           : demand.startInMs - waitedMs,
-        // The leader may not know yet which upstreams leave or are evacuated.
-        exclude: [...demand.exclude, ...this.#fleet.outOfUse(demand.pool)],
+        // The leader may not know yet which upstreams leave or are evacuated,
+        // and knows of no regions.
+        exclude: [
+          ...demand.exclude,
+          ...this.#fleet.barred(demand),
+          ...unlisted,
+        ],
       };
       const refusal = this.#refusal(remaining, signal);
       if (refusal !== undefined) return Err(refusal);
@@ -154,12 +161,15 @@
         const answer = asked.val;
         if (answer.ending === AcquireEnding.Granted) {
           const permit = this.#start(answer, remaining, { target, signal });
-          const evacuated = this.#isEvacuated(answer.upstream);
-          if (!permit.leaving.aborted && !evacuated) return Ok(permit);
+          const mayStart = this.#fleet.mayStart(answer.upstream, demand);
+          if (!permit.leaving.aborted && mayStart) return Ok(permit);
           // It was granted before its leader knew that the upstream leaves or
-          // is evacuated.
+          // is evacuated, or on one listed since, outside of the regions.
           permit.release(Outcome.Cancelled, 0);
-          if (evacuated) target = undefined;
+          if (!mayStart) target = undefined;
+          if (this.#fleet.upstream(answer.upstream) === undefined) {
+            unlisted.push(answer.upstream);
+          }
           continue;
         }
         if (answer.ending === AcquireEnding.Refused) {
@@ -311,10 +321,6 @@
     return shard && this.#targetOf(shard);
   }
 
-  #isEvacuated(upstream: string): boolean {
-    return this.#fleet.upstream(upstream)?.evacuated === true;
-  }
-
   #targetOf(shard: Shard, waitedMs?: number): AcquireTarget | undefined {
     const leader = this.#peers.rankedForDuty(shard.name)[0]?.vm;
     if (leader === undefined) return undefined;
