Cold starts: read from the manifest and from upstreams' entries

Cause: upstreams that have just started crash under full load.

Change: Pool.coldStart, Vm.coldMs and the same fields of Upstream; Fleet.daemons, the daemons on the list. A change of cold_ms is sent to the other daemons at once. It has a digest of its own (coldDigest, optional), so that lists are still confirmed between daemons of this build and the one before.

--- a/src/directory/directory_gossip.ts
+++ b/src/directory/directory_gossip.ts
@@ -49,11 +49,15 @@
   weightVersions: z.record(z.string(), z.number()).optional(),
   orders: z.number().optional(),
   bornAt: z.number().optional(),
+  /** Absent from daemons of earlier builds. */
+  coldMs: z.number().optional(),
 });
 
 /** The gossip message; `vms` is omitted if the peer was last sent this list. */
 const listingUpdate = z.object({
   digest: z.string(),
+  /** Of the cold times; absent from daemons of earlier builds. */
+  coldDigest: z.string().optional(),
   revision: z.number(),
   ageMs: z.number(),
   vms: z.array(vm).optional(),
@@ -65,6 +69,12 @@
     .optional(),
 });
 
+/** Digests of a list: of the fields that all builds send, and of cold times. */
+interface ListDigests {
+  readonly digest: string;
+  readonly coldDigest: string;
+}
+
 /** A message from a peer, as it is echoed to that peer. */
 interface ReceivedMessage {
   readonly run: string;
@@ -95,9 +105,10 @@
   readonly #directory: CachedDirectory;
   readonly #lastSentDigests = new Map<string, string>();
   readonly #lastReceived = new Map<string, ReceivedMessage>();
-  #cachedDigest: { vms: readonly Vm[]; digest: string } = {
+  #cachedDigest: ListDigests & { vms: readonly Vm[] } = {
     vms: [],
     digest: "",
+    coldDigest: "",
   };
 
   constructor(options: {
@@ -123,11 +134,13 @@
   #offer(peer: string): z.infer<typeof listingUpdate> | undefined {
     const { vms, revision, ageMs } = this.#directory.newest;
     if (ageMs > RECEIVER_MAX_AGE_MS) return undefined;
-    const digest = this.#digest(vms);
-    const alreadySent = this.#lastSentDigests.get(peer) === digest;
-    this.#lastSentDigests.set(peer, digest);
+    const { digest, coldDigest } = this.#digests(vms);
+    const sent = `${digest} ${coldDigest}`;
+    const alreadySent = this.#lastSentDigests.get(peer) === sent;
+    this.#lastSentDigests.set(peer, sent);
     return {
       digest,
+      coldDigest,
       revision,
       ageMs,
       run: this.#peers.self.incarnation,
@@ -170,22 +183,27 @@
   }
 
   #apply(
-    { digest, revision, ageMs, vms }: z.infer<typeof listingUpdate>,
+    update: z.infer<typeof listingUpdate>,
   ): void {
+    const { digest, coldDigest, revision, ageMs, vms } = update;
     if (vms !== undefined) {
-      this.#directory.receive({ vms, revision, ageMs });
-    } else if (digest === this.#digest(this.#directory.newest.vms)) {
-      this.#directory.confirm(revision, ageMs);
+      return this.#directory.receive({ vms, revision, ageMs });
     }
+    const known = this.#digests(this.#directory.newest.vms);
+    if (digest !== known.digest) return;
+    if ((coldDigest ?? known.coldDigest) !== known.coldDigest) return;
+    this.#directory.confirm(revision, ageMs);
   }
 
-  #digest(vms: readonly Vm[]): string {
+  #digests(vms: readonly Vm[]): ListDigests {
     if (this.#cachedDigest.vms !== vms) {
-      const text = JSON.stringify(vms.map(gossipedFields).sort());
-      const digest = createHash("sha256").update(text).digest("base64url");
-      this.#cachedDigest = { vms, digest: digest.slice(0, 16) };
+      this.#cachedDigest = {
+        vms,
+        digest: digestOf(vms.map(gossipedFields)),
+        coldDigest: coldTimesOf(vms),
+      };
     }
-    return this.#cachedDigest.digest;
+    return this.#cachedDigest;
   }
 }
 
@@ -201,6 +219,18 @@
   );
 }
 
+/** The cold times in a list; empty if it has none. */
+function coldTimesOf(vms: readonly Vm[]): string {
+  const cold = vms.filter(({ coldMs }) => coldMs !== undefined);
+  if (cold.length === 0) return "";
+  return digestOf(cold.map(({ id, coldMs }) => `${id} ${coldMs}`));
+}
+
+function digestOf(lines: readonly string[]): string {
+  const text = JSON.stringify([...lines].sort());
+  return createHash("sha256").update(text).digest("base64url").slice(0, 16);
+}
+
 /** The key of the directory gossip plug-in. */
 export const directoryGossipKey = new PluginKey<DirectoryGossip>("directory");
 
--- a/src/directory/directory_gossip_test.ts
+++ b/src/directory/directory_gossip_test.ts
@@ -79,15 +79,17 @@
       return update;
     };
     peers.serve(gossip);
-    return { source, directory };
+    return { source, directory, gossip: section };
   });
+  const accept = (section: GossipSection, body: unknown) =>
+    section.accept(body, "vm-1");
   const reads = () =>
     daemons.reduce((sum, { source }) => sum + source.reads, 0);
   const publish = async (listing: VmListing) => {
     for (const { source } of daemons) source.listing = listing;
     for (const { directory } of daemons) await directory.list();
   };
-  return { clock, daemons, sent, held, reads, publish };
+  return { clock, daemons, sent, held, reads, publish, accept };
 }
 
 test("only two daemons read the list from the platform", async () => {
@@ -143,3 +145,27 @@
   expect(second.directory.newest.revision).toEqual(3);
   expect(second.directory.newest.ageMs >= 3000).toEqual(true);
 });
+
+test("a cold time that changes reaches all daemons with the next list", async () => {
+  const { clock, daemons, publish } = startDaemons(8);
+  await publish({ vms: [upstream("u", { coldMs: 0 })], revision: 1 });
+  for (const coldMs of [4000, 6000]) {
+    clock.advance(500);
+    await publish({ vms: [upstream("u", { coldMs })], revision: 1 + coldMs });
+    const known = daemons.map(({ directory }) => directory.newest.vms[0]);
+    expect(new Set(known.map((vm) => vm.coldMs))).toEqual(new Set([coldMs]));
+  }
+});
+
+test("a list without cold times, as earlier builds digest it, is confirmed", async () => {
+  const { clock, daemons, publish, accept } = startDaemons(2);
+  await publish({ vms: [upstream("u", { coldMs: 6000 })], revision: 1 });
+  const [{ gossip, directory }] = daemons;
+  const offered = gossip.offer("vm-1") as object;
+  clock.advance(900);
+  accept(gossip, { ...offered, coldDigest: undefined, vms: undefined });
+  expect(directory.newest.ageMs < 100).toEqual(true);
+  clock.advance(900);
+  accept(gossip, { ...offered, coldDigest: "another", vms: undefined });
+  expect(directory.newest.ageMs >= 900).toEqual(true);
+});
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -22,6 +22,8 @@
 /** An immutable snapshot of all upstreams. */
 export class Fleet {
   readonly shards: readonly Shard[];
+  /** Ids of the daemons on the platform's list. */
+  readonly daemons: readonly string[];
   readonly #byName: ReadonlyMap<string, Shard>;
   readonly #byUpstream: ReadonlyMap<string, Shard>;
 
@@ -39,6 +41,11 @@
         ...upstream,
         leaving: upstream.leaving || saysLeaving(upstream.id, upstream.bornAt),
       }));
+    this.daemons = (options.vms ?? [])
+      .filter(({ role, standing }) =>
+        role === Role.Entry && standing === VmState.Live
+      )
+      .map(({ id }) => id);
     const pools = [...new Set(upstreams.map(({ pool }) => pool))].sort();
     this.shards = pools.flatMap((pool) =>
       partitionIntoShards(
@@ -101,5 +108,7 @@
     healthPath: pool?.healthPath,
     bornAt: vm.bornAt,
     weightVersions: vm.weightVersions,
+    coldMs: vm.coldMs,
+    coldStart: pool?.coldStart,
   };
 }
--- a/src/dispatch/shards.ts
+++ b/src/dispatch/shards.ts
@@ -6,6 +6,7 @@
  */
 
 import { createHash } from "node:crypto";
+import type { ColdStart } from "../tables/mod.ts";
 
 /** Most upstreams in one shard. */
 export const MAX_SHARD_UPSTREAMS = 16;
@@ -32,6 +33,12 @@
   readonly bornAt?: number;
   /** Weight version by model, according to the platform's list. */
   readonly weightVersions?: Readonly<Record<string, number>>;
+  /** For how long it stays cold, if the list says so. */
+  readonly coldMs?: number;
+  /** How it is cold after a start; absent if its pool never is. */
+  readonly coldStart?: ColdStart;
+  /** Whether its zone is evacuated. */
+  readonly evacuated?: boolean;
 }
 
 /** The name of a shard, by which daemons are ranked as its leader. */
--- a/src/outside/cached_directory.ts
+++ b/src/outside/cached_directory.ts
@@ -199,5 +199,5 @@
 
 function isSameVm(a: Vm, b: Vm): boolean {
   return a.standing === b.standing && a.bornAt === b.bornAt &&
-    a.address === b.address && a.pool === b.pool;
+    a.address === b.address && a.pool === b.pool && a.coldMs === b.coldMs;
 }
--- a/src/outside/mod.ts
+++ b/src/outside/mod.ts
@@ -194,6 +194,8 @@
   readonly orders?: number;
   /** Start time of an upstream in milliseconds since the Unix epoch. */
   readonly bornAt?: number;
+  /** For how long an upstream stays cold, if the list says so. */
+  readonly coldMs?: number;
 }
 
 /** The platform's list of live and leaving VMs, which lags behind. */
--- a/src/tables/mod.ts
+++ b/src/tables/mod.ts
@@ -27,6 +27,7 @@
   type BatchTerms,
   type CallerKey,
   type CallerLimits,
+  type ColdStart,
   type Configuration,
   CONFIGURATION_KEY,
   type ExchangeTerms,
--- a/src/tables/schema.ts
+++ b/src/tables/schema.ts
@@ -20,6 +20,7 @@
 const MAX_ATTEMPTS = 1_000;
 const MAX_RANK = 1_000;
 const MAX_REQUEST_BYTES = 2 ** 31;
+const MIN_COLD_PER_S = 0.001;
 
 const name = z.string().regex(
   /^[a-z0-9][a-z0-9_-]{0,62}$/,
@@ -88,6 +89,11 @@
   zonePrices: z.record(z.string(), z.number()),
 });
 
+const coldStart = z.strictObject({
+  durationMs: numberBetween(1, DAY_MS),
+  requestsPerS: numberBetween(MIN_COLD_PER_S, MAX_WEIGHT),
+});
+
 const organisation = z.strictObject({
   name: z.string().min(1).max(200),
   keys: z.array(z.string().length(64)),
@@ -141,6 +147,7 @@
   versionLag: integerBetween(0, MAX_STALENESS_VERSIONS).optional(),
   scaling: scaling.optional(),
   healthPath: z.string().optional(),
+  coldStart: coldStart.optional(),
 }) satisfies z.ZodType<Pool>;
 
 const stamp = {
--- a/src/tables/tables.ts
+++ b/src/tables/tables.ts
@@ -161,6 +161,15 @@
   readonly scaling?: Scaling;
   /** Path at which an upstream says that it is alive, if it has one. */
   readonly healthPath?: string;
+  /** What an upstream takes just after its start; absent if it is never cold. */
+  readonly coldStart?: ColdStart;
+}
+
+/** For how long an upstream that has started is cold, and what it takes then. */
+export interface ColdStart {
+  readonly durationMs: number;
+  /** Requests a second from all daemons together. */
+  readonly requestsPerS: number;
 }
 
 /** Limits and prices for ordering the upstreams of a pool. */
