Notices: upstreams say in their answers for how long they stay cold

Change: UpstreamNotice.coldMs, and `cold` in the notices that daemons exchange: optional, and left out by builds before. The latest end counts; the end that a later instance states replaces that of the one before.

--- a/src/dispatch/known_notices_test.ts
+++ b/src/dispatch/known_notices_test.ts
@@ -119,3 +119,46 @@
   expect(here.all().length).toEqual(4096);
   expect(here.limitOf("up-4999")).toEqual(1);
 });
+
+test("the latest end of a cold time counts, also among daemons", () => {
+  const { clock, here, there, tell } = daemons();
+  here.heard(notice({ coldMs: 5000 }));
+  clock.advance(1000);
+  here.heard(notice({ coldMs: 2000 }));
+  there.heard(notice({ coldMs: 1000 }));
+  tell();
+  expect([here, there].map((one) => one.coldUntil("up-1")))
+    .toEqual([5000, 5000]);
+  clock.advance(5000);
+  expect(here.all().map(({ cold }) => cold)).toEqual([undefined]);
+});
+
+test("answers that confirm a cold time are no change", () => {
+  const { clock, here } = daemons();
+  let changes = 0;
+  here.onChange(() => changes += 1);
+  for (let coldMs = 5000; coldMs > 0; coldMs -= 100) {
+    here.heard(notice({ coldMs: coldMs + coldMs % 300 / 3 }));
+    clock.advance(100);
+  }
+  expect(changes).toEqual(1);
+});
+
+test("an answer that is older than a limit still says that its upstream is cold", () => {
+  const { clock, here } = daemons();
+  clock.advance(1000);
+  here.heard(notice({ limitPerS: 2 }));
+  here.heard(notice({ coldMs: 3000, requestAgeMs: 500 }));
+  expect(here.limitOf("up-1")).toEqual(2);
+  expect(here.coldUntil("up-1")).toEqual(4000);
+});
+
+test("the cold time of an instance doesn't outlast its successor's birth", () => {
+  const { here, there, tell } = daemons();
+  here.heard(notice({ coldMs: 60_000 }), 1000);
+  expect(here.coldUntil("up-1", 2000)).toEqual(-Infinity);
+  here.heard(notice({ coldMs: 3000 }), 2000);
+  tell();
+  expect([here, there].map((one) => one.coldUntil("up-1", 2000)))
+    .toEqual([3000, 3000]);
+});
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -74,6 +74,9 @@
   leaving: z.boolean(),
   bornAt: z.number().optional(),
   ageMs: z.number(),
+  /** Absent from daemons of earlier builds. */
+  cold: z.object({ leftMs: z.number(), bornAt: z.number().optional() })
+    .optional(),
 });
 
 /** Body of `Message.Notices`, and of the gossip of notices. */
--- a/src/outside/upstream_notices.ts
+++ b/src/outside/upstream_notices.ts
@@ -20,6 +20,8 @@
   readonly limitPerS?: number;
   /** Whether it is about to leave. */
   readonly leaving: boolean;
+  /** For how long it stays cold; absent if it says nothing of it. */
+  readonly coldMs?: number;
   /** Time since the request was sent that it answered, in milliseconds. */
   readonly requestAgeMs: number;
 }
@@ -28,15 +30,17 @@
 export interface NoticeFields {
   readonly limit: readonly string[];
   readonly leaving: readonly string[];
+  readonly cold?: readonly string[];
 }
 
 /**
  * Header fields by which upstreams of the product's own interface say it: a
- * decimal number of requests a second, and `1`.
+ * decimal number of requests a second, `1`, and a decimal number of milliseconds.
  */
 export enum NoticeHeader {
   Limit = "upstream-limit",
   Leaving = "upstream-leaving",
+  Cold = "upstream-cold-ms",
 }
 
 /** The only value by which an upstream says that it leaves. */
@@ -50,6 +54,9 @@
 
 const MAX_LOGGED_CHARS = 40;
 
+/** Longer cold times are as invalid as negative ones. */
+const MAX_COLD_MS = 86_400_000;
+
 /** Passes notices from the clients of upstreams to those that act on them. */
 export class NoticeFeed {
   readonly #listeners = new Set<(notice: UpstreamNotice) => void>();
@@ -64,12 +71,14 @@
   /** Publishes what the fields of an answer say; unreadable values say nothing. */
   publish(
     upstream: string,
-    { limit, leaving }: NoticeFields,
+    { limit, leaving, cold = [] }: NoticeFields,
     { requestAgeMs }: { requestAgeMs: number },
   ): void {
     const leaves = leaving.includes(LEAVING);
     const limits = limit.map((value) => readDecimal(value.trim()));
+    const colds = cold.map((value) => readColdMs(value.trim()));
     const bad = [
+      ...cold.filter((_, n) => colds[n] === undefined),
       ...limit.filter((_, n) => limits[n] === undefined),
       ...leaving.filter((value) => value !== LEAVING),
     ];
@@ -77,11 +86,13 @@
     // An upstream that names a limit nobody can read still has one.
     if (limits.includes(undefined) && !leaves) return;
     const named = limits.filter((value) => value !== undefined);
+    const coldMs = Math.max(0, ...colds.map((value) => value ?? 0));
     this.#emit({
       upstream,
       leaving: leaves,
       requestAgeMs,
       ...named.length === 0 ? {} : { limitPerS: Math.min(...named) },
+      ...coldMs === 0 ? {} : { coldMs },
     });
   }
 
@@ -108,9 +119,15 @@
   return {
     limit: valuesOf(NoticeHeader.Limit),
     leaving: valuesOf(NoticeHeader.Leaving),
+    cold: valuesOf(NoticeHeader.Cold),
   };
 }
 
+function readColdMs(text: string): number | undefined {
+  const value = readDecimal(text);
+  return value !== undefined && value <= MAX_COLD_MS ? value : undefined;
+}
+
 function readDecimal(text: string): number | undefined {
   if (!DECIMAL.test(text)) return undefined;
   const value = Number(text);
--- a/src/outside/upstream_notices_test.ts
+++ b/src/outside/upstream_notices_test.ts
@@ -4,13 +4,17 @@
 
 /** What the feed makes of these header fields. */
 function published(
-  fields: { limit?: readonly string[]; leaving?: readonly string[] },
+  fields: {
+    limit?: readonly string[];
+    leaving?: readonly string[];
+    cold?: readonly string[];
+  },
 ): readonly UpstreamNotice[] {
   const feed = new NoticeFeed();
   const notices: UpstreamNotice[] = [];
   feed.onNotice((notice) => notices.push(notice));
-  const { limit = [], leaving = [] } = fields;
-  feed.publish("up-1", { limit, leaving }, { requestAgeMs: 5 });
+  const { limit = [], leaving = [], cold } = fields;
+  feed.publish("up-1", { limit, leaving, cold }, { requestAgeMs: 5 });
   return notices;
 }
 
@@ -49,6 +53,15 @@
   expect(published({ limit: ["?"], leaving: ["1"] })[0].leaving).toEqual(true);
 });
 
+test("cold times are milliseconds, at most a day, and the longest counts", () => {
+  const coldOf = (...cold: readonly string[]) => published({ cold })[0].coldMs;
+  expect(coldOf("2500")).toEqual(2500);
+  expect(coldOf("2500", "40", "many")).toEqual(2500);
+  for (const value of ["0", "", "-1", "soon", "1e99", "86400001", "2, 3"]) {
+    expect(coldOf(value)).toEqual(undefined);
+  }
+});
+
 test("a listener that was removed hears nothing", () => {
   const feed = new NoticeFeed();
   let heard = 0;
