Shard leader: paces the starts on cold upstreams

Cause: an upstream that has just started, came back with its zone or failed takes cold_per_s requests a second for some seconds and crashes under more.

Change: ColdPeriods decides until when an upstream is cold: from the list, its answers, the end of an evacuation, and failures that opened its circuit breaker. StartBudget, which paced named limits, now paces both; the lower rate counts. A cold upstream's bucket is empty at the start and holds at most 2 starts; for a second after the cold time the rate is doubled. The forecast knows that end, so that nobody is refused who can start after it.

--- a/src/dispatch/circuit_breaker.ts
+++ b/src/dispatch/circuit_breaker.ts
@@ -32,6 +32,18 @@
   #probeInFlight = false;
   /** Whether requests that ran opened it; a load report can't close it then. */
   #openedByRequests = false;
+  readonly #onOpened: () => void;
+  readonly #onSuccess: () => void;
+
+  constructor(options: {
+    /** Called each time that it opens. */
+    onOpened?: () => void;
+    /** Called when the upstream works, also while it is closed. */
+    onSuccess?: () => void;
+  } = {}) {
+    this.#onOpened = options.onOpened ?? (() => {});
+    this.#onSuccess = options.onSuccess ?? (() => {});
+  }
 
   /** The state at `now`. */
   circuit(now: number): Circuit {
@@ -54,6 +66,7 @@
   /** Records how a request ended. */
   ended(outcome: Outcome, now: number): void {
     if (outcome === Outcome.Served || outcome === Outcome.Failed) {
+      this.#onSuccess();
       return this.#close();
     }
     this.#probeInFlight = false;
@@ -68,7 +81,9 @@
   probed(ok: boolean, now: number): void {
     this.#probeFailures = ok ? 0 : this.#probeFailures + 1;
     if (this.#probeFailures >= FAILURE_LIMIT) this.#open(now);
-    if (!ok || this.#openings === 0) return;
+    if (!ok) return;
+    if (!this.#openedByRequests) this.#onSuccess();
+    if (this.#openings === 0) return;
     // A report that can be read ends the open state, but a probe is still due.
     this.#openUntil = Math.min(this.#openUntil, now);
     if (!this.#openedByRequests) this.#close();
@@ -87,5 +102,6 @@
     this.#openings += 1;
     this.#openUntil = now + openMs;
     this.#probeInFlight = false;
+    this.#onOpened();
   }
 }
--- a/src/dispatch/queue.ts
+++ b/src/dispatch/queue.ts
@@ -32,9 +32,9 @@
   readonly forecast?: StartForecast;
 }
 
-/** Message of a refusal for which the limits of the upstreams are the reason. */
+/** Message of a refusal for which the pace of the upstreams is the reason. */
 export const STARTS_TOO_LATE =
-  "The limits of the upstreams leave no start in time";
+  "The upstreams' limits or cold times leave no start in time";
 
 /** A waiting request that can't meet its deadline, and by how much. */
 export interface LateTicket {
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -16,6 +16,7 @@
 import { FairQueue } from "./fair_queue.ts";
 import { Headroom } from "./headroom.ts";
 import { Circuit, CircuitBreaker } from "./circuit_breaker.ts";
+import { ColdPeriods } from "./cold_periods.ts";
 import { KnownNotices } from "./known_notices.ts";
 import { type Demand, Outcome, type Pressure } from "./mod.ts";
 import {
@@ -121,10 +122,12 @@
   readonly #selector: UpstreamSelector;
   readonly #quarantine: Quarantine;
   readonly #notices: KnownNotices;
+  readonly #coldPeriods: ColdPeriods;
   readonly #crashes: CrashDetector;
   readonly #headroom: Headroom | undefined;
   readonly #onSuspicion: (upstream: string) => void;
   readonly #onLimitedGrant: (waitedMs: number) => void;
+  readonly #onColdGrant: (waitedMs: number) => void;
   readonly #prefix: string;
   readonly #permits = new ActivePermits();
   readonly #answers = new Map<string, (answer: WaitResult) => void>();
@@ -145,6 +148,7 @@
     selector?: UpstreamSelector;
     quarantine?: Quarantine;
     notices?: KnownNotices;
+    coldPeriods?: ColdPeriods;
     headroom?: Headroom;
     /** Whether to grant at once; otherwise `startGranting` must be called. */
     granting?: boolean;
@@ -152,8 +156,11 @@
     onSuspicion?: (upstream: string) => void;
     /** Called with the wait for each permit on an upstream with a limit. */
     onLimitedGrant?: (waitedMs: number) => void;
+    /** Called with the wait for each permit on a cold upstream. */
+    onColdGrant?: (waitedMs: number) => void;
   }) {
     this.#onLimitedGrant = options.onLimitedGrant ?? (() => {});
+    this.#onColdGrant = options.onColdGrant ?? (() => {});
     this.#clock = options.clock;
     this.#prefix = options.prefix ?? "";
     this.#queue = options.queue ?? new FairQueue();
@@ -162,6 +169,8 @@
     this.#quarantine = options.quarantine ??
       new Quarantine({ clock: options.clock });
     this.#notices = options.notices ?? new KnownNotices(options);
+    this.#coldPeriods = options.coldPeriods ??
+      new ColdPeriods({ clock: options.clock, notices: this.#notices });
     this.#crashes = new CrashDetector({ quarantine: this.#quarantine });
     this.#headroom = options.headroom;
     this.#onSuspicion = options.onSuspicion ?? (() => {});
@@ -184,9 +193,14 @@
     const now = this.#clock.now();
     const states = new Map<string, UpstreamState>();
     for (const upstream of upstreams) {
-      const known = this.#states.get(upstream.id);
-      states.set(upstream.id, {
-        breaker: new CircuitBreaker(),
+      const { id } = upstream;
+      const known = this.#states.get(id);
+      this.#coldPeriods.observe(upstream);
+      states.set(id, {
+        breaker: new CircuitBreaker({
+          onOpened: () => this.#coldPeriods.failed(id),
+          onSuccess: () => this.#coldPeriods.succeeded(id),
+        }),
         firstSeenAt: now,
         budget: new StartBudget(),
         load: undefined,
@@ -206,7 +220,7 @@
     this.#grantWaiting();
   }
 
-  /** Uses this share of each limit, as another leader may use the rest. */
+  /** Uses this share of each rate, as another leader may use the rest. */
   set limitShare(share: number) {
     this.#limitShare = share;
   }
@@ -217,6 +231,12 @@
       .filter((state) => this.#limitOf(state) !== Infinity).length;
   }
 
+  /** Number of upstreams that are cold. */
+  get coldUpstreams(): number {
+    return [...this.#states.keys()]
+      .filter((id) => this.#coldPeriods.isCold(id)).length;
+  }
+
   /** Starts what limits that changed allow. */
   limitsChanged(): void {
     this.#grantWaiting();
@@ -480,7 +500,7 @@
     const { demand } = ticket;
     const isolated = this.#runsIsolated(demand);
     if (isolated) this.#logIsolated(ticket, { permit, upstream });
-    this.#recordIfLimited(ticket, upstream);
+    this.#recordIfPaced(ticket, upstream);
     this.#permits.add({
       permit,
       ticket: ticket.id,
@@ -500,19 +520,21 @@
     this.#answer(ticket.id, { permit, upstream, isolated });
   }
 
-  #recordIfLimited(
+  #recordIfPaced(
     { entry, queuedAt, demand: { id, route } }: Ticket,
     upstream: Upstream,
   ): void {
     const limitPerS = this.#notices.limitOf(upstream.id);
-    if (limitPerS === Infinity) return;
+    const cold = this.#coldPeriods.isCold(upstream.id);
+    if (limitPerS === Infinity && !cold) return;
     const waitedMs = this.#clock.now() - queuedAt;
-    this.#onLimitedGrant(waitedMs);
-    log("limited upstream granted", {
+    if (limitPerS !== Infinity) this.#onLimitedGrant(waitedMs);
+    if (cold) this.#onColdGrant(waitedMs);
+    log(cold ? "cold upstream granted" : "limited upstream granted", {
       id,
       route,
       upstream: upstream.id,
-      limitPerS,
+      limitPerS: limitPerS === Infinity ? "none" : limitPerS,
       entry,
       waitedMs: Math.round(waitedMs),
     });
@@ -687,9 +709,14 @@
     };
   }
 
-  /** Requests that may start on an upstream by the limit that it named. */
+  /** Requests that may start on an upstream by its limit, or as it is cold. */
   #startsLeft(state: UpstreamState): number {
-    state.budget.update(this.#limitOf(state), this.#clock.now());
+    const pace = this.#coldPeriods.paceOf(state.upstream.id);
+    const cold = pace && {
+      ...pace,
+      ratePerS: pace.ratePerS * this.#limitShare,
+    };
+    state.budget.update(this.#limitOf(state), this.#clock.now(), cold);
     return state.budget.left;
   }
 
--- a/src/dispatch/start_budget_test.ts
+++ b/src/dispatch/start_budget_test.ts
@@ -79,3 +79,53 @@
   for (const budget of budgets) budget.update(2, 500);
   expect(forecast.msUntil(3)).toEqual(0);
 });
+
+/** Most starts that a budget lets pass at once after a long rest. */
+function burstOf(ratePerS: number, limitPerS = Infinity): number {
+  const budget = new StartBudget();
+  budget.update(limitPerS, 0, { ratePerS, until: Infinity });
+  budget.update(limitPerS, 60_000, { ratePerS, until: Infinity });
+  return budget.left;
+}
+
+test("a cold upstream's unused starts are few, so that bursts stay small", () => {
+  expect([40, 12, 8, 6, 4, 1].map((ratePerS) => burstOf(ratePerS)))
+    .toEqual([2, 2, 2, 1, 1, 1]);
+});
+
+test("a cold time begins without starts, also where a limit left some", () => {
+  const budget = new StartBudget();
+  budget.update(100, 0);
+  budget.update(100, 1000);
+  budget.update(100, 1000, { ratePerS: 12, until: 6000 });
+  expect(budget.left).toEqual(0);
+  budget.update(100, 1084, { ratePerS: 12, until: 6000 });
+  expect(budget.left).toEqual(1);
+});
+
+test("of a limit and a cold time the lower rate counts", () => {
+  const budget = new StartBudget();
+  const cold = { ratePerS: 12, until: 6000 };
+  budget.update(3, 0, cold);
+  expect(budget.ratePerS).toEqual(3);
+  budget.update(30, 1, cold);
+  expect(budget.ratePerS).toEqual(12);
+});
+
+test("the rate is doubled for a second after the cold time, then unlimited", () => {
+  const budget = new StartBudget();
+  const rates = [5999, 6000, 6999, 7000].map((now) => {
+    budget.update(Infinity, now, { ratePerS: 12, until: 6000 });
+    return budget.ratePerS;
+  });
+  expect(rates).toEqual([12, 24, 24, Infinity]);
+});
+
+test("the forecast knows when cold times end", () => {
+  const budget = new StartBudget();
+  budget.update(Infinity, 0, { ratePerS: 4, until: 1000 });
+  expect([1000, 1500, 1999, 2001].map((ms) => budget.leftAfter(ms)))
+    .toEqual([4, 8, 11, Infinity]);
+  const forecast = new StartForecast({ budgets: [budget] });
+  expect(Math.round(forecast.msUntil(500) / 10)).toEqual(200);
+});
