Dispatch: cold upstreams across daemons; half of a rate for a minority

Cause: all daemons must know of cold upstreams, as any may be the next leader. Two leaders at once, of which each takes itself for the only one, would let twice the rate start.

Change: the dispatcher applies each list to ColdPeriods on every daemon. A leader that is connected to at most half of the listed daemons uses half of each rate, as one that others insist on does. Load reports of cold upstreams are read half as often. Gauge toucanwind_dispatch_cold_upstreams, histogram toucanwind_dispatch_cold_wait_seconds, `cold` in the status of dispatch. An upstream whose entry says cold_ms 0 was paced for a second when a daemon first saw it; it isn't any more.

--- a/src/dispatch/cold_periods.ts
+++ b/src/dispatch/cold_periods.ts
@@ -77,7 +77,9 @@
       isLater(bornAt, known.upstream.bornAt);
     const before = known?.upstream;
     const state = isNew ? newState(upstream, now, known?.logged) : known;
-    if (coldMs !== undefined && (isNew || coldMs !== before?.coldMs)) {
+    // An upstream that was never cold has no second of doubled rate after it.
+    const stated = coldMs !== undefined && coldMs > 0;
+    if (stated && (isNew || coldMs !== before?.coldMs)) {
       state.listedUntil = Math.max(state.listedUntil, now + coldMs);
     }
     // Builds before this one pass entries on without the cold time.
--- a/src/dispatch/cold_periods_test.ts
+++ b/src/dispatch/cold_periods_test.ts
@@ -141,6 +141,13 @@
   expect(periods.paceOf("up-1")).toEqual(undefined);
 });
 
+// Guards against a pace for upstreams that a daemon sees for the first time.
+test("an upstream that states no cold time of its own isn't paced", () => {
+  const { list, periods } = daemon();
+  list({ coldMs: 0 });
+  expect(periods.paceOf("up-1")).toEqual(undefined);
+});
+
 test("memory of upstreams is bounded", () => {
   const { list, periods } = daemon();
   for (let n = 0; n < 5000; n++) list({ id: `up-${n}`, coldMs: 1000 });
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -49,6 +49,7 @@
   type Pressure,
   type UpstreamStatus,
 } from "./mod.ts";
+import { ColdPeriods } from "./cold_periods.ts";
 import { FindingStore } from "./finding_store.ts";
 import { GossipOffers } from "./offers.ts";
 import {
@@ -96,6 +97,7 @@
   readonly #config: ActiveConfiguration;
   readonly #quarantine: Quarantine;
   readonly #notices: KnownNotices;
+  readonly #coldPeriods: ColdPeriods;
   readonly #summaries: ShardSummaries;
   readonly #localLeaders: LocalLeaders;
   readonly #heldPermits: HeldPermits;
@@ -112,6 +114,8 @@
   readonly #load: Gauge<"pool" | "state">;
   readonly #limits: Gauge<"pool">;
   readonly #limitedWaits: Histogram;
+  readonly #cold: Gauge<"pool">;
+  readonly #coldWaits: Histogram;
   #unsubscribers: readonly (() => void)[] = [];
   #vms: readonly Vm[] = [];
   #fleet = new Fleet();
@@ -123,7 +127,9 @@
     this.#peers = kernel.get(peersKey);
     this.#config = kernel.get(activeConfigurationKey);
     this.#quarantine = new Quarantine({ clock: kernel.clock });
-    this.#notices = new KnownNotices({ clock: kernel.clock });
+    const { clock } = kernel;
+    this.#notices = new KnownNotices({ clock });
+    this.#coldPeriods = new ColdPeriods({ clock, notices: this.#notices });
     const gossip = { clock: kernel.clock, peers: this.#peers };
     this.#summaries = new ShardSummaries(gossip);
     this.#findingOffers = new GossipOffers(gossip);
@@ -134,10 +140,11 @@
     });
     const shared = {
       kernel,
-      clock: kernel.clock,
+      clock,
       peers: this.#peers,
       quarantine: this.#quarantine,
       notices: this.#notices,
+      coldPeriods: this.#coldPeriods,
       summaries: this.#summaries,
       fleet: this.#fleet,
     };
@@ -146,9 +153,15 @@
       "Waits that ended with a permit on an upstream with a limit",
       WAIT_BUCKETS_S,
     );
+    this.#coldWaits = kernel.histogram(
+      "toucanwind_dispatch_cold_wait_seconds",
+      "Waits that ended with a permit on a cold upstream",
+      WAIT_BUCKETS_S,
+    );
     this.#localLeaders = new LocalLeaders({
       ...shared,
       onLimitedGrant: (waitedMs) => this.#limitedWaits.observe(waitedMs / 1000),
+      onColdGrant: (waitedMs) => this.#coldWaits.observe(waitedMs / 1000),
     });
     this.#heldPermits = new HeldPermits(shared);
     this.#retries = kernel.counter(
@@ -192,6 +205,11 @@
       "Upstreams with a limit at the shards kept here, by pool",
       ["pool"],
     );
+    this.#cold = kernel.gauge(
+      "toucanwind_dispatch_cold_upstreams",
+      "Cold upstreams at the shards kept here, by pool",
+      ["pool"],
+    );
     this.#quarantine.onChange((finding) => this.#notifyFinding(finding));
     this.#notices.onChange((notice, origin) =>
       this.#noticeChanged(notice, origin)
@@ -474,6 +492,10 @@
       configuration,
       saysLeaving: (id, bornAt) => this.#notices.isLeaving(id, bornAt),
     });
+    // Daemons that lead no shard do so too, as any of them may be the successor.
+    for (const { upstreams } of this.#fleet.shards) {
+      for (const upstream of upstreams) this.#coldPeriods.observe(upstream);
+    }
     this.#heldPermits.setFleet(this.#fleet);
     this.#entry.setFleet(this.#fleet);
     this.#localLeaders.assign(this.#fleet);
@@ -483,8 +505,10 @@
     this.#localLeaders.publish();
     this.#load.reset();
     this.#limits.reset();
+    this.#cold.reset();
     for (const { pool, leader } of this.#localLeaders.list()) {
       this.#limits.inc({ pool }, leader.limitedUpstreams);
+      this.#cold.inc({ pool }, leader.coldUpstreams);
       const { running, queued } = leader.pressure();
       this.#load.inc({ pool, state: "running" }, running);
       this.#load.inc({ pool, state: "queued" }, queued);
@@ -595,6 +619,7 @@
       })),
       findings: this.#quarantine.findings(),
       notices: this.#notices.all(),
+      cold: this.#coldPeriods.all(),
     };
   }
 
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -29,7 +29,12 @@
 } from "../outside/mod.ts";
 import { NoticeFeed } from "../outside/upstream_notices.ts";
 import type { Settings } from "../settings/mod.ts";
-import { type Configuration, type Pool, Priority } from "../tables/mod.ts";
+import {
+  type ColdStart,
+  type Configuration,
+  type Pool,
+  Priority,
+} from "../tables/mod.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { type Demand, dispatchKey } from "./mod.ts";
 import type { Ticket } from "./queue.ts";
@@ -120,6 +125,13 @@
 };
 
 class FixedConfig extends ActiveConfiguration {
+  readonly #coldStart: ColdStart | undefined;
+
+  constructor(coldStart?: ColdStart) {
+    super();
+    this.#coldStart = coldStart;
+  }
+
   current(): Option<Configuration> {
     return some({
       revision: 1,
@@ -127,7 +139,10 @@
       author: "",
       note: "",
       at: "",
-      tables: { routes: [], pools: [pool] },
+      tables: {
+        routes: [],
+        pools: [{ ...pool, coldStart: this.#coldStart }],
+      },
     });
   }
   ageMs(): number {
@@ -165,8 +180,16 @@
   /** How often the daemons read the list of VMs. */
   readonly #directoryMs: number;
 
-  constructor(options: { vms: readonly Vm[]; directoryMs?: number }) {
+  /** How the pool's upstreams are cold after a start, if they are. */
+  readonly #coldStart: ColdStart | undefined;
+
+  constructor(options: {
+    vms: readonly Vm[];
+    directoryMs?: number;
+    coldStart?: ColdStart;
+  }) {
     this.vms = options.vms;
+    this.#coldStart = options.coldStart;
     this.#directoryMs = options.directoryMs ?? 20;
   }
 
@@ -185,7 +208,7 @@
         {
           key: activeConfigurationKey,
           requires: [],
-          create: () => new FixedConfig(),
+          create: () => new FixedConfig(this.#coldStart),
         },
         {
           key: dispatchKey,
@@ -236,6 +259,12 @@
     this.feeds.get(daemon)?.publish(upstream, fields, { requestAgeMs: 0 });
   }
 
+  /** A daemon gets an answer in which an upstream says for how long it is cold. */
+  announceCold(daemon: string, upstream: string, coldMs: number): void {
+    const fields = { limit: [], leaving: [], cold: [`${coldMs}`] };
+    this.feeds.get(daemon)?.publish(upstream, fields, { requestAgeMs: 0 });
+  }
+
   #platform(id: string): Platform {
     const notices = new NoticeFeed();
     this.feeds.set(id, notices);
--- a/src/dispatch/local_leaders.ts
+++ b/src/dispatch/local_leaders.ts
@@ -23,7 +23,9 @@
 import { Headroom } from "./headroom.ts";
 import { ShardLeader } from "./shard_leader.ts";
 import { holdingsAnswer, Message, type ReportedPermit } from "./messages.ts";
+import type { ColdPeriods } from "./cold_periods.ts";
 import type { KnownNotices } from "./known_notices.ts";
+import { limitShareOf } from "./limit_share.ts";
 import type { Quarantine } from "./quarantine.ts";
 import type { OtherShards } from "./queue.ts";
 import { loadOfOtherShards, type ShardSummaries } from "./summaries.ts";
@@ -38,11 +40,8 @@
 /** Shortest time between two probes of an upstream that may have crashed. */
 const MIN_PROBE_INTERVAL_MS = 100;
 
-/**
- * Share of each limit for a leader that others insist on. With the leader that
- * ranks first it stays within 1.5 times the limit while daemons disagree.
- */
-const INSISTED_LIMIT_SHARE = 0.5;
+/** Load reports of cold upstreams are read less often, by this factor. */
+const COLD_POLL_FACTOR = 2;
 
 /** Time for which a leader that an entry insisted on is kept open. */
 const INSISTED_LEADER_TTL_MS = 5000;
@@ -68,8 +67,10 @@
   readonly #peers: Peers;
   readonly #quarantine: Quarantine;
   readonly #notices: KnownNotices;
+  readonly #coldPeriods: ColdPeriods;
   readonly #summaries: ShardSummaries;
   readonly #onLimitedGrant: (waitedMs: number) => void;
+  readonly #onColdGrant: (waitedMs: number) => void;
   readonly #hosted = new Map<string, HostedLeader>();
   readonly #log: Log = logger("dispatch");
   #fleet: Fleet;
@@ -81,16 +82,21 @@
     peers: Peers;
     quarantine: Quarantine;
     notices: KnownNotices;
+    coldPeriods: ColdPeriods;
     summaries: ShardSummaries;
     fleet: Fleet;
     /** Called with the wait for each permit on an upstream with a limit. */
     onLimitedGrant?: (waitedMs: number) => void;
+    /** Called with the wait for each permit on a cold upstream. */
+    onColdGrant?: (waitedMs: number) => void;
   }) {
     this.#onLimitedGrant = options.onLimitedGrant ?? (() => {});
+    this.#onColdGrant = options.onColdGrant ?? (() => {});
     this.#kernel = options.kernel;
     this.#peers = options.peers;
     this.#quarantine = options.quarantine;
     this.#notices = options.notices;
+    this.#coldPeriods = options.coldPeriods;
     this.#summaries = options.summaries;
     this.#fleet = options.fleet;
   }
@@ -194,8 +200,10 @@
         prefix: `${shortHash(id)}.`,
         quarantine: this.#quarantine,
         notices: this.#notices,
+        coldPeriods: this.#coldPeriods,
         headroom: new Headroom(),
         onLimitedGrant: this.#onLimitedGrant,
+        onColdGrant: this.#onColdGrant,
         granting: false,
         onSuspicion: (upstream) => this.#probeSuspected(shard.name, upstream),
       }),
@@ -223,9 +231,11 @@
   /** Gives a leader its upstreams, and polls each of them. */
   #updateUpstreams(host: HostedLeader): void {
     const upstreams = this.#fleet.shard(host.shard)?.upstreams ?? [];
-    host.leader.limitShare = this.#isLeaderOf(host.shard)
-      ? 1
-      : INSISTED_LIMIT_SHARE;
+    host.leader.limitShare = limitShareOf({
+      isLeader: this.#isLeaderOf(host.shard),
+      members: this.#peers.members().map(({ vm }) => vm),
+      listed: this.#fleet.daemons,
+    });
     host.leader.setUpstreams(upstreams);
     const present = new Set(upstreams.map(({ id }) => id));
     for (const [id, reader] of host.readers) {
@@ -298,7 +308,10 @@
       if (alive && !signal.aborted) {
         seq = await this.#events(host, upstream, seq);
       }
-      await clock.sleep(settings.timing.loadMs, signal);
+      const factor = this.#coldPeriods.isCold(upstream.id)
+        ? COLD_POLL_FACTOR
+        : 1;
+      await clock.sleep(settings.timing.loadMs * factor, signal);
     }
   }
 
