--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -50,6 +50,7 @@
   type Pressure,
   type UpstreamStatus,
 } from "./mod.ts";
+import { ColdPeriods } from "./cold_periods.ts";
 import { FindingStore } from "./finding_store.ts";
 import { GossipOffers } from "./offers.ts";
 import {
@@ -101,6 +102,7 @@
   readonly #notices: KnownNotices;
   readonly #statedLoads: StatedLoads;
   readonly #selection: SelectionMetrics;
+  readonly #coldPeriods: ColdPeriods;
   readonly #summaries: ShardSummaries;
   readonly #localLeaders: LocalLeaders;
   readonly #heldPermits: HeldPermits;
@@ -119,6 +121,8 @@
   readonly #limits: Gauge<"pool">;
   readonly #evacuated: Gauge<"pool">;
   readonly #limitedWaits: Histogram;
+  readonly #cold: Gauge<"pool">;
+  readonly #coldWaits: Histogram;
   #unsubscribers: readonly (() => void)[] = [];
   #vms: readonly Vm[] = [];
   #fleet = new Fleet();
@@ -131,8 +135,10 @@
     this.#config = kernel.get(activeConfigurationKey);
     this.#regions = new DeploymentRegions(kernel.settings);
     this.#quarantine = new Quarantine({ clock: kernel.clock });
-    this.#notices = new KnownNotices({ clock: kernel.clock });
-    this.#statedLoads = new StatedLoads({ clock: kernel.clock });
+    const { clock } = kernel;
+    this.#notices = new KnownNotices({ clock });
+    this.#statedLoads = new StatedLoads({ clock });
+    this.#coldPeriods = new ColdPeriods({ clock, notices: this.#notices });
     this.#selection = new SelectionMetrics(kernel);
     const gossip = { clock: kernel.clock, peers: this.#peers };
     this.#summaries = new ShardSummaries(gossip);
@@ -144,11 +150,12 @@
     });
     const shared = {
       kernel,
-      clock: kernel.clock,
+      clock,
       peers: this.#peers,
       quarantine: this.#quarantine,
       notices: this.#notices,
       statedLoads: this.#statedLoads,
+      coldPeriods: this.#coldPeriods,
       summaries: this.#summaries,
       fleet: this.#fleet,
     };
@@ -157,9 +164,15 @@
       "Waits that ended with a permit on an upstream with a limit",
       WAIT_BUCKETS_S,
     );
+    this.#coldWaits = kernel.histogram(
+      "toucanwind_dispatch_cold_wait_seconds",
+      "Waits that ended with a permit on a cold upstream",
+      WAIT_BUCKETS_S,
+    );
     this.#localLeaders = new LocalLeaders({
       ...shared,
       onLimitedGrant: (waitedMs) => this.#limitedWaits.observe(waitedMs / 1000),
+      onColdGrant: (waitedMs) => this.#coldWaits.observe(waitedMs / 1000),
     });
     this.#heldPermits = new HeldPermits(shared);
     this.#retries = kernel.counter(
@@ -209,6 +222,11 @@
       "Upstreams in evacuated zones as this daemon knows them, by pool",
       ["pool"],
     );
+    this.#cold = kernel.gauge(
+      "toucanwind_dispatch_cold_upstreams",
+      "Cold upstreams at the shards kept here, by pool",
+      ["pool"],
+    );
     this.#quarantine.onChange((finding) => this.#notifyFinding(finding));
     this.#notices.onChange((notice, origin) =>
       this.#noticeChanged(notice, origin)
@@ -500,6 +518,10 @@
       evacuatedZones: this.#kernel.platform.evacuations?.zones,
       saysLeaving: (id, bornAt) => this.#notices.isLeaving(id, bornAt),
     });
+    // Daemons that lead no shard do so too, as any of them may be the successor.
+    for (const { upstreams } of this.#fleet.shards) {
+      for (const upstream of upstreams) this.#coldPeriods.observe(upstream);
+    }
     this.#heldPermits.setFleet(this.#fleet);
     this.#entry.setFleet(this.#fleet);
     this.#localLeaders.assign(this.#fleet);
@@ -529,8 +551,10 @@
       this.#localLeaders.list()
         .map(({ pool, leader }) => ({ pool, status: leader.selection })),
     );
+    this.#cold.reset();
     for (const { pool, leader } of this.#localLeaders.list()) {
       this.#limits.inc({ pool }, leader.limitedUpstreams);
+      this.#cold.inc({ pool }, leader.coldUpstreams);
       const { running, queued } = leader.pressure();
       this.#load.inc({ pool, state: "running" }, running);
       this.#load.inc({ pool, state: "queued" }, queued);
@@ -652,6 +676,7 @@
       })),
       findings: this.#quarantine.findings(),
       notices: this.#notices.all(),
+      cold: this.#coldPeriods.all(),
     };
   }
 
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -30,7 +30,12 @@
 import { Evacuations } from "../outside/evacuated_zones.ts";
 import { NoticeFeed } from "../outside/upstream_notices.ts";
 import type { Settings } from "../settings/mod.ts";
-import { type Configuration, type Pool, Priority } from "../tables/mod.ts";
+import {
+  type ColdStart,
+  type Configuration,
+  type Pool,
+  Priority,
+} from "../tables/mod.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import { type Demand, dispatchKey } from "./mod.ts";
 import type { Ticket } from "./queue.ts";
@@ -122,6 +127,13 @@
 };
 
 class FixedConfig extends ActiveConfiguration {
+  readonly #coldStart: ColdStart | undefined;
+
+  constructor(coldStart?: ColdStart) {
+    super();
+    this.#coldStart = coldStart;
+  }
+
   current(): Option<Configuration> {
     return some({
       revision: 1,
@@ -129,7 +141,10 @@
       author: "",
       note: "",
       at: "",
-      tables: { routes: [], pools: [pool] },
+      tables: {
+        routes: [],
+        pools: [{ ...pool, coldStart: this.#coldStart }],
+      },
     });
   }
   ageMs(): number {
@@ -174,12 +189,17 @@
   readonly #gossipMs: number | undefined;
   #gossipTimer: ReturnType<typeof setInterval> | undefined;
 
+  /** How the pool's upstreams are cold after a start, if they are. */
+  readonly #coldStart: ColdStart | undefined;
+
   constructor(options: {
     vms: readonly Vm[];
     directoryMs?: number;
     gossipMs?: number;
+    coldStart?: ColdStart;
   }) {
     this.vms = options.vms;
+    this.#coldStart = options.coldStart;
     this.#directoryMs = options.directoryMs ?? 20;
     this.#gossipMs = options.gossipMs;
   }
@@ -199,7 +219,7 @@
         {
           key: activeConfigurationKey,
           requires: [],
-          create: () => new FixedConfig(),
+          create: () => new FixedConfig(this.#coldStart),
         },
         {
           key: dispatchKey,
@@ -289,6 +309,12 @@
     this.feeds.get(daemon)?.publish(upstream, fields, { requestAgeMs: 0 });
   }
 
+  /** A daemon gets an answer in which an upstream says for how long it is cold. */
+  announceCold(daemon: string, upstream: string, coldMs: number): void {
+    const fields = { limit: [], leaving: [], cold: [`${coldMs}`] };
+    this.feeds.get(daemon)?.publish(upstream, fields, { requestAgeMs: 0 });
+  }
+
   #platform(id: string): Platform {
     const notices = new NoticeFeed();
     this.feeds.set(id, notices);
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -35,6 +35,8 @@
   /** The evacuated zones, whether they have upstreams or not. */
   readonly evacuatedZones: ReadonlySet<string>;
   readonly #regions: DeploymentRegions;
+  /** Ids of the daemons on the platform's list. */
+  readonly daemons: readonly string[];
   readonly #byName: ReadonlyMap<string, Shard>;
   readonly #byUpstream: ReadonlyMap<string, Shard>;
 
@@ -57,6 +59,11 @@
         evacuated: this.evacuatedZones.has(upstream.availabilityZone),
         leaving: upstream.leaving || saysLeaving(upstream.id, upstream.bornAt),
       }));
+    this.daemons = (options.vms ?? [])
+      .filter(({ role, standing }) =>
+        role === Role.Entry && standing === VmState.Live
+      )
+      .map(({ id }) => id);
     const pools = [...new Set(upstreams.map(({ pool }) => pool))].sort();
     this.shards = pools.flatMap((pool) =>
       partitionIntoShards(
@@ -168,5 +175,7 @@
     healthPath: pool?.healthPath,
     bornAt: vm.bornAt,
     weightVersions: vm.weightVersions,
+    coldMs: vm.coldMs,
+    coldStart: pool?.coldStart,
   };
 }
--- a/src/dispatch/shards.ts
+++ b/src/dispatch/shards.ts
@@ -6,6 +6,7 @@
  */
 
 import { createHash } from "node:crypto";
+import type { ColdStart } from "../tables/mod.ts";
 
 /** Most upstreams in one shard. */
 export const MAX_SHARD_UPSTREAMS = 16;
@@ -37,6 +38,10 @@
   readonly bornAt?: number;
   /** Weight version by model, according to the platform's list. */
   readonly weightVersions?: Readonly<Record<string, number>>;
+  /** For how long it stays cold, if the list says so. */
+  readonly coldMs?: number;
+  /** How it is cold after a start; absent if its pool never is. */
+  readonly coldStart?: ColdStart;
 }
 
 /** Whether requests may be sent to an upstream as far as operators decide. */
--- a/src/outside/upstream_notices.ts
+++ b/src/outside/upstream_notices.ts
@@ -31,6 +31,8 @@
   readonly leaving: boolean;
   /** Its load when it answered; absent if it states none. */
   readonly load?: StatedLoad;
+  /** For how long it stays cold; absent if it says nothing of it. */
+  readonly coldMs?: number;
   /** Time since the request was sent that it answered, in milliseconds. */
   readonly requestAgeMs: number;
 }
@@ -41,15 +43,17 @@
   readonly leaving: readonly string[];
   /** Absent where the protocol has no such field. */
   readonly load?: readonly string[];
+  readonly cold?: readonly string[];
 }
 
 /**
  * Header fields by which upstreams of the product's own interface say it: a
- * decimal number of requests a second, and `1`.
+ * decimal number of requests a second, `1`, and a decimal number of milliseconds.
  */
 export enum NoticeHeader {
   Limit = "upstream-limit",
   Leaving = "upstream-leaving",
+  Cold = "upstream-cold-ms",
 }
 
 /** The only value by which an upstream says that it leaves. */
@@ -69,6 +73,9 @@
 
 const MAX_LOGGED_CHARS = 40;
 
+/** Longer cold times are as invalid as negative ones. */
+const MAX_COLD_MS = 86_400_000;
+
 /** Passes notices from the clients of upstreams to those that act on them. */
 export class NoticeFeed {
   readonly #listeners = new Set<(notice: UpstreamNotice) => void>();
@@ -84,13 +91,15 @@
   /** Publishes what the fields of an answer say; unreadable values say nothing. */
   publish(
     upstream: string,
-    { limit, leaving, load = [] }: NoticeFields,
+    { limit, leaving, load = [], cold = [] }: NoticeFields,
     { requestAgeMs }: { requestAgeMs: number },
   ): void {
     const leaves = leaving.includes(LEAVING);
     const limits = limit.map((value) => readDecimal(value.trim()));
     const statedLoad = load.length === 1 ? readLoad(load[0]) : undefined;
+    const colds = cold.map((value) => readColdMs(value.trim()));
     const bad = [
+      ...cold.filter((_, n) => colds[n] === undefined),
       ...limit.filter((_, n) => limits[n] === undefined),
       ...leaving.filter((value) => value !== LEAVING),
     ];
@@ -101,12 +110,14 @@
     // An upstream that names a limit nobody can read still has one.
     if (limits.includes(undefined) && !leaves) return;
     const named = limits.filter((value) => value !== undefined);
+    const coldMs = Math.max(0, ...colds.map((value) => value ?? 0));
     this.#emit({
       upstream,
       leaving: leaves,
       requestAgeMs,
       ...named.length === 0 ? {} : { limitPerS: Math.min(...named) },
       ...statedLoad === undefined ? {} : { load: statedLoad },
+      ...coldMs === 0 ? {} : { coldMs },
     });
   }
 
@@ -144,6 +155,7 @@
   return {
     limit: valuesOf(NoticeHeader.Limit),
     leaving: valuesOf(NoticeHeader.Leaving),
+    cold: valuesOf(NoticeHeader.Cold),
   };
 }
 
@@ -165,6 +177,11 @@
   return { running, waiting, slots, pacePercent };
 }
 
+function readColdMs(text: string): number | undefined {
+  const value = readDecimal(text);
+  return value !== undefined && value <= MAX_COLD_MS ? value : undefined;
+}
+
 function readDecimal(text: string): number | undefined {
   if (!DECIMAL.test(text)) return undefined;
   const value = Number(text);
