Readers get results from the position that they ask for

Change: a daemon without the earlier results asks the owner from the reader's position on and caches nothing; the head alone is read for a batch that is not known. The new test fails on the code before, which sends three results for one.

--- a/src/batches/batch_reader.ts
+++ b/src/batches/batch_reader.ts
@@ -92,27 +92,35 @@
     batch: BatchRef,
     options: WaitOptions,
   ): Promise<Result<Page, Refusal>> {
-    const found = await this.find(batch);
+    const found = await this.#find(batch, { withResults: false });
     if (found.err) return found;
-    let cached = found.val;
+    const cached = found.val;
     const { after } = options;
-    if (
-      cached.results.length <= after &&
-      cached.results.length < cached.head.total
-    ) {
-      cached = await this.#waitForResults(cached, options);
+    const { total } = cached.head;
+    const isKnown = cached.results.length > after ||
+      cached.results.length >= total;
+    if (isKnown) return Ok(pageOf(total, cached.results, after));
+    if (cached.results.length < after) {
+      const page = await this.#pageFromOwner(cached.head, options);
+      if (page !== undefined) return Ok(page);
     }
-    return Ok(pageOf(cached.head.total, cached.results, after));
+    const { results } = await this.#waitForResults(cached, options);
+    return Ok(pageOf(total, results, after));
   }
 
   /** A batch as known here, read from the store if it is unknown. */
-  async find(
+  find(batch: BatchRef): Promise<Result<CachedBatch, Refusal>> {
+    return this.#find(batch, { withResults: true });
+  }
+
+  async #find(
     { id, organisation }: BatchRef,
+    options: { withResults: boolean },
   ): Promise<Result<CachedBatch, Refusal>> {
     const run = this.#runs.get(id);
     const known = run === undefined ? this.#cache.get(id) : this.cacheRun(run);
     const found = known === undefined
-      ? await this.#loadBatch(id)
+      ? await this.#loadBatch(id, options)
       : Ok(known) as Result<CachedBatch, Refusal>;
     if (found.err) return found;
     if (found.val.head.organisation === organisation) return found;
@@ -144,19 +152,42 @@
     };
   };
 
-  async #loadBatch(id: string): Promise<Result<CachedBatch, Refusal>> {
+  async #loadBatch(
+    id: string,
+    { withResults }: { withResults: boolean },
+  ): Promise<Result<CachedBatch, Refusal>> {
     const found = await this.#store.head(id);
     if (found.err) return Err(refuse(Verdict.NotRun, Reason.PlatformDown));
     if (isNone(found.val)) {
       return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
     }
     const { head } = found.val.value;
-    const full = await this.#complete({ head, results: [], chunks: 0 }, head);
+    const empty = { head, results: [], chunks: 0 };
+    if (!withResults) return Ok(this.#cache.put(empty));
+    const full = await this.#complete(empty, head);
     return full === undefined
       ? Err(refuse(Verdict.NotRun, Reason.PlatformDown))
       : Ok(full);
   }
 
+  /**
+   * A page from the owner for a reader whose earlier results are not cached here:
+   * readers poll at any daemon, and all results of a batch are long. Undefined if
+   * the owner has none and does not prove that there are none.
+   */
+  async #pageFromOwner(
+    head: BatchHead,
+    { after, ...options }: WaitOptions,
+  ): Promise<Page | undefined> {
+    const answer = await this.#askOwner(head, { after, ...options });
+    if (answer === undefined) return undefined;
+    const { results, provenMsAgo = Infinity } = answer;
+    if (results.length === 0 && provenMsAgo >= MAX_PROOF_AGE_MS) {
+      return undefined;
+    }
+    return { total: head.total, results, next: after + results.length };
+  }
+
   /** Waits for new results, and gets them from the owner or the store. */
   async #waitForResults(
     cached: CachedBatch,
@@ -176,26 +207,31 @@
     waitMs: number;
     signal: AbortSignal;
   }): Promise<OwnerReading | undefined> {
-    const { id } = cached.head;
-    const known = cached.results.length;
+    const after = cached.results.length;
+    const answer = await this.#askOwner(cached.head, { after, ...options });
+    if (answer === undefined) return undefined;
+    const { results, provenMsAgo = Infinity } = answer;
+    const batch = this.#cache.put({
+      ...this.#cache.get(cached.head.id) ?? cached,
+      results: [...cached.results, ...results],
+    });
+    return { batch, isProven: provenMsAgo < MAX_PROOF_AGE_MS };
+  }
+
+  /** Asks a batch's owner for results; undefined if it doesn't run the batch. */
+  async #askOwner(
+    head: BatchHead,
+    { after, waitMs, signal }: WaitOptions,
+  ): Promise<ReadAnswer | undefined> {
     const answer = await this.#peers.ask(
-      this.#runnerOf(cached.head),
+      this.#runnerOf(head),
       Message.Read,
-      { id, after: known, waitMs: options.waitMs },
-      {
-        timeoutMs: options.waitMs + READ_TIMEOUT_MARGIN_MS,
-        signal: options.signal,
-      },
+      { id: head.id, after, waitMs },
+      { timeoutMs: waitMs + READ_TIMEOUT_MARGIN_MS, signal },
     );
     if (answer.err) return undefined;
     const parsed = readAnswer.safeParse(answer.val);
-    if (!parsed.success || !parsed.data.run) return undefined;
-    const { results, provenMsAgo = Infinity } = parsed.data;
-    const batch = this.#cache.put({
-      ...this.#cache.get(id) ?? cached,
-      results: [...cached.results, ...results],
-    });
-    return { batch, isProven: provenMsAgo < MAX_PROOF_AGE_MS };
+    return parsed.success && parsed.data.run ? parsed.data : undefined;
   }
 
   /** Cached results of an ended run; without any, readers ask the store. */
--- a/src/batches/batch_reader_test.ts
+++ b/src/batches/batch_reader_test.ts
@@ -24,7 +24,8 @@
 async function createReader(options: { isEarlierBuild?: boolean } = {}) {
   const clock = new ManualClock();
   const { records, store } = createStore({ clock });
-  const reads = { heads: 0 };
+  /** Reads of heads, and results sent by owners. */
+  const reads = { heads: 0, results: 0 };
   const get = records.get.bind(records);
   records.get = (key) => {
     reads.heads += 1;
@@ -35,6 +36,7 @@
     ask: async (vm: string, _kind: string, body: unknown) => {
       const answer = await daemons.get(vm)?.handleRead(body, "r", signal);
       const copy = JSON.parse(JSON.stringify(answer));
+      reads.results += copy.results.length;
       if (options.isEarlierBuild) delete copy.provenMsAgo;
       return Ok(copy);
     },
@@ -57,14 +59,13 @@
   const owned = ownership({ clock });
   addOwner(OWNER.owner, runOf(state, [], () => owned.ageMs));
   const reader = add("r", new Map());
-  const poll = async () => {
-    const page = await reader.read(BATCH, { after: 0, waitMs: 0, signal });
-    return page.unwrap().results.map(({ id }) => id);
-  };
+  const readFrom = async (after: number) =>
+    (await reader.read(BATCH, { after, waitMs: 0, signal })).unwrap();
+  const poll = async () => (await readFrom(0)).results.map(({ id }) => id);
   // The first read finds the batch.
   await poll();
   reads.heads = 0;
-  return { clock, store, state, owned, addOwner, poll, reads };
+  return { clock, store, state, owned, addOwner, poll, readFrom, reads };
 }
 
 function runOf(
@@ -119,3 +120,17 @@
   await poll();
   expect(reads.heads).toEqual(1);
 });
+
+test("a reader at a later position doesn't make the owner send all results again", async () => {
+  const { store, state, addOwner, reads, readFrom } = await createReader();
+  const results = ["one", "two", "three"].map((id) => result(id));
+  const listed = await store.append(state, results, signal);
+  if (isNone(listed.now)) throw new Error("Not listed");
+  addOwner(OWNER.owner, runOf(listed.now.value, results, () => 0));
+  const page = await readFrom(2);
+  expect(page.results.map(({ id }) => id)).toEqual(["three"]);
+  expect([page.next, reads.results]).toEqual([3, 1]);
+  // Nothing before that position is known here yet.
+  expect((await readFrom(0)).results.map(({ id }) => id))
+    .toEqual(["one", "two", "three"]);
+});
