Load reports of upstreams in a steady state are read half as often

An upstream that loads weights, refuses a model or fails is read at the old interval; refusals and broken requests still lead to a read at once.

--- a/src/dispatch/local_leaders.ts
+++ b/src/dispatch/local_leaders.ts
@@ -43,6 +43,12 @@
 /** Load reports of cold upstreams are read less often, by this factor. */
 const COLD_POLL_FACTOR = 2;
 
+/**
+ * Reports of upstreams that neither load weights nor fail are read less often:
+ * each read has a price, and requests and refusals tell of a change as well.
+ */
+const STEADY_POLL_FACTOR = 2;
+
 /** Time for which a leader that an entry insisted on is kept open. */
 const INSISTED_LEADER_TTL_MS = 5000;
 
@@ -308,13 +314,16 @@
       if (alive && !signal.aborted && !this.#isEvacuated(upstream.id)) {
         seq = await this.#events(host, upstream, seq);
       }
-      const factor = this.#coldPeriods.isCold(upstream.id)
-        ? COLD_POLL_FACTOR
-        : 1;
+      const factor = this.#pollFactor(host, upstream.id);
       await clock.sleep(settings.timing.loadMs * factor, signal);
     }
   }
 
+  #pollFactor({ leader }: HostedLeader, id: string): number {
+    if (this.#coldPeriods.isCold(id)) return COLD_POLL_FACTOR;
+    return leader.isSteady(id) ? STEADY_POLL_FACTOR : 1;
+  }
+
   /** Probes an upstream at once, but not again for each of many failures. */
   #probeSuspected(shard: string, id: string): void {
     const host = this.#hosted.get(shard);
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -385,6 +385,16 @@
     return circuit !== undefined && circuit !== Circuit.Closed;
   }
 
+  /** Whether nothing suggests that an upstream's next report will differ. */
+  isSteady(id: string): boolean {
+    const state = this.#states.get(id);
+    if (state?.load === undefined || state.load.busy === true) return false;
+    const now = this.#clock.now();
+    const refuses = [...state.refusedUntil.values()]
+      .some((until) => now < until);
+    return !refuses && state.breaker.circuit(now) === Circuit.Closed;
+  }
+
   /** Records the result of probing an upstream. */
   probed(id: string, result: ProbeResult, load?: Load): void {
     const state = this.#states.get(id);
--- a/src/dispatch/shard_leader_test.ts
+++ b/src/dispatch/shard_leader_test.ts
@@ -608,3 +608,28 @@
   expect(upstreamOf(ask({ model: "n", minVersion: 1, startInMs: 1000 })))
     .toEqual("up-2");
 });
+
+test("an upstream's reports are read often while its state changes", () => {
+  const { clock, leader, ask } = shard([upstream({ slots: 2 })]);
+  const report = (busy: boolean) =>
+    leader.probed(
+      "up-1",
+      ProbeResult.Alive,
+      load({ busy, weightVersions: { m: 2 } }),
+    );
+  expect(leader.isSteady("up-1")).toEqual(false);
+  report(false);
+  expect(leader.isSteady("up-1")).toEqual(true);
+  report(true);
+  expect(leader.isSteady("up-1")).toEqual(false);
+  report(false);
+  const refused = permit(ask({ model: "m", minVersion: 1 }));
+  leader.release(refused, Outcome.Refused, 0);
+  expect(leader.isSteady("up-1")).toEqual(false);
+  clock.advance(1000);
+  expect(leader.isSteady("up-1")).toEqual(true);
+  leader.probed("up-1", ProbeResult.Silent);
+  leader.probed("up-1", ProbeResult.Silent);
+  leader.probed("up-1", ProbeResult.Silent);
+  expect(leader.isSteady("up-1")).toEqual(false);
+});
