--- a/stand_ins/platform_protocol.ts
+++ b/stand_ins/platform_protocol.ts
@@ -103,6 +103,10 @@
   listed = "";
   /** The limit that it names in its answers, in requests a second. */
   namedLimit: string | undefined;
+  /** End of the time for which it says that it is cold. */
+  coldUntil = 0;
+  /** Times of all requests but load reports, and of answers other than 421. */
+  readonly requested: number[] = [];
   /** Whether it says in its answers that it leaves. */
   saysLeaving = false;
   /** Decides how a request is handled. */
@@ -159,13 +163,17 @@
       version: "v1",
       slots: this.slots,
       state,
-      cold_ms: 0,
+      cold_ms: this.#coldMs,
       sequence: this.orders.length,
       born: this.#bornAt,
       ...models.length === 0 ? {} : { stage: "combined", models },
     });
   }
 
+  get #coldMs(): number {
+    return Math.max(0, this.coldUntil - Date.now());
+  }
+
   async start(): Promise<void> {
     this.#server.listen(0, "127.0.0.1");
     await once(this.#server, "listening");
@@ -188,11 +196,13 @@
     if (this.namedLimit !== undefined) {
       response.setHeader("Server-Limit", this.namedLimit);
     }
+    if (this.#coldMs > 0) response.setHeader("X-Cold-Ms", `${this.#coldMs}`);
     if (this.saysLeaving) response.setHeader("Server-Leaving", "1");
     if (message.headers["x-expect-instance"] !== this.id) {
       return void response.writeHead(421, { "x-instance-id": "other" }).end();
     }
     if (message.url === "/-/report") return this.#report(response);
+    this.requested.push(Date.now());
     if (message.url === "/health") {
       return void response.writeHead(200, { "x-instance-id": this.id }).end();
     }
@@ -378,6 +388,8 @@
     id: string;
     service: string;
     models?: string[];
+    /** For how long it is cold. */
+    coldMs?: number;
   }): Promise<PlatformUpstreamStandIn> {
     const register = () =>
       this.records.put(`servers/${upstream.id}`, upstream.entry());
@@ -385,6 +397,7 @@
       ...options,
       onRestart: register,
     });
+    upstream.coldUntil = Date.now() + (options.coldMs ?? 0);
     await upstream.start();
     this.#upstreams.push(upstream);
     register();
