Directory: a list without cold times is no change

Cause: daemons of the build before pass entries on without cold_ms, so that in a mixed deployment every list would be logged and sent on as changed.

Change: cold times are compared only where both lists have one.

--- a/src/outside/cached_directory.ts
+++ b/src/outside/cached_directory.ts
@@ -199,5 +199,11 @@
 
 function isSameVm(a: Vm, b: Vm): boolean {
   return a.standing === b.standing && a.bornAt === b.bornAt &&
-    a.address === b.address && a.pool === b.pool && a.coldMs === b.coldMs;
+    a.address === b.address && a.pool === b.pool && sameColdMs(a, b);
+}
+
+/** Daemons of earlier builds pass entries on without the cold time. */
+function sameColdMs(a: Vm, b: Vm): boolean {
+  if (a.coldMs === undefined || b.coldMs === undefined) return true;
+  return a.coldMs === b.coldMs;
 }
--- a/src/outside/cached_directory_test.ts
+++ b/src/outside/cached_directory_test.ts
@@ -157,3 +157,16 @@
   directory.receive({ vms: [], revision: 2, ageMs: 90 });
   expect(await ids()).toEqual([]);
 });
+
+// Guards against daemons of two builds that report each other's lists as changed.
+test("a list without cold times, as earlier builds send it, is no change", async () => {
+  const { clock, source, directory, ids } = createDirectory();
+  source.listing = { vms: [{ ...upstream("u"), coldMs: 4000 }], revision: 1 };
+  await ids();
+  let changes = 0;
+  directory.onUpdate(() => changes += 1);
+  clock.advance(300);
+  directory.receive({ vms: [upstream("u")], revision: 2, ageMs: 0 });
+  expect(changes).toEqual(0);
+  expect(directory.newest.revision).toEqual(2);
+});
