A model without upstreams gets one

Cause: models keep their number of upstreams within a tolerance, together possibly all of them; a model that was added, or whose last upstream ended, then got none for as long as the others stayed within it (two upstreams, demand 20 to 4: 2 and 0).

Change: one upstream is left free for each model that has none, from the model with the most.

Evidence: the new test in assignment_test.ts failed before with [2, 0].

--- a/src/orders/assignment.ts
+++ b/src/orders/assignment.ts
@@ -54,6 +54,7 @@
     model,
     kept.get(model)?.slice(0, counts.get(model)).map(({ id }) => id) ?? [],
   ]));
+  freeOneEach(assigned, upstreams.length);
   const taken = new Set([...assigned.values()].flat());
   let free = upstreams.filter(({ id }) => !taken.has(id)).sort(byId);
   while (free.length > 0) {
@@ -105,6 +106,22 @@
   return best.length === 1 ? best[0] : undefined;
 }
 
+/**
+ * Leaves an upstream free for each model that has none. The tolerance lets other
+ * models keep more than their share, together possibly all upstreams.
+ */
+function freeOneEach(
+  assigned: ReadonlyMap<string, string[]>,
+  upstreams: number,
+): void {
+  const parts = [...assigned.values()];
+  const without = parts.filter((ids) => ids.length === 0).length;
+  let free = upstreams - parts.flat().length;
+  for (; free < without; free += 1) {
+    parts.reduce((most, ids) => ids.length > most.length ? ids : most).pop();
+  }
+}
+
 /** The share of a model's upstreams that are assigned yet, from 0 to 1. */
 function assignedShare(
   assigned: ReadonlyMap<string, readonly string[]>,
--- a/src/orders/assignment_test.ts
+++ b/src/orders/assignment_test.ts
@@ -107,3 +107,10 @@
   });
   expect(next.get("n")?.includes("a")).toEqual(true);
 });
+
+test("a model without upstreams gets one also if the others keep theirs", () => {
+  // The only upstream of n ended; the share of m is within its tolerance.
+  const all = ["a", "b"].map((id) => ({ ...upstream(id), current: "m" }));
+  const parts = assignUpstreams(all, ["m", "n"], { weights: { m: 20, n: 4 } });
+  expect(["m", "n"].map((model) => parts.get(model)?.length)).toEqual([1, 1]);
+});
