A new lease holder keeps the split of engines that it finds

Cause: without any demand known, in the first 12 s of a lease, the engines were split evenly. Where the models' shares differ, each change of the holder cost loads of weights at once, and as many again when the demand was known.

Change: with no demand known the number of engines of each model stays, if each has some; otherwise the split is even, as before.

Evidence: the new test in assignment_test.ts failed before: of a split of 4 and 2 an engine was moved.

--- a/src/orders/assignment.ts
+++ b/src/orders/assignment.ts
@@ -131,7 +131,11 @@
   return (assigned.get(model)?.length ?? 0) / (counts.get(model) ?? 1);
 }
 
-/** Number of upstreams for each model, by `weights`; at least one each. */
+/**
+ * Number of upstreams for each model, by `weights`; at least one each. Without
+ * any weights, as for a new lease holder, the split that is found stays: an even
+ * one would cost loads of weights now and again once the demand is known.
+ */
 function targetCounts(
   count: number,
   { models, weights, kept }: {
@@ -140,6 +144,12 @@
     kept: ReadonlyMap<string, readonly UpstreamModelVersions[]>;
   },
 ): ReadonlyMap<string, number> {
+  const isSplit = models.every((model) => (kept.get(model)?.length ?? 0) > 0);
+  if (Object.keys(weights).length === 0 && isSplit) {
+    return new Map(
+      models.map((model) => [model, kept.get(model)?.length ?? 0]),
+    );
+  }
   const heaviest = Math.max(...models.map((model) => weights[model] ?? 0), 0);
   const weightOf = (model: string) =>
     heaviest === 0
--- a/src/orders/assignment_test.ts
+++ b/src/orders/assignment_test.ts
@@ -114,3 +114,18 @@
   const parts = assignUpstreams(all, ["m", "n"], { weights: { m: 20, n: 4 } });
   expect(["m", "n"].map((model) => parts.get(model)?.length)).toEqual([1, 1]);
 });
+
+test("a new lease holder that knows no demand keeps the split that it finds", () => {
+  const all = ["a", "b", "c", "d", "e", "f"].map((id) =>
+    id < "e" ? upstream(id, 9, 1) : upstream(id, 1, 3)
+  );
+  const latest = { m: 9, n: 3 };
+  const parts = assignUpstreams(all, ["m", "n"], { latest });
+  expect(parts.get("n")).toEqual(["e", "f"]);
+  // Known to be the same for both, the demand decides.
+  const even = assignUpstreams(all, ["m", "n"], {
+    latest,
+    weights: { m: 5, n: 5 },
+  });
+  expect(even.get("n")?.length).toEqual(3);
+});
