An engine that accepts no order doesn't hold up the others

Cause: an order that got lost was forgotten and placed again at once, before all others, as the engine is the furthest behind. An engine that never accepts an order thus kept its place among those that load; with three engines, one at a time, the others never got the version. Before orders were placed again, a failure put it last.

Change: a lost order counts as a failure. The first one is placed again without a wait, but after the updates that have not failed; further ones with backoff.

--- a/src/orders/weight_update_schedule.ts
+++ b/src/orders/weight_update_schedule.ts
@@ -167,15 +167,27 @@
 
   /** Records that an update failed or could not be ordered. */
   failed(id: string, now: number): void {
+    const doublings = this.#failures(id);
+    const waitMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** doublings);
+    this.#recordFailure(id, now + waitMs);
+  }
+
+  /**
+   * Records that an engine has not accepted an order. After a first failure it is
+   * placed again at once, but like other retries after updates that have not
+   * failed: an engine that never accepts one must not hold up the others.
+   */
+  missed(id: string, now: number): void {
+    if (this.#failures(id) > 0) this.failed(id, now);
+    else this.#recordFailure(id, now);
+  }
+
+  #recordFailure(id: string, retryAt: number): void {
     const failures = this.#failures(id) + 1;
-    const waitMs = Math.min(
-      MAX_BACKOFF_MS,
-      MIN_BACKOFF_MS * 2 ** (failures - 1),
-    );
     this.#pending = without(this.#pending, id);
     this.#retries = new Map([
       ...this.#retries,
-      [id, { failures, at: now + waitMs }],
+      [id, { failures, at: retryAt }],
     ]);
   }
 
--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -429,7 +429,7 @@
       orders: sent.orders,
       sentMsAgo: Math.round(reported.at - sent.at),
     });
-    schedule.forget(vm.id);
+    schedule.missed(vm.id, this.#clock.now());
   }
 
   /** Reads a model's version from the engine. */
