Engines with a lost load of a removed model load other models

Cause: an engine loads one model at a time, and updates in progress end only in rounds of their own pool and model. After a model was removed from the configuration its updates never ended, and their engines got no order as long as the lease was held.

Change: schedules of models that no pool serves any more are dropped each round.

Evidence: the new test in weight_updater_test.ts failed before: no order for the pool's new model within 3 s.

--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -104,6 +104,7 @@
     const tables = toUndefined(this.#config.current())?.tables;
     if (tables === undefined || !this.#config.fresh()) return;
     const pairs = tables.pools.flatMap(poolModelsOf);
+    this.#dropRemoved(pairs);
     await Promise.all([this.#refreshVms(), this.#sampleDemand(pairs)]);
     this.#assignAll(pairs);
     // Models take turns at being first, as a pool's models share its limit.
@@ -223,6 +224,14 @@
     return schedule;
   }
 
+  /** A removed model's updates must not keep its engines from loading others. */
+  #dropRemoved(pairs: readonly PoolModel[]): void {
+    const names = new Set(pairs.map(keyOf));
+    for (const name of this.#schedules.keys()) {
+      if (!names.has(name)) this.#schedules.delete(name);
+    }
+  }
+
   #limiterOf({ name }: Pool): WeightLoadLimiter {
     const known = this.#limiters.get(name);
     if (known !== undefined) return known;
--- a/src/orders/weight_updater_test.ts
+++ b/src/orders/weight_updater_test.ts
@@ -11,3 +11,14 @@
   const done = () => others.every(({ versions }) => versions.m === 2);
   expect(await site.runUntil(done, 4500)).toEqual(true);
 });
+
+test("an engine whose load of a removed model got lost loads other models", async () => {
+  const one = new EngineStandIn("u", { m: 1, n: 1 });
+  one.losesOrders = true;
+  const site = new WeightSite({ engines: [one], pool: { model: "m" } });
+  site.latest.set("m", 2).set("n", 2);
+  await site.runUntil(() => site.orders.length > 0, 2000);
+  one.losesOrders = false;
+  site.changePool({ model: "n" });
+  expect(await site.runUntil(() => one.versions.n === 2, 3000)).toEqual(true);
+});
