An engine that is reassigned while it loads finishes first

Cause: an update in progress was forgotten as soon as its engine was assigned to another model. The engine then got an order while it carried one out, which it refused, and the load didn't count towards the pool's limit.

Change: updates end by the reports of all live engines of the pool.

Evidence: the new test in weight_updater_test.ts failed before, with one refused order.

--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -175,7 +175,8 @@
     const { model } = pair;
     if ((this.#latestVersions.get(model) ?? 0) === 0) return;
     const schedule = this.#scheduleOf(pair);
-    const vms = this.#assignedVms(pair);
+    // An engine may have been assigned to another model while it loads this one.
+    const vms = this.#liveVms(pair.pool);
     this.#settleUpdates(schedule, {
       pair,
       upstreams: this.#versions(pair, vms),
--- a/src/orders/weight_updater_test.ts
+++ b/src/orders/weight_updater_test.ts
@@ -22,3 +22,20 @@
   site.changePool({ model: "n" });
   expect(await site.runUntil(() => one.versions.n === 2, 3000)).toEqual(true);
 });
+
+test("an engine that is reassigned while it loads gets no further order yet", async () => {
+  const engines = ["u", "v", "w"].map((id) =>
+    new EngineStandIn(id, { m: 1, n: 1 })
+  );
+  for (const one of engines) one.loadMs = 800;
+  const site = new WeightSite({ engines, pool: { models: ["m"] } });
+  site.latest.set("m", 2).set("n", 2);
+  await site.runUntil(() => site.orders.length > 0, 2000);
+  // The engines are assigned for the first time, the loading one perhaps to n.
+  site.changePool({ models: ["n", "m"] });
+  const isDone = () =>
+    engines.some(({ versions }) => versions.n === 2) &&
+    engines.every(({ versions }) => versions.n === 2 || versions.m === 2);
+  expect(await site.runUntil(isDone, 9000)).toEqual(true);
+  expect(engines.map(({ refused }) => refused)).toEqual([0, 0, 0]);
+});
