A report counts from when it was asked for

Cause: the time of an engine's report was that of its arrival. A report from before an order was accepted that arrived a second after the order showed it as lost, so it was placed again.

Change: the time is that of the question.

Evidence: the new test in weight_updater_test.ts failed before, with two orders.

--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -52,6 +52,7 @@
   readonly orders: number | undefined;
   /** Whether it carries out an order. */
   readonly busy: boolean;
+  /** When it was asked for. */
   readonly at: number;
 }
 
@@ -447,11 +448,13 @@
     vm: Vm,
     model: string,
   ): Promise<ReportedVersion | undefined> {
+    // The answer may be older than its arrival, never older than the question.
+    const at = this.#clock.now();
     const load = await this.#kernel.platform.engine.load(vm);
     if (load.err) return undefined;
     const { weightVersion, weightVersions, orders, busy = false } = load.val;
     const version = weightVersions?.[model] ?? weightVersion;
-    const reported = { version, orders, busy, at: this.#clock.now() };
+    const reported = { version, orders, busy, at };
     this.#reportedVersions.set(`${vm.id}/${model}`, reported);
     return reported;
   }
--- a/src/orders/weight_updater_test.ts
+++ b/src/orders/weight_updater_test.ts
@@ -39,3 +39,14 @@
   expect(await site.runUntil(isDone, 9000)).toEqual(true);
   expect(engines.map(({ refused }) => refused)).toEqual([0, 0, 0]);
 });
+
+test("a report from before an order was accepted doesn't show that it got lost", async () => {
+  const one = new EngineStandIn("u", { m: 1 });
+  one.loadMs = 4000;
+  one.answerMs = 1200;
+  one.acceptsAfterMs = 300;
+  const site = new WeightSite({ engines: [one], pool: { model: "m" } });
+  site.latest.set("m", 2);
+  await site.runUntil(() => one.versions.m === 2, 8000);
+  expect(site.orders.length).toEqual(1);
+});
