An engine that carries out an order gets no other one

Cause: an engine's own report says that it is busy, but a new lease holder ordered it all the same. Such an order is refused, or, if the engine has finished meanwhile, has it load the same version again, as the order carries the newest count of orders.

Change: a busy engine is tried again later, with the backoff of a refused order.

--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -381,6 +381,8 @@
     const current = await this.#readVersion(vm, model);
     if (current === undefined) return schedule.failed(vm.id, this.#clock.now());
     if (current.version >= version) return schedule.forget(vm.id);
+    // It carries out an order of an earlier lease holder, or one without an answer.
+    if (current.busy) return schedule.failed(vm.id, this.#clock.now());
     // Its zone may have been evacuated since the update was due.
     if (this.#isEvacuated(vm)) return schedule.forget(vm.id);
     const { term } = this.#lease;
--- a/src/orders/weight_updater_test.ts
+++ b/src/orders/weight_updater_test.ts
@@ -50,3 +50,13 @@
   await site.runUntil(() => one.versions.m === 2, 8000);
   expect(site.orders.length).toEqual(1);
 });
+
+test("a new lease holder sends no order to an engine that carries one out", async () => {
+  const one = new EngineStandIn("u", { m: 1 });
+  one.loadMs = 800;
+  one.order("m", 2);
+  const site = new WeightSite({ engines: [one], pool: { model: "m" } });
+  site.latest.set("m", 2);
+  await site.runUntil(() => one.versions.m === 2, 3000);
+  expect([one.accepted, one.refused]).toEqual([1, 0]);
+});
