New engines go to the model furthest below its share

Cause: an engine that has loaded nothing lacks as many versions as a model has, so it went to the model with the lowest version number. Free engines went to the first model of the list, as shares were compared with the numbers that models kept. Both drifted to the edge of the tolerance, where engines were reassigned.

Change: such an engine has no model of its own yet; free engines go by the shares without tolerance.

Evidence: the new test in assignment_test.ts failed before.

--- a/src/orders/assignment.ts
+++ b/src/orders/assignment.ts
@@ -49,7 +49,8 @@
     upstreams.filter((one) => homeOf(one, models, lagOf) === model)
       .sort((a, b) => lagOf(a, model) - lagOf(b, model) || byId(a, b)),
   ]));
-  const counts = targetCounts(upstreams.length, { models, weights, kept });
+  const shares = exactShares(upstreams.length, { models, weights, kept });
+  const counts = targetCounts(shares, kept);
   const assigned = new Map(models.map((model) => [
     model,
     kept.get(model)?.slice(0, counts.get(model)).map(({ id }) => id) ?? [],
@@ -59,8 +60,8 @@
   let free = upstreams.filter(({ id }) => !taken.has(id)).sort(byId);
   while (free.length > 0) {
     const model = models.reduce((best, one) =>
-      assignedShare(assigned, counts, one) <
-          assignedShare(assigned, counts, best)
+      assignedShare(assigned, shares, one) <
+          assignedShare(assigned, shares, best)
         ? one
         : best
     );
@@ -101,6 +102,10 @@
   if (one.current !== undefined && models.includes(one.current)) {
     return one.current;
   }
+  // One that has loaded nothing would go to the model with the lowest version.
+  if (models.every((model) => (one.versions[model] ?? 0) === 0)) {
+    return undefined;
+  }
   const least = Math.min(...models.map((model) => lagOf(one, model)));
   const best = models.filter((model) => lagOf(one, model) === least);
   return best.length === 1 ? best[0] : undefined;
@@ -122,21 +127,21 @@
   }
 }
 
-/** The share of a model's upstreams that are assigned yet, from 0 to 1. */
+/** The part of a model's share of upstreams that is assigned yet. */
 function assignedShare(
   assigned: ReadonlyMap<string, readonly string[]>,
-  counts: ReadonlyMap<string, number>,
+  shares: ReadonlyMap<string, number>,
   model: string,
 ): number {
-  return (assigned.get(model)?.length ?? 0) / (counts.get(model) ?? 1);
+  return (assigned.get(model)?.length ?? 0) / (shares.get(model) ?? 1);
 }
 
 /**
- * Number of upstreams for each model, by `weights`; at least one each. Without
- * any weights, as for a new lease holder, the split that is found stays: an even
- * one would cost loads of weights now and again once the demand is known.
+ * Each model's share of the upstreams by `weights`, not rounded. Without any
+ * weights, as for a new lease holder, the split that is found stays: an even one
+ * would cost loads of weights now and again once the demand is known.
  */
-function targetCounts(
+function exactShares(
   count: number,
   { models, weights, kept }: {
     models: readonly string[];
@@ -156,8 +161,17 @@
       ? 1
       : Math.max(weights[model] ?? 0, heaviest * MIN_RELATIVE_WEIGHT);
   const total = models.reduce((sum, model) => sum + weightOf(model), 0);
-  return new Map(models.map((model) => {
-    const exact = count * weightOf(model) / total;
+  return new Map(
+    models.map((model) => [model, count * weightOf(model) / total]),
+  );
+}
+
+/** Number of upstreams that each model may keep; at least one each. */
+function targetCounts(
+  shares: ReadonlyMap<string, number>,
+  kept: ReadonlyMap<string, readonly UpstreamModelVersions[]>,
+): ReadonlyMap<string, number> {
+  return new Map([...shares].map(([model, exact]) => {
     const current = kept.get(model)?.length ?? 0;
     const tolerance = Math.max(HYSTERESIS_UPSTREAMS, exact * HYSTERESIS_SHARE);
     const keeps = current > 0 && Math.abs(current - exact) < tolerance;
--- a/src/orders/assignment_test.ts
+++ b/src/orders/assignment_test.ts
@@ -129,3 +129,17 @@
   });
   expect(even.get("n")?.length).toEqual(3);
 });
+
+test("an upstream that has loaded nothing goes to the model furthest below its share", () => {
+  const all = ["a", "b", "c", "d", "e", "f", "g", "h", "i"].map((id) =>
+    id < "g"
+      ? { ...upstream(id, 9, 1), current: "m" }
+      : { ...upstream(id, 1, 3), current: "n" }
+  );
+  const parts = assignUpstreams([...all, upstream("j", 0, 0)], ["n", "m"], {
+    weights: { m: 69, n: 31 },
+    latest: { m: 9, n: 3 },
+  });
+  expect([parts.get("m")?.includes("j"), parts.get("n")?.length])
+    .toEqual([true, 3]);
+});
