--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -13,9 +13,8 @@
 import { type Dispatch, dispatchKey } from "../dispatch/mod.ts";
 import { Fault, Role, type Vm, VmState } from "../outside/mod.ts";
 import type { Pool } from "../tables/mod.ts";
-import { assignUpstreams } from "./assignment.ts";
 import type { HeldLease } from "./duty_lease.ts";
-import { ModelDemands } from "./model_demands.ts";
+import { ModelAssignments } from "./model_assignments.ts";
 import { WeightLoadLimiter } from "./weight_load_limiter.ts";
 import {
   type VersionedVm,
@@ -78,9 +77,7 @@
   readonly #sentOrders = new Map<string, SentOrder>();
   /** Unanswered calls to engines, by upstream. */
   readonly #inFlight = new Map<string, Promise<unknown>>();
-  readonly #demands = new ModelDemands();
-  /** The model of each upstream, by pool, as last assigned. */
-  readonly #assignments = new Map<string, ReadonlyMap<string, string>>();
+  readonly #assignments = new ModelAssignments();
   #roundCount = 0;
   #demandSampledAt = -Infinity;
   #latestVersions: ReadonlyMap<string, number> = new Map();
@@ -272,7 +269,8 @@
       const { models = {} } = await this.#dispatch.pressure(pool);
       const counts = pairs.filter((pair) => pair.pool.name === pool)
         .map(({ model }) => [model, models[model] ?? 0]);
-      this.#demands.record(Object.fromEntries(counts), now);
+      const byModel = Object.fromEntries(counts);
+      this.#assignments.recordDemand(pool, byModel, now);
     }
   }
 
@@ -284,39 +282,16 @@
 
   #assign(pool: Pool): void {
     const models = poolModelsOf(pool).map(({ model }) => model);
-    const before = this.#assignments.get(pool.name);
     const upstreams = this.#liveVms(pool).map((vm) => ({
       id: vm.id,
-      current: before?.get(vm.id),
       versions: Object.fromEntries(
         models.map((name) => [name, this.#version(pool, name, vm)]),
       ),
     }));
-    const assigned = assignUpstreams(upstreams, models, {
-      weights: this.#demands.peaks(this.#clock.now()),
+    this.#assignments.assign({ name: pool.name, models, upstreams }, {
       latest: Object.fromEntries(this.#latestVersions),
+      now: this.#clock.now(),
     });
-    if (models.length <= 1 || upstreams.length < models.length) {
-      this.#assignments.delete(pool.name);
-      return;
-    }
-    const modelOf = new Map(
-      [...assigned].flatMap(([model, ids]) =>
-        ids.map((id) => [id, model] as const)
-      ),
-    );
-    const moved = [...modelOf].filter(([id, model]) =>
-      (before?.get(id) ?? model) !== model
-    );
-    for (const [upstream, model] of moved) {
-      log("upstream reassigned", {
-        upstream,
-        pool: pool.name,
-        from: before?.get(upstream),
-        to: model,
-      });
-    }
-    this.#assignments.set(pool.name, modelOf);
   }
 
   #isEvacuated({ availabilityZone }: Vm): boolean {
@@ -334,10 +309,9 @@
 
   /** The live upstreams assigned to the model; all, if none is assigned. */
   #assignedVms({ pool, model }: PoolModel): readonly Vm[] {
-    const modelOf = this.#assignments.get(pool.name);
-    const live = this.#liveVms(pool);
-    if (modelOf === undefined) return live;
-    return live.filter(({ id }) => modelOf.get(id) === model);
+    return this.#liveVms(pool).filter(({ id }) =>
+      this.#assignments.loads(id, { pool: pool.name, model })
+    );
   }
 
   /** Whether the engine is loading weights of any model. */
