Each pool's engines are assigned by the demand in that pool

Cause: demand was recorded by model for all pools together. Where two pools serve the same models, the larger demand of either assigned the engines of both.

Change: demand is recorded by pool, also the time since which it is watched.

Evidence: the new test in model_assignments_test.ts failed before with [5, 1].

--- a/src/orders/model_assignments.ts
+++ b/src/orders/model_assignments.ts
@@ -21,17 +21,20 @@
 
 /** Assigns engines to models; the state is lost with the lease. */
 export class ModelAssignments {
-  readonly #demands = new ModelDemands();
+  /** By pool, as several pools may serve the same model. */
+  readonly #demands = new Map<string, ModelDemands>();
   /** The model of each upstream, by pool, as last assigned. */
   readonly #modelsOf = new Map<string, ReadonlyMap<string, string>>();
 
   /** Records how many requests of a pool's models run or wait. */
   recordDemand(
-    _pool: string,
+    pool: string,
     counts: Readonly<Record<string, number>>,
     now: number,
   ): void {
-    this.#demands.record(counts, now);
+    const demands = this.#demands.get(pool) ?? new ModelDemands();
+    this.#demands.set(pool, demands);
+    demands.record(counts, now);
   }
 
   /** Assigns a pool's upstreams anew; returns how many changed their model. */
@@ -51,7 +54,7 @@
     const assigned = assignUpstreams(
       upstreams.map((one) => ({ ...one, current: before?.get(one.id) })),
       models,
-      { weights: this.#demands.peaks(now), latest },
+      { weights: this.#demands.get(name)?.peaks(now), latest },
     );
     const modelOf = new Map(
       [...assigned].flatMap(([model, ids]) =>
--- a/src/orders/model_assignments_test.ts
+++ b/src/orders/model_assignments_test.ts
@@ -122,3 +122,23 @@
   );
   expect(counts).toEqual([3, 3]);
 });
+
+test("the demand in one pool doesn't assign the engines of another", () => {
+  const assignments = new ModelAssignments();
+  const models = ["m", "n"];
+  const upstreams = ["a", "b", "c", "d", "e", "f"]
+    .map((id) => ({ id, versions: { m: 1, n: 1 } }));
+  for (let now = 0; now <= 13_000; now += 500) {
+    assignments.recordDemand("busy", { m: 100, n: 10 }, now);
+    assignments.recordDemand("lm", { m: 10, n: 10 }, now);
+  }
+  assignments.assign({ name: "lm", models, upstreams }, {
+    latest: { m: 1, n: 1 },
+    now: 13_000,
+  });
+  const counts = models.map((model) =>
+    upstreams.filter(({ id }) => assignments.loads(id, { pool: "lm", model }))
+      .length
+  );
+  expect(counts).toEqual([3, 3]);
+});
