The split of engines stays while no demand is told

Cause: when no leader of a pool's shards answers with demand by model, or all models are idle, each demand is zero after 12 s, and the engines were split evenly.

Change: without any demand the number of engines of each model stays, as at the start of a lease.

Evidence: the new test in assignment_test.ts failed before: two engines were moved.

--- a/src/orders/assignment.ts
+++ b/src/orders/assignment.ts
@@ -138,8 +138,9 @@
 
 /**
  * Each model's share of the upstreams by `weights`, not rounded. Without any
- * weights, as for a new lease holder, the split that is found stays: an even one
- * would cost loads of weights now and again once the demand is known.
+ * weight, as for a new lease holder or while no leader answers, the split that is
+ * found stays: an even one would cost loads of weights now and again once the
+ * demand is known.
  */
 function exactShares(
   count: number,
@@ -150,12 +151,12 @@
   },
 ): ReadonlyMap<string, number> {
   const isSplit = models.every((model) => (kept.get(model)?.length ?? 0) > 0);
-  if (Object.keys(weights).length === 0 && isSplit) {
+  const heaviest = Math.max(...models.map((model) => weights[model] ?? 0), 0);
+  if (heaviest === 0 && isSplit) {
     return new Map(
       models.map((model) => [model, kept.get(model)?.length ?? 0]),
     );
   }
-  const heaviest = Math.max(...models.map((model) => weights[model] ?? 0), 0);
   const weightOf = (model: string) =>
     heaviest === 0
       ? 1
--- a/src/orders/assignment_test.ts
+++ b/src/orders/assignment_test.ts
@@ -143,3 +143,12 @@
   expect([parts.get("m")?.includes("j"), parts.get("n")?.length])
     .toEqual([true, 3]);
 });
+
+test("the split stays while no leader tells of any demand", () => {
+  const all = ["a", "b", "c", "d", "e", "f"].map((id) => ({
+    ...upstream(id),
+    current: id < "f" ? "m" : "n",
+  }));
+  const parts = assignUpstreams(all, ["m", "n"], { weights: { m: 0, n: 0 } });
+  expect(parts.get("n")).toEqual(["f"]);
+});
