--- a/src/orders/assignment.ts
+++ b/src/orders/assignment.ts
@@ -49,17 +49,19 @@
     upstreams.filter((one) => homeOf(one, models, lagOf) === model)
       .sort((a, b) => lagOf(a, model) - lagOf(b, model) || byId(a, b)),
   ]));
-  const counts = targetCounts(upstreams.length, { models, weights, kept });
+  const shares = exactShares(upstreams.length, { models, weights, kept });
+  const counts = targetCounts(shares, kept);
   const assigned = new Map(models.map((model) => [
     model,
     kept.get(model)?.slice(0, counts.get(model)).map(({ id }) => id) ?? [],
   ]));
+  freeOneEach(assigned, upstreams.length);
   const taken = new Set([...assigned.values()].flat());
   let free = upstreams.filter(({ id }) => !taken.has(id)).sort(byId);
   while (free.length > 0) {
     const model = models.reduce((best, one) =>
-      assignedShare(assigned, counts, one) <
-          assignedShare(assigned, counts, best)
+      assignedShare(assigned, shares, one) <
+          assignedShare(assigned, shares, best)
         ? one
         : best
     );
@@ -100,22 +102,47 @@
   if (one.current !== undefined && models.includes(one.current)) {
     return one.current;
   }
+  // One that has loaded nothing would go to the model with the lowest version.
+  if (models.every((model) => (one.versions[model] ?? 0) === 0)) {
+    return undefined;
+  }
   const least = Math.min(...models.map((model) => lagOf(one, model)));
   const best = models.filter((model) => lagOf(one, model) === least);
   return best.length === 1 ? best[0] : undefined;
 }
 
-/** The share of a model's upstreams that are assigned yet, from 0 to 1. */
+/**
+ * Leaves an upstream free for each model that has none. The tolerance lets other
+ * models keep more than their share, together possibly all upstreams.
+ */
+function freeOneEach(
+  assigned: ReadonlyMap<string, string[]>,
+  upstreams: number,
+): void {
+  const parts = [...assigned.values()];
+  const without = parts.filter((ids) => ids.length === 0).length;
+  let free = upstreams - parts.flat().length;
+  for (; free < without; free += 1) {
+    parts.reduce((most, ids) => ids.length > most.length ? ids : most).pop();
+  }
+}
+
+/** The part of a model's share of upstreams that is assigned yet. */
 function assignedShare(
   assigned: ReadonlyMap<string, readonly string[]>,
-  counts: ReadonlyMap<string, number>,
+  shares: ReadonlyMap<string, number>,
   model: string,
 ): number {
-  return (assigned.get(model)?.length ?? 0) / (counts.get(model) ?? 1);
+  return (assigned.get(model)?.length ?? 0) / (shares.get(model) ?? 1);
 }
 
-/** Number of upstreams for each model, by `weights`; at least one each. */
-function targetCounts(
+/**
+ * Each model's share of the upstreams by `weights`, not rounded. Without any
+ * weight, as for a new lease holder or while no leader answers, the split that is
+ * found stays: an even one would cost loads of weights now and again once the
+ * demand is known.
+ */
+function exactShares(
   count: number,
   { models, weights, kept }: {
     models: readonly string[];
@@ -123,14 +150,29 @@
     kept: ReadonlyMap<string, readonly UpstreamModelVersions[]>;
   },
 ): ReadonlyMap<string, number> {
+  const isSplit = models.every((model) => (kept.get(model)?.length ?? 0) > 0);
   const heaviest = Math.max(...models.map((model) => weights[model] ?? 0), 0);
+  if (heaviest === 0 && isSplit) {
+    return new Map(
+      models.map((model) => [model, kept.get(model)?.length ?? 0]),
+    );
+  }
   const weightOf = (model: string) =>
     heaviest === 0
       ? 1
       : Math.max(weights[model] ?? 0, heaviest * MIN_RELATIVE_WEIGHT);
   const total = models.reduce((sum, model) => sum + weightOf(model), 0);
-  return new Map(models.map((model) => {
-    const exact = count * weightOf(model) / total;
+  return new Map(
+    models.map((model) => [model, count * weightOf(model) / total]),
+  );
+}
+
+/** Number of upstreams that each model may keep; at least one each. */
+function targetCounts(
+  shares: ReadonlyMap<string, number>,
+  kept: ReadonlyMap<string, readonly UpstreamModelVersions[]>,
+): ReadonlyMap<string, number> {
+  return new Map([...shares].map(([model, exact]) => {
     const current = kept.get(model)?.length ?? 0;
     const tolerance = Math.max(HYSTERESIS_UPSTREAMS, exact * HYSTERESIS_SHARE);
     const keeps = current > 0 && Math.abs(current - exact) < tolerance;
--- a/src/orders/assignment_test.ts
+++ b/src/orders/assignment_test.ts
@@ -107,3 +107,48 @@
   });
   expect(next.get("n")?.includes("a")).toEqual(true);
 });
+
+test("a model without upstreams gets one also if the others keep theirs", () => {
+  // The only upstream of n ended; the share of m is within its tolerance.
+  const all = ["a", "b"].map((id) => ({ ...upstream(id), current: "m" }));
+  const parts = assignUpstreams(all, ["m", "n"], { weights: { m: 20, n: 4 } });
+  expect(["m", "n"].map((model) => parts.get(model)?.length)).toEqual([1, 1]);
+});
+
+test("a new lease holder that knows no demand keeps the split that it finds", () => {
+  const all = ["a", "b", "c", "d", "e", "f"].map((id) =>
+    id < "e" ? upstream(id, 9, 1) : upstream(id, 1, 3)
+  );
+  const latest = { m: 9, n: 3 };
+  const parts = assignUpstreams(all, ["m", "n"], { latest });
+  expect(parts.get("n")).toEqual(["e", "f"]);
+  // Known to be the same for both, the demand decides.
+  const even = assignUpstreams(all, ["m", "n"], {
+    latest,
+    weights: { m: 5, n: 5 },
+  });
+  expect(even.get("n")?.length).toEqual(3);
+});
+
+test("an upstream that has loaded nothing goes to the model furthest below its share", () => {
+  const all = ["a", "b", "c", "d", "e", "f", "g", "h", "i"].map((id) =>
+    id < "g"
+      ? { ...upstream(id, 9, 1), current: "m" }
+      : { ...upstream(id, 1, 3), current: "n" }
+  );
+  const parts = assignUpstreams([...all, upstream("j", 0, 0)], ["n", "m"], {
+    weights: { m: 69, n: 31 },
+    latest: { m: 9, n: 3 },
+  });
+  expect([parts.get("m")?.includes("j"), parts.get("n")?.length])
+    .toEqual([true, 3]);
+});
+
+test("the split stays while no leader tells of any demand", () => {
+  const all = ["a", "b", "c", "d", "e", "f"].map((id) => ({
+    ...upstream(id),
+    current: id < "f" ? "m" : "n",
+  }));
+  const parts = assignUpstreams(all, ["m", "n"], { weights: { m: 0, n: 0 } });
+  expect(parts.get("n")).toEqual(["f"]);
+});
--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -13,9 +13,8 @@
 import { type Dispatch, dispatchKey } from "../dispatch/mod.ts";
 import { Fault, Role, type Vm, VmState } from "../outside/mod.ts";
 import type { Pool } from "../tables/mod.ts";
-import { assignUpstreams } from "./assignment.ts";
 import type { HeldLease } from "./duty_lease.ts";
-import { ModelDemands } from "./model_demands.ts";
+import { ModelAssignments } from "./model_assignments.ts";
 import { WeightLoadLimiter } from "./weight_load_limiter.ts";
 import {
   type VersionedVm,
@@ -52,6 +51,7 @@
   readonly orders: number | undefined;
   /** Whether it carries out an order. */
   readonly busy: boolean;
+  /** When it was asked for. */
   readonly at: number;
 }
 
@@ -77,9 +77,7 @@
   readonly #sentOrders = new Map<string, SentOrder>();
   /** Unanswered calls to engines, by upstream. */
   readonly #inFlight = new Map<string, Promise<unknown>>();
-  readonly #demands = new ModelDemands();
-  /** The model of each upstream, by pool, as last assigned. */
-  readonly #assignments = new Map<string, ReadonlyMap<string, string>>();
+  readonly #assignments = new ModelAssignments();
   #roundCount = 0;
   #demandSampledAt = -Infinity;
   #latestVersions: ReadonlyMap<string, number> = new Map();
@@ -104,6 +102,7 @@
     const tables = toUndefined(this.#config.current())?.tables;
     if (tables === undefined || !this.#config.fresh()) return;
     const pairs = tables.pools.flatMap(poolModelsOf);
+    this.#dropRemoved(pairs);
     await Promise.all([this.#refreshVms(), this.#sampleDemand(pairs)]);
     this.#assignAll(pairs);
     // Models take turns at being first, as a pool's models share its limit.
@@ -174,7 +173,8 @@
     const { model } = pair;
     if ((this.#latestVersions.get(model) ?? 0) === 0) return;
     const schedule = this.#scheduleOf(pair);
-    const vms = this.#assignedVms(pair);
+    // An engine may have been assigned to another model while it loads this one.
+    const vms = this.#liveVms(pair.pool);
     this.#settleUpdates(schedule, {
       pair,
       upstreams: this.#versions(pair, vms),
@@ -223,6 +223,14 @@
     return schedule;
   }
 
+  /** A removed model's updates must not keep its engines from loading others. */
+  #dropRemoved(pairs: readonly PoolModel[]): void {
+    const names = new Set(pairs.map(keyOf));
+    for (const name of this.#schedules.keys()) {
+      if (!names.has(name)) this.#schedules.delete(name);
+    }
+  }
+
   #limiterOf({ name }: Pool): WeightLoadLimiter {
     const known = this.#limiters.get(name);
     if (known !== undefined) return known;
@@ -261,7 +269,8 @@
       const { models = {} } = await this.#dispatch.pressure(pool);
       const counts = pairs.filter((pair) => pair.pool.name === pool)
         .map(({ model }) => [model, models[model] ?? 0]);
-      this.#demands.record(Object.fromEntries(counts), now);
+      const byModel = Object.fromEntries(counts);
+      this.#assignments.recordDemand(pool, byModel, now);
     }
   }
 
@@ -273,39 +282,16 @@
 
   #assign(pool: Pool): void {
     const models = poolModelsOf(pool).map(({ model }) => model);
-    const before = this.#assignments.get(pool.name);
     const upstreams = this.#liveVms(pool).map((vm) => ({
       id: vm.id,
-      current: before?.get(vm.id),
       versions: Object.fromEntries(
         models.map((name) => [name, this.#version(pool, name, vm)]),
       ),
     }));
-    const assigned = assignUpstreams(upstreams, models, {
-      weights: this.#demands.peaks(this.#clock.now()),
+    this.#assignments.assign({ name: pool.name, models, upstreams }, {
       latest: Object.fromEntries(this.#latestVersions),
+      now: this.#clock.now(),
     });
-    if (models.length <= 1 || upstreams.length < models.length) {
-      this.#assignments.delete(pool.name);
-      return;
-    }
-    const modelOf = new Map(
-      [...assigned].flatMap(([model, ids]) =>
-        ids.map((id) => [id, model] as const)
-      ),
-    );
-    const moved = [...modelOf].filter(([id, model]) =>
-      (before?.get(id) ?? model) !== model
-    );
-    for (const [upstream, model] of moved) {
-      log("upstream reassigned", {
-        upstream,
-        pool: pool.name,
-        from: before?.get(upstream),
-        to: model,
-      });
-    }
-    this.#assignments.set(pool.name, modelOf);
   }
 
   #isEvacuated({ availabilityZone }: Vm): boolean {
@@ -323,10 +309,9 @@
 
   /** The live upstreams assigned to the model; all, if none is assigned. */
   #assignedVms({ pool, model }: PoolModel): readonly Vm[] {
-    const modelOf = this.#assignments.get(pool.name);
-    const live = this.#liveVms(pool);
-    if (modelOf === undefined) return live;
-    return live.filter(({ id }) => modelOf.get(id) === model);
+    return this.#liveVms(pool).filter(({ id }) =>
+      this.#assignments.loads(id, { pool: pool.name, model })
+    );
   }
 
   /** Whether the engine is loading weights of any model. */
@@ -370,6 +355,8 @@
     const current = await this.#readVersion(vm, model);
     if (current === undefined) return schedule.failed(vm.id, this.#clock.now());
     if (current.version >= version) return schedule.forget(vm.id);
+    // It carries out an order of an earlier lease holder, or one without an answer.
+    if (current.busy) return schedule.failed(vm.id, this.#clock.now());
     // Its zone may have been evacuated since the update was due.
     if (this.#isEvacuated(vm)) return schedule.forget(vm.id);
     const { term } = this.#lease;
@@ -429,7 +416,7 @@
       orders: sent.orders,
       sentMsAgo: Math.round(reported.at - sent.at),
     });
-    schedule.forget(vm.id);
+    schedule.missed(vm.id, this.#clock.now());
   }
 
   /** Reads a model's version from the engine. */
@@ -437,11 +424,13 @@
     vm: Vm,
     model: string,
   ): Promise<ReportedVersion | undefined> {
+    // The answer may be older than its arrival, never older than the question.
+    const at = this.#clock.now();
     const load = await this.#kernel.platform.engine.load(vm);
     if (load.err) return undefined;
     const { weightVersion, weightVersions, orders, busy = false } = load.val;
     const version = weightVersions?.[model] ?? weightVersion;
-    const reported = { version, orders, busy, at: this.#clock.now() };
+    const reported = { version, orders, busy, at };
     this.#reportedVersions.set(`${vm.id}/${model}`, reported);
     return reported;
   }
