Cold upstreams: a newer instance never inherits the listed cold time

Cause: ColdPeriods kept the previous instance's cold_ms when an entry with a newer birth came without one, as lists passed on by earlier builds do. The stated time that followed was taken for a known value if it equalled the previous one, and did not count.

Change: an absent cold_ms falls back on the known one for the same instance only.

--- a/src/dispatch/cold_periods.ts
+++ b/src/dispatch/cold_periods.ts
@@ -83,7 +83,8 @@
       state.listedUntil = Math.max(state.listedUntil, now + coldMs);
     }
     // Builds before this one pass entries on without the cold time.
-    state.upstream = { ...upstream, coldMs: coldMs ?? before?.coldMs };
+    const listedMs = coldMs ?? (isNew ? undefined : before?.coldMs);
+    state.upstream = { ...upstream, coldMs: listedMs };
     this.#states.delete(id);
     this.#states.set(id, state);
     this.#dropOldest();
--- a/src/dispatch/cold_periods_test.ts
+++ b/src/dispatch/cold_periods_test.ts
@@ -131,6 +131,15 @@
   expect(leftMs()).toEqual(3000);
 });
 
+test("a newer instance's cold time counts if it equals its predecessor's and is listed late", () => {
+  const { list, leftMs } = daemon();
+  list({ coldMs: 9000 });
+  list({ coldMs: undefined, bornAt: 2 });
+  expect(leftMs()).toEqual(6000);
+  list({ coldMs: 9000, bornAt: 2 });
+  expect(leftMs()).toEqual(9000);
+});
+
 test("the pace outlasts the cold time by the second in which it is doubled", () => {
   const { clock, list, periods } = daemon();
   list({ coldMs: 1000 });
