Evacuation: waiting requests use a zone's upstreams once it comes back

Cause: an entry names the upstreams of evacuated zones as excluded when it asks for a permit, and the leader keeps that demand as long as the request waits. After the end of the evacuation such a request still could not use them. If another zone was evacuated as the first one came back, it was refused with no_upstream, although its shard could serve it.

Change: the entry renews its waits in the pools of a zone whose evacuation ended. They are asked for again at the same shard with the time waited, so that they keep their places.

--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -75,6 +75,8 @@
   readonly #random: () => number;
   readonly #onRetry: (reason: Reason) => void;
   readonly #onMove: (reason: MoveReason) => void;
+  /** The waits for permits, with their pools. */
+  readonly #waits = new Map<WaitReview, string>();
   #fleet: Fleet;
   #count = 0;
 
@@ -108,8 +110,14 @@
 
   /** Replaces the view of the upstreams. */
   setFleet(fleet: Fleet): void {
+    const restored = fleet.restoredPools(this.#fleet);
     this.#fleet = fleet;
     this.#selector.setFleet(fleet);
+    if (restored.size === 0) return;
+    // Their leaders were told to exclude the upstreams of these zones.
+    for (const [wait, pool] of [...this.#waits]) {
+      if (restored.has(pool)) wait.renew();
+    }
   }
 
   /** Waits for a permit; nothing has run for a refused demand. */
@@ -146,10 +154,15 @@
       if (refusal !== undefined) return Err(refusal);
       target ??= this.#selectTarget(remaining, refusedBy);
       if (target === undefined) return Err(noUpstream(demand.pool));
-      const { asked, move } = await this.#waitAt(remaining, target, {
+      const { asked, move, isRenewed } = await this.#waitAt(remaining, target, {
         signal,
         refusedBy,
       });
+      if (isRenewed) {
+        const keptMs = this.#clock.now() - startedAt;
+        target = this.#targetOf(target.shard, keptMs);
+        continue;
+      }
       if (move !== undefined) {
         left = target.shard;
         const movedAfterMs = this.#clock.now() - startedAt;
@@ -218,16 +231,18 @@
 
   /**
    * Waits at a leader. A request with a model waits as long as no other shard
-   * suits it better; `move` names that shard.
+   * suits it better; `move` names that shard. A wait that is renewed is to be
+   * asked for again at the same shard.
    */
   async #waitAt(
     demand: Demand,
     target: AcquireTarget,
     options: { signal: AbortSignal; refusedBy: ReadonlySet<string> },
-  ): Promise<{ asked: Result<AcquireAnswer, Refusal>; move?: Move }> {
-    if (demand.model === undefined) {
-      return { asked: await this.#acquireFrom(demand, target, options) };
-    }
+  ): Promise<{
+    asked: Result<AcquireAnswer, Refusal>;
+    move?: Move;
+    isRenewed: boolean;
+  }> {
     const review = new WaitReview({
       ...options,
       clock: this.#clock,
@@ -235,12 +250,18 @@
       demand,
       shard: target.shard,
     });
+    this.#waits.set(review, demand.pool);
     try {
       const asked = await this.#acquireFrom(demand, target, review);
       // A permit that arrived as the wait was to be moved is used.
       const moves = asked.err && !options.signal.aborted;
-      return { asked, move: moves ? review.move : undefined };
+      return {
+        asked,
+        move: moves ? review.move : undefined,
+        isRenewed: moves && review.isRenewed,
+      };
     } finally {
+      this.#waits.delete(review);
       review.end();
     }
   }
--- a/src/dispatch/evacuation_test.ts
+++ b/src/dispatch/evacuation_test.ts
@@ -172,6 +172,34 @@
     expect((await waiting).unwrap().target.id).toEqual("u");
   }));
 
+test("a request that waited during an evacuation uses the upstreams of the zone once it ends", () =>
+  cluster(async (sim) => {
+    sim.evacuate(["y"]);
+    const held = await Promise.all([0, 1].map(() => acquire(sim, "e1")));
+    expect(held.map((one) => one.unwrap().target.id)).toEqual(["u", "u"]);
+    const waiting = acquire(sim, "e1");
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    sim.evacuate([]);
+    const permit = await Promise.race([
+      waiting,
+      new Promise<undefined>((resolve) =>
+        setTimeout(() => resolve(undefined), 2000)
+      ),
+    ]);
+    expect(permit?.unwrap().target.id).toEqual("v");
+  }));
+
+test("a waiting request is not refused when the next zone is evacuated as the first one comes back", () =>
+  cluster(async (sim) => {
+    sim.evacuate(["y"]);
+    const held = await Promise.all([0, 1].map(() => acquire(sim, "e1")));
+    expect(held.every(({ ok }) => ok)).toEqual(true);
+    const waiting = acquire(sim, "e1");
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    sim.evacuate(["x"]);
+    expect((await waiting).unwrap().target.id).toEqual("v");
+  }));
+
 test("a running request is not told to move when its zone is evacuated", () =>
   cluster(async (sim) => {
     const permits = await Promise.all(
--- a/src/dispatch/fleet.ts
+++ b/src/dispatch/fleet.ts
@@ -148,6 +148,19 @@
       .filter((zone) => !this.evacuatedZones.has(zone));
   }
 
+  /** Pools with upstreams in such zones. */
+  restoredPools(before: Fleet): ReadonlySet<string> {
+    const zones = this.restoredZones(before);
+    if (zones.length === 0) return new Set();
+    return new Set(
+      this.shards.filter(({ upstreams }) =>
+        upstreams.some(({ availabilityZone }) =>
+          zones.includes(availabilityZone)
+        )
+      ).map(({ pool }) => pool),
+    );
+  }
+
   #upstreamsOf(pool: string): readonly Upstream[] {
     return this.shardsOfPool(pool).flatMap(({ upstreams }) => upstreams);
   }
--- a/src/dispatch/wait_review.ts
+++ b/src/dispatch/wait_review.ts
@@ -1,7 +1,8 @@
 /**
  * The periodic review of one wait for a permit. The engines with fresh weights
  * of a model change within seconds, so a request that waits looks again whether
- * another shard suits it better.
+ * another shard suits it better. A wait is also renewed once upstreams that it
+ * excludes may be used again.
  *
  * @module
  */
@@ -23,6 +24,7 @@
   readonly #removeWait: () => void;
   #cancelTimer = () => {};
   #move: Move | undefined;
+  #isRenewed = false;
 
   constructor(options: {
     clock: Clock;
@@ -57,6 +59,17 @@
     return this.#move;
   }
 
+  /** Whether the wait ended to be asked for again where it is. */
+  get isRenewed(): boolean {
+    return this.#isRenewed;
+  }
+
+  /** Ends the wait, as what it excludes is out of date. */
+  renew(): void {
+    this.#isRenewed = true;
+    this.#endWait();
+  }
+
   /** Ends the review; must be called when the wait has ended. */
   end(): void {
     this.#cancelTimer();
