Cold upstreams: a refusal by a wholly cold shard isn't final

Cause: an entry took upstream_limited from one shard for its answer. Where all usable upstreams of a shard are cold, a request with little time was refused although another shard of the pool had upstreams without a limit.

Change: the entry asks the other shards first, each at most once, as it does after no_upstream. Only shards with upstreams that have a cold start are concerned; limits in other pools are answered as before.

--- a/src/dispatch/cold_daemons_test.ts
+++ b/src/dispatch/cold_daemons_test.ts
@@ -2,8 +2,9 @@
 import { test } from "node:test";
 import { Role, type Vm } from "../outside/mod.ts";
 import type { Dispatcher } from "./dispatcher.ts";
-import { demand, DispatchCluster, vm } from "./fixtures_test.ts";
+import { demand, DispatchCluster, upstream, vm } from "./fixtures_test.ts";
 import { Outcome } from "./mod.ts";
+import { partitionIntoShards } from "./shards.ts";
 
 const RATE_PER_S = 8;
 
@@ -23,9 +24,9 @@
     cluster: DispatchCluster,
   ) => Promise<void>,
 ): Promise<void> {
-  const upstream = vm({ coldMs, bornAt: 1, slots: 20 });
+  const cold = vm({ coldMs, bornAt: 1, slots: 20 });
   const cluster = new DispatchCluster({
-    vms: [upstream, ...others],
+    vms: [cold, ...others],
     coldStart: { durationMs: 60_000, requestsPerS: RATE_PER_S },
   });
   const entries = Array.from({ length: count }, (_, n) => cluster.add(`e${n}`));
@@ -80,6 +81,33 @@
       .toEqual([starts, true]);
   }));
 
+// Guards against a refusal by one shard that ends the request.
+test("a request that a wholly cold shard can't start in time is served by another shard", async () => {
+  const ids = Array.from({ length: 24 }, (_, n) => `u${n}`);
+  const [first] = partitionIntoShards(ids.map((id) => upstream({ id })));
+  const cold = new Set(first.map(({ id }) => id));
+  const cluster = new DispatchCluster({
+    vms: ids.map((id) =>
+      vm({ id, bornAt: 1, coldMs: cold.has(id) ? 60_000 : 0 })
+    ),
+    coldStart: { durationMs: 60_000, requestsPerS: 0.5 },
+  });
+  const entry = cluster.add("e1");
+  await cluster.start();
+  try {
+    for (let n = 0; n < 12; n++) {
+      const permit = (await entry.acquire(
+        demand({ remainingMs: 500 }),
+        new AbortController().signal,
+      )).unwrap();
+      expect(cold.has(permit.target.id)).toEqual(false);
+      permit.release(Outcome.Served, 1);
+    }
+  } finally {
+    await cluster.stop();
+  }
+});
+
 // Guards against a minority of the daemons that uses the whole rate.
 test("daemons that reach at most half of those listed use half of the rate", () => {
   const others = ["e0", "e1", "e2", "e3"]
--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -194,8 +194,8 @@
             left = undefined;
             continue;
           }
-          if (reason === Reason.NoUpstream) {
-            // Another shard may have upstreams that are not evacuated.
+          if (concernsShard(reason, target.shard)) {
+            // Another shard may have upstreams that are in use, or not cold.
             refusedBy.add(target.shard.name);
             target = this.#selectTarget(remaining, refusedBy);
             if (target !== undefined) continue;
@@ -355,6 +355,13 @@
   return Err(notRun(Reason.Internal, "A keeper's answer was not understood"));
 }
 
+/** Whether other shards are asked as well before a request is refused. */
+function concernsShard(reason: Reason, { upstreams }: Shard): boolean {
+  return reason === Reason.NoUpstream ||
+    reason === Reason.UpstreamLimited &&
+      upstreams.some(({ coldStart }) => coldStart !== undefined);
+}
+
 function noUpstream(pool: string): Refusal {
   return notRun(
     Reason.NoUpstream,
