Cold upstreams: leaders on later daemons pace a zone that came back

Cause: the end of an evacuation makes an upstream cold only on daemons that had seen it evacuated. A daemon that started after the end, or was away during the evacuation, and then became the leader granted without any pace.

Change: the answer to a new leader's question for permits in use also names the upstreams that are cold as their evacuation ended, with the time left.

--- a/src/dispatch/cold_daemons_test.ts
+++ b/src/dispatch/cold_daemons_test.ts
@@ -4,7 +4,7 @@
 import type { Dispatcher } from "./dispatcher.ts";
 import { demand, DispatchCluster, upstream, vm } from "./fixtures_test.ts";
 import { Outcome } from "./mod.ts";
-import { partitionIntoShards } from "./shards.ts";
+import { hash, partitionIntoShards } from "./shards.ts";
 
 const RATE_PER_S = 8;
 
@@ -81,6 +81,26 @@
       .toEqual([starts, true]);
   }));
 
+// Guards against a leader on a daemon that has not seen the evacuation.
+test("a leader on a daemon that started after an evacuation paces the upstreams of the zone", () =>
+  withDaemons({ count: 2, coldMs: 0 }, async (entries, cluster) => {
+    cluster.evacuate(["zone-1"]);
+    await pause(50);
+    cluster.evacuate([]);
+    const before = cluster.leaderOf("shard/lm/0");
+    const score = (id: string) => hash(`shard/lm/0@${id}`);
+    const successor = Array.from({ length: 100 }, (_, n) => `later-${n}`)
+      .find((id) => ["e0", "e1"].every((one) => score(id) > score(one))) ?? "";
+    cluster.add(successor);
+    await cluster.nodes.get(successor)?.start();
+    for (const listener of cluster.listeners) listener();
+    const leader = cluster.leaderOf("shard/lm/0");
+    expect([leader, leader === before]).toEqual([successor, false]);
+    const starts = await startsIn(entries, 1500);
+    expect([starts, starts >= 4 && starts <= RATE_PER_S * 1.6 + 2])
+      .toEqual([starts, true]);
+  }));
+
 // Guards against a refusal by one shard that ends the request.
 test("a request that a wholly cold shard can't start in time is served by another shard", async () => {
   const ids = Array.from({ length: 24 }, (_, n) => `u${n}`);
--- a/src/dispatch/cold_periods.ts
+++ b/src/dispatch/cold_periods.ts
@@ -38,6 +38,14 @@
   readonly leftMs?: number;
 }
 
+/** An upstream that is cold as its evacuation ended, as daemons exchange it. */
+export interface RestoredUpstream {
+  readonly upstream: string;
+  readonly leftMs: number;
+  /** When the instance was born, if the list says so. */
+  readonly bornAt?: number;
+}
+
 /** What is known of one instance of an upstream; times are monotonic. */
 interface ColdState {
   upstream: Upstream;
@@ -98,6 +106,32 @@
     if (state !== undefined) state.evacuationEndedAt = this.#clock.now();
   }
 
+  /** The upstreams that are cold as their evacuation ended. */
+  restored(): readonly RestoredUpstream[] {
+    const now = this.#clock.now();
+    return [...this.#states.values()].flatMap((state) => {
+      const { id, bornAt, coldStart } = state.upstream;
+      const durationMs = coldStart?.durationMs ?? 0;
+      const leftMs = state.evacuationEndedAt + durationMs - now;
+      return leftMs > 0 ? [{ upstream: id, leftMs, bornAt }] : [];
+    });
+  }
+
+  /**
+   * Applies the end of an evacuation that another daemon knows of. This one may
+   * have started since, so that it hasn't seen the upstream evacuated.
+   */
+  mergeRestored({ upstream, leftMs, bornAt }: RestoredUpstream): void {
+    const state = this.#states.get(upstream);
+    if (state === undefined || isLater(state.upstream.bornAt, bornAt)) return;
+    const durationMs = state.upstream.coldStart?.durationMs ?? 0;
+    const sinceMs = Math.max(0, durationMs - leftMs);
+    state.evacuationEndedAt = Math.max(
+      state.evacuationEndedAt,
+      this.#clock.now() - sinceMs,
+    );
+  }
+
   /** Records that requests can't reach an upstream, break there or get silence. */
   failed(id: string): void {
     const state = this.#states.get(id);
--- a/src/dispatch/cold_periods_test.ts
+++ b/src/dispatch/cold_periods_test.ts
@@ -131,6 +131,20 @@
   expect(leftMs()).toEqual(3000);
 });
 
+test("the end of an evacuation that another daemon knows counts for that instance only", () => {
+  const { clock, list, periods, leftMs } = daemon();
+  list({ bornAt: 2 });
+  periods.mergeRestored({ upstream: "up-1", leftMs: 4000, bornAt: 1 });
+  expect(leftMs()).toEqual(0);
+  periods.mergeRestored({ upstream: "up-1", leftMs: 4000, bornAt: 2 });
+  clock.advance(1000);
+  periods.mergeRestored({ upstream: "up-1", leftMs: 1000, bornAt: 2 });
+  expect(periods.restored())
+    .toEqual([{ upstream: "up-1", leftMs: 3000, bornAt: 2 }]);
+  periods.mergeRestored({ upstream: "up-1", leftMs: 1e12, bornAt: 2 });
+  expect(leftMs()).toEqual(6000);
+});
+
 test("a newer instance's cold time counts if it equals its predecessor's and is listed late", () => {
   const { list, leftMs } = daemon();
   list({ coldMs: 9000 });
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -412,6 +412,7 @@
           holdings: this.#heldPermits.held(shard),
           findings: this.#quarantine.findings(),
           notices: this.#notices.all(),
+          restored: this.#coldPeriods.restored(),
         });
       },
       [Message.Pressure]: (body) => {
--- a/src/dispatch/local_leaders.ts
+++ b/src/dispatch/local_leaders.ts
@@ -271,7 +271,8 @@
     if (answer.err) return;
     const parsed = holdingsAnswer.safeParse(answer.val);
     if (!parsed.success) return;
-    const { holdings, findings, notices } = parsed.data;
+    const { holdings, findings, notices, restored } = parsed.data;
+    for (const one of restored) this.#coldPeriods.mergeRestored(one);
     for (const notice of notices) this.#notices.merge(notice, member.vm);
     for (const finding of findings) {
       this.#quarantine.merge(finding, member.vm);
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -176,6 +176,12 @@
   findings: z.array(finding),
   /** Absent from daemons of earlier builds. */
   notices: z.array(notice).default([]),
+  /** Upstreams that are cold as their evacuation ended; absent as well. */
+  restored: z.array(z.object({
+    upstream: z.string(),
+    leftMs: z.number().nonnegative(),
+    bornAt: z.number().optional(),
+  })).default([]),
 });
 
 /** A permit as its holder reports it. */
