Dispatch: isolation of suspects and metrics are modules of their own

shard_leader.ts and dispatcher.ts had grown to 980 and 722 lines. Code moved without a change of behaviour; 873 and 633 lines now. 265 of 265 tests of src/dispatch pass.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -6,7 +6,6 @@
  */
 
 import { isSome, toUndefined } from "fp-ts/Option";
-import type { Counter, Gauge, Histogram } from "prom-client";
 import type { Result } from "ts-results";
 import {
   type ActiveConfiguration,
@@ -51,6 +50,7 @@
   type UpstreamStatus,
 } from "./mod.ts";
 import { ColdPeriods } from "./cold_periods.ts";
+import { DispatchMetrics } from "./dispatch_metrics.ts";
 import { FindingStore } from "./finding_store.ts";
 import { GossipOffers } from "./offers.ts";
 import {
@@ -60,7 +60,6 @@
 } from "./known_notices.ts";
 import { RENEWAL_INTERVAL_MS } from "./permits.ts";
 import { type Finding, Quarantine } from "./quarantine.ts";
-import { SelectionMetrics } from "./selection_status.ts";
 import { loadOf, StatedLoads } from "./stated_loads.ts";
 import { ShardSummaries } from "./summaries.ts";
 import { HeldPermits } from "./held_permits.ts";
@@ -89,9 +88,6 @@
 /** Timeout of messages that need a quick answer. */
 const NOTIFICATION_TIMEOUT_MS = 1000;
 
-/** Buckets of waiting time, in seconds. */
-const WAIT_BUCKETS_S = [0.001, 0.005, 0.02, 0.1, 0.5, 2, 10, 60, 600];
-
 /** Obtains permits from the shard leaders on all daemons. */
 export class Dispatcher extends Dispatch {
   override readonly props: Props;
@@ -101,7 +97,7 @@
   readonly #quarantine: Quarantine;
   readonly #notices: KnownNotices;
   readonly #statedLoads: StatedLoads;
-  readonly #selection: SelectionMetrics;
+  readonly #metrics: DispatchMetrics;
   readonly #coldPeriods: ColdPeriods;
   readonly #summaries: ShardSummaries;
   readonly #localLeaders: LocalLeaders;
@@ -112,17 +108,6 @@
   readonly #findingStore: FindingStore;
   readonly #regions: DeploymentRegions;
   readonly #abort = new AbortController();
-  readonly #refusals: Counter<"reason">;
-  readonly #retries: Counter<"reason">;
-  readonly #waitMoves: Counter<"reason">;
-  readonly #grants: Counter<"priority">;
-  readonly #waits: Histogram<"priority">;
-  readonly #load: Gauge<"pool" | "state">;
-  readonly #limits: Gauge<"pool">;
-  readonly #evacuated: Gauge<"pool">;
-  readonly #limitedWaits: Histogram;
-  readonly #cold: Gauge<"pool">;
-  readonly #coldWaits: Histogram;
   #unsubscribers: readonly (() => void)[] = [];
   #vms: readonly Vm[] = [];
   #fleet = new Fleet();
@@ -139,7 +124,7 @@
     this.#notices = new KnownNotices({ clock });
     this.#statedLoads = new StatedLoads({ clock });
     this.#coldPeriods = new ColdPeriods({ clock, notices: this.#notices });
-    this.#selection = new SelectionMetrics(kernel);
+    this.#metrics = new DispatchMetrics(kernel);
     const gossip = { clock: kernel.clock, peers: this.#peers };
     this.#summaries = new ShardSummaries(gossip);
     this.#findingOffers = new GossipOffers(gossip);
@@ -159,74 +144,18 @@
       summaries: this.#summaries,
       fleet: this.#fleet,
     };
-    this.#limitedWaits = kernel.histogram(
-      "toucanwind_dispatch_limited_wait_seconds",
-      "Waits that ended with a permit on an upstream with a limit",
-      WAIT_BUCKETS_S,
-    );
-    this.#coldWaits = kernel.histogram(
-      "toucanwind_dispatch_cold_wait_seconds",
-      "Waits that ended with a permit on a cold upstream",
-      WAIT_BUCKETS_S,
-    );
     this.#localLeaders = new LocalLeaders({
       ...shared,
-      onLimitedGrant: (waitedMs) => this.#limitedWaits.observe(waitedMs / 1000),
-      onColdGrant: (waitedMs) => this.#coldWaits.observe(waitedMs / 1000),
+      onLimitedGrant: (waitedMs) => this.#metrics.grantedLimited(waitedMs),
+      onColdGrant: (waitedMs) => this.#metrics.grantedCold(waitedMs),
     });
     this.#heldPermits = new HeldPermits(shared);
-    this.#retries = kernel.counter(
-      "toucanwind_dispatch_retries_total",
-      "Keepers asked again, by reason",
-      ["reason"],
-    );
-    this.#waitMoves = kernel.counter(
-      "toucanwind_dispatch_wait_moves_total",
-      "Waits that were moved to another shard, by reason",
-      ["reason"],
-    );
     this.#entry = new EntryClient({
       ...shared,
       heldPermits: this.#heldPermits,
-      onRetry: (reason) => this.#retries.inc({ reason }),
-      onMove: (reason) => this.#waitMoves.inc({ reason }),
+      onRetry: (reason) => this.#metrics.retried(reason),
+      onMove: (reason) => this.#metrics.moved(reason),
     });
-    this.#refusals = kernel.counter(
-      "toucanwind_dispatch_refusals_total",
-      "Requests that got no permit, by reason",
-      ["reason"],
-    );
-    this.#grants = kernel.counter(
-      "toucanwind_dispatch_grants_total",
-      "Permits granted to this daemon, by priority",
-      ["priority"],
-    );
-    this.#waits = kernel.histogram(
-      "toucanwind_dispatch_wait_seconds",
-      "Time from a request's demand to its permit",
-      WAIT_BUCKETS_S,
-      ["priority"],
-    );
-    this.#load = kernel.gauge(
-      "toucanwind_dispatch_requests",
-      "Requests at the shards kept here, by pool and state",
-      ["pool", "state"],
-    );
-    this.#limits = kernel.gauge(
-      "toucanwind_dispatch_limits",
-      "Upstreams with a limit at the shards kept here, by pool",
-      ["pool"],
-    );
-    this.#evacuated = kernel.gauge(
-      "toucanwind_dispatch_evacuated_upstreams",
-      "Upstreams in evacuated zones as this daemon knows them, by pool",
-      ["pool"],
-    );
-    this.#cold = kernel.gauge(
-      "toucanwind_dispatch_cold_upstreams",
-      "Cold upstreams at the shards kept here, by pool",
-      ["pool"],
-    );
     this.#quarantine.onChange((finding) => this.#notifyFinding(finding));
     this.#notices.onChange((notice, origin) =>
       this.#noticeChanged(notice, origin)
@@ -287,13 +216,11 @@
     const { priority } = demand;
     if (permit.err) {
       const { reason } = permit.val;
-      this.#refusals.inc({ reason });
+      this.#metrics.refused(reason);
       if (reason === Reason.Quarantined) this.#refusedQuarantined(demand);
       return permit;
     }
-    this.#grants.inc({ priority });
-    const waitedMs = this.#kernel.clock.now() - startedAt;
-    this.#waits.observe({ priority }, waitedMs / 1000);
+    this.#metrics.granted(priority, this.#kernel.clock.now() - startedAt);
     return permit;
   }
 
@@ -530,10 +457,7 @@
   }
 
   #observeEvacuations(before: Fleet): void {
-    this.#evacuated.reset();
-    for (const [pool, count] of this.#fleet.evacuatedByPool()) {
-      this.#evacuated.set({ pool }, count);
-    }
+    this.#metrics.setFleet(this.#fleet);
     const pools = this.#fleet.evacuatedPools();
     const known = before.evacuatedPools();
     for (const pool of pools) {
@@ -546,20 +470,7 @@
 
   #publish(): void {
     this.#localLeaders.publish();
-    this.#load.reset();
-    this.#limits.reset();
-    this.#selection.publish(
-      this.#localLeaders.list()
-        .map(({ pool, leader }) => ({ pool, status: leader.selection })),
-    );
-    this.#cold.reset();
-    for (const { pool, leader } of this.#localLeaders.list()) {
-      this.#limits.inc({ pool }, leader.limitedUpstreams);
-      this.#cold.inc({ pool }, leader.coldUpstreams);
-      const { running, queued } = leader.pressure();
-      this.#load.inc({ pool, state: "running" }, running);
-      this.#load.inc({ pool, state: "queued" }, queued);
-    }
+    this.#metrics.publish(this.#localLeaders.list());
   }
 
   /** Grows with the number of shards, so that the gossip volume does not. */
--- a/src/dispatch/model_capacity.ts
+++ b/src/dispatch/model_capacity.ts
@@ -183,3 +183,14 @@
   const others = Math.max(0, queued - (own?.included ?? 0));
   return (Math.max(0, busy) + others + (own?.waiting ?? 0) + joining) / slots;
 }
+
+/** Counts requests by model; those without one are left out. */
+export function countByModel(
+  demands: readonly Demand[],
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const { model } of demands) {
+    if (model !== undefined) counts.set(model, (counts.get(model) ?? 0) + 1);
+  }
+  return counts;
+}
--- a/src/dispatch/shard_leader.ts
+++ b/src/dispatch/shard_leader.ts
@@ -25,6 +25,7 @@
 import { KnownNotices } from "./known_notices.ts";
 import { type Demand, Outcome, type Pressure } from "./mod.ts";
 import {
+  countByModel,
   FreeWeights,
   type ModelCapacities,
   modelCapacitiesOf,
@@ -35,7 +36,7 @@
   ActivePermits,
   RENEWAL_INTERVAL_MS,
 } from "./permits.ts";
-import { Admission, mustIsolate, Quarantine, Suspicion } from "./quarantine.ts";
+import { Admission, Quarantine, Suspicion } from "./quarantine.ts";
 import {
   type Capacity,
   type OrganisationLoad,
@@ -47,6 +48,7 @@
 } from "./queue.ts";
 import { isInUse, type Upstream } from "./shards.ts";
 import { StartBudget, StartForecast } from "./start_budget.ts";
+import { SuspectIsolation } from "./suspect_isolation.ts";
 
 const log = logger("dispatch");
 
@@ -73,18 +75,6 @@
   [Urgency.Low]: 0,
 };
 
-/** Time that a suspect runs isolated beyond 1.5 times what it ran before. */
-const ISOLATION_MARGIN_MS = 500;
-
-/** One upstream in this many may be reserved for suspects; at least one. */
-const UPSTREAMS_PER_RESERVATION = 3;
-
-/**
- * Time for which a crashed upstream holds quarantined requests back; less than
- * their longest back-off, so that one that crashes them all leaves others a turn.
- */
-const CRASH_HOLD_MS = 1000;
-
 /** Weight of the old value in the running mean of the time on a slot. */
 const HOLD_TIME_DECAY = 0.95;
 
@@ -130,6 +120,7 @@
   readonly #notices: KnownNotices;
   readonly #coldPeriods: ColdPeriods;
   readonly #crashes: CrashDetector;
+  readonly #isolation: SuspectIsolation;
   readonly #headroom: Headroom | undefined;
   readonly #onSuspicion: (upstream: string) => void;
   readonly #onLimitedGrant: (waitedMs: number) => void;
@@ -137,7 +128,6 @@
   readonly #prefix: string;
   readonly #permits = new ActivePermits();
   readonly #answers = new Map<string, (answer: WaitResult) => void>();
-  readonly #reservations = new Map<string, string>();
   #states: ReadonlyMap<string, UpstreamState> = new Map();
   #granting: boolean;
   #limitShare = 1;
@@ -178,6 +168,12 @@
     this.#coldPeriods = options.coldPeriods ??
       new ColdPeriods({ clock: options.clock, notices: this.#notices });
     this.#crashes = new CrashDetector({ quarantine: this.#quarantine });
+    this.#isolation = new SuspectIsolation({
+      clock: options.clock,
+      quarantine: this.#quarantine,
+      crashes: this.#crashes,
+      permits: this.#permits,
+    });
     this.#headroom = options.headroom;
     this.#onSuspicion = options.onSuspicion ?? (() => {});
     this.#granting = options.granting ?? true;
@@ -226,18 +222,12 @@
         upstream,
       });
     }
-    for (const id of this.#reservations.keys()) {
-      const upstream = states.get(id)?.upstream;
-      // A suspect would wait for it as long as it stays out of use.
-      if (upstream === undefined || !isInUse(upstream)) {
-        this.#reservations.delete(id);
-      }
-    }
     for (const id of this.#states.keys()) {
       if (!states.has(id)) this.#selector.forget(id);
     }
     this.#states = states;
     this.#crashes.setUpstreams(upstreams);
+    this.#isolation.setUpstreams(upstreams);
     this.#grantWaiting();
   }
 
@@ -305,7 +295,7 @@
   cancel(id: string): boolean {
     const ticket = this.#queue.remove(id);
     if (ticket !== undefined) {
-      this.#dropReservations(ticket);
+      this.#isolation.dropReservations(ticket);
       const refusal = refusalOf(Reason.Cancelled, "The caller went away");
       this.#answer(id, { refusal });
       return true;
@@ -474,7 +464,7 @@
         return this.#refuse(ticket, Reason.Quarantined, CRASHES_UPSTREAMS);
       case Admission.Shared:
       case Admission.Delayed:
-        return this.#dropReservations(ticket);
+        return this.#isolation.dropReservations(ticket);
       case Admission.Isolated:
     }
   }
@@ -484,7 +474,7 @@
     this.#granting = false;
     for (const ticket of [...this.#queue.waiting()]) {
       this.#queue.remove(ticket.id);
-      this.#dropReservations(ticket);
+      this.#isolation.dropReservations(ticket);
       this.#answer(ticket.id, { moved: true });
     }
   }
@@ -537,7 +527,7 @@
       const ticket = this.#queue.take(capacity, {
         open: (urgency) => capacity.freeSlots > reserved[urgency],
         ready: (ticket) =>
-          weights.suit(ticket.demand) && this.#isReady(ticket, free),
+          weights.suit(ticket.demand) && this.#isolation.isReady(ticket, free),
         fits: (ticket) => {
           picked = this.#selectUpstream(ticket, free);
           return picked !== undefined;
@@ -553,7 +543,7 @@
     this.#count += 1;
     const permit = `${this.#prefix}${this.#count.toString(36)}`;
     const { demand } = ticket;
-    const isolated = this.#runsIsolated(demand);
+    const isolated = this.#isolation.runsIsolated(demand);
     if (isolated) this.#logIsolated(ticket, { permit, upstream });
     this.#recordIfPaced(ticket, upstream);
     const holding = {
@@ -563,12 +553,12 @@
       entry: ticket.entry,
       demand,
       grantedAt: now,
-      isolatedUntil: this.#isolationEnd(demand, now),
+      isolatedUntil: this.#isolation.endOf(demand, now),
     };
     this.#permits.add(holding, now);
     this.#selector.started(holding, now);
     this.#queue.started(demand, now);
-    this.#dropReservations(ticket);
+    this.#isolation.dropReservations(ticket);
     const state = this.#states.get(upstream.id);
     state?.breaker.granted(now);
     state?.budget.take();
@@ -613,57 +603,20 @@
     });
   }
 
-  /** Whether a request may start now if an upstream suits it. */
-  #isReady({ id, demand }: Ticket, free: readonly Candidate[]): boolean {
-    const admission = this.#quarantine.admission(demand);
-    if (admission === Admission.Shared) return true;
-    if (admission !== Admission.Isolated) return false;
-    // Equal suspects run one at a time, so that few upstreams are at risk.
-    const running = this.#permits.withFingerprint(demand.fingerprint);
-    if (running.length > 0) return false;
-    const holdsReservation = [...this.#reservations.values()].includes(id);
-    if (this.#quarantined(demand) && !holdsReservation && !this.#mayTry()) {
-      return false;
-    }
-    return this.#mayReserve() ||
-      free.some(({ upstream, inFlight }) =>
-        inFlight === 0 &&
-        (this.#reservations.get(upstream.id) ?? id) === id
-      );
-  }
-
-  /**
-   * Whether one more quarantined request may run. Those that run, and upstreams
-   * that isolated ones crashed, take no more of the shard than reservations.
-   */
-  #mayTry(): boolean {
-    const running = [...this.#permits.all()]
-      .filter(({ demand }) => this.#quarantined(demand)).length;
-    const crashed = this.#crashes
-      .isolatedCrashesSince(this.#clock.now() - CRASH_HOLD_MS);
-    return running + crashed + this.#reservations.size < this.#maxReservations;
-  }
-
-  #mayReserve(): boolean {
-    return this.#reservations.size < this.#maxReservations;
-  }
-
-  get #maxReservations(): number {
-    return Math.max(
-      1,
-      Math.floor(this.#states.size / UPSTREAMS_PER_RESERVATION),
-    );
-  }
-
   /** The upstream that a request can run on now, if any. */
   #selectUpstream(
     ticket: Ticket,
     free: readonly Candidate[],
   ): Candidate | undefined {
-    if (this.#runsIsolated(ticket.demand)) return this.#isolate(ticket, free);
+    if (this.#isolation.runsIsolated(ticket.demand)) {
+      const eligible = free.filter((candidate) =>
+        isEligible(ticket.demand, candidate)
+      );
+      return this.#isolation.select(ticket, eligible);
+    }
     const trialUpstream = this.#trialUpstream(ticket.demand);
     const fitting = free.filter((candidate) =>
-      !this.#reservations.has(candidate.upstream.id) &&
+      !this.#isolation.isReserved(candidate.upstream.id) &&
       !this.#backsOffFrom(candidate.upstream.id, ticket.demand.model) &&
       (trialUpstream === undefined ||
         trialUpstream === candidate.upstream.id) &&
@@ -700,43 +653,6 @@
     return false;
   }
 
-  /** An idle upstream for a suspect; reserves one if none is idle. */
-  #isolate(
-    ticket: Ticket,
-    free: readonly Candidate[],
-  ): Candidate | undefined {
-    const fitting = free.filter((candidate) =>
-      isEligible(ticket.demand, candidate) &&
-      (this.#reservations.get(candidate.upstream.id) ?? ticket.id) === ticket.id
-    );
-    const empty = fitting.find(({ inFlight }) => inFlight === 0);
-    if (empty !== undefined) return empty;
-    const reserved = [...this.#reservations.values()].includes(ticket.id);
-    if (fitting.length === 0 || reserved || !this.#mayReserve()) {
-      return undefined;
-    }
-    const leastLoaded = fitting
-      .reduce((a, b) => b.inFlight < a.inFlight ? b : a);
-    this.#reservations.set(leastLoaded.upstream.id, ticket.id);
-    return undefined;
-  }
-
-  #isolationEnd(demand: Demand, now: number): number {
-    if (!this.#runsIsolated(demand)) return -Infinity;
-    const { fingerprint } = demand;
-    if (this.#quarantine.crashes(fingerprint) > 1) return Infinity;
-    const ranMs = this.#quarantine.longestRunMs(fingerprint);
-    return now + ranMs * 1.5 + ISOLATION_MARGIN_MS;
-  }
-
-  #runsIsolated(demand: Demand): boolean {
-    return mustIsolate(this.#quarantine.admission(demand));
-  }
-
-  #quarantined({ fingerprint }: Demand): boolean {
-    return this.#quarantine.suspicion(fingerprint) === Suspicion.Quarantined;
-  }
-
   /** Upstreams with a free slot. */
   #candidatesWithRoom(): readonly Candidate[] {
     const now = this.#clock.now();
@@ -744,18 +660,13 @@
     for (const state of this.#states.values()) {
       const { upstream, breaker } = state;
       if (!isInUse(upstream) || !breaker.allows(now)) continue;
-      if (this.#isIsolated(upstream.id, now)) continue;
+      if (this.#isolation.isOccupied(upstream.id, now)) continue;
       const candidate = this.#candidate(state);
       if (freeSlotsOf(candidate) > 0) free.push(candidate);
     }
     return free;
   }
 
-  #isIsolated(upstream: string, now: number): boolean {
-    if (this.#permits.inFlight(upstream) !== 1) return false;
-    return this.#permits.on(upstream)[0].isolatedUntil > now;
-  }
-
   #candidate(state: UpstreamState): Candidate {
     return {
       upstream: state.upstream,
@@ -812,7 +723,7 @@
 
   #refuseWith(ticket: Ticket, refusal: Refusal): void {
     this.#queue.remove(ticket.id);
-    this.#dropReservations(ticket);
+    this.#isolation.dropReservations(ticket);
     this.#answer(ticket.id, { refusal });
   }
 
@@ -822,13 +733,6 @@
     settle?.(answer);
   }
 
-  /** Drops the reservations of a request that no longer waits. */
-  #dropReservations(ticket: Ticket): void {
-    for (const [upstream, id] of this.#reservations) {
-      if (id === ticket.id) this.#reservations.delete(upstream);
-    }
-  }
-
   #recordOutcome(
     holding: ActivePermit,
     options: { outcome: Outcome; now: number },
@@ -938,17 +842,6 @@
   NO_UPSTREAM_RETRY_AFTER_MS,
 );
 
-/** Counts requests by model; those without one are left out. */
-function countByModel(
-  demands: readonly Demand[],
-): ReadonlyMap<string, number> {
-  const counts = new Map<string, number>();
-  for (const { model } of demands) {
-    if (model !== undefined) counts.set(model, (counts.get(model) ?? 0) + 1);
-  }
-  return counts;
-}
-
 /** Requests that may start on an upstream now. */
 function freeSlotsOf(candidate: Candidate): number {
   const { inFlight, foreign, startsLeft } = candidate;
