A changed version lag takes effect while the lease is held

Cause: the schedule of a pool's model took the version lag from the configuration of its first round. With a smaller lag, half of the engines kept a version that no longer served.

Change: the lag is that of the current configuration in each round.

Evidence: the new test in weight_updater_test.ts failed before: an engine stayed on the old version for 3 s.

--- a/src/orders/weight_update_schedule.ts
+++ b/src/orders/weight_update_schedule.ts
@@ -50,7 +50,8 @@
 /** The updates of one model in a pool. */
 export class WeightUpdateSchedule {
   readonly #maxLoadingShare: number;
-  readonly #maxVersionLag: number;
+  /** Versions by which an upstream may lag and still serve trainers. */
+  maxVersionLag: number;
   readonly #onDone: (ended: FinishedLoad) => void;
   #pending: ReadonlyMap<string, PendingUpdate> = new Map();
   #retries: ReadonlyMap<string, Retry> = new Map();
@@ -58,13 +59,12 @@
 
   constructor(options: {
     maxLoadingShare?: number;
-    /** Versions by which an upstream may lag and still serve trainers. */
     maxVersionLag?: number;
     /** Called after each completed update. */
     onDone?: (ended: FinishedLoad) => void;
   } = {}) {
     this.#maxLoadingShare = options.maxLoadingShare ?? MAX_LOADING_SHARE;
-    this.#maxVersionLag = options.maxVersionLag ?? 0;
+    this.maxVersionLag = options.maxVersionLag ?? 0;
     this.#onDone = options.onDone ?? (() => {});
   }
 
@@ -120,7 +120,7 @@
       1,
       Math.floor(upstreams.length * this.#maxLoadingShare),
     );
-    const oldest = latest - this.#maxVersionLag;
+    const oldest = latest - this.maxVersionLag;
     return this.#upstreamsToUpdate(upstreams, latest)
       .filter(({ id, version }) =>
         (!staleOnly || version < oldest) &&
@@ -145,9 +145,9 @@
   ): readonly VersionedVm[] {
     const older = upstreams.filter(({ version }) => version < latest);
     const stale = older.filter(({ version }) =>
-      version < latest - this.#maxVersionLag
+      version < latest - this.maxVersionLag
     );
-    if (this.#maxVersionLag === 0) return stale;
+    if (this.maxVersionLag === 0) return stale;
     const newest = upstreams.length - older.length + stale.length;
     const wanted = Math.ceil(upstreams.length * MIN_NEWEST_SHARE);
     const others = older.filter((one) => !stale.includes(one))
--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -213,7 +213,10 @@
   #scheduleOf({ pool, model }: PoolModel): WeightUpdateSchedule {
     const name = keyOf({ pool, model });
     const known = this.#schedules.get(name);
-    if (known !== undefined) return known;
+    if (known !== undefined) {
+      known.maxVersionLag = pool.versionLag ?? 0;
+      return known;
+    }
     const limiter = this.#limiterOf(pool);
     const schedule = new WeightUpdateSchedule({
       maxVersionLag: pool.versionLag,
--- a/src/orders/weight_updater_test.ts
+++ b/src/orders/weight_updater_test.ts
@@ -60,3 +60,16 @@
   await site.runUntil(() => one.versions.m === 2, 3000);
   expect([one.accepted, one.refused]).toEqual([1, 0]);
 });
+
+test("a smaller version lag of a pool takes effect while the lease is held", async () => {
+  const engines = ["u", "v", "w"].map((id) => new EngineStandIn(id, { m: 1 }));
+  const site = new WeightSite({
+    engines,
+    pool: { model: "m", versionLag: 1 },
+  });
+  site.latest.set("m", 2);
+  const isDone = () => engines.every(({ versions }) => versions.m === 2);
+  expect(await site.runUntil(isDone, 1500)).toEqual(false);
+  site.changePool({ model: "m", versionLag: 0 });
+  expect(await site.runUntil(isDone, 3000)).toEqual(true);
+});
