--- a/src/orders/evacuation_fixture.ts
+++ b/src/orders/evacuation_fixture.ts
@@ -24,7 +24,8 @@
 import type { HeldLease } from "./duty_lease.ts";
 import { kernel } from "./fixtures_test.ts";
 import { FixedScalingPolicy } from "./scaling_policies.ts";
-import { type WeightUpdateMetrics, WeightUpdater } from "./weight_updater.ts";
+import type { WeightUpdateMetrics } from "./weight_update_metrics.ts";
+import { WeightUpdater } from "./weight_updater.ts";
 
 /** A lease that is held throughout. */
 export const lease = {
--- a/src/orders/orders.ts
+++ b/src/orders/orders.ts
@@ -14,7 +14,8 @@
 import { OrderMetrics, UpstreamReconciler } from "./upstream_reconciler.ts";
 import { RetirementResponder } from "./retirements.ts";
 import { LoadScalingPolicy } from "./scaling_policies.ts";
-import { WeightUpdateMetrics, WeightUpdater } from "./weight_updater.ts";
+import { WeightUpdateMetrics } from "./weight_update_metrics.ts";
+import { WeightUpdater } from "./weight_updater.ts";
 
 const log = logger("orders");
 
--- a/src/orders/weight_updater.ts
+++ b/src/orders/weight_updater.ts
@@ -14,7 +14,9 @@
 import { Fault, Role, type Vm, VmState } from "../outside/mod.ts";
 import type { Pool } from "../tables/mod.ts";
 import type { HeldLease } from "./duty_lease.ts";
+import { LatestVersions } from "./latest_versions.ts";
 import { ModelAssignments } from "./model_assignments.ts";
+import type { WeightUpdateMetrics } from "./weight_update_metrics.ts";
 import { WeightLoadLimiter } from "./weight_load_limiter.ts";
 import {
   type VersionedVm,
@@ -23,11 +25,6 @@
 
 const log = logger("weights");
 
-/** The versions are read again after this if the store reports no change. */
-const VERSION_POLL_TIMEOUT_MS = 2000;
-/** Minimum time between two reads of the weight store. */
-const MIN_VERSION_POLL_INTERVAL_MS = 100;
-
 /** Interval at which each model's demand is sampled. */
 const DEMAND_SAMPLE_INTERVAL_MS = 500;
 /**
@@ -78,9 +75,9 @@
   /** Unanswered calls to engines, by upstream. */
   readonly #inFlight = new Map<string, Promise<unknown>>();
   readonly #assignments = new ModelAssignments();
+  readonly #latestVersions: LatestVersions;
   #roundCount = 0;
   #demandSampledAt = -Infinity;
-  #latestVersions: ReadonlyMap<string, number> = new Map();
   #vms: readonly Vm[] = [];
   #listedAt = -Infinity;
 
@@ -95,6 +92,7 @@
     this.#dispatch = options.kernel.get(dispatchKey);
     this.#lease = options.lease;
     this.#metrics = options.metrics;
+    this.#latestVersions = new LatestVersions(options);
   }
 
   /** Starts due updates in all pools once. */
@@ -121,41 +119,11 @@
   }
 
   /** Watches the newest versions until the lease ends. */
-  async watchVersions(): Promise<void> {
-    const { signal } = this.#lease;
-    while (!signal.aborted) {
-      await this.#readLatestVersions();
-      await this.#clock.sleep(MIN_VERSION_POLL_INTERVAL_MS, signal);
-      if (signal.aborted) return;
-      await this.#kernel.platform.weights.changed({
-        waitMs: VERSION_POLL_TIMEOUT_MS,
-        signal,
-      });
-    }
-  }
-
-  async #readLatestVersions(): Promise<void> {
-    const tables = toUndefined(this.#config.current())?.tables;
-    if (tables === undefined) return;
-    const models = tables.pools.flatMap(poolModelsOf).map(({ model }) => model);
-    const latest = await this.#kernel.platform.weights
-      .latest([...new Set(models)]);
-    if (latest.err) {
-      this.#metrics.store.inc({ fault: latest.val.fault });
-      log("reading newest weight versions failed", { ...latest.val });
-      return;
-    }
-    for (const model of models) {
-      this.#recordLatest(model, latest.val.get(model) ?? 0);
-    }
-  }
-
-  // The store's answers may be stale: a version once seen is not withdrawn.
-  #recordLatest(model: string, version: number): void {
-    const before = this.#latestVersions.get(model) ?? 0;
-    if (version <= before) return;
-    this.#latestVersions = new Map([...this.#latestVersions, [model, version]]);
-    log("new weight version found", { model, version });
+  watchVersions(): Promise<void> {
+    return this.#latestVersions.watch(this.#lease.signal, () => {
+      const tables = toUndefined(this.#config.current())?.tables;
+      return tables?.pools.flatMap(poolModelsOf).map(({ model }) => model);
+    });
   }
 
   async #refreshVms(): Promise<void> {
@@ -171,7 +139,7 @@
   /** Ends updates that are done, and polls engines that may be. */
   #settleModel(pair: PoolModel): void {
     const { model } = pair;
-    if ((this.#latestVersions.get(model) ?? 0) === 0) return;
+    if (this.#latestVersions.of(model) === 0) return;
     const schedule = this.#scheduleOf(pair);
     // An engine may have been assigned to another model while it loads this one.
     const vms = this.#liveVms(pair.pool);
@@ -189,7 +157,7 @@
   /** Starts due updates as far as the pool's limit allows. */
   #startUpdates(pair: PoolModel, options: { staleOnly: boolean }): void {
     const { model } = pair;
-    const latest = this.#latestVersions.get(model) ?? 0;
+    const latest = this.#latestVersions.of(model);
     if (latest === 0) return;
     const schedule = this.#scheduleOf(pair);
     const vms = this.#assignedVms(pair);
@@ -292,7 +260,7 @@
       ),
     }));
     this.#assignments.assign({ name: pool.name, models, upstreams }, {
-      latest: Object.fromEntries(this.#latestVersions),
+      latest: this.#latestVersions.all,
       now: this.#clock.now(),
     });
   }
@@ -473,22 +441,3 @@
 function keyOf({ pool, model }: PoolModel): string {
   return `${pool.name}/${model}`;
 }
-
-/** Counters of weight updates. */
-export class WeightUpdateMetrics {
-  readonly updates;
-  readonly store;
-
-  constructor(kernel: Kernel) {
-    this.updates = kernel.counter(
-      "toucanwind_weight_swaps_total",
-      "Weight swaps by outcome; order_* are orders that failed",
-      ["outcome"],
-    );
-    this.store = kernel.counter(
-      "toucanwind_weight_store_failures_total",
-      "Failed looks at the weight store",
-      ["fault"],
-    );
-  }
-}
--- a/src/orders/weights_fixture.ts
+++ b/src/orders/weights_fixture.ts
@@ -17,7 +17,8 @@
 import { engine, lease, metrics } from "./evacuation_fixture.ts";
 import { kernel } from "./fixtures_test.ts";
 import { FixedScalingPolicy } from "./scaling_policies.ts";
-import { type WeightUpdateMetrics, WeightUpdater } from "./weight_updater.ts";
+import type { WeightUpdateMetrics } from "./weight_update_metrics.ts";
+import { WeightUpdater } from "./weight_updater.ts";
 
 /** Time between two rounds of the updater. */
 const ROUND_MS = 50;
