Batches: a reader at a later position doesn't spoil the cached results

Cause: a reader that lacked a batch's earlier results asked the owner from the reader's position. If the owner had none and no proof, it asked once more with the same position instead of that of the cached results, and cached what had come since at wrong positions.

Change: the owner is always asked from the end of the cached results on when its answer is cached, and such a reader refreshes once instead of waiting twice.

Result: the new test fails before, with 'three' at the first position.

--- a/src/batches/batch_reader.ts
+++ b/src/batches/batch_reader.ts
@@ -103,6 +103,8 @@
     if (cached.results.length < after) {
       const page = await this.#pageFromOwner(cached.head, options);
       if (page !== undefined) return Ok(page);
+      const { results } = await this.#refresh(cached) ?? cached;
+      return Ok(pageOf(total, results, after));
     }
     const { results } = await this.#waitForResults(cached, options);
     return Ok(pageOf(total, results, after));
@@ -203,12 +205,13 @@
     return await this.#refresh(batch) ?? batch;
   }
 
-  async #readFromOwner(cached: CachedBatch, options: {
+  /** Asks the owner for what follows the cached results. */
+  async #readFromOwner(cached: CachedBatch, { waitMs, signal }: {
     waitMs: number;
     signal: AbortSignal;
   }): Promise<OwnerReading | undefined> {
     const after = cached.results.length;
-    const answer = await this.#askOwner(cached.head, { after, ...options });
+    const answer = await this.#askOwner(cached.head, { after, waitMs, signal });
     if (answer === undefined) return undefined;
     const { results, provenMsAgo = Infinity } = answer;
     const batch = this.#cache.put({
--- a/src/batches/batch_reader_test.ts
+++ b/src/batches/batch_reader_test.ts
@@ -134,3 +134,24 @@
   expect((await readFrom(0)).results.map(({ id }) => id))
     .toEqual(["one", "two", "three"]);
 });
+
+test("results that are listed while a reader at a later position waits keep their positions", async () => {
+  const { store, state, addOwner, readFrom } = await createReader();
+  const results = ["one", "two"].map((id) => result(id));
+  const listed = await store.append(state, results, signal);
+  if (isNone(listed.now)) throw new Error("Not listed");
+  let reads = 0;
+  addOwner(OWNER.owner, {
+    // Without proof, as while the key-value service does not answer.
+    ...runOf(listed.now.value, results, () => undefined),
+    provenMsAgo: undefined,
+    waitForMore: () => {
+      reads += 1;
+      if (reads === 2) results.push(result("three"));
+      return Promise.resolve();
+    },
+  });
+  await readFrom(2);
+  expect((await readFrom(0)).results.map(({ id }) => id))
+    .toEqual(["one", "two", "three"]);
+});
