Evacuation: shards that refused a request are asked again after one ends

Cause: a request keeps the names of shards that had no upstream for it. One that came back while the request waited elsewhere stayed excluded, so the request was refused with no_upstream if its own shard was evacuated next.

Change: the names are forgotten when the wait is renewed at the end of an evacuation.

Evidence: the new test in evacuation_test.ts was refused with no_upstream before, and passes now.

--- a/src/dispatch/entry.ts
+++ b/src/dispatch/entry.ts
@@ -159,6 +159,8 @@
         refusedBy,
       });
       if (isRenewed) {
+        // Those without an upstream in use may have one now.
+        refusedBy.clear();
         const keptMs = this.#clock.now() - startedAt;
         target = this.#targetOf(target.shard, keptMs);
         continue;
--- a/src/dispatch/evacuation_test.ts
+++ b/src/dispatch/evacuation_test.ts
@@ -243,3 +243,28 @@
     }
   }, vms);
 });
+
+test("a request is served by a shard that refused it before its zone came back", () => {
+  const ids = Array.from({ length: 24 }, (_, n) => `u${n}`);
+  const [first] = partitionIntoShards(ids.map((id) => upstream({ id })));
+  const inX = new Set(first.map(({ id }) => id));
+  const vms = ids.map((id) =>
+    vm({ id, availabilityZone: inX.has(id) ? "x" : "y" })
+  );
+  return cluster(async (sim) => {
+    const leaders = new Set(
+      ["shard/lm/0", "shard/lm/1"].map((name) => sim.leaderOf(name)),
+    );
+    const entry = ["e1", "e2", "e3"].find((id) => !leaders.has(id)) ?? "e1";
+    sim.evacuate(["x"], [...leaders]);
+    const slots = 2 * (ids.length - inX.size);
+    for (let n = 0; n < slots; n++) await acquire(sim, entry);
+    const waits = Array.from({ length: 8 }, () => acquire(sim, entry));
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    sim.evacuate(["x"], [entry]);
+    sim.evacuate(["y"]);
+    for (const permit of await Promise.all(waits)) {
+      expect(inX.has(permit.unwrap().target.id)).toEqual(true);
+    }
+  }, vms);
+});
