Batches: a run that is being started when its daemon stops is not started

Cause: a stop ended the runs that were known, and a start in progress went on after it.

Change: a stop aborts starts in progress, and none begins after it.

Result: platform/limit_test.js passes and ends. A test of the race itself is not written.

--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -162,6 +162,7 @@
 
   override async stop(): Promise<void> {
     this.#stop.abort();
+    for (const start of this.#starts.values()) start.abort();
     const runs = [...this.#runs.values()];
     await Promise.all(runs.map((run) => run.stop("stopping")));
   }
@@ -330,7 +331,8 @@
 
   /** Starts a run unless one of the batch is being started. */
   async #run(id: string): Promise<void> {
-    if (this.#leaving || this.#starts.has(id)) return;
+    if (this.#leaving || this.#stop.signal.aborted) return;
+    if (this.#starts.has(id)) return;
     const start = new AbortController();
     this.#starts.set(id, start);
     try {
