Count only steady state in review case 8, end its daemons always

Rule: LOST asks for 5 s of steady state at no sampler, so that the time up to `contact_ms` after the stopped machine's end doesn't count. The script counted from the SIGTERM on. It now also asks that items had begun. Scripts end their daemons also when a signal, an error or the bound of 110 s ends them.

--- a/review/8/script.ts
+++ b/review/8/script.ts
@@ -19,10 +19,12 @@
 const ITEMS = 48;
 const SLOTS = 16;
 const RENAMED_AFTER_MS = 100;
-const STOPPED_AFTER_MS = 400;
+const STOPPED_AFTER_MS = 200;
 /** When the trainer gives up, as its sheet has it. */
 const STEP_MS = 12_000;
 const IDLE_LIMIT_MS = 5000;
+/** A machine is in touch this long after it was disturbed. */
+const CONTACT_MS = 3000;
 
 const NAMES = ["front-a-1", "front-a-2", "front-a-3"];
 
@@ -106,20 +108,20 @@
   if (HAS_TROUBLE) publish(2, "r-sample-2");
   await sleep(STOPPED_AFTER_MS);
   const stopped = daemons[NAMES.indexOf(owner.vm)];
-  stopped.process.on(
-    "exit",
-    (code, signal) => record.add(`${stopped.name} ended, ${signal ?? code}`),
-  );
+  let stoppedAt = Infinity;
+  stopped.process.on("exit", (code, signal) => {
+    stoppedAt = Date.now();
+    record.add(`${stopped.name} ended, ${signal ?? code}`);
+  });
+  const begun = servers.flatMap(({ runs }) => runs).length;
+  record.add(`${begun} items had begun`);
   record.add(`SIGTERM to ${stopped.name}, which runs the batch`);
   stopped.process.kill("SIGTERM");
   let listed = 0;
-  let busyAt = Date.now();
   while (Date.now() < acceptedAt + STEP_MS) {
     await sleep(500);
-    const running = servers.flatMap(({ runs }) =>
-      runs
-    ).filter(({ isOver }) => !isOver).length;
-    if (running > 0) busyAt = Date.now();
+    const running = servers.flatMap(({ runs }) => runs)
+      .filter(({ endedAt }) => endedAt === Infinity).length;
     const answer = await call(reader.front, {
       path: `/-/lots/${BATCH}?after=0`,
       headers,
@@ -131,15 +133,20 @@
       `${running} of ${SLOTS} slots are in use; ${reader.name} answers ${answer.status}, ${listed} results`,
     );
   }
+  // What had an item last, and the stop of the machine with its aftermath.
+  const runs = servers.flatMap((server) => server.runs);
   const whole = new Set(
-    servers.flatMap(({ runs }) => runs).filter(({ isWhole }) => isWhole).map((
-      { id },
-    ) => id),
+    runs.filter(({ isWhole }) => isWhole).map(({ id }) => id),
   );
   const left = items.filter(({ id }) => !whole.has(id));
-  const idleMs = Date.now() - busyAt;
+  const lastAt = Math.max(
+    stoppedAt + CONTACT_MS,
+    ...runs.map(({ endedAt }) => endedAt),
+  );
+  const steadyMs = Date.now() - lastAt;
   record.add(
-    `LOST: ${left.length} of ${ITEMS} items are not finished, and no server has had an item for ${idleMs} ms`,
+    `LOST: ${left.length} of ${ITEMS} items are not finished, and no server ` +
+      `had an item for ${steadyMs} ms of steady state`,
   );
-  return left.length === 0 || idleMs < IDLE_LIMIT_MS;
+  return begun === 0 || left.length === 0 || steadyMs < IDLE_LIMIT_MS;
 });
--- a/review/lib-2/deployment.ts
+++ b/review/lib-2/deployment.ts
@@ -35,6 +35,9 @@
 /** Whether the disruption is played. */
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
+/** Within the 120 s that a script may take. */
+const MAX_RUN_MS = 110_000;
+
 /** How a script ends; `run.sh` turns `Broken` into 1, and the rest into 2. */
 export enum ExitCode {
   Held = 0,
@@ -145,6 +148,11 @@
     return daemon;
   }
 
+  /** Kills the daemons without waiting for their end. */
+  killAll(): void {
+    for (const { process: child } of this.daemons) child.kill("SIGKILL");
+  }
+
   /** Ends all that was started. */
   async stop(): Promise<void> {
     for (const { process: child } of this.daemons) {
@@ -251,6 +259,12 @@
   const record = new RunRecord(folder);
   const deployment = new SmallDeployment();
   let code = ExitCode.NotRun;
+  // Whatever ends this process, no daemon outlives it.
+  process.on("exit", () => deployment.killAll());
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+    process.on(signal, () => process.exit(ExitCode.NotRun));
+  }
+  setTimeout(() => process.exit(ExitCode.NotRun), MAX_RUN_MS).unref();
   // The platform's stand-in reads on when a daemon that is killed breaks off.
   process.on(
     "unhandledRejection",
--- a/review/lib-2/engine.ts
+++ b/review/lib-2/engine.ts
@@ -22,8 +22,8 @@
   readonly at: number;
   events: number;
   isWhole: boolean;
-  /** Whether it has ended, whole or not. */
-  isOver: boolean;
+  /** When it ended, whole or not, in Unix milliseconds. */
+  endedAt: number;
 }
 
 /** A model server at a loopback address. */
@@ -96,7 +96,8 @@
   }
 
   #report(response: ServerResponse): void {
-    const running = this.runs.filter(({ isOver }) => !isOver).length;
+    const running =
+      this.runs.filter(({ endedAt }) => endedAt === Infinity).length;
     response.writeHead(200, { "content-type": "application/json" }).end(
       JSON.stringify({
         stage: "combined",
@@ -123,7 +124,7 @@
       at: Date.now(),
       events: 0,
       isWhole: false,
-      isOver: false,
+      endedAt: Infinity,
     };
     this.runs.push(run);
     this.#record.add(`${this.id} runs ${id} after event ${after} of ${total}`);
@@ -141,7 +142,7 @@
       response.write(`id: ${number}\ndata: ${id}.${number}\n\n`);
       run.events += 1;
     }
-    run.isOver = true;
+    run.endedAt = Date.now();
     run.isWhole = after + run.events === total;
     this.#record.add(
       run.isWhole
