Judge only the 404 in review case 7

The items that reach a server after the removal of their route are recorded, and not judged, as CONFIG has its own conditions.

--- a/review/7/script.ts
+++ b/review/7/script.ts
@@ -139,8 +139,8 @@
   const lateCount = HAS_TROUBLE ? late.length : 0;
   record.add(`LOST: ${notFound} answers 404 for the batch submission`);
   record.add(
-    `CONFIG: ${lateCount} items reached servers later than ` +
+    `Not judged: ${lateCount} items reached servers later than ` +
       `${CONFIG_APPLY_MS} ms after their route was dropped`,
   );
-  return notFound === 0 && lateCount === 0;
+  return notFound === 0;
 });
