--- a/review/9/script.ts
+++ b/review/9/script.ts
@@ -178,6 +178,7 @@
 
   const lost = ends.filter(({ id, isComplete, sentAt, endedAt }) =>
     !isComplete && sentAt > stoppedAt + EXCUSED_MS &&
+    endedAt < stoppedAt + GRACE_MS + 1000 &&
     endedAt - sentAt < TIMEOUT_MS && servers.some((server) => server.hasRun(id))
   );
   const served = ends.filter(({ status, isComplete }) =>
