Batches: a batch outlives its route for readers and its trainer

What callers saw: a manifest removed a batch route, and every daemon answered 404 for the open batches of it, to readers and to the trainer that ended them. Cause: a call on a batch was authorized by way of a batch route of its host, in the configuration in force, whatever route the batch has. Evidence: "request refused" with the reason no_route for the batch's path, while the same batch logs item after item. Ruled out: retention, a lost head, the key. Change: the key names the organisation, whatever routes there are, and an organisation reaches its own batches and those of open routes. 401 for unknown and withdrawn keys and 503 without a current configuration stay. A repeated submission of an accepted batch gets 202 also once its route was removed.

--- a/src/admin/admin_fixture.ts
+++ b/src/admin/admin_fixture.ts
@@ -86,6 +86,10 @@
     return Ok({ organisation: "", keyId: "" });
   }
 
+  identify(): Result<Caller, Refusal> {
+    return this.authorize();
+  }
+
   granted(): Option<CallerKey> {
     return none;
   }
--- a/src/batches/batch_reader.ts
+++ b/src/batches/batch_reader.ts
@@ -20,7 +20,12 @@
 import { type BatchCache, type CachedBatch, pageOf } from "./batch_cache.ts";
 import type { BatchHead, BatchStore, VersionedHead } from "./batch_store.ts";
 import { Message, type ReadAnswer, readAnswer, readBody } from "./messages.ts";
-import type { BatchRef, ItemResult, Page } from "./mod.ts";
+import {
+  type BatchRef,
+  isAccessible,
+  type ItemResult,
+  type Page,
+} from "./mod.ts";
 import { refuse } from "./refusals.ts";
 
 /** Time allowed for an owner's answer beyond the wait asked for. */
@@ -116,16 +121,17 @@
   }
 
   async #find(
-    { id, organisation }: BatchRef,
+    batch: BatchRef,
     options: { withResults: boolean },
   ): Promise<Result<CachedBatch, Refusal>> {
+    const { id } = batch;
     const run = this.#runs.get(id);
     const known = run === undefined ? this.#cache.get(id) : this.cacheRun(run);
     const found = known === undefined
       ? await this.#loadBatch(id, options)
       : Ok(known) as Result<CachedBatch, Refusal>;
     if (found.err) return found;
-    if (found.val.head.organisation === organisation) return found;
+    if (isAccessible(found.val.head, batch)) return found;
     return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
   }
 
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -42,6 +42,7 @@
   batchesKey,
   type BatchRef,
   type BatchSubmission,
+  isAccessible,
   type Page,
 } from "./mod.ts";
 import { partialOutputKey, PartialOutputs } from "./partial_outputs.ts";
@@ -200,6 +201,16 @@
     }
   }
 
+  async isAccepted(
+    { id, organisation, items }: BatchSubmission,
+  ): Promise<Result<boolean, Refusal>> {
+    const found = await this.#store.head(id);
+    if (found.err) return Err(refuse(Verdict.NotRun, Reason.PlatformDown));
+    if (isNone(found.val)) return Ok(false);
+    const { head } = found.val.value;
+    return Ok(isSameBatch(head, { organisation, items }));
+  }
+
   read(batch: BatchRef, options: {
     after: number;
     waitMs: number;
@@ -232,7 +243,7 @@
         return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
       }
       const state = found.val.value;
-      if (state.head.organisation !== batch.organisation) {
+      if (!isAccessible(state.head, batch)) {
         return Err(refuse(Verdict.NotRun, Reason.StepUnknown));
       }
       if (state.head.ended) return this.#completeEnd(state.head, "repeated");
@@ -267,9 +278,7 @@
     submission: BatchSubmission,
     stored: Option<VersionedHead>,
   ): Result<true, Refusal> {
-    const same = !isNone(stored) &&
-      stored.value.head.organisation === submission.organisation &&
-      stored.value.head.total === submission.items.length;
+    const same = !isNone(stored) && isSameBatch(stored.value.head, submission);
     if (same) return Ok(true);
     return Err(refuse(Verdict.NotRun, Reason.IdempotencyConflict));
   }
@@ -436,6 +445,14 @@
   }
 }
 
+/** Whether a submission repeats the one that was stored under its id. */
+function isSameBatch(
+  head: BatchHead,
+  { organisation, items }: Pick<BatchSubmission, "organisation" | "items">,
+): boolean {
+  return head.organisation === organisation && head.total === items.length;
+}
+
 register({
   key: batchesKey,
   requires: [
--- a/src/batches/mod.ts
+++ b/src/batches/mod.ts
@@ -40,8 +40,11 @@
 /** A batch as a trainer submitted it. */
 export interface BatchSubmission {
   readonly id: string;
+  /** Name of the route at the time of the submission. */
   readonly route: string;
   readonly host: string;
+  /** Path of the submission; absent in batches of earlier builds. */
+  readonly path?: string;
   readonly organisation: string;
   readonly rank?: number;
   /** Number of groups that the trainer waits for. */
@@ -83,6 +86,11 @@
   /** Accepts a batch; repeating a submission succeeds without effect. */
   abstract submit(submission: BatchSubmission): Promise<Result<true, Refusal>>;
 
+  /** Whether this batch was accepted before. */
+  abstract isAccepted(
+    submission: BatchSubmission,
+  ): Promise<Result<boolean, Refusal>>;
+
   /**
    * Returns results from position `after` on; if there are none yet, waits for
    * one for at most `waitMs`.
@@ -103,11 +111,20 @@
   abstract end(batch: BatchRef): Promise<Result<true, Refusal>>;
 }
 
-/** Identifies a batch of an organisation. */
+/** Identifies a batch, and who asks for it. */
 export interface BatchRef {
   readonly id: string;
+  /** Empty for a caller without a key. */
   readonly organisation: string;
 }
 
+/** Whether a caller may access a batch; those of open routes are open. */
+export function isAccessible(
+  batch: Pick<BatchSubmission, "organisation">,
+  { organisation }: BatchRef,
+): boolean {
+  return batch.organisation === "" || batch.organisation === organisation;
+}
+
 /** The key of the batches plug-in. */
 export const batchesKey = new PluginKey<Batches>("batches");
--- a/src/config/mod.ts
+++ b/src/config/mod.ts
@@ -38,6 +38,12 @@
     key: Option<string>,
   ): Result<Caller, Refusal>;
 
+  /**
+   * The organisation that holds this key (not its hash), whatever routes there
+   * are.
+   */
+  abstract identify(key: Option<string>): Result<Caller, Refusal>;
+
   /** The key with this public id on the route, if still granted. */
   abstract granted(route: string, keyId: string): Option<CallerKey>;
 
--- a/src/config/replicated_configuration.ts
+++ b/src/config/replicated_configuration.ts
@@ -218,19 +218,10 @@
     if (current.open) {
       return Ok({ organisation: current.tenants[0]?.tenant ?? "", keyId: "" });
     }
+    if (current.exchange !== undefined) return this.identify(key);
     if (isNone(key)) return this.#refuse(Reason.NoKey);
     if (!this.fresh()) return this.#refuse(Reason.StaleConfiguration);
     const sha256 = hashKey(key.value);
-    if (current.exchange !== undefined) {
-      const holder = this.#keyring.organisation(sha256);
-      if (isNone(holder)) {
-        return this.#refuse(
-          REASON_BY_KEY_STATUS[this.#keyring.statusOf(sha256)],
-        );
-      }
-      const { name: organisation, rank, allowedRegions } = holder.value;
-      return Ok({ organisation, keyId: "", rank, allowedRegions });
-    }
     const found = this.#keyring.findByHash(route.name, sha256);
     if (isNone(found)) {
       return this.#refuse(REASON_BY_KEY_STATUS[this.#keyring.statusOf(sha256)]);
@@ -238,6 +229,18 @@
     return Ok({ organisation: found.value.tenant, keyId: found.value.id });
   }
 
+  identify(key: Option<string>): Result<Caller, Refusal> {
+    if (isNone(key)) return this.#refuse(Reason.NoKey);
+    if (!this.fresh()) return this.#refuse(Reason.StaleConfiguration);
+    const sha256 = hashKey(key.value);
+    const holder = this.#keyring.organisation(sha256);
+    if (isNone(holder)) {
+      return this.#refuse(REASON_BY_KEY_STATUS[this.#keyring.statusOf(sha256)]);
+    }
+    const { name: organisation, rank, allowedRegions } = holder.value;
+    return Ok({ organisation, keyId: "", rank, allowedRegions });
+  }
+
   granted(route: string, keyId: string): Option<CallerKey> {
     return this.#keyring.findById(route, keyId);
   }
--- a/src/dispatch/fixtures_test.ts
+++ b/src/dispatch/fixtures_test.ts
@@ -156,6 +156,9 @@
   authorize(): never {
     throw new Error("Not used");
   }
+  identify(): never {
+    throw new Error("Not used");
+  }
   granted(): Option<never> {
     return none;
   }
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -133,10 +133,16 @@
     route: Route,
     key: O.Option<string>,
   ): Result<Caller, Refusal> {
+    const caller = this.identify(key);
+    return caller.err && route.open
+      ? Ok({ organisation: "", keyId: "" })
+      : caller;
+  }
+
+  identify(key: O.Option<string>): Result<Caller, Refusal> {
     if (O.isSome(key) && key.value === KEY && !this.withdrawn) {
       return Ok({ organisation: "authority", keyId: "k1" });
     }
-    if (route.open) return Ok({ organisation: "", keyId: "" });
     return Err(
       new Refusal({
         verdict: Verdict.NotRun,
--- a/src/orders/fixtures_test.ts
+++ b/src/orders/fixtures_test.ts
@@ -87,6 +87,10 @@
     throw new Error("Not used");
   }
 
+  identify(): never {
+    throw new Error("Not used");
+  }
+
   granted() {
     return none;
   }
