Batches: an open batch follows its host and path, not its route's name

What callers saw: a manifest gave a batch route another name while a batch was open; after the next hand-over nothing of it ran any more. With a route that was removed, items were sent on by the last one that the owner had seen. Cause: a run under way, a run that starts and a call on a batch each looked the route up in their own way, two of them by the name at the submission. Evidence: the successor owns the batch in the store and logs nothing after "batch taken over"; an early return of the start had no log line. Each now logs "run not started" with its reason. Ruled out: the hand-over, which works under the old name. Change: BatchRoute follows the route that the host and path of the submission select; runs ask it before each permit and as each request is written. Without a route nothing is sent, and after 3 s the rest is given up.

--- a/src/batches/batch_run.ts
+++ b/src/batches/batch_run.ts
@@ -10,11 +10,8 @@
 import { Outcome as PermitOutcome } from "../dispatch/mod.ts";
 import { type Kernel, logger, type Moment, Reason } from "../kernel/mod.ts";
 import { isFinal, Loss } from "../outside/mod.ts";
-import {
-  type ExchangeRoute,
-  relayKey,
-  type RequestRelay,
-} from "../relay/mod.ts";
+import { relayKey } from "../relay/mod.ts";
+import { BatchRoute } from "./batch_route.ts";
 import type { BatchStore, VersionedHead } from "./batch_store.ts";
 import { GroupOrder } from "./group_order.ts";
 import { GroupOutcome, GroupOutcomes } from "./group_outcomes.ts";
@@ -70,18 +67,19 @@
  */
 const SCARCE_SLOTS_WAIT_MS = 3000;
 
+/** Reason for giving up items whose route didn't come back. */
+const ROUTE_REMOVED = "route removed";
+
 /** Reasons for the end of a run after which no other run of the batch starts. */
 const BATCH_OVER: readonly string[] = ["complete", "ended", "removed"];
 
 /** A batch that runs on this daemon. */
 export class BatchRun {
   readonly #kernel: Kernel;
-  readonly #relay: RequestRelay;
   readonly #store: BatchStore;
   readonly #ownership: Ownership;
   readonly #submission: BatchSubmission;
-  /** The route as it was at the start of the run. */
-  readonly #firstRoute: ExchangeRoute;
+  readonly #route: BatchRoute;
   readonly #context: RunContext;
   readonly #permits: ItemPermits;
   readonly #sender: ItemSender;
@@ -104,7 +102,6 @@
     /** When the call was sent that showed this daemon as the owner. */
     confirmedAt: Moment;
     submission: BatchSubmission;
-    route: ExchangeRoute;
     /** Number of groups at the front that came again from earlier batches. */
     repeatedGroups: number;
     /** Results listed before this run. */
@@ -117,16 +114,18 @@
     partialOutputs: PartialOutputs;
   }) {
     this.#kernel = options.kernel;
-    this.#relay = options.kernel.get(relayKey);
     this.#store = options.store;
     this.#submission = options.submission;
-    this.#firstRoute = options.route;
+    this.#route = new BatchRoute({
+      relay: options.kernel.get(relayKey),
+      clock: options.kernel.clock,
+      submission: options.submission,
+      signal: this.#abort.signal,
+    });
     this.#partialOutputs = options.partialOutputs;
-    const [{ pool }] = options.route.exchange.pools;
-    const waitMs = options.histories.of(pool).waits.expectedMs();
     this.#order = new GroupOrder({
       ...options,
-      scarceSlots: waitMs >= SCARCE_SLOTS_WAIT_MS,
+      scarceSlots: this.#areSlotsScarce(options.histories),
     });
     this.#groupOutcomes = new GroupOutcomes({
       ...options,
@@ -169,9 +168,14 @@
     });
   }
 
+  #areSlotsScarce(histories: PoolHistories): boolean {
+    const pool = this.#route.current?.exchange.pools[0].pool;
+    if (pool === undefined) return false;
+    return histories.of(pool).waits.expectedMs() >= SCARCE_SLOTS_WAIT_MS;
+  }
+
   /** The run as its tasks see it. */
   #createContext(histories: PoolHistories): RunContext {
-    const route = () => this.#route;
     const times = () => this.#times;
     const leftMs = () => this.#leftMs;
     return {
@@ -180,9 +184,7 @@
       ownership: this.#ownership,
       histories,
       signal: this.#signal,
-      get route() {
-        return route();
-      },
+      route: this.#route,
       get times() {
         return times();
       },
@@ -223,7 +225,7 @@
     const items = this.#order.items.filter(({ id }) => !listed.has(id));
     log("run started", {
       id: this.#submission.id,
-      route: this.#route.name,
+      route: this.#route.current?.name,
       items: items.length,
       wantedGroups: this.#order.neededGroups.length,
       repeatedGroups: this.#order.repeatedGroups,
@@ -268,13 +270,6 @@
     }
   }
 
-  /** The route in force; the first one if it was removed since. */
-  get #route(): ExchangeRoute {
-    const { name } = this.#firstRoute;
-    return this.#relay.routes(this.#submission.host)
-      .find((route) => route.name === name) ?? this.#firstRoute;
-  }
-
   /** The key of an item's partial output. */
   #outputKey(item: string): string {
     return partialOutputKey(this.#submission, item);
@@ -321,11 +316,16 @@
 
   /** Time until unfinished items are given up. */
   get #leftMs(): number {
-    const retentionMs = this.#route.exchange.batch?.retentionMs ?? Infinity;
+    const { latest } = this.#route;
+    const retentionMs = latest?.exchange.batch?.retentionMs ?? Infinity;
     return retentionMs + CLOCK_SKEW_MARGIN_MS - this.#times.ageMs;
   }
 
   async #runItem(item: Item): Promise<void> {
+    // Neither pool nor versions of the item are known without a route.
+    if (await this.#route.wait(this.#signal) === undefined) {
+      return this.#giveUp({ item }, ROUTE_REMOVED);
+    }
     const task = new ItemTask(item, {
       pool: this.#permits.drawPool({ emptyPools: [] }),
       now: this.#kernel.clock.now(),
@@ -350,10 +350,16 @@
         await this.#ownership.waitUntilValid();
         continue;
       }
+      const route = await this.#route.wait(this.#signal);
+      if (route === undefined) return this.#giveUp(task, ROUTE_REMOVED);
       if (this.#permits.isMoved(task)) task.pool = this.#permits.drawPool(task);
       const exclusionMs = waitingSince + MAX_EXCLUSION_MS -
         this.#kernel.clock.now();
-      const permit = await this.#permits.acquire(task, { leftMs, exclusionMs });
+      const permit = await this.#permits.acquire(task, {
+        route,
+        leftMs,
+        exclusionMs,
+      });
       if (!this.#ownership.valid || this.#permits.isMoved(task)) {
         if (permit.ok) permit.val.release(PermitOutcome.Cancelled, 0);
         continue;
@@ -375,7 +381,7 @@
         continue;
       }
       if (isFinal(lost.loss)) return this.#giveUp(task, lost.loss);
-      const { maxAttempts } = this.#route.exchange;
+      const { maxAttempts } = route.exchange;
       if (task.failures >= maxAttempts) return this.#giveUp(task, "failed");
       waitMs = RETRY_DELAY_MS;
       misdirections = lost.loss === Loss.Misdirected ? misdirections + 1 : 0;
@@ -425,7 +431,7 @@
     });
   }
 
-  #giveUp({ item }: ItemTask, reason: string): void {
+  #giveUp({ item }: Pick<ItemTask, "item">, reason: string): void {
     if (this.#signal.aborted) return;
     log("item given up", { id: item.id, batch: this.#submission.id, reason });
     this.#finish({
@@ -443,11 +449,11 @@
   }
 
   get #times(): BatchTimes {
-    const { exchange, deadlineMs } = this.#route;
+    const { latest } = this.#route;
     return {
       ageMs: this.#kernel.clock.wall() - this.state.head.submittedAt,
-      targetMs: exchange.batch?.resultTargetMs ?? Infinity,
-      timeoutMs: deadlineMs,
+      targetMs: latest?.exchange.batch?.resultTargetMs ?? Infinity,
+      timeoutMs: latest?.deadlineMs ?? Infinity,
     };
   }
 }
--- a/src/batches/batch_run_test.ts
+++ b/src/batches/batch_run_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "earl";
+import { fromNullable } from "fp-ts/Option";
 import { test } from "node:test";
 import { Err, Ok } from "ts-results";
 import { CallOutcome } from "../../stand_ins/memory_transactional_key_value.ts";
@@ -20,6 +21,7 @@
 import { type ExchangeRoute, relayKey } from "../relay/mod.ts";
 import { DEFAULT_TIMING } from "../settings/load.ts";
 import type { Settings } from "../settings/mod.ts";
+import { RouteKind } from "../tables/mod.ts";
 import { BatchRun } from "./batch_run.ts";
 import type { GroupOutcome } from "./group_outcomes.ts";
 import { ItemOutcome } from "./mod.ts";
@@ -37,6 +39,7 @@
 
 const ROUTE = {
   name: "rollouts",
+  kind: RouteKind.Batch,
   deadlineMs: 12_000,
   exchange: { pools: [{ pool: "p", weight: 1 }], rank: 0, maxAttempts: 2 },
 } as unknown as ExchangeRoute;
@@ -98,7 +101,8 @@
 async function startRun(options: {
   transport?: UpstreamTransport;
   dispatch?: Dispatch;
-  routeInForce?: () => ExchangeRoute;
+  /** The route that the batch's host and path select; undefined for none. */
+  routeInForce?: () => ExchangeRoute | undefined;
   countGroups?: (outcome: GroupOutcome, count: number) => void;
 } = {}) {
   const clock = new ManualClock();
@@ -107,7 +111,18 @@
   const { transport, aborted, finish } = upstream();
   const { dispatch: all, outcomes } = dispatchAll();
   const dispatch = options.dispatch ?? all;
-  const relay = { routes: () => [options.routeInForce?.() ?? ROUTE] };
+  const { routeInForce = () => ROUTE } = options;
+  const changed = new Set<() => void>();
+  const relay = {
+    route: () => fromNullable(routeInForce()),
+    onChange: (listener: () => void) => {
+      changed.add(listener);
+      return () => changed.delete(listener);
+    },
+  };
+  const changeRoutes = () => {
+    for (const listener of changed) listener();
+  };
   const plugin = <T>(key: PluginKey, value: T) => ({
     key,
     requires: [],
@@ -135,7 +150,6 @@
     submission: submission({
       items: items.map((item) => ({ ...item, group: item.id })),
     }),
-    route: options.routeInForce?.() ?? ROUTE,
     repeatedGroups: 0,
     countGroups: options.countGroups,
     results: [],
@@ -143,7 +157,16 @@
     partialOutputs: new PartialOutputs(),
   });
   run.start();
-  return { run, records, clock, aborted, finish, outcomes, histories };
+  return {
+    run,
+    records,
+    clock,
+    aborted,
+    finish,
+    outcomes,
+    histories,
+    changeRoutes,
+  };
 }
 
 /** Advances the time in steps in which calls are answered. */
@@ -284,7 +307,7 @@
   const { transport, sent } = losingTransport(Loss.Unsendable);
   const { dispatch } = dispatchTo((pool) => pool === "new");
   let route = routeOver({ gone: 1 });
-  const { run, clock } = await startRun({
+  const { run, clock, changeRoutes } = await startRun({
     transport,
     dispatch,
     routeInForce: () => route,
@@ -292,6 +315,7 @@
   await pass(clock, 200);
   const before = sent.length;
   route = routeOver({ new: 1 });
+  changeRoutes();
   await pass(clock, 500);
   await run.stop("ended");
   expect([before, [...sent].sort()]).toEqual([0, ["one", "two"]]);
@@ -309,13 +333,14 @@
       return await all.acquire(demand, signal);
     },
   } as unknown as Dispatch;
-  const { run, clock } = await startRun({
+  const { run, clock, changeRoutes } = await startRun({
     transport,
     dispatch,
     routeInForce: () => route,
   });
   await pass(clock, 100);
   route = routeOver({ new: 1 });
+  changeRoutes();
   grant();
   await pass(clock, 500);
   await run.stop("ended");
@@ -363,3 +388,87 @@
   await run.stop("ended");
   expect([starts.length, starts[1] > 20_000]).toEqual([2, true]);
 });
+
+/** A batch whose route is removed after a while, with its sends by time. */
+async function removeRoute(options: { backAfterMs: number }) {
+  const { transport, sent } = losingTransport(Loss.NotRun);
+  let route: ExchangeRoute | undefined = ROUTE;
+  const { run, clock, changeRoutes } = await startRun({
+    transport,
+    routeInForce: () => route,
+  });
+  await pass(clock, 300);
+  route = undefined;
+  changeRoutes();
+  const before = sent.length;
+  await pass(clock, options.backAfterMs);
+  const meanwhile = sent.length - before;
+  route = ROUTE;
+  changeRoutes();
+  await pass(clock, 500);
+  await run.stop("ended");
+  const after = sent.length - before - meanwhile;
+  return { before, meanwhile, after, results: run.results };
+}
+
+// Items went on by the last route that the owner had seen.
+test("no item is sent while the route of its batch is removed", async () => {
+  const { before, meanwhile, after, results } = await removeRoute({
+    backAfterMs: 1500,
+  });
+  expect([before > 0, meanwhile, after > 0]).toEqual([true, 0, true]);
+  expect(results).toEqual([]);
+});
+
+test("items whose route stays removed are given up", async () => {
+  const { meanwhile, after, results } = await removeRoute({
+    backAfterMs: 5000,
+  });
+  expect([meanwhile, after]).toEqual([0, 0]);
+  expect(results.map(({ end }) => end))
+    .toEqual([ItemOutcome.GivenUp, ItemOutcome.GivenUp]);
+});
+
+test("a route that takes no batches any more gets no items", async () => {
+  const { transport, sent } = losingTransport(Loss.NotRun);
+  const plain = { ...ROUTE, kind: RouteKind.Exchange } as ExchangeRoute;
+  const { run, clock } = await startRun({
+    transport,
+    routeInForce: () => plain,
+  });
+  await pass(clock, 5000);
+  await run.stop("ended");
+  expect([sent, run.results.length]).toEqual([[], 2]);
+});
+
+test("items that wait for a permit stop waiting when their route is removed", async () => {
+  const waiting = new Set<string>();
+  const dispatch = {
+    acquire: async ({ id }: Demand, signal: AbortSignal) => {
+      waiting.add(id);
+      await new Promise((resolve) =>
+        signal.addEventListener("abort", resolve, { once: true })
+      );
+      waiting.delete(id);
+      return Err(
+        new Refusal({
+          verdict: Verdict.NotRun,
+          reason: Reason.Cancelled,
+          message: "Cancelled",
+        }),
+      );
+    },
+  } as unknown as Dispatch;
+  let route: ExchangeRoute | undefined = ROUTE;
+  const { run, clock, changeRoutes } = await startRun({
+    dispatch,
+    routeInForce: () => route,
+  });
+  await pass(clock, 100);
+  const before = waiting.size;
+  route = undefined;
+  changeRoutes();
+  await pass(clock, 100);
+  expect([before, waiting.size]).toEqual([2, 0]);
+  await run.stop("ended");
+});
--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -25,7 +25,7 @@
 } from "../kernel/mod.ts";
 import type { TransactionalKeyValue } from "../outside/mod.ts";
 import { type Peers, peersKey } from "../peers/mod.ts";
-import { type ExchangeRoute, relayKey } from "../relay/mod.ts";
+import { relayKey } from "../relay/mod.ts";
 import { BatchCache } from "./batch_cache.ts";
 import { BatchReader } from "./batch_reader.ts";
 import { BatchScanner } from "./batch_scanner.ts";
@@ -354,14 +354,21 @@
   }
 
   async #startRun(id: string, signal: AbortSignal): Promise<void> {
+    const notStarted = (reason: string) =>
+      log("run not started", { id, reason });
+    // Without a configuration a removed route looks like one not known yet.
+    if (isNone(this.#kernel.get(activeConfigurationKey).current())) {
+      return notStarted("no configuration yet");
+    }
     const found = await this.#store.readHead(id);
-    if (found.err || isNone(found.val.state)) return;
+    if (found.err) return notStarted(found.val.message);
+    if (isNone(found.val.state)) return notStarted("no such batch");
     const state = found.val.state.value;
-    if (state.head.ended || state.head.listed >= state.head.total) return;
+    if (state.head.ended) return notStarted("ended");
+    if (state.head.listed >= state.head.total) return notStarted("complete");
     const taken = await this.#takeOwnership(state, found.val.sentAt);
-    if (taken === undefined) return;
+    if (taken === undefined) return notStarted("ownership not taken");
     const { head } = taken.state;
-    const route = this.#routeNamed(head.route);
     const results = await this.#store.results(id, 0);
     if (state.head.listed > 0 || state.head.run !== head.run) {
       const outputs = await this.#store.partialOutputs(id);
@@ -371,21 +378,21 @@
     }
     const submission = this.#cache.get(id)?.submission ??
       await this.#items(head);
-    if (route === undefined || results.err || submission === undefined) return;
+    if (results.err) return notStarted(results.val.message);
+    if (submission === undefined) return notStarted("items not read");
+    if (this.#leaving || signal.aborted) return notStarted("leaving or ended");
     const run = new BatchRun({
       kernel: this.#kernel,
       store: this.#store,
       ...taken,
       submission,
       repeatedGroups: this.#repeatedGroups.record(submission),
-      route,
       results: results.val.flat(),
       countGroups: (outcome, count) =>
         this.#groupsTotal.inc({ route: head.route, outcome }, count),
       histories: this.#histories,
       partialOutputs: this.#partialOutputs,
     });
-    if (this.#leaving || signal.aborted) return;
     this.#runs.set(id, run);
     run.start();
     void run.ended.then(() => this.#retire(id, run));
@@ -422,13 +429,6 @@
     return { state: now.value, confirmedAt: sentAt };
   }
 
-  #routeNamed(name: string): ExchangeRoute | undefined {
-    const current = this.#kernel.get(activeConfigurationKey).current();
-    if (isNone(current)) return undefined;
-    const route = current.value.tables.routes.find((row) => row.name === name);
-    return route?.exchange === undefined ? undefined : route as ExchangeRoute;
-  }
-
   /** Loads the submission with its items, and caches it. */
   async #items(head: BatchHead): Promise<BatchSubmission | undefined> {
     const found = await this.#store.submission(head);
--- a/src/batches/item_permits.ts
+++ b/src/batches/item_permits.ts
@@ -14,7 +14,7 @@
   type Permit,
 } from "../dispatch/mod.ts";
 import type { Refusal } from "../kernel/mod.ts";
-import { drawPool } from "../relay/mod.ts";
+import { drawPool, type ExchangeRoute } from "../relay/mod.ts";
 import { priorityOf } from "../tables/mod.ts";
 import type { GroupOrder } from "./group_order.ts";
 import type { ItemTask } from "./item_task.ts";
@@ -49,10 +49,12 @@
 
   /**
    * Draws an item's pool by the weights in force, from those in which an
-   * upstream may be found.
+   * upstream may be found. Empty if the route was removed.
    */
   drawPool({ emptyPools }: Pick<ItemTask, "emptyPools">): string {
-    const { exchange } = this.#context.route;
+    const { current } = this.#context.route;
+    if (current === undefined) return "";
+    const { exchange } = current;
     const pools = exchange.pools
       .filter(({ pool }) => !emptyPools.includes(pool));
     const drawn = pools.length === 0 ? exchange : { ...exchange, pools };
@@ -63,7 +65,7 @@
   leavePool(task: ItemTask): void {
     if (task.excluded.length === 0) {
       const empty = [...task.emptyPools, task.pool];
-      const { pools } = this.#context.route.exchange;
+      const pools = this.#context.route.current?.exchange.pools ?? [];
       const isLast = pools.every(({ pool }) => empty.includes(pool));
       task.emptyPools = isLast ? [] : empty;
       task.pool = this.drawPool(task);
@@ -71,10 +73,9 @@
     task.excluded = [];
   }
 
-  /** Whether a manifest moved the item's route off its pool. */
+  /** Whether the item's route left its pool or was removed. */
   isMoved({ pool }: ItemTask): boolean {
-    return !this.#context.route.exchange.pools
-      .some((one) => one.pool === pool);
+    return !this.#context.route.allows(pool);
   }
 
   /**
@@ -82,14 +83,15 @@
    * long as the demand is queued, even if no other upstream has the version. So
    * the wait is cut off after `exclusionMs`, and the next demand excludes
    * nothing and merely avoids these upstreams. A wait is cut off as well when
-   * the item has to be placed anew.
+   * the item has to be placed anew, or its route left the pool.
    */
-  async acquire(task: ItemTask, { leftMs, exclusionMs }: {
+  async acquire(task: ItemTask, { route, leftMs, exclusionMs }: {
+    route: ExchangeRoute;
     leftMs: number;
     exclusionMs: number;
   }): Promise<Result<Permit, Refusal>> {
     const { ownership, histories, kernel, times } = this.#context;
-    let demand = this.#demand(task, leftMs);
+    let demand = this.#demand(task, { route, leftMs });
     let limitMs = reorderInMs(times);
     if (demand.exclude.length > 0 && exclusionMs > 0) {
       limitMs = Math.min(limitMs, exclusionMs);
@@ -103,6 +105,9 @@
     const cancel = limitMs === Infinity
       ? () => {}
       : kernel.clock.after(limitMs, () => expiry.abort());
+    const stopFollowing = this.#context.route.onChange(() => {
+      if (this.isMoved(task)) expiry.abort();
+    });
     const signal = AbortSignal.any([ownership.signal, expiry.signal]);
     // Items that may start later tell nothing of the wait of one that moves.
     const mayWait = this.#order.place(task.item.id).delayMs > 0;
@@ -110,12 +115,16 @@
     const permit = await this.#dispatch.acquire(demand, signal);
     endWait(permit.ok);
     cancel();
+    stopFollowing();
     return permit;
   }
 
-  #demand(task: ItemTask, leftMs: number): Demand {
+  #demand(task: ItemTask, { route, leftMs }: {
+    route: ExchangeRoute;
+    leftMs: number;
+  }): Demand {
     const { item } = task;
-    const { submission, route, histories } = this.#context;
+    const { submission, histories } = this.#context;
     const { organisation, rank, minVersion } = submission;
     const { speeds } = histories.of(task.pool);
     return {
--- a/src/batches/item_sender.ts
+++ b/src/batches/item_sender.ts
@@ -142,7 +142,7 @@
     return { loss: Loss.Cancelled, message: "The upstream is slow" };
   }
 
-  #request({ item, output }: ItemTask): UpstreamRequest {
+  #request({ item, output, pool }: ItemTask): UpstreamRequest {
     const { kernel, submission, ownership, route, leftMs } = this.#context;
     return {
       id: item.id,
@@ -155,8 +155,8 @@
       remainingMs: Math.min(ITEM_TIMEOUT_MS, leftMs),
       after: output.last,
       silenceMs: kernel.settings.timing.upstreamSilenceMs,
-      urgency: Math.min(9, route.exchange.rank + 2),
-      mayStart: () => ownership.valid,
+      urgency: Math.min(9, (route.latest?.exchange.rank ?? 0) + 2),
+      mayStart: () => ownership.valid && route.allows(pool),
     };
   }
 }
--- a/src/batches/run_context.ts
+++ b/src/batches/run_context.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Kernel } from "../kernel/mod.ts";
-import type { ExchangeRoute } from "../relay/mod.ts";
+import type { BatchRoute } from "./batch_route.ts";
 import type { BatchSubmission } from "./mod.ts";
 import type { Ownership } from "./ownership.ts";
 import type { PoolHistories } from "./pool_history.ts";
@@ -19,8 +19,7 @@
   readonly histories: PoolHistories;
   /** Aborts when the run ends. */
   readonly signal: AbortSignal;
-  /** The route in force. */
-  readonly route: ExchangeRoute;
+  readonly route: BatchRoute;
   readonly times: BatchTimes;
   /** Time until unfinished items are given up. */
   readonly leftMs: number;
@@ -35,6 +34,6 @@
 export function versionTerms({ submission, route }: RunContext) {
   return {
     minVersion: submission.minVersion,
-    singleVersion: route.exchange.batch?.singleVersion ?? false,
+    singleVersion: route.latest?.exchange.batch?.singleVersion ?? false,
   };
 }
--- a/src/relay/mod.ts
+++ b/src/relay/mod.ts
@@ -57,6 +57,9 @@
   /** All exchange and batch routes of a host. */
   abstract routes(host: string): readonly ExchangeRoute[];
 
+  /** Calls `listener` after the routes changed; returns a function to stop. */
+  abstract onChange(listener: () => void): () => void;
+
   /**
    * Runs a request within the route's limits. The answer is the upstream's
    * complete response; a refusal says whether the request may have run.
--- a/src/relay/pass_through_relay.ts
+++ b/src/relay/pass_through_relay.ts
@@ -43,6 +43,7 @@
   readonly #attemptRunner: AttemptRunner;
   readonly #answers;
   readonly #durations;
+  readonly #listeners = new Set<() => void>();
   #routing = new Routing([]);
   #unsubscribe: () => void = () => {};
 
@@ -71,6 +72,7 @@
     }
     this.#unsubscribe = this.#config.onChange(({ tables }) => {
       this.#routing = new Routing(tables.routes);
+      for (const listener of this.#listeners) listener();
     });
     return Promise.resolve();
   }
@@ -88,6 +90,11 @@
     return this.#routing.ofHost(host);
   }
 
+  onChange(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
   async serve(
     route: ExchangeRoute,
     requester: Requester,
