Upstreams: no connection carries a request twice

What callers saw: requests that may not be repeated ran twice, after a late second copy of a refusal. Cause: the copy arrives where the next answer on its connection is due; the next send of the same request may be on that connection, and the id that the upstream echoes is the same for each send. Ruled out: answers to other requests (their id differs), a library that resends. Change: RequestConnections keeps the ids that a connection carried and sends a request only on one that has not carried it.

--- a/src/outside/http_engine.ts
+++ b/src/outside/http_engine.ts
@@ -7,7 +7,7 @@
 
 import { StringDecoder } from "node:string_decoder";
 import { Err, Ok, type Result } from "ts-results";
-import { type Dispatcher, Pool } from "undici";
+import type { Dispatcher } from "undici";
 import { z } from "zod";
 import { type Clock, SystemClock } from "../kernel/mod.ts";
 import {
@@ -36,6 +36,7 @@
   type Load,
   type Target,
 } from "./mod.ts";
+import { type Exchange, RequestConnections } from "./request_connections.ts";
 import {
   NoticeFeed,
   type NoticeFields,
@@ -114,12 +115,17 @@
     let body: Dispatcher.ResponseData["body"] | undefined;
     let complete = false;
     try {
-      const response = await upstream.send(generation, stream.signal);
+      const { response, retire } = await upstream
+        .send(generation, stream.signal);
       body = response.body;
       const fields = noticeFieldsOf(response.headers);
       this.#publishNotice(target, fields, sentAt);
       const status = response.statusCode;
-      if (status !== 200) return yield await refused(status, body);
+      if (status !== 200) {
+        // A refusal names no generation: a copy of it would refuse the next one.
+        retire();
+        return yield await refused(status, body);
+      }
       const parser = new EventParser();
       stream.startSilenceTimer();
       const reading = body.iterator({ destroyOnReturn: false });
@@ -149,7 +155,7 @@
     } catch (error) {
       this.#limits.report(error, target.id);
       // If one connection went silent, idle ones may be silent too.
-      if (stream.silent) upstream.replacePool();
+      if (stream.silent) upstream.replaceConnections();
       yield Err(stream.failure(error));
     } finally {
       if (body !== undefined) this.#limits.release(body);
@@ -251,7 +257,7 @@
   readonly endpoint: HttpEndpoint;
   readonly #origin: string;
   /** Created by the first generation, as many daemons only read loads. */
-  #pool: Pool | undefined;
+  #requests: RequestConnections | undefined;
 
   constructor({ address, limits }: { address: string; limits: AnswerLimits }) {
     this.#origin = `http://${address}`;
@@ -261,9 +267,9 @@
   send(
     generation: Generation,
     signal: AbortSignal,
-  ): Promise<Dispatcher.ResponseData> {
-    this.#pool ??= this.#connect();
-    return this.#pool.request({
+  ): Promise<Exchange> {
+    this.#requests ??= this.#connect();
+    return this.#requests.send(generation.id, {
       method: "POST",
       path: "/v1/completions",
       headers: { "content-type": "application/json" },
@@ -283,32 +289,32 @@
   }
 
   /** New requests get new connections; running ones finish on the old. */
-  replacePool(): void {
-    const old = this.#pool;
-    this.#pool = undefined;
-    old?.close().catch(() => old.destroy());
+  replaceConnections(): void {
+    this.#requests?.close();
+    this.#requests = undefined;
   }
 
   /** Closes the connections once running requests have ended. */
   close(): void {
-    this.replacePool();
+    this.replaceConnections();
     this.endpoint.close().catch(() => {});
   }
 
   async destroy(): Promise<void> {
-    await Promise.all([this.#pool?.destroy(), this.endpoint.close()]);
+    await Promise.all([this.#requests?.destroy(), this.endpoint.close()]);
   }
 
   // `StreamGuard` times out streams, so undici's own timeouts are off.
-  #connect(): Pool {
-    return new Pool(this.#origin, {
-      connections: null,
-      pipelining: 1,
-      connect: faultReportingConnector(CONNECT_TIMEOUT_MS),
-      keepAliveTimeout: IDLE_TIMEOUT_MS,
-      keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
+  #connect(): RequestConnections {
+    return new RequestConnections({
+      origin: this.#origin,
+      client: {
+        connect: faultReportingConnector(CONNECT_TIMEOUT_MS),
+        keepAliveTimeout: IDLE_TIMEOUT_MS,
+        keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      },
     });
   }
 }
--- a/src/outside/http_test.ts
+++ b/src/outside/http_test.ts
@@ -79,7 +79,9 @@
   const engine = new HttpEngine();
   const { host } = new URL(standIn.url);
   for (let n = 0; n < 3; n++) {
-    const { chunks, fault } = await run(engine, host);
+    const { chunks, fault } = await run(engine, host, {
+      generation: { id: `r${n}` },
+    });
     expect([chunks.length, chunks[4].finishReason]).toEqual([5, "stop"]);
     expect(fault).toEqual(undefined);
     await new Promise((resolve) => setTimeout(resolve, 10));
@@ -89,6 +91,25 @@
   await standIn.close();
 });
 
+// A late copy of a refusal, which names no generation, refused the next one.
+test("a refused generation leaves no connection to the next one", async () => {
+  const sockets: Socket[] = [];
+  const server = await startTcpServer((socket) =>
+    socket.on("data", () => {
+      sockets.push(socket);
+      socket.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    })
+  );
+  const engine = new HttpEngine();
+  for (const id of ["a", "b"]) {
+    await run(engine, addressOf(server), { generation: { id } });
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  expect(new Set(sockets).size).toEqual(2);
+  await engine.close();
+  server.close();
+});
+
 test("a refused connection means that nothing was sent", async () => {
   const server = await startTcpServer(() => {});
   const address = addressOf(server);
