Answers with a status that is none of HTTP's are no answers

What callers saw: statuses from 600 to 999 were passed on with the upstream's body and seal, on plain routes, streams and plain services of the own interface; orders answered so counted as refused. 000, the status of the report, was not. Cause: the HTTP library parses any three digits, and nothing checked the class. Change: only statuses from 200 to 599 end an exchange; after any other the connection is closed and the request or call may have run.

--- a/src/gateway/response_forwarder.ts
+++ b/src/gateway/response_forwarder.ts
@@ -9,7 +9,7 @@
 import type { Dispatcher } from "undici";
 import { Outcome } from "../dispatch/mod.ts";
 import { Reason, Verdict } from "../kernel/mod.ts";
-import { isFailureStatus } from "../outside/http_endpoint.ts";
+import { isFailureStatus, isFinalStatus } from "../outside/http_endpoint.ts";
 import type { ResponseRecorder } from "./idempotency.ts";
 import { BodyRefusedError, responseHeaders } from "./forwarded_request.ts";
 
@@ -70,11 +70,14 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: ResponseHeaders,
   ) {
     if (status < 200) return;
+    if (!isFinalStatus(status)) {
+      return controller.abort(new Error(`Status "${status}" is none of HTTP`));
+    }
     this.#onHead(headers);
     if (this.#cancelled) return;
     this.#status = status;
--- a/src/gateway/service_forwarder_test.ts
+++ b/src/gateway/service_forwarder_test.ts
@@ -282,6 +282,44 @@
   });
 });
 
+// Any three digits were passed on as a status.
+for (const status of ["000", "099", "199", "600", "999"]) {
+  test(`status ${status} of a service reaches no caller`, async () => {
+    const answer = (socket: Socket) =>
+      socket.once("data", () => {
+        socket.end(`HTTP/1.1 ${status} Odd\r\ncontent-length: 3\r\n\r\nodd`);
+      });
+    await withTcpServer(answer, async (address) => {
+      const routes = [{ ...serviceRoute(), repeatable: false }];
+      await withGateway(
+        { routes, targets: targets(address) },
+        async (fixture) => {
+          const response = await call(fixture);
+          expect([response.status, (await response.text()).includes("odd")])
+            .toEqual([502, false]);
+        },
+      );
+    });
+  });
+}
+
+test("a head that ends in the middle is no success of a service", async () => {
+  const whole = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n";
+  for (let bytes = 1; bytes < whole.length; bytes += 3) {
+    const cut = (socket: Socket) =>
+      socket.once("data", () => socket.end(whole.slice(0, bytes)));
+    await withTcpServer(cut, async (address) => {
+      const routes = [{ ...serviceRoute(), repeatable: false }];
+      await withGateway(
+        { routes, targets: targets(address) },
+        async (fixture) => {
+          expect((await call(fixture)).status).toEqual(502);
+        },
+      );
+    });
+  }
+});
+
 test("a response without a length that is reset breaks off for the caller", async () => {
   const handle = (socket: Socket) => {
     socket.once("data", () => {
--- a/src/outside/http_endpoint.ts
+++ b/src/outside/http_endpoint.ts
@@ -112,8 +112,13 @@
       body,
       signal,
     });
-    const content = await this.#limits.read(response.body, MAX_ANSWER_BYTES);
-    return { status: response.statusCode, text: content.toString() };
+    const { statusCode: status, body: answer } = response;
+    if (!isFinalStatus(status)) {
+      answer.on("error", () => {}).destroy();
+      throw new RangeError(`Status "${status}" is none of HTTP`);
+    }
+    const content = await this.#limits.read(answer, MAX_ANSWER_BYTES);
+    return { status, text: content.toString() };
   }
 
   #connect(): Pool {
@@ -231,6 +236,11 @@
   }
 }
 
+/** Whether HTTP has a status of this class for the end of an exchange. */
+export function isFinalStatus(status: number): boolean {
+  return status >= 200 && status < 600;
+}
+
 /** Whether the status reports a failure of the server. */
 export function isFailureStatus(status: number): boolean {
   return status >= 500;
--- a/src/outside/http_test.ts
+++ b/src/outside/http_test.ts
@@ -210,6 +210,30 @@
   await standIn.close();
 });
 
+test("an odd status or a part of a head is no generation", async () => {
+  const head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  const answers = [
+    ...["000", "099", "199", "600", "999"].map((status) =>
+      head.replace("200", status)
+    ),
+    ...upTo(head.length - 1).map((bytes) => head.slice(0, bytes)),
+  ];
+  for (const answer of answers) {
+    const server = await startTcpServer((socket) =>
+      socket.once("data", () => socket.end(answer))
+    );
+    const engine = new HttpEngine();
+    const { chunks, fault } = await run(engine, addressOf(server));
+    expect([chunks.length, fault]).toEqual([0, EngineFault.Broken]);
+    await engine.close();
+    server.close();
+  }
+});
+
+function upTo(count: number): readonly number[] {
+  return Array.from({ length: count }, (_, n) => n + 1);
+}
+
 test("a silent stream is aborted and its connections are replaced", async () => {
   const standIn = await startEngine({ tokenMs: 2 });
   const engine = new HttpEngine({ silenceMs: 60 });
