--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -10,6 +10,7 @@
 import type { Platform } from "../outside/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { type Clock, SystemClock } from "./clock.ts";
+import { logger } from "./log.ts";
 import {
   type Plugin,
   type PluginKey,
@@ -17,6 +18,8 @@
   type Registration,
 } from "./plugin.ts";
 
+const log = logger("daemon");
+
 /** The core of the daemon: the plug-ins and the resources they share. */
 export class Kernel {
   readonly settings: Settings;
@@ -84,7 +87,9 @@
     const left = new AbortController();
     const overdue = this.clock
       .sleep(this.settings.timing.drainMs, left.signal);
-    const leaving = this.#leave().finally(() => left.abort());
+    const leaving = this.#leave()
+      .catch((error) => log("hand-over failed", { reason: String(error) }))
+      .finally(() => left.abort());
     const reversed = [...plugins].reverse();
     for (const plugin of reversed) await plugin.close();
     await Promise.race([leaving, overdue]);
