--- a/review/lib-3/case.ts
+++ b/review/lib-3/case.ts
@@ -85,10 +85,16 @@
     return sampler;
   }
 
-  /** Starts daemons; returns once all are ready. */
-  async start(count: number): Promise<readonly Daemon[]> {
+  /**
+   * Starts daemons; returns once all are ready. `storeOf` gives the address at
+   * which a daemon reaches the store, if it is another one.
+   */
+  async start(
+    count: number,
+    storeOf?: (daemon: number) => string | undefined,
+  ): Promise<readonly Daemon[]> {
     if (this.#deployment === undefined) throw new Error("No deployment");
-    return await this.#deployment.start(count);
+    return await this.#deployment.start(count, storeOf);
   }
 
   /** Stops a daemon as planned, and waits until it is back. */
--- a/review/lib-3/deployment.ts
+++ b/review/lib-3/deployment.ts
@@ -179,18 +179,28 @@
   }
 
   /** Starts `count` daemons in as many zones; returns once all are ready. */
-  async start(count: number): Promise<readonly Daemon[]> {
+  async start(
+    count: number,
+    storeOf: (daemon: number) => string | undefined = () => undefined,
+  ): Promise<readonly Daemon[]> {
     const zones = Array.from({ length: count }, (_, n) => `zone-${n + 1}`);
     const regions = Object.fromEntries(zones.map((zone) => [zone, "region"]));
     for (const [n, zone] of zones.entries()) {
-      this.daemons.push(await this.#startOne(n, { zone, regions }));
+      this.daemons.push(
+        await this.#startOne(n, {
+          zone,
+          regions,
+          store: storeOf(n) ?? this.#store,
+        }),
+      );
     }
     for (const daemon of this.daemons) await untilReady(daemon);
     return this.daemons;
   }
 
-  async #startOne(n: number, { zone, regions }: {
+  async #startOne(n: number, { zone, regions, store }: {
     zone: string;
+    store: string;
     regions: Readonly<Record<string, string>>;
   }): Promise<Daemon> {
     const [front, ready, inner, metrics] = await freePorts(4);
@@ -232,7 +242,7 @@
           settle_ms: 1000,
           ...this.#bounds,
         },
-        provider: { address: this.#store },
+        provider: { address: store },
         cloud: { address: this.#cloud },
       }),
     );
--- a/review/lib-3/sampler.ts
+++ b/review/lib-3/sampler.ts
@@ -90,6 +90,12 @@
     this.#timer = setInterval(() => this.register(), HEARTBEAT_MS);
   }
 
+  /** Leaves without a word: its entry is removed, and it serves on. */
+  leave(): void {
+    clearInterval(this.#timer);
+    this.#platform.remove(`servers/${this.id}`);
+  }
+
   stop(): void {
     clearInterval(this.#timer);
     this.#server.close();
