--- a/review/lib-3/case.ts
+++ b/review/lib-3/case.ts
@@ -56,6 +56,9 @@
       writeFileSync(file, `${test.#lines.join("\n")}\n`);
       process.exit(code);
     };
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+      process.once(signal, () => void finish("stopped"));
+    }
     try {
       await test.platform.start();
       const store = test.platform.address;
--- a/review/lib-3/platform.ts
+++ b/review/lib-3/platform.ts
@@ -236,7 +236,7 @@
     const entries = expected.length + writes.length + remove.length;
     const tooLong = writes.some(({ key, value }) =>
       Buffer.byteLength(key) > MAX_KEY_BYTES ||
-      Buffer.from(value, "base64").length > MAX_VALUE_BYTES
+      Buffer.byteLength(value, "base64") > MAX_VALUE_BYTES
     );
     if (entries > MAX_TXN_ENTRIES || tooLong) return [400, {}];
     if (writes.some(({ key }) => /^(op|servers)\//.test(key))) return [403, {}];
