--- a/review/lib-3/sampler.ts
+++ b/review/lib-3/sampler.ts
@@ -56,6 +56,7 @@
   readonly bornAt = Date.now();
   state = "ready";
   #running = 0;
+  #leaving = false;
   #timer: NodeJS.Timeout | undefined;
   readonly #platform: PlatformStandIn;
   readonly #server = createServer((message, response) => {
@@ -90,8 +91,17 @@
     this.#timer = setInterval(() => this.register(), HEARTBEAT_MS);
   }
 
-  /** Leaves without a word: its entry is removed, and it serves on. */
-  leave(): void {
+  /**
+   * Leaves: its answers say so from now on, and it serves on. It reports
+   * `draining` to the store, or its entry is removed without that.
+   */
+  leave(options: { reports: boolean }): void {
+    this.#leaving = true;
+    if (options.reports) {
+      this.state = "draining";
+      this.register();
+      return;
+    }
     clearInterval(this.#timer);
     this.#platform.remove(`servers/${this.id}`);
   }
@@ -130,6 +140,7 @@
     const parts: Buffer[] = [];
     for await (const part of message) parts.push(part);
     const body = Buffer.concat(parts);
+    if (this.#leaving) response.setHeader("Server-Leaving", "1");
     const expected = message.headers["x-expect-instance"];
     if (expected !== undefined && expected !== this.id) {
       return void response.writeHead(421, { "x-instance-id": this.id }).end();
